--- /dev/null
+++ b/crates/base/src/clock.rs
@@ -0,0 +1,140 @@
+//! The clock type: milliseconds, from the system or set by hand.
+
+use std::cell::Cell;
+use std::fmt;
+use std::num::ParseIntError;
+use std::ops::Add;
+use std::ops::AddAssign;
+use std::ops::Sub;
+use std::rc::Rc;
+use std::str::FromStr;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A point in time or a span of time in milliseconds.
+///
+/// Points count from the Unix epoch. Subtraction saturates at zero.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// Zero milliseconds.
+    pub const ZERO: Millis = Millis(0);
+
+    /// A later point than any real one.
+    pub const MAX: Millis = Millis(u64::MAX);
+
+    /// A span of whole seconds.
+    pub const fn from_secs(secs: u64) -> Millis {
+        Millis(secs * 1000)
+    }
+
+    /// Time from `earlier` to `self`, zero if `earlier` is later.
+    pub fn since(self, earlier: Millis) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The span as a standard duration.
+    pub fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl Add for Millis {
+    type Output = Millis;
+
+    fn add(self, other: Millis) -> Millis {
+        Millis(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Millis {
+    fn add_assign(&mut self, other: Millis) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Millis {
+    type Output = Millis;
+
+    fn sub(self, other: Millis) -> Millis {
+        self.since(other)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}ms", self.0)
+    }
+}
+
+impl FromStr for Millis {
+    type Err = ParseIntError;
+
+    /// Reads `1500`, `1500ms` or `3s`.
+    fn from_str(text: &str) -> Result<Millis, ParseIntError> {
+        if let Some(num) = text.strip_suffix("ms") {
+            return num.parse().map(Millis);
+        }
+        if let Some(num) = text.strip_suffix('s') {
+            return num.parse().map(Millis::from_secs);
+        }
+        text.parse().map(Millis)
+    }
+}
+
+/// Source of the current time.
+#[derive(Clone, Debug)]
+pub enum Clock {
+    /// A time set by a test.
+    Manual(ManualClock),
+    /// The system's wall clock.
+    System,
+}
+
+impl Clock {
+    /// The current time.
+    pub fn now(&self) -> Millis {
+        match self {
+            Clock::Manual(clock) => clock.now(),
+            Clock::System => system_now(),
+        }
+    }
+}
+
+/// A clock that moves only when told to. Clones share the same time.
+#[derive(Clone, Debug, Default)]
+pub struct ManualClock {
+    now: Rc<Cell<u64>>,
+}
+
+impl ManualClock {
+    /// A clock that shows `now`.
+    pub fn new(now: Millis) -> ManualClock {
+        ManualClock {
+            now: Rc::new(Cell::new(now.0)),
+        }
+    }
+
+    /// The time shown.
+    pub fn now(&self) -> Millis {
+        Millis(self.now.get())
+    }
+
+    /// Moves the time forward.
+    pub fn advance(&self, span: Millis) {
+        self.now.set(self.now.get() + span.0);
+    }
+}
+
+fn system_now() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    Millis(since.map_or(0, |d| d.as_millis() as u64))
+}
--- /dev/null
+++ b/crates/base/src/outcome.rs
@@ -0,0 +1,44 @@
+//! What became of a request or a job.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::IdError;
+
+/// What is known about whether the work ran.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// The work did not run and will not run.
+    NotRun,
+    /// The work ran, and its answer is whole.
+    Ran,
+    /// The work may have run, may be running or may still run.
+    Unknown,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Outcome::NotRun => "not-run",
+            Outcome::Ran => "ran",
+            Outcome::Unknown => "unknown",
+        })
+    }
+}
+
+impl FromStr for Outcome {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Outcome, IdError> {
+        match text {
+            "not-run" => Ok(Outcome::NotRun),
+            "ran" => Ok(Outcome::Ran),
+            "unknown" => Ok(Outcome::Unknown),
+            _ => Err(IdError::Malformed("outcome", text.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzetack/src/lib.rs
@@ -0,0 +1,1 @@
+//! The bronzetack daemon.
--- /dev/null
+++ b/crates/bronzetack/src/main.rs
@@ -0,0 +1,3 @@
+//! The `bronzetack` daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims of non-idempotent requests.
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,1 @@
+//! Node settings and the operators' settings tree.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP interfaces for callers and operators.
--- /dev/null
+++ b/crates/gang/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shapes, guarantees and placement of gang jobs.
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,1 @@
+//! Registry of named services with ordered start and close.
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! WebSocket links that carry CBOR messages between daemons.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of the entry VMs of a failure domain.
--- /dev/null
+++ b/crates/obs/src/lib.rs
@@ -0,0 +1,18 @@
+//! Numbered log events, metrics and trace spans.
+
+mod event;
+mod log;
+mod metrics;
+mod span;
+
+pub use event::Event;
+pub use event::Level;
+pub use log::discard;
+pub use log::emit;
+pub use log::to_stderr;
+pub use metrics::Counter;
+pub use metrics::Gauge;
+pub use metrics::Metrics;
+pub use span::Span;
+pub use span::SpanError;
+pub use span::TraceParent;
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of upstreams, limits, admission and retries of requests.
--- /dev/null
+++ b/crates/sched/src/lib.rs
@@ -0,0 +1,1 @@
+//! Life cycle of jobs, coordinator epochs and take-over.
--- /dev/null
+++ b/crates/tackctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `tackctl` operator tool.
+
+fn main() {}
