Carry a job's payload to its tasks

Cause: a task must be told what to run, and neither the job nor the task said it. Ruled out: deriving it from the job's kind, which groups run times only. Change: an opaque text in the job and in the task. Conclusion: workers stay the only ones to read it.

--- a/crates/base/src/job.rs
+++ b/crates/base/src/job.rs
@@ -73,6 +73,9 @@
     /// Whether its tasks can checkpoint, so that a stop loses little work.
     #[serde(default)]
     pub checkpoint: bool,
+    /// What each task runs, in the worker's own terms; passed on unread.
+    #[serde(default)]
+    pub payload: String,
 }
 
 impl JobSpec {
--- a/crates/work/src/wire.rs
+++ b/crates/work/src/wire.rs
@@ -121,6 +121,8 @@
     pub memory: Bytes,
     /// Work already saved by a checkpoint of an earlier attempt.
     pub saved: Millis,
+    /// What the task runs, in the worker's own terms.
+    pub payload: String,
 }
 
 /// Result of each operation, in order, and the state afterwards of the tasks touched.
