Add the service registry, the workers' task protocol client and a worker stand-in

Cause: services and tests need a common start and stop order and something to call. Ruled out: actix's own registry, which finds by type and never closes in order. Change: services by name with clean-up in reverse, a client that tells calls not sent from answers lost, and a stand-in with leases, fences and request faults. Conclusion: the request and task paths can be built against it.

--- /dev/null
+++ b/crates/fakes/src/worker.rs
@@ -0,0 +1,204 @@
+//! A worker stand-in: an upstream for requests and a host for tasks, over HTTP.
+
+mod requests;
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::thread::JoinHandle;
+
+use actix_web::dev::ServerHandle;
+use actix_web::web;
+use actix_web::App;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use base::Clock;
+use base::Map;
+use base::Millis;
+use base::WorkerId;
+use work::wire::EpochCall;
+use work::wire::TaskCall;
+
+use crate::tasks::TaskTable;
+
+/// Shape and speed of a stand-in.
+#[derive(Clone, Debug)]
+pub struct WorkerConfig {
+    /// The worker's id.
+    pub id: WorkerId,
+    /// Where it listens; port 0 picks a free one.
+    pub address: SocketAddr,
+    /// Requests that it serves at the same time.
+    pub slots: usize,
+    /// Time that a request takes.
+    pub service: Millis,
+}
+
+/// What goes wrong with requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RequestFault {
+    /// Answers carry the id and body of another request.
+    Crossed,
+    /// Every request fails at once with status 500 after it ran.
+    Failing,
+    /// Requests run after this delay in milliseconds.
+    Late(u64),
+    /// Nothing goes wrong.
+    #[default]
+    None,
+    /// Requests run, and the connection is cut in the middle of the answer.
+    Truncated,
+    /// Requests run and are never answered.
+    Silent,
+}
+
+/// Everything that a stand-in has done and is told to do.
+pub struct WorkerInner {
+    /// Runs of each request id.
+    pub runs: Map<String, u64>,
+    /// Requests running now.
+    pub running: usize,
+    /// What goes wrong with requests.
+    pub fault: RequestFault,
+    /// The last request, for crossed answers.
+    last: Option<(String, Vec<u8>)>,
+    /// Its tasks.
+    pub tasks: TaskTable,
+}
+
+/// State shared between the server and the test.
+#[derive(Clone)]
+pub struct WorkerState {
+    config: WorkerConfig,
+    clock: ClockSource,
+    inner: Arc<Mutex<WorkerInner>>,
+}
+
+/// Where the stand-in reads the time.
+#[derive(Clone, Copy)]
+struct ClockSource;
+
+impl ClockSource {
+    fn now(self) -> Millis {
+        Clock::System.now()
+    }
+}
+
+impl WorkerState {
+    /// Locks the state for reading or for setting faults.
+    pub fn lock(&self) -> MutexGuard<'_, WorkerInner> {
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    /// The worker's id.
+    pub fn id(&self) -> &WorkerId {
+        &self.config.id
+    }
+}
+
+/// A running stand-in.
+pub struct Worker {
+    address: SocketAddr,
+    state: WorkerState,
+    server: ServerHandle,
+    thread: JoinHandle<()>,
+}
+
+impl Worker {
+    /// Starts a stand-in on a thread of its own.
+    pub fn start(config: WorkerConfig) -> std::io::Result<Worker> {
+        let listener = TcpListener::bind(config.address)?;
+        let address = listener.local_addr()?;
+        let state = WorkerState {
+            inner: Arc::new(Mutex::new(WorkerInner {
+                runs: Map::default(),
+                running: 0,
+                fault: RequestFault::None,
+                last: None,
+                tasks: TaskTable::new(config.id.clone()),
+            })),
+            config,
+            clock: ClockSource,
+        };
+        let (server, thread) = spawn(listener, state.clone());
+        Ok(Worker {
+            address,
+            state,
+            server,
+            thread,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The state shared with the server.
+    pub fn state(&self) -> WorkerState {
+        self.state.clone()
+    }
+
+    /// Stops at once, cutting open connections.
+    pub fn close(self) {
+        drop(self.server.stop(false));
+        let _ = self.thread.join();
+    }
+}
+
+fn spawn(listener: TcpListener, state: WorkerState) -> (ServerHandle, JoinHandle<()>) {
+    let (tx, rx) = std::sync::mpsc::channel();
+    let thread = std::thread::spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            let app = move || {
+                App::new()
+                    .app_data(web::Data::new(state.clone()))
+                    .configure(routes)
+            };
+            let server = HttpServer::new(app)
+                .workers(1)
+                .disable_signals()
+                .keep_alive(actix_web::http::KeepAlive::Os)
+                .listen(listener)
+                .expect("a bound listener")
+                .run();
+            let _ = tx.send(server.handle());
+            let _ = server.await;
+        });
+    });
+    (rx.recv().expect("the server's handle"), thread)
+}
+
+fn routes(app: &mut web::ServiceConfig) {
+    app.app_data(web::PayloadConfig::new(64 << 20))
+        .app_data(web::JsonConfig::default().limit(16 << 20))
+        .route("/service/{service}", web::post().to(requests::serve))
+        .route("/v1/state", web::get().to(state))
+        .route("/v1/epoch", web::post().to(epoch))
+        .route("/v1/tasks", web::post().to(tasks));
+}
+
+async fn state(worker: web::Data<WorkerState>) -> HttpResponse {
+    let now = worker.clock.now();
+    HttpResponse::Ok().json(worker.lock().tasks.state(now))
+}
+
+async fn epoch(worker: web::Data<WorkerState>, call: web::Json<EpochCall>) -> HttpResponse {
+    let now = worker.clock.now();
+    let accepted = worker.lock().tasks.accept(now, call.epoch);
+    match accepted {
+        Ok(state) => HttpResponse::Ok().json(state),
+        Err(fenced) => HttpResponse::Conflict().json(fenced),
+    }
+}
+
+async fn tasks(worker: web::Data<WorkerState>, call: web::Json<TaskCall>) -> HttpResponse {
+    let now = worker.clock.now();
+    let reply = worker.lock().tasks.call(now, call.into_inner());
+    match reply {
+        Ok(reply) => HttpResponse::Ok().json(reply),
+        Err(fenced) => HttpResponse::Conflict().json(fenced),
+    }
+}
--- /dev/null
+++ b/crates/kernel/tests/kernel.rs
@@ -0,0 +1,63 @@
+//! Services by name, start order and close order.
+
+use std::cell::RefCell;
+use std::future::pending;
+use std::rc::Rc;
+
+use base::Millis;
+use kernel::Kernel;
+use kernel::KernelError;
+
+const BOUND: Millis = Millis(20);
+
+fn kernel() -> Kernel {
+    Kernel::new(slog::Logger::root(slog::Discard, slog::o!()))
+}
+
+#[actix_rt::test]
+async fn finds_by_name_and_type() {
+    let mut kernel = kernel();
+    kernel.add("port", 7u16, |_| async {}).unwrap();
+    let names = kernel.names();
+    assert_eq!(names.find::<u16>("port"), Ok(7));
+    assert_eq!(
+        names.find::<u32>("port"),
+        Err(KernelError::WrongType("port"))
+    );
+    assert_eq!(names.find::<u16>("host"), Err(KernelError::Missing("host")));
+}
+
+#[actix_rt::test]
+async fn refuses_a_taken_name() {
+    let mut kernel = kernel();
+    kernel.add("port", 7u16, |_| async {}).unwrap();
+    let again = kernel.add("port", 8u16, |_| async {});
+    assert_eq!(again, Err(KernelError::Taken("port")));
+}
+
+#[actix_rt::test]
+async fn closes_in_reverse() {
+    let order = Rc::new(RefCell::new(Vec::new()));
+    let mut kernel = kernel();
+    for name in ["first", "second", "third"] {
+        let order = order.clone();
+        let close = move |_| async move { order.borrow_mut().push(name) };
+        kernel.add(name, (), close).unwrap();
+    }
+    let report = kernel.close(BOUND).await;
+    assert!(report.late.is_empty());
+    assert_eq!(*order.borrow(), ["third", "second", "first"]);
+}
+
+#[actix_rt::test]
+async fn a_stuck_service_does_not_hold_up_the_rest() {
+    let closed = Rc::new(RefCell::new(false));
+    let flag = closed.clone();
+    let mut kernel = kernel();
+    let close = move |_| async move { *flag.borrow_mut() = true };
+    kernel.add("sound", (), close).unwrap();
+    kernel.add("stuck", (), |_| pending::<()>()).unwrap();
+    let report = kernel.close(BOUND).await;
+    assert_eq!(report.late, ["stuck"]);
+    assert!(*closed.borrow());
+}
--- a/crates/work/src/lib.rs
+++ b/crates/work/src/lib.rs
@@ -2,4 +2,10 @@
 //!
 //! The protocol is HTTP with JSON bodies; `docs/INTERFACE.md` describes it.
 
+pub mod request;
 pub mod wire;
+
+mod client;
+
+pub use client::CallError;
+pub use client::TaskClient;
