Decide upstreams, waits and refusals of requests in one pure policy

Cause: entry VMs share upstream slots without a call to each other or to the platform. Ruled out: a slot lease in the platform (a call a request at thousands of requests a second); round robin, which an upstream that fails at once would drain.

--- /dev/null
+++ b/crates/route/src/fair.rs
@@ -0,0 +1,133 @@
+//! Waiting requests, taken in weighted fair order over the organisations.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use base::Map;
+use base::Millis;
+use base::OrgId;
+
+use crate::balancer::Ask;
+use crate::balancer::Ticket;
+
+/// A request that waits for an upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub ask: Ask,
+    pub since: Millis,
+}
+
+impl Waiting {
+    /// Whether its deadline has passed or it has waited for `longest`.
+    pub fn is_overdue(&self, now: Millis, longest: Millis) -> bool {
+        self.ask.deadline <= now || now.since(self.since) >= longest
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    queue: VecDeque<Waiting>,
+    /// Work received so far divided by the weight.
+    virtual_time: f64,
+}
+
+/// Requests that wait, in one queue an organisation.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FairQueue {
+    lanes: BTreeMap<OrgId, Lane>,
+    weights: Map<OrgId, f64>,
+    clock: f64,
+    len: usize,
+}
+
+impl FairQueue {
+    pub fn new(weights: Map<OrgId, f64>) -> FairQueue {
+        FairQueue {
+            weights,
+            ..FairQueue::default()
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn lane_len(&self, org: &OrgId) -> usize {
+        self.lanes.get(org).map_or(0, |lane| lane.queue.len())
+    }
+
+    pub fn set_weights(&mut self, weights: Map<OrgId, f64>) {
+        self.weights = weights;
+    }
+
+    /// Share of the capacity that `org` gets while the present organisations wait.
+    pub fn share(&self, org: &OrgId) -> f64 {
+        let others = self.lanes.keys().filter(|o| *o != org);
+        let rest: f64 = others.map(|o| self.weight(o)).sum();
+        let own = self.weight(org);
+        own / (own + rest)
+    }
+
+    pub fn push(&mut self, waiting: Waiting) {
+        let clock = self.clock;
+        let lane = self.lanes.entry(waiting.ask.org.clone()).or_default();
+        if lane.queue.is_empty() {
+            lane.virtual_time = lane.virtual_time.max(clock);
+        }
+        lane.queue.push_back(waiting);
+        self.len += 1;
+    }
+
+    /// Takes the next request in fair order.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        let org = self.next_org()?;
+        let weight = self.weight(&org);
+        let lane = self.lanes.get_mut(&org)?;
+        let waiting = lane.queue.pop_front()?;
+        self.clock = lane.virtual_time;
+        lane.virtual_time += 1.0 / weight;
+        if lane.queue.is_empty() {
+            self.lanes.remove(&org);
+        }
+        self.len -= 1;
+        Some(waiting)
+    }
+
+    /// The request that [`FairQueue::pop`] would take.
+    pub fn peek(&self) -> Option<&Waiting> {
+        let org = self.next_org()?;
+        self.lanes.get(&org)?.queue.front()
+    }
+
+    /// Removes the requests for which `gone` holds.
+    pub fn take_if(&mut self, gone: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
+        let mut taken = Vec::new();
+        for lane in self.lanes.values_mut() {
+            let (out, keep) = lane.queue.drain(..).partition(|w| gone(w));
+            lane.queue = keep;
+            taken.extend::<VecDeque<Waiting>>(out);
+        }
+        self.lanes.retain(|_, lane| !lane.queue.is_empty());
+        self.len -= taken.len();
+        taken
+    }
+
+    /// The tickets that wait, in no particular order of service.
+    pub fn tickets(&self) -> impl Iterator<Item = Ticket> + '_ {
+        let all = self.lanes.values().flat_map(|lane| &lane.queue);
+        all.map(|w| w.ask.ticket)
+    }
+
+    fn next_org(&self) -> Option<OrgId> {
+        let by_time = |a: &(&OrgId, &Lane), b: &(&OrgId, &Lane)| {
+            a.1.virtual_time.total_cmp(&b.1.virtual_time)
+        };
+        let next = self.lanes.iter().min_by(by_time);
+        next.map(|(org, _)| org.clone())
+    }
+
+    fn weight(&self, org: &OrgId) -> f64 {
+        let weight = self.weights.get(org).copied().unwrap_or(1.0);
+        weight.max(0.01)
+    }
+}
--- /dev/null
+++ b/crates/route/src/pool.rs
@@ -0,0 +1,291 @@
+//! Upstreams of all services, as one entry VM sees them.
+
+use std::collections::BTreeMap;
+
+use base::DomainId;
+use base::Millis;
+use base::ServiceId;
+use base::WorkerId;
+use rand::Rng;
+use rand::RngExt;
+
+use crate::config::Config;
+use crate::health::Health;
+use crate::health::IsolationRule;
+use crate::health::Probe;
+use crate::limit::Limit;
+
+/// Weight of the newest latency in the moving average.
+const LATENCY_WEIGHT: f64 = 0.2;
+
+/// Latency assumed of an upstream that has not answered yet, in milliseconds.
+const LATENCY_START: f64 = 5.0;
+
+/// Added latency for each recent failure, as a factor.
+const FAILURE_COST: f64 = 2.0;
+
+/// Random picks before all upstreams are looked at.
+const PICKS: usize = 4;
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// It leaves: no new work.
+    Leaving,
+    /// It takes work.
+    Live,
+}
+
+/// An upstream as the platform lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Upstream {
+    /// The worker.
+    pub id: WorkerId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// The service that it offers.
+    pub service: ServiceId,
+    /// Requests that it serves at the same time.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub standing: Standing,
+}
+
+/// What operators see of an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamStatus {
+    /// The upstream.
+    pub id: WorkerId,
+    /// Requests in progress from this entry VM.
+    pub busy: u32,
+    /// Limit on those.
+    pub limit: u32,
+    /// Moving average of the latency in milliseconds.
+    pub latency: f64,
+    /// Whether it is isolated.
+    pub isolated: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub upstream: Upstream,
+    pub busy: u32,
+    pub limit: Limit,
+    pub health: Health,
+    latency: f64,
+}
+
+impl Member {
+    fn new(upstream: Upstream) -> Member {
+        Member {
+            limit: Limit::new(upstream.slots),
+            upstream,
+            busy: 0,
+            health: Health::Good { failures: 0 },
+            latency: LATENCY_START,
+        }
+    }
+
+    /// Whether it can take a request now.
+    fn open(&self, now: Millis) -> Option<Probe> {
+        let live = self.upstream.standing == Standing::Live;
+        let probe = self.health.open(now)?;
+        let free = match probe {
+            Probe::No => self.busy < self.limit.value(),
+            Probe::Yes => self.busy == 0,
+        };
+        (live && free).then_some(probe)
+    }
+
+    /// Expected time of one more request; lower is better.
+    fn cost(&self) -> f64 {
+        let failures = match self.health {
+            Health::Good { failures } => failures.min(8),
+            _ => 8,
+        };
+        let load = f64::from(self.busy + 1) / f64::from(self.limit.value());
+        load * self.latency * FAILURE_COST.powi(failures as i32)
+    }
+
+    pub fn answered(&mut self, took: Millis) {
+        let took = took.0 as f64 + 1.0;
+        self.latency += LATENCY_WEIGHT * (took - self.latency);
+    }
+
+    pub fn status(&self) -> UpstreamStatus {
+        UpstreamStatus {
+            id: self.upstream.id.clone(),
+            busy: self.busy,
+            limit: self.limit.value(),
+            latency: self.latency,
+            isolated: self.health.is_isolated(),
+            leaving: self.upstream.standing == Standing::Leaving,
+        }
+    }
+}
+
+/// Upstreams of one service, those of the own failure domain apart.
+#[derive(Clone, Debug, Default)]
+struct Group {
+    near: Vec<usize>,
+    far: Vec<usize>,
+}
+
+/// All upstreams.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pool {
+    members: Vec<Member>,
+    index: BTreeMap<WorkerId, usize>,
+    groups: BTreeMap<ServiceId, Group>,
+}
+
+impl Pool {
+    /// Takes over the platform's list. What is known of upstreams that stay is kept; one that
+    /// vanished is leaving as long as requests to it are in progress.
+    pub fn update(&mut self, list: Vec<Upstream>, own: &DomainId) {
+        let mut members = Vec::with_capacity(list.len());
+        for upstream in list {
+            members.push(self.keep(upstream));
+        }
+        for mut old in std::mem::take(&mut self.members) {
+            let listed = members
+                .iter()
+                .any(|m: &Member| m.upstream.id == old.upstream.id);
+            if old.busy > 0 && !listed {
+                old.upstream.standing = Standing::Leaving;
+                members.push(old);
+            }
+        }
+        self.members = members;
+        self.reindex(own);
+    }
+
+    fn keep(&mut self, upstream: Upstream) -> Member {
+        let known = self
+            .index
+            .get(&upstream.id)
+            .map(|i| self.members[*i].clone());
+        match known {
+            Some(mut member) => {
+                member.limit.set_slots(upstream.slots);
+                member.upstream = upstream;
+                member
+            }
+            None => Member::new(upstream),
+        }
+    }
+
+    fn reindex(&mut self, own: &DomainId) {
+        self.index.clear();
+        self.groups.clear();
+        for (i, member) in self.members.iter().enumerate() {
+            self.index.insert(member.upstream.id.clone(), i);
+            let group = self
+                .groups
+                .entry(member.upstream.service.clone())
+                .or_default();
+            if member.upstream.domain == *own {
+                group.near.push(i);
+            } else {
+                group.far.push(i);
+            }
+        }
+    }
+
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    pub fn get_mut(&mut self, id: &WorkerId) -> Option<&mut Member> {
+        let i = *self.index.get(id)?;
+        self.members.get_mut(i)
+    }
+
+    /// Whether any upstream offers the service.
+    pub fn has(&self, service: &ServiceId) -> bool {
+        self.groups.contains_key(service)
+    }
+
+    /// An upstream for one request and whether it is a probe: the own failure domain first,
+    /// in it the cheaper of two random ones.
+    pub fn pick(
+        &self,
+        now: Millis,
+        service: &ServiceId,
+        avoid: &[WorkerId],
+        rng: &mut impl Rng,
+    ) -> Option<WorkerId> {
+        let group = self.groups.get(service)?;
+        let near = self.pick_of(now, &group.near, avoid, rng);
+        let found = near.or_else(|| self.pick_of(now, &group.far, avoid, rng));
+        found.map(|i| self.members[i].upstream.id.clone())
+    }
+
+    fn pick_of(
+        &self,
+        now: Millis,
+        list: &[usize],
+        avoid: &[WorkerId],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        if list.is_empty() {
+            return None;
+        }
+        let open = |i: usize| {
+            let member = &self.members[i];
+            member
+                .open(now)
+                .filter(|_| !avoid.contains(&member.upstream.id))
+        };
+        let mut found: Option<usize> = None;
+        let mut seen = 0;
+        for _ in 0..PICKS {
+            let i = list[rng.random_range(0..list.len())];
+            match open(i) {
+                Some(Probe::Yes) => return Some(i),
+                Some(Probe::No) => {
+                    seen += 1;
+                    found = Some(self.cheaper(found, i));
+                }
+                None => {}
+            }
+            if seen == 2 {
+                return found;
+            }
+        }
+        let all = list.iter().copied().filter(|i| open(*i).is_some());
+        all.fold(found, |best, i| Some(self.cheaper(best, i)))
+    }
+
+    fn cheaper(&self, best: Option<usize>, i: usize) -> usize {
+        match best {
+            Some(b) if self.members[b].cost() <= self.members[i].cost() => b,
+            _ => i,
+        }
+    }
+
+    /// Whether one more upstream of this service may be isolated.
+    pub fn may_isolate(&self, service: &ServiceId, share: f64) -> bool {
+        let Some(group) = self.groups.get(service) else {
+            return false;
+        };
+        let all = group.near.iter().chain(&group.far);
+        let isolated = all
+            .filter(|i| self.members[**i].health.is_isolated())
+            .count();
+        let total = group.near.len() + group.far.len();
+        (isolated + 1) as f64 <= share * total as f64
+    }
+}
+
+impl Config {
+    pub(crate) fn isolation_rule(&self) -> IsolationRule {
+        IsolationRule {
+            failures: self.failures,
+            first: self.isolation,
+            max: self.isolation_max,
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/balancer.rs
@@ -0,0 +1,255 @@
+//! Choice, waiting, refusal and isolation.
+
+use base::DomainId;
+use base::Map;
+use base::Millis;
+use base::OrgId;
+use base::ServiceId;
+use base::WorkerId;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use route::Action;
+use route::Ask;
+use route::Balancer;
+use route::Config;
+use route::Input;
+use route::SendResult;
+use route::Standing;
+use route::Ticket;
+use route::Upstream;
+use route::Why;
+use yare::parameterized;
+
+const START: Millis = Millis(1_000_000);
+const SLOTS: u32 = 4;
+
+fn own() -> DomainId {
+    "north".parse().unwrap()
+}
+
+fn service() -> ServiceId {
+    "ledger".parse().unwrap()
+}
+
+fn upstream(name: &str, domain: &str) -> Upstream {
+    Upstream {
+        id: name.parse().unwrap(),
+        domain: domain.parse().unwrap(),
+        service: service(),
+        slots: SLOTS,
+        standing: Standing::Live,
+    }
+}
+
+fn balancer(upstreams: Vec<Upstream>) -> Balancer<Pcg64> {
+    let mut balancer = Balancer::new(Config::new(own()), Pcg64::seed_from_u64(1));
+    balancer.step(START, Input::Upstreams(upstreams));
+    balancer
+}
+
+fn ask(ticket: u64, org: &str, deadline: Millis) -> Input {
+    Input::Ask(Ask {
+        ticket: Ticket(ticket),
+        org: org.parse().unwrap(),
+        service: service(),
+        deadline,
+        avoid: Vec::new(),
+    })
+}
+
+fn soon(ticket: u64) -> Input {
+    ask(ticket, "org", START + Millis(60_000))
+}
+
+fn done(ticket: u64, result: SendResult) -> Input {
+    Input::Done {
+        ticket: Ticket(ticket),
+        result,
+    }
+}
+
+fn target(actions: &[Action]) -> Option<WorkerId> {
+    actions.iter().find_map(|action| match action {
+        Action::Send { upstream, .. } => Some(upstream.clone()),
+        _ => None,
+    })
+}
+
+fn refusal(actions: &[Action]) -> Option<Why> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { why, .. } => Some(*why),
+        _ => None,
+    })
+}
+
+#[test]
+fn the_own_domain_goes_first_and_others_take_the_rest() {
+    let mut balancer = balancer(vec![upstream("far", "south"), upstream("near", "north")]);
+    let sent: Vec<_> = (0..4)
+        .map(|i| target(&balancer.step(START, soon(i))))
+        .collect();
+    let names: Vec<_> = sent.iter().flatten().map(WorkerId::as_str).collect();
+    assert_eq!(names, ["near", "near", "far", "far"]);
+}
+
+#[test]
+fn a_leaving_upstream_gets_nothing_new() {
+    let mut leaving = upstream("near", "north");
+    leaving.standing = Standing::Leaving;
+    let mut balancer = balancer(vec![leaving, upstream("far", "south")]);
+    let sent = target(&balancer.step(START, soon(1)));
+    assert_eq!(sent.unwrap().as_str(), "far");
+}
+
+#[test]
+fn an_upstream_that_says_it_leaves_gets_nothing_new() {
+    let mut balancer = balancer(vec![upstream("near", "north"), upstream("far", "south")]);
+    balancer.step(START, soon(1));
+    balancer.step(START, done(1, SendResult::Leaving));
+    let sent = target(&balancer.step(START, soon(2)));
+    assert_eq!(sent.unwrap().as_str(), "far");
+}
+
+#[parameterized(
+    no_service = { vec![], 60_000, Why::NoService },
+    too_late = { vec![upstream("near", "north")], 0, Why::Deadline },
+)]
+fn refuses_at_once(upstreams: Vec<Upstream>, left: u64, why: Why) {
+    let mut balancer = balancer(upstreams);
+    let actions = balancer.step(START, ask(1, "org", START + Millis(left)));
+    assert_eq!(refusal(&actions), Some(why));
+}
+
+#[test]
+fn a_waiting_request_is_refused_when_its_deadline_passes() {
+    let mut balancer = balancer(vec![upstream("near", "north")]);
+    (0..2).for_each(|i| drop(balancer.step(START, soon(i))));
+    let deadline = START + Millis(100);
+    assert!(balancer.step(START, ask(9, "org", deadline)).is_empty());
+    let actions = balancer.step(deadline, Input::Tick);
+    assert_eq!(refusal(&actions), Some(Why::Deadline));
+    assert_eq!(balancer.waiting(), 0);
+}
+
+#[test]
+fn organisations_share_by_weight() {
+    let mut balancer = balancer(vec![upstream("near", "north")]);
+    let weights = [("big", 3.0), ("small", 1.0)];
+    let weights: Map<OrgId, f64> = weights
+        .map(|(o, w)| (o.parse().unwrap(), w))
+        .into_iter()
+        .collect();
+    balancer.step(START, Input::Weights(weights));
+    (0..2).for_each(|i| drop(balancer.step(START, soon(i))));
+    for i in 0..40 {
+        balancer.step(START, ask(100 + i, "small", START + Millis(60_000)));
+        balancer.step(START, ask(200 + i, "big", START + Millis(60_000)));
+    }
+    let mut running = vec![0, 1];
+    let mut served = Vec::new();
+    while served.len() < 20 {
+        let ticket = running.remove(0);
+        for action in balancer.step(START, done(ticket, SendResult::Busy)) {
+            if let Action::Send { ticket, .. } = action {
+                running.push(ticket.0);
+                served.push(ticket.0);
+            }
+        }
+    }
+    let big = served.iter().filter(|t| **t >= 200).count();
+    assert_eq!(big, 15);
+}
+
+#[test]
+fn an_upstream_that_fails_is_isolated_then_probed_then_restored() {
+    let upstreams = ["a", "b", "c"].map(|name| upstream(name, "north"));
+    let mut balancer = balancer(upstreams.to_vec());
+    let mut isolated = None;
+    for i in 0..200 {
+        let actions = balancer.step(START, soon(i));
+        let is_bad = target(&actions).unwrap().as_str() == "a";
+        let result = if is_bad {
+            SendResult::Failed
+        } else {
+            SendResult::Served
+        };
+        let ended = balancer.step(START, done(i, result));
+        isolated = isolated.or(ended.first().cloned());
+    }
+    let bad: WorkerId = "a".parse().unwrap();
+    assert_eq!(isolated, Some(Action::Isolated(bad.clone())));
+    let later = START + Config::new(own()).isolation;
+    let mut restored = None;
+    for i in 1000..1200 {
+        balancer.step(later, soon(i));
+        let ended = balancer.step(later, done(i, SendResult::Served));
+        restored = restored.or(ended.first().cloned());
+    }
+    assert_eq!(restored, Some(Action::Restored(bad)));
+}
+
+#[test]
+fn not_all_upstreams_are_isolated() {
+    let upstreams = ["a", "b", "c"].map(|name| upstream(name, "north"));
+    let mut balancer = balancer(upstreams.to_vec());
+    for i in 0..300 {
+        balancer.step(START, soon(i));
+        balancer.step(START, done(i, SendResult::Failed));
+    }
+    let isolated = balancer.status().iter().filter(|s| s.isolated).count();
+    assert_eq!(isolated, 1);
+}
+
+#[parameterized(seed_1 = { 1 }, seed_2 = { 2 }, seed_3 = { 3 }, seed_4 = { 4 })]
+fn random_runs_keep_the_invariants(seed: u64) {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut balancer = balancer(Vec::new());
+    let mut now = START;
+    let mut flying = Vec::new();
+    for ticket in 0..20_000 {
+        now += Millis(rng.random_range(0..3));
+        let input = match rng.random_range(0..100) {
+            0 => Input::Upstreams(random_upstreams(&mut rng)),
+            1..45 => random_ask(&mut rng, now, ticket),
+            45..50 => Input::Cancel(Ticket(rng.random_range(0..ticket + 1))),
+            50..55 => Input::Tick,
+            _ if flying.is_empty() => Input::Tick,
+            _ => {
+                let at = rng.random_range(0..flying.len());
+                done(flying.swap_remove(at), random_result(&mut rng))
+            }
+        };
+        for action in balancer.step(now, input) {
+            if let Action::Send { ticket, .. } = action {
+                flying.push(ticket.0);
+            }
+        }
+        balancer.check().unwrap();
+    }
+}
+
+fn random_upstreams(rng: &mut Pcg64) -> Vec<Upstream> {
+    let all = (0..12).filter(|_| rng.random_bool(0.7)).collect::<Vec<_>>();
+    let one = |i: u32| {
+        let domain = if i < 6 { "north" } else { "south" };
+        upstream(&format!("w{i}"), domain)
+    };
+    all.into_iter().map(one).collect()
+}
+
+fn random_ask(rng: &mut Pcg64, now: Millis, ticket: u64) -> Input {
+    let org = ["a", "b", "c"][rng.random_range(0..3)];
+    ask(ticket, org, now + Millis(rng.random_range(0..500)))
+}
+
+fn random_result(rng: &mut Pcg64) -> SendResult {
+    let all = [
+        SendResult::Busy,
+        SendResult::Failed,
+        SendResult::Leaving,
+        SendResult::Served,
+        SendResult::Unproved,
+    ];
+    all[rng.random_range(0..all.len())]
+}
