Exchange requests with upstreams and classify what is known afterwards

Cause: the outcome told to a caller is only as true as the classification of the exchange. Ruled out: trusting the connection alone for correlation, because answers may be crossed before they reach it; streaming answers through, because a cut one would pass as whole. Change: id and body hash are verified end to end, an answer is passed on only when whole, not-run is built only from a refused connection or the upstream's own refusal. Conclusion: safe to retry on not-run, and on unknown only when idempotent.

--- a/crates/fakes/src/worker/requests.rs
+++ b/crates/fakes/src/worker/requests.rs
@@ -77,7 +77,7 @@
 ) -> HttpResponse {
     match (fault, other) {
         (RequestFault::Crossed, Some((id, body))) => whole(id, body.into()),
-        (RequestFault::Failing, _) => head(HttpResponse::InternalServerError(), &id).finish(),
+        (RequestFault::Failing, _) => failed(id),
         (RequestFault::Silent, _) => pending().await,
         (RequestFault::Truncated, _) => truncated(id, body),
         _ => whole(id, body),
@@ -96,6 +96,12 @@
         .body(body)
 }
 
+fn failed(id: String) -> HttpResponse {
+    head(HttpResponse::InternalServerError(), &id)
+        .insert_header((request::DIGEST, format!("{:016x}", digest(b""))))
+        .finish()
+}
+
 fn truncated(id: String, body: Bytes) -> HttpResponse {
     let half = body.slice(..body.len() / 2);
     let cut = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
--- a/crates/work/src/lib.rs
+++ b/crates/work/src/lib.rs
@@ -6,6 +6,11 @@
 pub mod wire;
 
 mod client;
+mod exchange;
 
 pub use client::CallError;
 pub use client::TaskClient;
+pub use exchange::Answer;
+pub use exchange::Call;
+pub use exchange::Ending;
+pub use exchange::Exchange;
