Read node settings and report all findings with their place

Cause: the daemon had no way to learn its addresses and failure domain. Ruled out: serde straight from the text, which stops at the first error and knows no places; a second pass for unknown fields, which would repeat the schema. Change: conf::node reads JSON with comments field by field, keeps each value's place and converts the wire type with all findings together. Conclusion: a bad file gives file:line:column, problem and remedy for each finding.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,1 +1,4 @@
 //! Node settings and the operators' settings tree.
+
+pub mod node;
+mod source;
--- /dev/null
+++ b/crates/conf/src/source.rs
@@ -0,0 +1,275 @@
+//! JSON with comments, read field by field. Every value keeps its place in the file.
+
+use std::cell::RefCell;
+use std::fmt::Display;
+use std::str::FromStr;
+
+use jsonc_parser::ast::Object;
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Range;
+use jsonc_parser::common::Ranged;
+use jsonc_parser::parse_to_ast;
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+
+use base::Findings;
+
+/// A value with its place: file, line and column.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Spot<T> {
+    /// `file:line:column`, both counted from 1.
+    pub place: String,
+    /// The value.
+    pub value: T,
+}
+
+impl Spot<String> {
+    /// Parses the text; a failure becomes a finding.
+    pub fn parse<T>(&self, found: &mut Findings, remedy: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match self.value.parse() {
+            Ok(value) => Some(value),
+            Err(err) => {
+                let problem = format!("{:?} is not valid: {err}", self.value);
+                found.add(self.place.as_str(), problem, remedy);
+                None
+            }
+        }
+    }
+}
+
+/// The text of a file and the findings collected while it is read.
+pub struct Source<'a> {
+    file: &'a str,
+    text: &'a str,
+    found: RefCell<Findings>,
+}
+
+impl<'a> Source<'a> {
+    /// A file's name, which is shown in findings, and its text.
+    pub fn new(file: &'a str, text: &'a str) -> Source<'a> {
+        Source {
+            file,
+            text,
+            found: RefCell::default(),
+        }
+    }
+
+    /// Parses the text as JSON with comments. Other extensions are findings.
+    pub fn parse(&self) -> Option<Value<'a>> {
+        match parse_to_ast(self.text, &CollectOptions::default(), &options()) {
+            Ok(tree) if tree.value.is_some() => tree.value,
+            Ok(_) => {
+                self.add(0, "the file is empty", "write one JSON object");
+                None
+            }
+            Err(err) => {
+                let problem = err.kind().to_string().to_lowercase();
+                self.add(err.range().start, &problem, "write JSON with comments");
+                None
+            }
+        }
+    }
+
+    /// Adds a finding at a byte offset.
+    pub fn add(&self, at: usize, problem: &str, remedy: &str) {
+        let place = self.place(at);
+        self.found.borrow_mut().add(place, problem, remedy);
+    }
+
+    /// All findings so far.
+    pub fn close(self) -> Findings {
+        self.found.into_inner()
+    }
+
+    /// `file:line:column` of a byte offset; columns count characters.
+    pub fn place(&self, at: usize) -> String {
+        let before = &self.text[..at.min(self.text.len())];
+        let line = before.matches('\n').count() + 1;
+        let start = before.rfind('\n').map_or(0, |i| i + 1);
+        let column = before[start..].chars().count() + 1;
+        format!("{}:{line}:{column}", self.file)
+    }
+
+    fn spot<T>(&self, range: Range, value: T) -> Spot<T> {
+        Spot {
+            place: self.place(range.start),
+            value,
+        }
+    }
+}
+
+/// One JSON object whose fields are taken by name.
+pub struct Section<'s, 'a> {
+    source: &'s Source<'a>,
+    object: Option<&'s Object<'a>>,
+    path: String,
+    known: Vec<&'static str>,
+}
+
+impl<'s, 'a> Section<'s, 'a> {
+    /// The top of a document. Anything but an object is a finding.
+    pub fn top(source: &'s Source<'a>, value: &'s Value<'a>) -> Section<'s, 'a> {
+        let object = value.as_object();
+        if object.is_none() {
+            source.add(value.start(), "not an object", "write { ... }");
+        }
+        Section {
+            source,
+            object,
+            path: String::new(),
+            known: Vec::new(),
+        }
+    }
+
+    /// The place of the object itself.
+    pub fn place(&self) -> String {
+        self.source.place(self.object.map_or(0, |o| o.start()))
+    }
+
+    /// An object in this object; an absent one reads as empty.
+    pub fn section(&mut self, name: &'static str) -> Section<'s, 'a> {
+        let path = self.full(name);
+        let object = self.take(name, "an object", |v| v.as_object());
+        Section {
+            source: self.source,
+            object,
+            path,
+            known: Vec::new(),
+        }
+    }
+
+    /// A text.
+    pub fn text(&mut self, name: &'static str) -> Option<Spot<String>> {
+        let lit = self.take(name, "a text in quotes", |v| v.as_string_lit())?;
+        Some(self.source.spot(lit.range, lit.value.to_string()))
+    }
+
+    /// A text that must be there.
+    pub fn need(&mut self, name: &'static str, remedy: &str) -> Option<Spot<String>> {
+        self.demand(name, remedy);
+        self.text(name)
+    }
+
+    /// A list of texts with at least one entry.
+    pub fn need_list(&mut self, name: &'static str, remedy: &str) -> Vec<Spot<String>> {
+        self.demand(name, remedy);
+        let list = self.object.and_then(|o| o.get_array(name));
+        if let Some(list) = list.filter(|l| l.elements.is_empty()) {
+            let problem = format!("\"{}\" is empty", self.full(name));
+            self.source.add(list.range.start, &problem, remedy);
+        }
+        self.texts(name)
+    }
+
+    /// A list of texts; an absent one reads as empty.
+    pub fn texts(&mut self, name: &'static str) -> Vec<Spot<String>> {
+        let Some(list) = self.take(name, "a list of texts", |v| v.as_array()) else {
+            return Vec::new();
+        };
+        let mut texts = Vec::new();
+        for item in &list.elements {
+            match item.as_string_lit() {
+                Some(lit) => texts.push(self.source.spot(lit.range, lit.value.to_string())),
+                None => self.wrong(name, item.start(), "a list of texts"),
+            }
+        }
+        texts
+    }
+
+    /// A whole number from 0.
+    pub fn number(&mut self, name: &'static str) -> Option<Spot<u64>> {
+        let kind = "a whole number from 0";
+        let lit = self.take(name, kind, |v| v.as_number_lit())?;
+        match lit.value.parse() {
+            Ok(value) => Some(self.source.spot(lit.range, value)),
+            Err(_) => {
+                self.wrong(name, lit.range.start, kind);
+                None
+            }
+        }
+    }
+
+    /// `true` or `false`.
+    pub fn flag(&mut self, name: &'static str) -> Option<Spot<bool>> {
+        let lit = self.take(name, "true or false", |v| v.as_boolean_lit())?;
+        Some(self.source.spot(lit.range, lit.value))
+    }
+
+    /// Reports fields that were never asked for and fields given twice.
+    pub fn close(self) {
+        let Some(object) = self.object else { return };
+        let mut seen = Vec::new();
+        for prop in &object.properties {
+            let name = prop.name.as_str();
+            if !self.known.contains(&name) {
+                self.unknown(name, prop.range.start);
+            } else if seen.contains(&name) {
+                let problem = format!("\"{}\" is given twice", self.full(name));
+                self.source.add(prop.range.start, &problem, "keep one");
+            }
+            seen.push(name);
+        }
+    }
+
+    fn unknown(&self, name: &str, at: usize) {
+        let problem = format!("unknown field \"{}\"", self.full(name));
+        let remedy = format!("remove it; known here: {}", self.known.join(", "));
+        self.source.add(at, &problem, &remedy);
+    }
+
+    fn take<T>(
+        &mut self,
+        name: &'static str,
+        kind: &str,
+        read: impl Fn(&'s Value<'a>) -> Option<T>,
+    ) -> Option<T> {
+        self.known.push(name);
+        let value = &self.object?.get(name)?.value;
+        let got = read(value);
+        if got.is_none() {
+            self.wrong(name, value.start(), kind);
+        }
+        got
+    }
+
+    fn demand(&self, name: &str, remedy: &str) {
+        if self.object.is_some_and(|o| o.get(name).is_some()) {
+            return;
+        }
+        let at = self.object.map_or(0, |o| o.start());
+        let problem = format!("\"{}\" is missing", self.full(name));
+        self.source.add(at, &problem, remedy);
+    }
+
+    fn wrong(&self, name: &str, at: usize, kind: &str) {
+        let problem = format!("\"{}\" has the wrong type", self.full(name));
+        self.source.add(at, &problem, &format!("write {kind}"));
+    }
+
+    fn full(&self, name: &str) -> String {
+        if self.path.is_empty() {
+            name.to_string()
+        } else {
+            format!("{}.{name}", self.path)
+        }
+    }
+}
+
+fn options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_loose_object_property_names: false,
+        allow_trailing_commas: true,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
