Define the messages of the operators' port and the settings table

Cause: the daemon and tackctl need one definition of what they say to each other. Ruled out: a message type for each error; one refusal with findings or a conflict is enough, and a client reads every failure alike. Change: conf::api lists method, path, query, answers and statuses; conf::tree has places, keys, values, edits and change records as serde types. Conclusion: the server side can be written against these types.

--- /dev/null
+++ b/crates/conf/src/api.rs
@@ -0,0 +1,72 @@
+//! JSON messages of the operators' port, shared by the daemon and `tackctl`.
+//!
+//! | method and path | query or request | answer |
+//! |---|---|---|
+//! | `GET /v1/status` | | 200 [`Status`] |
+//! | `GET /v1/settings` | [`SettingsQuery`] | 200 [`SettingsReply`] |
+//! | `GET /v1/settings/explain` | [`SettingsQuery`] with `key` | 200 [`ExplainReply`] |
+//! | `GET /v1/settings/history` | [`HistoryQuery`] | 200 [`HistoryReply`] |
+//! | `POST /v1/settings` | [`SettingsCall`] | 200 [`ChangeReply`] |
+//! | `POST /v1/domains/{domain:.+}/out` | [`DomainCall`] | 200 [`ChangeReply`] |
+//! | `POST /v1/domains/{domain:.+}/back` | [`DomainCall`] | 200 [`ChangeReply`] |
+//! | `GET /v1/orgs` | | 200 [`OrgsReply`] |
+//! | `GET /v1/shapes` | [`ShapesQuery`] | 200 [`ShapesReply`] |
+//! | `GET /v1/workers` | [`WorkersQuery`] | 200 [`WorkersReply`] |
+//! | `POST /v1/jobs` | [`base::JobSpec`] | 201 [`JobInfo`], or 200 for a job known already |
+//! | `GET /v1/jobs` | [`JobsQuery`] | 200 [`JobsReply`] |
+//! | `POST /v1/jobs/cancel` | [`CancelCall`] | 200 [`CancelReply`] |
+//! | `GET /v1/jobs/{id:.+}` | | 200 [`JobInfo`] |
+//! | `DELETE /v1/jobs/{id:.+}` | | 200 [`CancelReply`] |
+//!
+//! Identifiers may hold slashes, so the routes above match the rest of the path.
+//!
+//! Every other answer carries a [`Refusal`]:
+//!
+//! | status | outcome | when |
+//! |---|---|---|
+//! | 400 | not run | the query or the body is malformed |
+//! | 404 | not run | no such path, job, organisation or failure domain |
+//! | 409 | not run | another change came first ([`Refusal::conflict`]); for a job, its id is taken by another job |
+//! | 413 | not run | the body is too large |
+//! | 422 | not run | the input has [`Refusal::findings`] |
+//! | 429, 503 | not run | the daemon cannot do it now; see [`Refusal::retry`] |
+//! | 504 | unknown | the write may have taken effect; send it again with the same operation id or job id |
+//!
+//! A call that changes something names its operation or job, and may be sent again with
+//! the same name to any daemon: it takes effect at most once.
+
+mod jobs;
+mod settings;
+mod status;
+
+pub use jobs::CancelCall;
+pub use jobs::CancelReply;
+pub use jobs::JobInfo;
+pub use jobs::JobPhase;
+pub use jobs::JobsQuery;
+pub use jobs::JobsReply;
+pub use settings::ChainLink;
+pub use settings::ChangeReply;
+pub use settings::Conflict;
+pub use settings::DomainCall;
+pub use settings::ExplainReply;
+pub use settings::HistoryQuery;
+pub use settings::HistoryReply;
+pub use settings::OrgInfo;
+pub use settings::OrgsReply;
+pub use settings::Refusal;
+pub use settings::Setting;
+pub use settings::SettingsCall;
+pub use settings::SettingsQuery;
+pub use settings::SettingsReply;
+pub use settings::ShapeInfo;
+pub use settings::ShapesQuery;
+pub use settings::ShapesReply;
+pub use status::Coordinator;
+pub use status::DomainStatus;
+pub use status::PeerStatus;
+pub use status::PlatformState;
+pub use status::Status;
+pub use status::WorkerInfo;
+pub use status::WorkersQuery;
+pub use status::WorkersReply;
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -1,4 +1,10 @@
-//! Node settings and the operators' settings tree.
+//! Node settings, the operators' settings tree and its distribution.
+//!
+//! - [`node`] reads the settings file of one daemon.
+//! - [`tree`] holds the operators' settings as a pure value.
+//! - [`api`] holds the JSON messages of the operators' port.
 
+pub mod api;
 pub mod node;
 mod source;
+pub mod tree;
--- /dev/null
+++ b/crates/conf/src/tree/value.rs
@@ -0,0 +1,140 @@
+//! Values of settings and the types that they are checked against.
+
+use std::fmt;
+
+use base::Findings;
+use base::Shape;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Most guaranteed shapes of an organisation in one failure domain.
+pub const MAX_SHAPES: usize = 64;
+/// Most copies of one guaranteed shape.
+pub const MAX_COUNT: u32 = 4096;
+/// Most tasks of a shape.
+pub const MAX_TASKS: u32 = 4096;
+/// Most accelerators of one task.
+pub const MAX_ACCELS: u32 = 1024;
+
+/// A shape that an organisation can claim at any time, and how many copies at once.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Guarantee {
+    /// The shape.
+    pub shape: Shape,
+    /// Copies that can run at once.
+    pub count: u32,
+}
+
+/// A value of a setting, in JSON: `true`, `12`, `"move"` or a list of guarantees.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(untagged)]
+pub enum Value {
+    /// Yes or no.
+    Flag(bool),
+    /// A count, a percentage, milliseconds or bytes.
+    Number(u64),
+    /// One of a few words.
+    Word(String),
+    /// Guaranteed shapes.
+    Shapes(Vec<Guarantee>),
+}
+
+impl fmt::Display for Value {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Value::Flag(flag) => flag.fmt(f),
+            Value::Number(num) => num.fmt(f),
+            Value::Word(word) => f.write_str(word),
+            Value::Shapes(list) => write_shapes(f, list),
+        }
+    }
+}
+
+fn write_shapes(f: &mut fmt::Formatter<'_>, list: &[Guarantee]) -> fmt::Result {
+    if list.is_empty() {
+        return f.write_str("none");
+    }
+    for (i, held) in list.iter().enumerate() {
+        let shape = &held.shape;
+        let comma = if i > 0 { ", " } else { "" };
+        write!(
+            f,
+            "{comma}{}x({}x{})",
+            held.count, shape.tasks, shape.accels
+        )?;
+    }
+    Ok(())
+}
+
+/// The type of a setting with its bounds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Type {
+    /// Yes or no.
+    Flag,
+    /// A whole number with its unit, smallest and largest value.
+    Number(&'static str, u64, u64),
+    /// A list of guarantees.
+    Shapes,
+    /// One of these words.
+    Word(&'static [&'static str]),
+}
+
+impl fmt::Display for Type {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Type::Flag => f.write_str("true or false"),
+            Type::Number("", min, max) => write!(f, "{min} to {max}"),
+            Type::Number(unit, min, max) => write!(f, "{min} to {max} {unit}"),
+            Type::Shapes => f.write_str("a list of {shape, count}"),
+            Type::Word(words) => f.write_str(&words.join(" or ")),
+        }
+    }
+}
+
+impl Type {
+    /// Adds a finding unless the value is of this type and within its bounds.
+    pub fn check(self, value: &Value, place: &str, found: &mut Findings) {
+        match (self, value) {
+            (Type::Flag, Value::Flag(_)) => {}
+            (Type::Number(_, min, max), Value::Number(n)) if (min..=max).contains(n) => {}
+            (Type::Word(words), Value::Word(w)) if words.contains(&w.as_str()) => {}
+            (Type::Shapes, Value::Shapes(list)) => check_shapes(list, place, found),
+            _ => {
+                let problem = format!("{value} is not allowed here");
+                found.add(place, problem, format!("use {self}"));
+            }
+        }
+    }
+}
+
+fn check_shapes(list: &[Guarantee], place: &str, found: &mut Findings) {
+    if list.len() > MAX_SHAPES {
+        let remedy = format!("hold at most {MAX_SHAPES}");
+        found.add(place, format!("{} guarantees", list.len()), remedy);
+    }
+    for (i, held) in list.iter().enumerate() {
+        check_guarantee(held, &format!("{place}[{i}]"), found);
+        if list[..i].iter().any(|h| h.shape == held.shape) {
+            let at = format!("{place}[{i}]");
+            found.add(
+                at,
+                "the shape is listed twice",
+                "list it once with its count",
+            );
+        }
+    }
+}
+
+fn check_guarantee(held: &Guarantee, place: &str, found: &mut Findings) {
+    let shape = &held.shape;
+    let mut bound = |name: &str, value: u32, min: u32, max: u32| {
+        if value < min || value > max {
+            let problem = format!("{name} {value} is out of range");
+            found.add(place, problem, format!("use {min} to {max}"));
+        }
+    };
+    bound("count", held.count, 1, MAX_COUNT);
+    bound("tasks", shape.tasks, 1, MAX_TASKS);
+    bound("accels", shape.accels.0, 1, MAX_ACCELS);
+}
