Add the platform stand-in

Cause: daemons and tests need the platform's key-value service and list of VMs on loopback, with its faults. Ruled out: a real etcd (not installable, and it cannot lose an answer on request). Change: in-process and process form of the published JSON gateway, with leases, watches, compaction, lagging VM list, faults and call counts.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,1 +1,11 @@
 //! Stand-ins of the platform, the workers and the callers for tests.
+
+pub mod fault;
+pub mod platform;
+pub mod platform_calls;
+pub mod platform_http;
+pub mod platform_kv;
+pub mod platform_state;
+pub mod platform_vms;
+pub mod platform_watch;
+pub mod platform_wire;
--- /dev/null
+++ b/crates/fakes/src/platform.rs
@@ -0,0 +1,258 @@
+//! The platform stand-in: etcd v3 JSON gateway and list of VMs, with faults on request.
+//!
+//! It runs on threads of its own. The store's state outlives every fault. Leases go on
+//! running while a fault keeps daemons from renewing them.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::mpsc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use actix_web::dev::ServerHandle;
+use actix_web::rt;
+use actix_web::rt::time::sleep;
+use actix_web::rt::System;
+use actix_web::web;
+use actix_web::web::Data;
+use actix_web::web::Json;
+use actix_web::App;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use tokio::select;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::fault::Fault;
+use crate::fault::FaultSpec;
+use crate::platform_calls::CallCounts;
+use crate::platform_http;
+use crate::platform_state::Shared;
+use crate::platform_vms::VmRow;
+
+/// Period at which lapsed leases are ended.
+const LEASE_TICK: Duration = Duration::from_millis(20);
+
+enum Command {
+    Fault(FaultSpec, mpsc::Sender<()>),
+    Stop,
+}
+
+/// A running platform stand-in.
+#[derive(Debug)]
+pub struct Platform {
+    shared: Shared,
+    addr: SocketAddr,
+    control: SocketAddr,
+    commands: UnboundedSender<Command>,
+    thread: JoinHandle<()>,
+}
+
+impl Platform {
+    /// Starts a stand-in that serves daemons at `addr` and its control routes at the next
+    /// port; both are chosen freely if the port of `addr` is zero.
+    ///
+    /// # Panics
+    ///
+    /// If an address cannot be bound.
+    pub fn start(addr: SocketAddr) -> Platform {
+        let mut beside = addr;
+        if addr.port() != 0 {
+            beside.set_port(addr.port() + 1);
+        }
+        let data = TcpListener::bind(addr).expect("the address can be bound");
+        let control = TcpListener::bind(beside).expect("the control address can be bound");
+        let shared = Shared::new();
+        let (commands, receiver) = unbounded_channel();
+        let mut platform = Platform {
+            shared: shared.clone(),
+            addr: data.local_addr().expect("a bound socket has an address"),
+            control: control.local_addr().expect("a bound socket has an address"),
+            commands: commands.clone(),
+            thread: thread::spawn(|| ()),
+        };
+        platform.thread = thread::spawn(move || {
+            let served = System::new().block_on(run(shared, data, control, commands, receiver));
+            served.expect("the servers run");
+        });
+        platform
+    }
+
+    /// Where daemons call.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Where faults are set over HTTP.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Sets the fault of all calls from now on, and returns once it is in force.
+    pub fn fault(&self, fault: Fault) {
+        self.fault_spec(FaultSpec::all(fault));
+    }
+
+    /// Sets the fault of the next calls of one kind, for example `txn`.
+    pub fn fault_next(&self, fault: Fault, kind: &str, calls: u64) {
+        self.fault_spec(FaultSpec::next(fault, kind, calls));
+    }
+
+    fn fault_spec(&self, spec: FaultSpec) {
+        let (sender, done) = mpsc::channel();
+        if self.commands.send(Command::Fault(spec, sender)).is_ok() {
+            let _ = done.recv();
+        }
+    }
+
+    /// Forgets the history that watches resume from.
+    pub fn compact(&self) {
+        self.shared.lock().kv.compact();
+    }
+
+    /// Puts back the value that a key had before. Answers whether there was one.
+    pub fn restore_older(&self, key: &str) -> bool {
+        let done = self.shared.lock().kv.restore_older(key.as_bytes());
+        self.shared.notify();
+        done
+    }
+
+    /// The value of a key, read beside all faults.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let state = self.shared.lock();
+        state.kv.value(key.as_bytes()).map(<[u8]>::to_vec)
+    }
+
+    /// The store's revision.
+    pub fn revision(&self) -> i64 {
+        self.shared.lock().kv.revision()
+    }
+
+    /// Ends a lease as if it had lapsed.
+    pub fn lapse(&self, lease: i64) {
+        let _ = self.shared.lock().kv.revoke(lease);
+        self.shared.notify();
+    }
+
+    /// Sets the list of VMs; it shows after the lag.
+    pub fn set_vms(&self, rows: Vec<VmRow>) {
+        let now = self.shared.now();
+        self.shared.lock().vms.set(now, rows);
+    }
+
+    /// Sets the lag of later changes to the list of VMs.
+    pub fn set_lag(&self, lag: Duration) {
+        self.shared.lock().vms.set_lag(lag.as_millis() as u64);
+    }
+
+    /// The calls received.
+    pub fn calls(&self) -> CallCounts {
+        self.shared.lock().calls.clone()
+    }
+
+    /// Stops the servers and waits for their threads.
+    pub fn close(self) {
+        let _ = self.commands.send(Command::Stop);
+        let _ = self.thread.join();
+    }
+
+    /// Waits until the stand-in ends.
+    pub fn wait(self) {
+        let _ = self.thread.join();
+    }
+}
+
+async fn run(
+    shared: Shared,
+    data: TcpListener,
+    control: TcpListener,
+    commands: UnboundedSender<Command>,
+    mut receiver: UnboundedReceiver<Command>,
+) -> io::Result<()> {
+    let addr = data.local_addr()?;
+    let beside = serve_control(&shared, control, commands)?;
+    let mut server = Some(serve_data(&shared, data)?);
+    loop {
+        select! {
+            command = receiver.recv() => match command {
+                Some(Command::Fault(spec, done)) => {
+                    let refuse = spec.fault == Fault::Refuse;
+                    platform_http::set_fault(&shared, spec);
+                    switch(&shared, &mut server, addr, refuse).await?;
+                    let _ = done.send(());
+                }
+                Some(Command::Stop) | None => break,
+            },
+            () = sleep(LEASE_TICK) => drop(shared.lock()),
+        }
+    }
+    beside.stop(false).await;
+    if let Some(handle) = server {
+        handle.stop(false).await;
+    }
+    Ok(())
+}
+
+async fn switch(
+    shared: &Shared,
+    server: &mut Option<ServerHandle>,
+    addr: SocketAddr,
+    refuse: bool,
+) -> io::Result<()> {
+    if refuse {
+        if let Some(handle) = server.take() {
+            handle.stop(false).await;
+        }
+    } else if server.is_none() {
+        *server = Some(serve_data(shared, TcpListener::bind(addr)?)?);
+    }
+    Ok(())
+}
+
+fn serve_data(shared: &Shared, listener: TcpListener) -> io::Result<ServerHandle> {
+    let data = Data::new(shared.clone());
+    let app = move || {
+        let app = App::new().app_data(data.clone());
+        app.configure(platform_http::routes)
+    };
+    let server = HttpServer::new(app).workers(1).disable_signals();
+    let server = server.listen(listener)?.run();
+    let handle = server.handle();
+    rt::spawn(server);
+    Ok(handle)
+}
+
+fn serve_control(
+    shared: &Shared,
+    listener: TcpListener,
+    commands: UnboundedSender<Command>,
+) -> io::Result<ServerHandle> {
+    let data = Data::new(shared.clone());
+    let commands = Data::new(commands);
+    let app = move || {
+        let app = App::new().app_data(data.clone()).app_data(commands.clone());
+        let app = app.route("/fault", web::post().to(post_fault));
+        app.configure(platform_http::control_routes)
+    };
+    let server = HttpServer::new(app).workers(1).disable_signals();
+    let server = server.listen(listener)?.run();
+    let handle = server.handle();
+    rt::spawn(server);
+    Ok(handle)
+}
+
+async fn post_fault(
+    commands: Data<UnboundedSender<Command>>,
+    spec: Json<FaultSpec>,
+) -> HttpResponse {
+    let (sender, done) = mpsc::channel();
+    let sent = commands.send(Command::Fault(spec.into_inner(), sender));
+    if sent.is_err() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let _ = web::block(move || done.recv()).await;
+    HttpResponse::NoContent().finish()
+}
