Carry callers' requests to upstreams and answer each with a typed outcome

Cause: a caller must learn at once whether its request ran, did not run or may have run. Ruled out: decisions on the HTTP threads, which would need locks around every policy. Change: HTTP threads parse and hand typed messages to one actor; it claims, waits, sends, retries within the budget and answers. Idempotent requests keep half of their time for a second connection, because the first may have gone silent. Conclusion: the request path is whole but for claims across entry VMs.

--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,113 @@
+//! The callers' port: requests, health and readiness.
+
+use actix::Recipient;
+use actix_web::http::StatusCode;
+use actix_web::web;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use base::digest;
+use base::Findings;
+use base::Millis;
+use base::Outcome;
+use bytes::Bytes;
+use serde::Serialize;
+use work::request;
+
+use crate::head::Head;
+use crate::msg::Reply;
+use crate::msg::Serve;
+use crate::ready::Ready;
+
+/// Time to come back when the daemon itself cannot answer.
+const RETRY_STOPPING: Millis = Millis(1_000);
+
+/// Answer to a request that was refused or whose outcome is unknown.
+#[derive(Debug, Serialize)]
+struct Refusal<'a> {
+    outcome: Outcome,
+    reason: &'a str,
+    #[serde(skip_serializing_if = "Findings::is_empty")]
+    findings: Findings,
+}
+
+/// Adds the callers' routes. `requests` carries the requests, `body` bounds a body in bytes.
+pub fn callers_routes(
+    app: &mut web::ServiceConfig,
+    requests: Recipient<Serve>,
+    ready: Ready,
+    body: usize,
+) {
+    app.app_data(web::Data::new(requests))
+        .app_data(web::Data::new(ready))
+        .app_data(web::PayloadConfig::new(body))
+        .route("/v1/requests/{service}", web::post().to(serve))
+        .route("/health", web::get().to(health))
+        .route("/ready", web::get().to(readiness));
+}
+
+async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("alive")
+}
+
+async fn readiness(ready: web::Data<Ready>) -> HttpResponse {
+    match ready.get() {
+        true => HttpResponse::Ok().body("ready"),
+        false => HttpResponse::ServiceUnavailable().body("not ready"),
+    }
+}
+
+async fn serve(
+    requests: web::Data<Recipient<Serve>>,
+    path: web::Path<String>,
+    req: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let head = match Head::read(&path, req.headers()) {
+        Ok(head) => head,
+        Err(findings) => return malformed(findings),
+    };
+    let id = head.id.clone();
+    let sent = requests.send(Serve { head, body }).await;
+    let reply = sent.unwrap_or_else(|_| Reply::Unknown {
+        why: "the daemon is stopping".to_string(),
+        retry: RETRY_STOPPING,
+    });
+    answer(id.as_str(), reply)
+}
+
+fn malformed(findings: Findings) -> HttpResponse {
+    HttpResponse::BadRequest()
+        .insert_header((request::OUTCOME, Outcome::NotRun.to_string()))
+        .json(Refusal {
+            outcome: Outcome::NotRun,
+            reason: "the request is malformed",
+            findings,
+        })
+}
+
+fn answer(id: &str, reply: Reply) -> HttpResponse {
+    let outcome = reply.outcome();
+    let (status, retry, why) = match reply {
+        Reply::Ran { status, body } => return ran(id, status, body),
+        Reply::NotRun { why, retry } => (StatusCode::SERVICE_UNAVAILABLE, retry, why),
+        Reply::Unknown { why, retry } => (StatusCode::GATEWAY_TIMEOUT, retry, why),
+    };
+    HttpResponse::build(status)
+        .insert_header((request::ID, id))
+        .insert_header((request::OUTCOME, outcome.to_string()))
+        .insert_header((request::RETRY_AFTER, retry.0.to_string()))
+        .json(Refusal {
+            outcome,
+            reason: &why,
+            findings: Findings::new(),
+        })
+}
+
+fn ran(id: &str, status: u16, body: Bytes) -> HttpResponse {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    HttpResponse::build(status)
+        .insert_header((request::ID, id))
+        .insert_header((request::OUTCOME, Outcome::Ran.to_string()))
+        .insert_header((request::DIGEST, format!("{:016x}", digest(&body))))
+        .body(body)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,29 @@
-//! HTTP interfaces for callers and operators.
+//! HTTP interfaces for callers and operators, and the service that carries requests.
+//!
+//! HTTP is parsed on the server's threads. Decisions are made on one thread by actors,
+//! which the handlers reach through typed messages.
+
+mod callers;
+mod gate;
+mod head;
+mod msg;
+mod ready;
+mod requests;
+mod server;
+
+pub use callers::callers_routes;
+pub use gate::Claimed;
+pub use gate::Gate;
+pub use gate::GateFuture;
+pub use head::Head;
+pub use msg::Drain;
+pub use msg::Reply;
+pub use msg::Serve;
+pub use msg::SetUpstreams;
+pub use msg::SetWeights;
+pub use msg::Target;
+pub use msg::UpstreamsStatus;
+pub use ready::Ready;
+pub use requests::Requests;
+pub use requests::RequestsConfig;
+pub use server::Server;
--- /dev/null
+++ b/crates/entry/src/requests/carry.rs
@@ -0,0 +1,277 @@
+//! The way of one request: claim, wait for an upstream, send, retry, answer.
+
+use std::rc::Rc;
+
+use base::Millis;
+use base::Outcome;
+use base::WorkerId;
+use bytes::Bytes;
+use obs::Event;
+use obs::Span;
+use obs::TraceParent;
+use route::Ask;
+use route::Input;
+use route::SendResult;
+use route::Ticket;
+use route::Why;
+use tokio::sync::oneshot;
+use work::Call;
+use work::Ending;
+
+use super::Grant;
+use super::Inner;
+use crate::gate::Claimed;
+use crate::head::Head;
+use crate::msg::Reply;
+use crate::msg::Serve;
+
+/// Time to come back after an answer whose outcome is unknown.
+const RETRY_UNKNOWN: Millis = Millis(1_000);
+
+/// Time to come back when the daemon has too many requests open.
+const RETRY_FULL: Millis = Millis(250);
+
+/// One request on its way.
+struct Trip {
+    head: Head,
+    body: Bytes,
+    deadline: Millis,
+    trace: TraceParent,
+    fence: Option<u64>,
+    sends: u32,
+    avoid: Vec<WorkerId>,
+    /// Whether an earlier send may have run.
+    doubtful: bool,
+}
+
+impl Inner {
+    /// Carries a request to its final answer.
+    pub(super) async fn serve(self: Rc<Inner>, msg: Serve) -> Reply {
+        let now = self.clock.now();
+        let span = Span::start("entry", msg.head.trace, now);
+        let reply = if self.open.get() >= self.most {
+            refused("too many requests are open in this daemon", RETRY_FULL)
+        } else {
+            self.count_open(1);
+            let reply = self.claimed(msg, now, span.context()).await;
+            self.count_open(-1);
+            reply
+        };
+        let outcome = reply.outcome().to_string();
+        self.counters.outcomes.add(&[("outcome", &outcome)], 1);
+        self.note(&reply);
+        span.close(&self.log, self.clock.now(), &outcome);
+        reply
+    }
+
+    fn count_open(&self, change: isize) {
+        let open = self.open.get().saturating_add_signed(change);
+        self.open.set(open);
+        self.counters.open.set(&[], open as i64);
+    }
+
+    fn note(&self, reply: &Reply) {
+        match reply {
+            Reply::NotRun { why, .. } => obs::emit(&self.log, Event::RequestRefused, why),
+            Reply::Ran { .. } => {}
+            Reply::Unknown { why, .. } => obs::emit(&self.log, Event::RequestUnknown, why),
+        }
+    }
+
+    /// Claims the request if it may run only once, and records how it ended.
+    async fn claimed(&self, msg: Serve, now: Millis, trace: TraceParent) -> Reply {
+        let mut trip = Trip {
+            deadline: now + msg.head.left,
+            head: msg.head,
+            body: msg.body,
+            trace,
+            fence: None,
+            sends: 0,
+            avoid: Vec::new(),
+            doubtful: false,
+        };
+        if trip.head.idempotent {
+            return self.run(&mut trip).await;
+        }
+        match (self.gate.claim)(trip.head.clone()).await {
+            Claimed::Answer(reply) => reply,
+            Claimed::Send { fence } => {
+                trip.fence = Some(fence);
+                let reply = self.run(&mut trip).await;
+                (self.gate.settle)(trip.head.id, reply.clone()).await;
+                reply
+            }
+        }
+    }
+
+    async fn run(&self, trip: &mut Trip) -> Reply {
+        loop {
+            let ticket = self.next_ticket();
+            let (upstream, ending) = match self.ask(ticket, trip).await {
+                Grant::Refused { why, retry } => return self.give_up(trip, reason(why), retry),
+                Grant::Send { upstream, address } => {
+                    let ending = self.send(ticket, trip, address).await;
+                    (upstream, ending)
+                }
+            };
+            let outcome = ending.outcome();
+            trip.doubtful |= outcome == Outcome::Unknown;
+            if let Ending::Ran(answer) = ending {
+                return Reply::Ran {
+                    status: answer.status,
+                    body: answer.body,
+                };
+            }
+            let repeatable = trip.head.idempotent || outcome == Outcome::NotRun;
+            if !repeatable || !self.retries.borrow_mut().take(trip.sends) {
+                return self.give_up(trip, describe(&ending), retry_of(&ending));
+            }
+            self.counters.retries.add(&[], 1);
+            trip.avoid.push(upstream);
+        }
+    }
+
+    fn next_ticket(&self) -> Ticket {
+        let ticket = self.ticket.get() + 1;
+        self.ticket.set(ticket);
+        Ticket(ticket)
+    }
+
+    async fn ask(&self, ticket: Ticket, trip: &Trip) -> Grant {
+        let (tx, rx) = oneshot::channel();
+        self.waits.borrow_mut().insert(ticket, tx);
+        self.step(Input::Ask(Ask {
+            ticket,
+            org: trip.head.org.clone(),
+            service: trip.head.service.clone(),
+            deadline: trip.deadline,
+            avoid: trip.avoid.clone(),
+        }));
+        rx.await.unwrap_or(Grant::Refused {
+            why: Why::Waited,
+            retry: RETRY_UNKNOWN,
+        })
+    }
+
+    async fn send(&self, ticket: Ticket, trip: &mut Trip, at: std::net::SocketAddr) -> Ending {
+        let now = self.clock.now();
+        if trip.sends == 0 {
+            self.retries.borrow_mut().first_send();
+        }
+        trip.sends += 1;
+        let span = Span::start("upstream", Some(trip.trace), now);
+        let call = Call {
+            id: trip.head.id.clone(),
+            service: trip.head.service.clone(),
+            body: trip.body.clone(),
+            left: trip.send_time(now),
+            fence: trip.fence,
+            trace: span.context(),
+            fresh: trip.sends > 1,
+        };
+        let ending = self.exchange.send(at, &call).await;
+        let name = label(&ending);
+        span.close(&self.log, self.clock.now(), name);
+        self.counters.sends.add(&[("end", name)], 1);
+        self.report(ticket, &ending);
+        ending
+    }
+
+    fn report(&self, ticket: Ticket, ending: &Ending) {
+        match ending {
+            Ending::Foreign => obs::emit(&self.log, Event::AnswerForeign, ""),
+            Ending::Silent => obs::emit(&self.log, Event::ConnectionSilent, ""),
+            Ending::Truncated => obs::emit(&self.log, Event::AnswerTruncated, ""),
+            _ => {}
+        }
+        self.step(Input::Done {
+            ticket,
+            result: blame(ending),
+        });
+    }
+
+    /// The final answer of a request that did not get a whole one.
+    fn give_up(&self, trip: &Trip, why: String, retry: Millis) -> Reply {
+        if trip.doubtful {
+            return Reply::Unknown {
+                why,
+                retry: retry.max(RETRY_UNKNOWN),
+            };
+        }
+        refused(&why, retry)
+    }
+}
+
+impl Trip {
+    /// Time for the next send. An idempotent request keeps half of its time for another
+    /// send, because a connection may have gone silent.
+    fn send_time(&self, now: Millis) -> Millis {
+        let left = self.deadline.since(now);
+        if self.head.idempotent && self.sends < 2 {
+            Millis(left.0 / 2)
+        } else {
+            left
+        }
+    }
+}
+
+fn refused(why: &str, retry: Millis) -> Reply {
+    Reply::NotRun {
+        why: why.to_string(),
+        retry,
+    }
+}
+
+fn reason(why: Why) -> String {
+    let text = match why {
+        Why::Deadline => "the deadline would pass before an upstream is free",
+        Why::NoService => "no upstream offers the service",
+        Why::QueueFull => "too many requests wait",
+        Why::Waited => "no upstream became free in time",
+    };
+    text.to_string()
+}
+
+fn describe(ending: &Ending) -> String {
+    match ending {
+        Ending::Busy { .. } => "the upstream has no free slot".to_string(),
+        Ending::Foreign => "the upstream answered another request".to_string(),
+        Ending::Lost(why) => format!("the answer was lost: {why}"),
+        Ending::NotSent(why) => format!("the upstream was not reached: {why}"),
+        Ending::Ran(_) => "it ran".to_string(),
+        Ending::Silent => "no whole answer came in time".to_string(),
+        Ending::Truncated => "the answer was cut short".to_string(),
+    }
+}
+
+fn retry_of(ending: &Ending) -> Millis {
+    match ending {
+        Ending::Busy { retry, .. } => *retry,
+        _ => RETRY_UNKNOWN,
+    }
+}
+
+fn label(ending: &Ending) -> &'static str {
+    match ending {
+        Ending::Busy { .. } => "busy",
+        Ending::Foreign => "foreign",
+        Ending::Lost(_) => "lost",
+        Ending::NotSent(_) => "not-sent",
+        Ending::Ran(_) => "ran",
+        Ending::Silent => "silent",
+        Ending::Truncated => "truncated",
+    }
+}
+
+fn blame(ending: &Ending) -> SendResult {
+    match ending {
+        Ending::Busy { leaving: true, .. } => SendResult::Leaving,
+        Ending::Busy { .. } => SendResult::Busy,
+        Ending::Ran(answer) if answer.status >= 500 => SendResult::Failed,
+        Ending::Ran(_) => SendResult::Served,
+        Ending::Silent => SendResult::Unproved,
+        Ending::Foreign | Ending::Lost(_) | Ending::NotSent(_) | Ending::Truncated => {
+            SendResult::Failed
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,61 @@
+//! An HTTP server whose handlers run on a thread of their own.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use actix_web::dev::ServerHandle;
+use actix_web::middleware;
+use actix_web::web::ServiceConfig;
+use actix_web::App;
+use actix_web::HttpServer;
+use base::Millis;
+
+/// Longest time for a caller to send its headers.
+const HEAD_MAX: Duration = Duration::from_secs(10);
+
+/// Connections that one port accepts.
+const CONNECTIONS: usize = 4096;
+
+/// A running server.
+pub struct Server {
+    address: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Server {
+    /// Binds `address` and serves `routes`. `stop` bounds a graceful stop.
+    pub fn start<F>(address: SocketAddr, stop: Millis, routes: F) -> std::io::Result<Server>
+    where
+        F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+    {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let app = move || {
+            App::new()
+                .wrap(middleware::DefaultHeaders::new().add(("server", "bronzetack")))
+                .configure(routes.clone())
+        };
+        let server = HttpServer::new(app)
+            .workers(1)
+            .max_connections(CONNECTIONS)
+            .client_request_timeout(HEAD_MAX)
+            .shutdown_timeout(stop.0.div_ceil(1000))
+            .disable_signals()
+            .listen(listener)?
+            .run();
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        Ok(Server { address, handle })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, lets requests in progress finish within the bound, and ends.
+    pub async fn close(self) {
+        self.handle.stop(true).await;
+    }
+}
--- a/crates/fakes/src/worker/requests.rs
+++ b/crates/fakes/src/worker/requests.rs
@@ -30,11 +30,7 @@
         return HttpResponse::BadRequest().body("bt-request-id is missing: send one");
     };
     if !enter(&worker) {
-        return HttpResponse::ServiceUnavailable()
-            .insert_header((request::ID, id))
-            .insert_header((request::OUTCOME, Outcome::NotRun.to_string()))
-            .insert_header((request::RETRY_AFTER, RETRY_AFTER.0.to_string()))
-            .finish();
+        return refused(&worker, id);
     }
     let fault = worker.lock().fault;
     let mut pause = worker.config.service;
@@ -48,6 +44,16 @@
     answer(fault, id, body, other).await
 }
 
+fn refused(worker: &WorkerState, id: String) -> HttpResponse {
+    let leaving = worker.lock().tasks.leaving;
+    HttpResponse::ServiceUnavailable()
+        .insert_header((request::ID, id))
+        .insert_header((request::OUTCOME, Outcome::NotRun.to_string()))
+        .insert_header((request::RETRY_AFTER, RETRY_AFTER.0.to_string()))
+        .insert_header((request::LEAVING, leaving.to_string()))
+        .finish()
+}
+
 fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     let value = headers.get(name)?;
     value.to_str().ok().map(str::to_string)
--- a/crates/work/src/exchange.rs
+++ b/crates/work/src/exchange.rs
@@ -60,6 +60,8 @@
     Busy {
         /// When to come back.
         retry: Millis,
+        /// Whether it refuses all new work because it is leaving.
+        leaving: bool,
     },
     /// It may have run: the answer belongs to another request.
     Foreign,
@@ -174,6 +176,7 @@
     match outcome {
         Some(Outcome::NotRun) => Ending::Busy {
             retry: Millis(number(headers, request::RETRY_AFTER)),
+            leaving: text(headers, request::LEAVING) == Some("true"),
         },
         Some(Outcome::Ran) if is_whole(headers, &body) => Ending::Ran(Answer {
             status: status.as_u16(),
--- a/crates/work/src/request.rs
+++ b/crates/work/src/request.rs
@@ -18,6 +18,9 @@
 /// `true` if the request may run more than once.
 pub const IDEMPOTENT: &str = "bt-idempotent";
 
+/// `true` in a refusal of an upstream that is leaving.
+pub const LEAVING: &str = "bt-leaving";
+
 /// The organisation that the request is for.
 pub const ORG: &str = "bt-org";
 
