Add the planner of gang jobs

Cause: placement, guarantees, reclaim and queueing had no code. Ruled out: a free list of single accelerators, which cannot tell whole cells from fragments; pure priority without reservations, under which large gangs starve. Change: one pure state machine, with cells, a standing witness of all guarantees, backfill beside reservations, isolation of failing workers, departure and return.

--- /dev/null
+++ b/crates/gang/src/health.rs
@@ -0,0 +1,176 @@
+//! Workers that fail everything, told apart from jobs that fail everywhere.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use base::Millis;
+use base::WorkerId;
+
+use crate::event::Action;
+use crate::job::Phase;
+use crate::planner::Planner;
+use crate::planner::Wake;
+use crate::site::Key;
+
+/// Failed attempts at which a job is given up, as a multiple of the distinct workers needed.
+const MAX_FAILURES: u32 = 4;
+
+/// Most doublings of the time between probes.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// Failures of a worker.
+#[derive(Clone, Debug, Default)]
+struct Record {
+    /// Jobs that failed here since the last success.
+    strikes: BTreeSet<Key>,
+    /// When the next probe is due, while it is isolated.
+    probe: Option<Millis>,
+    /// Isolations since the last success.
+    rounds: u32,
+}
+
+/// Failures of all workers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Health {
+    records: BTreeMap<WorkerId, Record>,
+}
+
+impl Planner {
+    /// Takes note that a job failed on a worker.
+    pub(crate) fn strike(&mut self, id: &WorkerId, key: Key) {
+        let Some(w) = self.site.find(id) else { return };
+        let blamed = self.is_blamed(key, id);
+        let record = self.health.records.entry(id.clone()).or_default();
+        if blamed {
+            record.strikes.insert(key);
+        }
+        let strikes = record.strikes.len() as u32;
+        let worker = &mut self.site.workers[w];
+        worker.suspect = strikes.min(self.policy.strikes);
+        let probing = worker.probing;
+        if probing && blamed {
+            self.end_probe(w, false);
+        } else if strikes >= self.policy.strikes && !worker.isolated {
+            self.isolate(w);
+        }
+    }
+
+    /// Whether a job's failure speaks against the worker: not if it failed on healthy workers
+    /// besides.
+    fn is_blamed(&self, key: Key, id: &WorkerId) -> bool {
+        let Some(job) = self.jobs.get(&key) else {
+            return false;
+        };
+        let others = job.failed.iter().filter(|f| *f != id);
+        others.filter(|f| self.is_healthy(f, key)).count() == 0
+    }
+
+    /// Whether a worker is in use and no other job has failed on it of late.
+    fn is_healthy(&self, id: &WorkerId, key: Key) -> bool {
+        let Some(w) = self.site.find(id) else {
+            return false;
+        };
+        let strikes = self.health.records.get(id).map(|r| &r.strikes);
+        let others = strikes.map_or(0, |s| s.iter().filter(|k| **k != key).count());
+        !self.site.workers[w].isolated && others == 0
+    }
+
+    /// Whether a job failed so often, or on so many healthy workers, that it is given up.
+    pub(crate) fn is_hopeless(&self, key: Key) -> bool {
+        let Some(job) = self.jobs.get(&key) else {
+            return false;
+        };
+        let healthy = job
+            .failed
+            .iter()
+            .filter(|f| self.is_healthy(f, key))
+            .count() as u32;
+        healthy >= self.policy.failures || job.failures >= MAX_FAILURES * self.policy.failures
+    }
+
+    /// Takes note of a job's success on all its workers.
+    pub(crate) fn clear_strikes(&mut self, key: Key) {
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
+        let workers: BTreeSet<usize> = job.places.iter().map(|p| p.worker).collect();
+        for w in workers {
+            if self.site.workers[w].probing {
+                self.end_probe(w, true);
+            }
+            let worker = &mut self.site.workers[w];
+            worker.suspect = 0;
+            if !worker.isolated {
+                self.health.records.remove(&worker.spec.id);
+            }
+        }
+    }
+
+    /// Isolates a worker unless too much would be isolated then.
+    fn isolate(&mut self, w: usize) {
+        let sum: u32 = self.site.workers.iter().map(|w| w.spec.accels.0).sum();
+        let isolated = self.site.workers.iter().filter(|w| w.isolated);
+        let now: u32 = isolated.map(|w| w.spec.accels.0).sum();
+        let next = now + self.site.workers[w].spec.accels.0;
+        if next * 100 > sum * self.policy.isolation {
+            return;
+        }
+        self.site.workers[w].isolated = true;
+        let id = self.site.workers[w].spec.id.clone();
+        self.plan_probe(&id);
+        self.clear_worker(w);
+        for key in self.jobs_on(w) {
+            let claiming = self
+                .jobs
+                .get(&key)
+                .is_some_and(|j| j.phase == Phase::Claiming);
+            if claiming {
+                self.requeue(key);
+            }
+        }
+        self.actions.push(Action::Isolate(id));
+        self.rebind();
+        self.wake = Wake::All;
+    }
+
+    fn plan_probe(&mut self, id: &WorkerId) {
+        let record = self.health.records.entry(id.clone()).or_default();
+        let wait = self.policy.probe.0 << record.rounds.min(MAX_DOUBLINGS);
+        record.probe = Some(self.now + Millis(wait));
+        record.rounds += 1;
+    }
+
+    /// Lets isolated workers whose time has come try one small job.
+    pub(crate) fn probe_workers(&mut self) {
+        let now = self.now;
+        for record in self.health.records.iter_mut() {
+            let (id, record) = record;
+            let Some(w) = self.site.find(id) else {
+                continue;
+            };
+            let worker = &mut self.site.workers[w];
+            let due = record.probe.is_some_and(|at| at <= now);
+            if due && worker.isolated && !worker.probing {
+                worker.probing = true;
+                record.probe = None;
+                self.actions.push(Action::Probe(id.clone()));
+                self.wake = Wake::All;
+            }
+        }
+    }
+
+    fn end_probe(&mut self, w: usize, good: bool) {
+        let worker = &mut self.site.workers[w];
+        worker.probing = false;
+        let id = worker.spec.id.clone();
+        if !good {
+            self.plan_probe(&id);
+            return;
+        }
+        worker.isolated = false;
+        self.health.records.remove(&id);
+        self.actions.push(Action::Restore(id));
+        self.rebind();
+        self.wake = Wake::All;
+    }
+}
--- a/crates/gang/src/lib.rs
+++ b/crates/gang/src/lib.rs
@@ -1,1 +1,46 @@
 //! Shapes, guarantees and placement of gang jobs.
+//!
+//! [`Planner`] holds all decisions on which job runs where, and when. It is pure: it is told
+//! what happened, with the time, and answers with what is to be done.
+
+mod backing;
+mod cells;
+mod check;
+mod claim;
+mod estimate;
+mod event;
+mod health;
+mod hold;
+mod job;
+mod life;
+mod offer;
+mod pass;
+mod planner;
+mod policy;
+mod queue;
+mod search;
+mod site;
+mod start;
+mod status;
+mod witness;
+
+pub use check::Violation;
+pub use event::Action;
+pub use event::Ended;
+pub use event::Evidence;
+pub use event::Input;
+pub use event::RefuseReason;
+pub use event::StopReason;
+pub use offer::pick_domain;
+pub use offer::DomainOffer;
+pub use planner::Planner;
+pub use planner::Usage;
+pub use policy::Departure;
+pub use policy::Guarantee;
+pub use policy::OrgPolicy;
+pub use policy::Policy;
+pub use status::OrgStatus;
+pub use status::PlannerStatus;
+pub use status::Shortfall;
+pub use witness::find_witness;
+pub use witness::Witness;
--- /dev/null
+++ b/crates/gang/src/queue.rs
@@ -0,0 +1,114 @@
+//! Waiting jobs, grouped so that jobs which can stand for each other are looked at once.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use base::DomainId;
+use base::JobKind;
+use base::Map;
+use base::OrgId;
+use base::Shape;
+
+use crate::job::Job;
+use crate::site::Key;
+
+/// What the jobs of one group have in common.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Group {
+    org: OrgId,
+    kind: JobKind,
+    shape: Shape,
+    domain: Option<DomainId>,
+    urgent: bool,
+    stoppable: bool,
+    checkpoint: bool,
+    /// Power of two of the time left.
+    length: u32,
+    /// The job itself where failures bar it from some workers.
+    solo: Option<Key>,
+}
+
+/// Waiting jobs by group; the oldest of a group stands for it.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    ids: Map<Group, u64>,
+    groups: BTreeMap<u64, (Group, BTreeSet<Key>)>,
+    homes: Map<Key, u64>,
+    next: u64,
+}
+
+impl Queue {
+    /// Adds a waiting job.
+    pub fn add(&mut self, key: Key, job: &Job) {
+        let group = group(key, job);
+        let id = match self.ids.get(&group) {
+            Some(id) => *id,
+            None => self.open(group),
+        };
+        if let Some((_, jobs)) = self.groups.get_mut(&id) {
+            jobs.insert(key);
+        }
+        self.homes.insert(key, id);
+    }
+
+    fn open(&mut self, group: Group) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        self.ids.insert(group.clone(), id);
+        self.groups.insert(id, (group, BTreeSet::new()));
+        id
+    }
+
+    /// Removes a job, if it waits.
+    pub fn remove(&mut self, key: Key) {
+        let Some(id) = self.homes.remove(&key) else {
+            return;
+        };
+        let Some((group, jobs)) = self.groups.get_mut(&id) else {
+            return;
+        };
+        jobs.remove(&key);
+        if jobs.is_empty() {
+            self.ids.remove(group);
+            self.groups.remove(&id);
+        }
+    }
+
+    /// Whether a job waits.
+    pub fn has(&self, key: Key) -> bool {
+        self.homes.contains_key(&key)
+    }
+
+    /// The oldest job of a group.
+    pub fn head(&self, group: u64) -> Option<Key> {
+        self.groups.get(&group)?.1.first().copied()
+    }
+
+    /// All groups, in order of their creation.
+    pub fn groups(&self) -> impl Iterator<Item = u64> + '_ {
+        self.groups.keys().copied()
+    }
+
+    /// All waiting jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = Key> + '_ {
+        self.groups
+            .values()
+            .flat_map(|(_, jobs)| jobs.iter().copied())
+    }
+}
+
+fn group(key: Key, job: &Job) -> Group {
+    let spec = &job.spec;
+    let left = spec.length.since(job.saved);
+    Group {
+        org: spec.org.clone(),
+        kind: spec.kind.clone(),
+        shape: spec.shape,
+        domain: spec.domain.clone(),
+        urgent: spec.urgent,
+        stoppable: spec.is_stoppable(),
+        checkpoint: spec.checkpoint,
+        length: u64::BITS - left.0.leading_zeros(),
+        solo: (!job.failed.is_empty()).then_some(key),
+    }
+}
--- /dev/null
+++ b/crates/gang/src/status.rs
@@ -0,0 +1,167 @@
+//! What operators see of the planner.
+
+use std::collections::BTreeMap;
+
+use base::Accels;
+use base::DomainId;
+use base::OrgId;
+use base::WorkerId;
+use serde::Serialize;
+
+use crate::cells::largest;
+use crate::job::Phase;
+use crate::offer::DomainOffer;
+use crate::planner::Planner;
+
+/// State of one organisation.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct OrgStatus {
+    /// Accelerators guaranteed.
+    pub guaranteed: Accels,
+    /// Accelerators in use.
+    pub used: Accels,
+    /// Those of them that are borrowed.
+    pub borrowed: Accels,
+    /// Jobs that wait.
+    pub queued: u32,
+    /// Jobs that have a start or stop ordered, or run.
+    pub active: u32,
+}
+
+/// A guarantee that cannot be met.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Shortfall {
+    /// Index in the policy's guarantees.
+    pub guarantee: usize,
+    /// The organisation.
+    pub org: OrgId,
+    /// The failure domain.
+    pub domain: DomainId,
+    /// The number of gangs missing.
+    pub missing: u32,
+}
+
+/// State of the planner.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct PlannerStatus {
+    /// State of each organisation.
+    pub orgs: BTreeMap<OrgId, OrgStatus>,
+    /// Accelerators of workers that take work.
+    pub accels: Accels,
+    /// Those of them that are free.
+    pub free: Accels,
+    /// Share of the free accelerators outside wholly free workers, in percent.
+    pub fragmentation: u32,
+    /// Guarantees that cannot be met.
+    pub shortfalls: Vec<Shortfall>,
+    /// Isolated workers.
+    pub isolated: Vec<WorkerId>,
+}
+
+impl Planner {
+    /// The present state, for operators.
+    pub fn status(&self) -> PlannerStatus {
+        let mut free = 0;
+        let mut whole = 0;
+        let mut accels = 0;
+        for worker in self.site.workers.iter().filter(|w| w.is_open()) {
+            let mask = worker.free().mask;
+            accels += worker.spec.accels.0;
+            free += mask.count_ones();
+            if mask == worker.all().mask {
+                whole += worker.spec.accels.0;
+            }
+        }
+        PlannerStatus {
+            orgs: self.org_status(),
+            accels: Accels(accels),
+            free: Accels(free),
+            fragmentation: (free - whole) * 100 / free.max(1),
+            shortfalls: self.shortfalls(),
+            isolated: self.isolated(),
+        }
+    }
+
+    fn org_status(&self) -> BTreeMap<OrgId, OrgStatus> {
+        let mut map: BTreeMap<OrgId, OrgStatus> = BTreeMap::new();
+        for org in self.policy.orgs.keys() {
+            let usage = self.usage.get(org).copied().unwrap_or_default();
+            let status = map.entry(org.clone()).or_default();
+            status.guaranteed = self.policy.guaranteed(org);
+            status.used = usage.used;
+            status.borrowed = usage.borrowed;
+        }
+        for job in self.jobs.values() {
+            let status = map.entry(job.spec.org.clone()).or_default();
+            match job.phase {
+                Phase::Queued | Phase::Claiming => status.queued += 1,
+                Phase::Running | Phase::Starting | Phase::Stopping => status.active += 1,
+            }
+        }
+        map
+    }
+
+    fn shortfalls(&self) -> Vec<Shortfall> {
+        let guarantees = self.policy.guarantees.iter().enumerate();
+        let missing = guarantees.filter(|(i, _)| self.short[*i] > 0);
+        missing
+            .map(|(i, g)| Shortfall {
+                guarantee: i,
+                org: g.org.clone(),
+                domain: g.domain.clone(),
+                missing: self.short[i],
+            })
+            .collect()
+    }
+
+    fn isolated(&self) -> Vec<WorkerId> {
+        let workers = self.site.workers.iter().filter(|w| w.isolated);
+        workers.map(|w| w.spec.id.clone()).collect()
+    }
+
+    /// What the failure domains have to offer, for [`crate::pick_domain`].
+    pub fn offers(&self) -> Vec<DomainOffer> {
+        (0..self.site.domains.len())
+            .map(|d| self.offer(d))
+            .collect()
+    }
+
+    fn offer(&self, d: usize) -> DomainOffer {
+        let mut cells: BTreeMap<Accels, u32> = BTreeMap::new();
+        let mut total = 0;
+        let workers = self.site.workers.iter();
+        for worker in workers.filter(|w| w.domain == d && w.is_open()) {
+            total += worker.spec.accels.0;
+            let mut mask = worker.free().mask;
+            loop {
+                let size = largest(mask, worker.spec.accels.0);
+                let Some((first, _)) = crate::cells::fit(mask, worker.spec.accels.0, size) else {
+                    break;
+                };
+                if size == 0 {
+                    break;
+                }
+                mask &= !crate::cells::span(first, size);
+                *cells.entry(Accels(size)).or_default() += 1;
+            }
+        }
+        let waiting = self.queue.jobs().filter_map(|key| self.jobs.get(&key));
+        let here = &self.site.domains[d];
+        let spare = self
+            .book
+            .units
+            .iter()
+            .filter(|u| u.domain == d && u.is_movable());
+        let spare = spare.filter(|u| u.places.is_some());
+        DomainOffer {
+            domain: here.id.clone(),
+            out: here.out,
+            total: Accels(total),
+            cells: cells.into_iter().collect(),
+            unused: spare
+                .map(|u| (u.org.clone(), u.shape.accels, u.shape.tasks))
+                .collect(),
+            waiting: waiting.map(|job| job.spec.accels()).sum(),
+        }
+    }
+}
