Add the store client: reads, conditional writes, leases, budget, health

Cause: daemons keep what must last in the platform's store and need to know of each failed call whether it may have taken effect. Ruled out: a gRPC client (the gateway is what the platform publishes), and retries of writes inside the client. The HTTP library reports a connection that ends before the answer as a connect error; it counts as lost, not as unsent.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every other crate builds on this one. Nothing here does I/O or reads a clock,
 //! apart from [`Clock::System`], which the services use to obtain the current time.
 
+mod backoff;
 mod clock;
 mod digest;
 mod finding;
@@ -12,6 +13,7 @@
 mod outcome;
 mod size;
 
+pub use backoff::Backoff;
 pub use clock::Clock;
 pub use clock::ManualClock;
 pub use clock::Millis;
--- a/crates/fakes/src/platform_http.rs
+++ b/crates/fakes/src/platform_http.rs
@@ -14,6 +14,8 @@
 use actix_web::web::ServiceConfig;
 use actix_web::HttpResponse;
 use futures_util::stream::iter;
+use futures_util::stream::once;
+use futures_util::StreamExt;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -31,9 +33,12 @@
 use crate::platform_wire::Streamed;
 use crate::platform_wire::WatchCall;
 
+/// Lets the first half of a truncated answer reach the caller before the end.
+const CUT_DELAY: Duration = Duration::from_millis(20);
 const MAX_BODY: usize = 4 * 1024 * 1024;
 const CODE_INVALID: i32 = 3;
 const CODE_NOT_FOUND: i32 = 5;
+const CODE_OUT_OF_RANGE: i32 = 11;
 const CODE_UNAVAILABLE: i32 = 14;
 
 /// The routes that daemons call.
@@ -51,7 +56,7 @@
 }
 
 async fn range(shared: Data<Shared>, body: Bytes) -> HttpResponse {
-    answer(&shared, "range", &body, |kv, call, _| Ok(kv.range(&call))).await
+    answer(&shared, "range", &body, |kv, call, _| kv.range(&call)).await
 }
 
 async fn put(shared: Data<Shared>, body: Bytes) -> HttpResponse {
@@ -146,6 +151,10 @@
     shared.notify();
     match result {
         Ok(reply) => after(shared, fault, &reply).await,
+        Err(Refusal::Compacted) => {
+            let text = "etcdserver: mvcc: required revision has been compacted";
+            refuse(StatusCode::BAD_REQUEST, CODE_OUT_OF_RANGE, text)
+        }
         Err(Refusal::NoLease) => {
             let text = "etcdserver: requested lease not found";
             refuse(StatusCode::NOT_FOUND, CODE_NOT_FOUND, text)
@@ -182,7 +191,11 @@
             let whole = text.len() as u64;
             let half = Bytes::from(text[..text.len() / 2].to_vec());
             let cut = io::Error::from(io::ErrorKind::ConnectionReset);
-            let parts = iter([Ok(half), Err(cut)]);
+            let end = once(async move {
+                sleep(CUT_DELAY).await;
+                Err(cut)
+            });
+            let parts = iter([Ok(half)]).chain(Box::pin(end));
             response.body(SizedStream::new(whole, parts))
         }
         _ => response.body(text),
--- a/crates/fakes/src/platform_kv.rs
+++ b/crates/fakes/src/platform_kv.rs
@@ -26,6 +26,8 @@
 /// Why the store refuses a call; nothing took effect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
+    /// The revision is no longer known.
+    Compacted,
     /// The lease is not known.
     NoLease,
 }
@@ -83,9 +85,14 @@
         self.compacted
     }
 
-    /// Forgets the history of changes.
+    /// Forgets the history of changes, all but the last change of each key.
     pub fn compact(&mut self) {
-        self.history.clear();
+        let mut last = BTreeMap::new();
+        for (revision, event) in self.history.drain(..) {
+            last.insert(event.kv.key.0.clone(), (revision, event));
+        }
+        self.history = last.into_values().collect();
+        self.history.sort_by_key(|(revision, _)| *revision);
         self.compacted = self.revision + 1;
     }
 
@@ -107,14 +114,38 @@
         true
     }
 
-    /// Reads a range.
-    pub fn range(&self, call: &RangeCall) -> RangeReply {
-        let mut kvs: Vec<KeyValue> = self
+    /// Reads a range, at an earlier revision if the call says so.
+    pub fn range(&self, call: &RangeCall) -> Result<RangeReply, Refusal> {
+        if call.revision.0 == 0 {
+            return Ok(self.range_now(call));
+        }
+        if call.revision.0 < self.compacted {
+            return Err(Refusal::Compacted);
+        }
+        let mut found = BTreeMap::new();
+        for (revision, event) in &self.history {
+            if *revision > call.revision.0 {
+                break;
+            }
+            if within(&event.kv.key.0, &call.key.0, &call.range_end.0) {
+                found.insert(&event.kv.key.0, event);
+            }
+        }
+        let present = found.into_values().filter(|e| e.kind.is_empty());
+        Ok(self.listing(present.map(|e| e.kv.clone()).collect(), call))
+    }
+
+    fn range_now(&self, call: &RangeCall) -> RangeReply {
+        let kvs = self
             .items
             .iter()
             .filter(|(key, _)| within(key, &call.key.0, &call.range_end.0))
             .map(|(_, item)| item.kv.clone())
             .collect();
+        self.listing(kvs, call)
+    }
+
+    fn listing(&self, mut kvs: Vec<KeyValue>, call: &RangeCall) -> RangeReply {
         let count = Num(kvs.len() as i64);
         if call.limit.0 > 0 {
             kvs.truncate(call.limit.0 as usize);
@@ -256,7 +287,7 @@
     fn step(&mut self, op: &TxnOp, next: i64) -> TxnOpReply {
         let mut reply = TxnOpReply::default();
         if let Some(call) = &op.request_range {
-            reply.response_range = Some(self.range(call));
+            reply.response_range = Some(self.range_now(call));
         }
         if let Some(call) = &op.request_put {
             self.revision = next;
--- a/crates/fakes/src/platform_wire.rs
+++ b/crates/fakes/src/platform_wire.rs
@@ -115,6 +115,8 @@
     pub range_end: Blob,
     /// Most keys to answer; zero for all.
     pub limit: Num,
+    /// Revision to read at; zero for the last.
+    pub revision: Num,
 }
 
 /// Answer of `range`.
--- /dev/null
+++ b/crates/plat/src/store.rs
@@ -0,0 +1,213 @@
+//! The key-value service: reads, conditional writes and leases.
+
+use std::rc::Rc;
+
+use base::Clock;
+use base::Millis;
+use base::Revision;
+use bytes::Bytes;
+use obs::Metrics;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use slog::Logger;
+
+use crate::budget::Priority;
+use crate::config::StoreConfig;
+use crate::error::StoreError;
+use crate::health::HealthState;
+use crate::inner::Inner;
+use crate::inner::Repeat;
+use crate::types::Entry;
+use crate::types::Expect;
+use crate::types::KeepAlive;
+use crate::types::LeaseId;
+use crate::types::Listing;
+use crate::types::Put;
+use crate::wire;
+use crate::wire::blob;
+use crate::wire::Compare;
+use crate::wire::LeaseCall;
+use crate::wire::LeaseReply;
+use crate::wire::Num;
+use crate::wire::Op;
+use crate::wire::PutCall;
+use crate::wire::RangeCall;
+use crate::wire::RangeReply;
+use crate::wire::Streamed;
+use crate::wire::TxnCall;
+use crate::wire::TxnReply;
+use crate::wire::WireError;
+
+const PATH_RANGE: &str = "/v3/kv/range";
+const PATH_TXN: &str = "/v3/kv/txn";
+const PATH_GRANT: &str = "/v3/lease/grant";
+const PATH_KEEP_ALIVE: &str = "/v3/lease/keepalive";
+const PATH_REVOKE: &str = "/v3/lease/revoke";
+
+/// A client of the store. Clones share connections, budget and health. It lives on one
+/// arbiter.
+#[derive(Clone)]
+pub struct Store {
+    pub(crate) inner: Rc<Inner>,
+    priority: Priority,
+}
+
+impl Store {
+    /// A client whose calls have the priority of records.
+    pub fn new(config: StoreConfig, log: Logger, metrics: &Metrics, clock: Clock) -> Store {
+        let inner = Inner::new(config, log, metrics, clock);
+        Store {
+            inner: Rc::new(inner),
+            priority: Priority::Records,
+        }
+    }
+
+    /// The same client with another priority of its calls.
+    pub fn with_priority(&self, priority: Priority) -> Store {
+        Store {
+            inner: self.inner.clone(),
+            priority,
+        }
+    }
+
+    /// Health of the store as the calls show it.
+    pub fn state(&self) -> HealthState {
+        self.inner.state()
+    }
+
+    /// Reads a key.
+    pub async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        self.get_at(key, Revision(0)).await
+    }
+
+    /// Reads a key as it was at a revision; 0 stands for the last. The store refuses a
+    /// revision that it has compacted.
+    pub async fn get_at(&self, key: &str, at: Revision) -> Result<Option<Entry>, StoreError> {
+        let mut call = key_range(key);
+        if at.0 > 0 {
+            call.revision = Num::from(at);
+        }
+        let reply: RangeReply = self.call(PATH_RANGE, Repeat::Safe, &call).await?;
+        let listing = Listing::try_from(reply).map_err(|e| self.malformed(&e))?;
+        Ok(listing.entries.into_iter().next())
+    }
+
+    /// Reads all keys that start with a prefix.
+    pub async fn list(&self, prefix: &str) -> Result<Listing, StoreError> {
+        let call = RangeCall {
+            key: blob(&wire::range_start(prefix)),
+            range_end: blob(&wire::range_end(prefix)),
+            ..RangeCall::default()
+        };
+        let reply: RangeReply = self.call(PATH_RANGE, Repeat::Safe, &call).await?;
+        Listing::try_from(reply).map_err(|e| self.malformed(&e))
+    }
+
+    /// Writes a key if it is as expected.
+    pub async fn put_if(
+        &self,
+        key: &str,
+        expect: Expect,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Result<Put, StoreError> {
+        let put = Op::Put(PutCall {
+            key: blob(key.as_bytes()),
+            value: blob(&value),
+            lease: lease.map_or(Num::default(), |l| Num::from(l.0)),
+        });
+        self.write_if(key, expect, put).await
+    }
+
+    /// Deletes a key if it is as expected.
+    pub async fn delete_if(&self, key: &str, expect: Expect) -> Result<Put, StoreError> {
+        let delete = Op::Delete(key_range(key));
+        self.write_if(key, expect, delete).await
+    }
+
+    /// Grants a lease of at least this long, rounded up to seconds.
+    pub async fn grant(&self, ttl: Millis) -> Result<LeaseId, StoreError> {
+        let call = LeaseCall {
+            ttl: Num::from(ttl.0.div_ceil(1000).max(1) as i64),
+            ..LeaseCall::default()
+        };
+        let store = self.with_priority(Priority::Lease);
+        let reply: LeaseReply = store.call(PATH_GRANT, Repeat::Safe, &call).await?;
+        let id = reply.id.read().map_err(|e| self.malformed(&e.into()))?;
+        Ok(LeaseId(id))
+    }
+
+    /// Renews a lease.
+    pub async fn keep_alive(&self, lease: LeaseId) -> Result<KeepAlive, StoreError> {
+        let store = self.with_priority(Priority::Lease);
+        let call = lease_call(lease);
+        let reply: Streamed<LeaseReply> = store.call(PATH_KEEP_ALIVE, Repeat::Safe, &call).await?;
+        let span = reply.result.span().map_err(|e| self.malformed(&e.into()))?;
+        if span == Millis::ZERO {
+            return Ok(KeepAlive::Lapsed);
+        }
+        Ok(KeepAlive::Alive(span))
+    }
+
+    /// Ends a lease and deletes the keys under it. The store refuses a lease that is over.
+    pub async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let store = self.with_priority(Priority::Lease);
+        let call = lease_call(lease);
+        let reply: Result<LeaseReply, StoreError> =
+            store.call(PATH_REVOKE, Repeat::Safe, &call).await;
+        reply.map(|_| ())
+    }
+
+    /// Refuses all further calls of every clone; those in progress go on.
+    pub fn close(self) {
+        self.inner.close();
+    }
+
+    async fn write_if(&self, key: &str, expect: Expect, op: Op) -> Result<Put, StoreError> {
+        let call = TxnCall {
+            compare: Compare::new(key, expect).into_iter().collect(),
+            success: vec![op],
+            failure: vec![Op::Range(key_range(key))],
+        };
+        let reply: TxnReply = self.call(PATH_TXN, Repeat::Never, &call).await?;
+        read_put(reply).map_err(|e| self.malformed(&e))
+    }
+
+    async fn call<C, R>(&self, path: &str, repeat: Repeat, body: &C) -> Result<R, StoreError>
+    where
+        C: Serialize,
+        R: DeserializeOwned,
+    {
+        self.inner.call(self.priority, path, repeat, body).await
+    }
+
+    fn malformed(&self, error: &WireError) -> StoreError {
+        let text = format!("malformed answer: {error}");
+        StoreError::Lost(text, self.inner.pause())
+    }
+}
+
+fn key_range(key: &str) -> RangeCall {
+    RangeCall {
+        key: blob(key.as_bytes()),
+        ..RangeCall::default()
+    }
+}
+
+fn lease_call(lease: LeaseId) -> LeaseCall {
+    LeaseCall {
+        id: Num::from(lease.0),
+        ..LeaseCall::default()
+    }
+}
+
+fn read_put(reply: TxnReply) -> Result<Put, WireError> {
+    if reply.succeeded {
+        return Ok(Put::Done(reply.header.revision.revision()?));
+    }
+    let first = reply.responses.into_iter().next();
+    let range = first.and_then(|r| r.response_range);
+    let range = range.ok_or(WireError::Missing("response_range"))?;
+    let listing = Listing::try_from(range)?;
+    Ok(Put::Conflict(listing.entries.into_iter().next()))
+}
--- /dev/null
+++ b/crates/plat/tests/store.rs
@@ -0,0 +1,117 @@
+//! Reads, conditional writes and leases against a working store.
+
+mod common;
+
+use base::Millis;
+use base::Revision;
+use bytes::Bytes;
+use plat::Entry;
+use plat::Expect;
+use plat::KeepAlive;
+use plat::Put;
+
+fn text(value: &'static str) -> Bytes {
+    Bytes::from_static(value.as_bytes())
+}
+
+#[test]
+fn writes_and_reads_back() {
+    common::run(async {
+        let platform = common::platform();
+        let store = common::store(&platform);
+        assert_eq!(store.get("a").await, Ok(None));
+        let put = store.put_if("a", Expect::Absent, text("1"), None).await;
+        assert_eq!(put, Ok(Put::Done(Revision(2))));
+        let entry = Entry {
+            key: "a".to_string(),
+            value: text("1"),
+            create: Revision(2),
+            revision: Revision(2),
+            lease: None,
+        };
+        assert_eq!(store.get("a").await, Ok(Some(entry.clone())));
+        let again = store.put_if("a", Expect::Absent, text("2"), None).await;
+        assert_eq!(again, Ok(Put::Conflict(Some(entry))));
+        let next = store
+            .put_if("a", Expect::At(Revision(2)), text("3"), None)
+            .await;
+        assert_eq!(next, Ok(Put::Done(Revision(3))));
+        let old = store.get_at("a", Revision(2)).await.unwrap().unwrap();
+        assert_eq!(old.value, text("1"));
+        let any = store.put_if("a", Expect::Any, text("4"), None).await;
+        assert_eq!(any, Ok(Put::Done(Revision(4))));
+        let stale = store.delete_if("a", Expect::At(Revision(2))).await;
+        assert!(matches!(stale, Ok(Put::Conflict(Some(_)))));
+        let gone = store.delete_if("a", Expect::At(Revision(4))).await;
+        assert_eq!(gone, Ok(Put::Done(Revision(5))));
+        let absent = store.delete_if("a", Expect::At(Revision(4))).await;
+        assert_eq!(absent, Ok(Put::Conflict(None)));
+        platform.close();
+    });
+}
+
+#[test]
+fn lists_keys_below_a_prefix_only() {
+    common::run(async {
+        let platform = common::platform();
+        let store = common::store(&platform);
+        for key in ["j", "j/2", "j/1", "j0", "k/1"] {
+            let put = store.put_if(key, Expect::Any, text("v"), None).await;
+            assert!(matches!(put, Ok(Put::Done(_))));
+        }
+        let listing = store.list("j/").await.unwrap();
+        let keys: Vec<&str> = listing.entries.iter().map(|e| e.key.as_str()).collect();
+        assert_eq!(keys, ["j/1", "j/2"]);
+        assert_eq!(listing.revision, Revision(6));
+        assert_eq!(store.list("").await.unwrap().entries.len(), 5);
+        platform.close();
+    });
+}
+
+#[test]
+fn keys_end_with_their_lease() {
+    common::run(async {
+        let platform = common::platform();
+        let store = common::store(&platform);
+        let lease = store.grant(Millis(1)).await.unwrap();
+        let put = store
+            .put_if("l", Expect::Absent, text("me"), Some(lease))
+            .await;
+        assert!(matches!(put, Ok(Put::Done(_))));
+        assert_eq!(store.get("l").await.unwrap().unwrap().lease, Some(lease));
+        let alive = store.keep_alive(lease).await;
+        assert_eq!(alive, Ok(KeepAlive::Alive(Millis(1000))));
+        common::until(|| platform.value("l").is_none()).await;
+        assert_eq!(store.keep_alive(lease).await, Ok(KeepAlive::Lapsed));
+        platform.close();
+    });
+}
+
+#[test]
+fn a_revoked_lease_is_over() {
+    common::run(async {
+        let platform = common::platform();
+        let store = common::store(&platform);
+        let lease = store.grant(Millis(60_000)).await.unwrap();
+        let put = store
+            .put_if("l", Expect::Absent, text("me"), Some(lease))
+            .await;
+        assert!(matches!(put, Ok(Put::Done(_))));
+        assert_eq!(store.revoke(lease).await, Ok(()));
+        assert_eq!(store.get("l").await, Ok(None));
+        assert!(store.revoke(lease).await.is_err());
+        platform.close();
+    });
+}
+
+#[test]
+fn a_closed_store_sends_nothing() {
+    common::run(async {
+        let platform = common::platform();
+        let store = common::store(&platform);
+        store.clone().close();
+        assert!(store.get("a").await.is_err());
+        assert_eq!(platform.calls().all.total, 0);
+        platform.close();
+    });
+}
