Add the operators' settings tree

Cause: organisations, guarantees and policy settings had no home. Ruled out: the store's revision as the tree's revision, since a restored older value gets a newer one there; the tree counts its own changes instead. Ruled out: failing on settings that this version does not know, since daemons of two versions share the document during an upgrade; they are kept and written back.

--- /dev/null
+++ b/crates/conf/src/tree/apply.rs
@@ -0,0 +1,275 @@
+//! Edits of the tree, whole or not at all.
+
+use base::DomainId;
+use base::Findings;
+use base::Millis;
+use base::OrgId;
+use base::Shape;
+
+use crate::tree::change::Edit;
+use crate::tree::change::Item;
+use crate::tree::change::OpId;
+use crate::tree::change::Operator;
+use crate::tree::change::Record;
+use crate::tree::key::Key;
+use crate::tree::place::Place;
+use crate::tree::value::Guarantee;
+use crate::tree::value::Value;
+use crate::tree::Tree;
+
+/// Most edits of one change.
+pub const MAX_EDITS: usize = 256;
+/// Most organisations.
+pub const MAX_ORGS: usize = 1024;
+/// Most places with values of their own.
+pub const MAX_PLACES: usize = 8192;
+
+/// Name under which the history lists organisations themselves.
+const ORG_ITEM: &str = "org";
+
+/// A change as an operator asks for it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Change {
+    /// The operation; a resend carries the same id.
+    pub op: OpId,
+    /// Who asks.
+    pub who: Operator,
+    /// When, by the clock of the daemon that carries it out.
+    pub when: Millis,
+    /// The edits, in order.
+    pub edits: Vec<Edit>,
+}
+
+impl Tree {
+    /// The tree after a change, one revision later, or all findings. Places of findings
+    /// read `edits[2]`.
+    pub fn apply(&self, change: &Change) -> Result<Tree, Findings> {
+        let mut found = Findings::new();
+        if change.edits.is_empty() || change.edits.len() > MAX_EDITS {
+            let problem = format!("{} edits", change.edits.len());
+            found.add("edits", problem, format!("send 1 to {MAX_EDITS}"));
+            return Err(found);
+        }
+        let mut next = self.clone();
+        let mut items = Vec::new();
+        for (i, edit) in change.edits.iter().enumerate() {
+            let place = format!("edits[{i}]");
+            next.edit(edit, &mut items, &place, &mut found);
+        }
+        next.check_bounds(&mut found);
+        next.record(change, items);
+        next.check_size(&mut found);
+        found.into_result(next)
+    }
+
+    fn edit(&mut self, edit: &Edit, items: &mut Vec<Item>, place: &str, found: &mut Findings) {
+        match edit {
+            Edit::AddOrg { org } => self.add_org(org, items, place, found),
+            Edit::RemoveOrg { org } => self.remove_org(org, items, place, found),
+            Edit::Set { at, key, value } => {
+                if let Some(key) = self.check_at(at, key, place, found) {
+                    key.kind().check(value, place, found);
+                    items.push(self.put(at, key, Some(value.clone())));
+                }
+            }
+            Edit::Unset { at, key } => {
+                if let Some(key) = self.check_at(at, key, place, found) {
+                    items.push(self.put(at, key, None));
+                }
+            }
+            Edit::AddShape {
+                org,
+                domain,
+                shape,
+                count,
+            } => {
+                let at = Place::org_domain(org, domain);
+                let mut list = self.guarantees_of(org, domain);
+                match list.iter_mut().find(|h| h.shape == *shape) {
+                    Some(held) => held.count = held.count.saturating_add(*count),
+                    None => list.push(Guarantee {
+                        shape: *shape,
+                        count: *count,
+                    }),
+                }
+                self.put_shapes(&at, list, items, place, found);
+            }
+            Edit::RemoveShape {
+                org,
+                domain,
+                shape,
+                count,
+            } => {
+                let at = Place::org_domain(org, domain);
+                let mut list = self.guarantees_of(org, domain);
+                take_shape(&mut list, shape, *count, place, found);
+                self.put_shapes(&at, list, items, place, found);
+            }
+        }
+    }
+
+    fn add_org(&mut self, org: &OrgId, items: &mut Vec<Item>, at: &str, found: &mut Findings) {
+        if !self.orgs.insert(org.clone()) {
+            let problem = format!("organisation {org} exists");
+            found.add(at, problem, "use another name");
+        }
+        items.push(org_item(org, None, Some(Value::Flag(true))));
+    }
+
+    fn remove_org(&mut self, org: &OrgId, items: &mut Vec<Item>, at: &str, found: &mut Findings) {
+        if !self.orgs.remove(org) {
+            found.add(at, unknown(org), "list them with tackctl org list");
+        }
+        let places = self.values.keys().filter(|p| p.org_id() == Some(org));
+        for place in places.cloned().collect::<Vec<_>>() {
+            for (key, value) in self.values.remove(&place).unwrap_or_default() {
+                items.push(Item {
+                    at: place.clone(),
+                    key: key.to_string(),
+                    old: Some(value),
+                    new: None,
+                });
+            }
+        }
+        self.forget_foreign(org);
+        items.push(org_item(org, Some(Value::Flag(true)), None));
+    }
+
+    fn forget_foreign(&mut self, org: &OrgId) {
+        let of_org = |text: &str| {
+            let place = text.parse::<Place>();
+            place.is_ok_and(|p| p.org_id() == Some(org))
+        };
+        self.foreign.retain(|text, _| !of_org(text));
+    }
+
+    fn put_shapes(
+        &mut self,
+        at: &Place,
+        list: Vec<Guarantee>,
+        items: &mut Vec<Item>,
+        place: &str,
+        found: &mut Findings,
+    ) {
+        self.check_org(at, place, found);
+        let value = Value::Shapes(list);
+        Key::Guarantees.kind().check(&value, place, found);
+        let new = (value != Key::Guarantees.default_value()).then_some(value);
+        items.push(self.put(at, Key::Guarantees, new));
+    }
+
+    fn put(&mut self, at: &Place, key: Key, new: Option<Value>) -> Item {
+        let values = self.values.entry(at.clone()).or_default();
+        let old = match &new {
+            Some(value) => values.insert(key, value.clone()),
+            None => values.remove(&key),
+        };
+        if values.is_empty() {
+            self.values.remove(at);
+        }
+        Item {
+            at: at.clone(),
+            key: key.to_string(),
+            old,
+            new,
+        }
+    }
+
+    /// Checks that a setting exists, may be set at a place and that its organisation exists.
+    fn check_at(&self, at: &Place, key: &str, place: &str, found: &mut Findings) -> Option<Key> {
+        self.check_org(at, place, found);
+        let Ok(key) = key.parse::<Key>() else {
+            let remedy = format!("use one of {}", names());
+            found.add(place, format!("unknown setting {key:?}"), remedy);
+            return None;
+        };
+        let levels = key.levels();
+        if !at.level().is_some_and(|l| levels.contains(&l)) {
+            let allowed: Vec<String> = levels.iter().map(|l| l.to_string()).collect();
+            let remedy = format!("its levels are: {}", allowed.join(", "));
+            found.add(place, format!("{key} cannot be set at {at}"), remedy);
+            return None;
+        }
+        Some(key)
+    }
+
+    fn check_org(&self, at: &Place, place: &str, found: &mut Findings) {
+        if let Some(org) = at.org_id().filter(|o| !self.orgs.contains(*o)) {
+            found.add(place, unknown(org), "add it first");
+        }
+    }
+
+    fn check_bounds(&self, found: &mut Findings) {
+        let mut bound = |what: &str, count: usize, max: usize| {
+            if count > max {
+                let problem = format!("{count} {what}");
+                found.add("edits", problem, format!("keep at most {max}"));
+            }
+        };
+        bound("organisations", self.orgs.len(), MAX_ORGS);
+        bound("places with values", self.values.len(), MAX_PLACES);
+    }
+
+    fn record(&mut self, change: &Change, items: Vec<Item>) {
+        self.revision = self.revision.next();
+        self.ops.push((change.op.clone(), self.revision));
+        self.history.push(Record {
+            op: change.op.clone(),
+            who: change.who.clone(),
+            when: change.when,
+            revision: self.revision,
+            items,
+        });
+        self.trim();
+    }
+}
+
+fn take_shape(
+    list: &mut Vec<Guarantee>,
+    shape: &Shape,
+    count: u32,
+    place: &str,
+    found: &mut Findings,
+) {
+    let held = list.iter_mut().find(|h| h.shape == *shape);
+    match held {
+        Some(held) if held.count >= count => held.count -= count,
+        Some(held) => {
+            let problem = format!("only {} copies are held", held.count);
+            found.add(place, problem, "remove at most as many");
+        }
+        None => {
+            let remedy = "list them with tackctl shape list";
+            found.add(place, "no such shape is held", remedy);
+        }
+    }
+    list.retain(|h| h.count > 0);
+}
+
+impl Tree {
+    fn guarantees_of(&self, org: &OrgId, domain: &DomainId) -> Vec<Guarantee> {
+        let at = Place::org_domain(org, domain);
+        match self.values.get(&at).and_then(|v| v.get(&Key::Guarantees)) {
+            Some(Value::Shapes(list)) => list.clone(),
+            _ => Vec::new(),
+        }
+    }
+}
+
+fn org_item(org: &OrgId, old: Option<Value>, new: Option<Value>) -> Item {
+    Item {
+        at: Place::org(org),
+        key: ORG_ITEM.to_string(),
+        old,
+        new,
+    }
+}
+
+fn unknown(org: &OrgId) -> String {
+    format!("there is no organisation {org}")
+}
+
+fn names() -> String {
+    let names: Vec<&str> = Key::ALL.iter().map(|k| k.name()).collect();
+    names.join(", ")
+}
