Carry out placements as a pure coordinator with epochs and take-over

Cause: placements need to become running gangs that survive coordinators, lost answers and cut workers without running partially or twice. Ruled out: one record write after the gang runs (a take-over could not tell whether a start was sent), and reserving before the attempt is recorded (task keys would not be unique). Change: a record of the attempt before reservations, a second one before start operations; level-triggered batches to each worker, one call in flight; take-over that reads workers back; outcomes that say 'not run' only on proof; a lock with doubt before it can lapse.

--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -1,1 +1,42 @@
 //! Life cycle of jobs, coordinator epochs and take-over.
+//!
+//! [`Coordinator`] carries out the placements of one failure domain: it records, reserves,
+//! starts, renews, stops and settles gangs. [`Election`] acquires and keeps the lock under
+//! which it acts. Both are state machines: the host feeds inputs and carries out actions.
+
+mod batch;
+mod call;
+mod coord;
+mod elect;
+mod flow;
+mod job;
+mod message;
+mod record;
+mod stage;
+mod store;
+mod timing;
+mod verdict;
+mod worker;
+
+pub use coord::Coordinator;
+pub use coord::Violation;
+pub use elect::Election;
+pub use elect::LockAction;
+pub use elect::LockInput;
+pub use elect::LockTiming;
+pub use message::Action;
+pub use message::CallBody;
+pub use message::CallId;
+pub use message::CallResult;
+pub use message::Ending;
+pub use message::Input;
+pub use message::Report;
+pub use message::StopWhy;
+pub use message::WriteResult;
+pub use record::JobOutcome;
+pub use record::JobPhase;
+pub use record::JobRecord;
+pub use record::RecordError;
+pub use record::RecordWire;
+pub use timing::Faults;
+pub use timing::Timing;
--- /dev/null
+++ b/crates/sched/src/store.rs
@@ -0,0 +1,256 @@
+//! Records: what the platform holds, and writes by compare-and-swap at a limited rate.
+
+use base::Epoch;
+use base::JobId;
+use base::Revision;
+
+use crate::coord::Coordinator;
+use crate::coord::Role;
+use crate::job::Job;
+use crate::job::Stage;
+use crate::job::Why;
+use crate::job::Write;
+use crate::job::WriteState;
+use crate::message::Action;
+use crate::message::Report;
+use crate::message::StopWhy;
+use crate::message::WriteResult;
+use crate::record::JobRecord;
+
+/// Tokens that one write costs; a token is a thousandth of a write.
+const WRITE_TOKENS: u64 = 1000;
+
+impl Coordinator {
+    /// Queues a write of `record` over the revision that is known of the job.
+    pub(crate) fn write(&mut self, id: &JobId, mut record: JobRecord) {
+        self.last_op += 1;
+        record.epoch = self.epoch;
+        record.op = self.last_op;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.write = Some(Write {
+            record,
+            expect: job.rev,
+            state: WriteState::Waiting,
+        });
+        self.post(id);
+    }
+
+    fn post(&mut self, id: &JobId) {
+        let starts = self
+            .jobs
+            .get(id)
+            .is_some_and(|j| matches!(j.stage, Stage::Claim | Stage::Commit { .. }));
+        self.outbox[usize::from(!starts)].push_back(id.clone());
+    }
+
+    /// Sends what the rate limit allows.
+    pub(crate) fn send_writes(&mut self) {
+        let rate = self.timing.write_rate;
+        let earned = self.now.since(self.refilled).0 * rate;
+        self.tokens = (self.tokens + earned).min(rate * WRITE_TOKENS);
+        self.refilled = self.now;
+        while self.tokens >= WRITE_TOKENS {
+            let Some(id) = self.next_write() else {
+                return;
+            };
+            self.send_write(&id);
+        }
+    }
+
+    fn next_write(&mut self) -> Option<JobId> {
+        self.outbox.iter_mut().find_map(|queue| queue.pop_front())
+    }
+
+    fn send_write(&mut self, id: &JobId) {
+        let now = self.now;
+        let Some(write) = self.jobs.get_mut(id).and_then(|j| j.write.as_mut()) else {
+            return;
+        };
+        if write.state != WriteState::Waiting {
+            return;
+        }
+        write.state = WriteState::Sent(now);
+        self.tokens -= WRITE_TOKENS;
+        self.actions.push(Action::Write {
+            record: Box::new(write.record.clone()),
+            expect: write.expect,
+        });
+    }
+
+    /// Repeats writes whose answer is overdue. The same operation over the same revision
+    /// takes effect at most once, however often it is sent.
+    pub(crate) fn expire_writes(&mut self) {
+        let mut again = Vec::new();
+        for id in &self.active {
+            let Some(write) = self.jobs.get_mut(id).and_then(|j| j.write.as_mut()) else {
+                continue;
+            };
+            let due = match write.state {
+                WriteState::Waiting => false,
+                WriteState::Sent(at) => self.now >= at + self.timing.write_wait,
+                WriteState::Retry(at) => self.now >= at,
+            };
+            if due {
+                write.state = WriteState::Waiting;
+                again.push(id.clone());
+            }
+        }
+        for id in again {
+            self.post(&id);
+        }
+    }
+
+    pub(crate) fn take_wrote(&mut self, id: &JobId, op: u64, result: WriteResult) {
+        let retry = self.now + self.timing.write_retry;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(write) = job.write.as_mut().filter(|w| w.record.op == op) else {
+            return;
+        };
+        match result {
+            WriteResult::Lost | WriteResult::NotSent => write.state = WriteState::Retry(retry),
+            WriteResult::Done(rev) => accept(job, rev),
+            WriteResult::Conflict(None) => self.erase(id),
+            WriteResult::Conflict(Some(held)) => self.take_conflict(id, held.0, held.1),
+        }
+        self.dirty.insert(id.clone());
+    }
+
+    fn take_conflict(&mut self, id: &JobId, rec: JobRecord, rev: Revision) {
+        let epoch = self.epoch;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(write) = &job.write else {
+            return;
+        };
+        if is_own(&rec, epoch, write.record.op) {
+            let cancel = rec.cancel;
+            accept(job, rev);
+            job.rec.cancel |= cancel;
+            return;
+        }
+        if differs_by_cancel(&job.rec, &rec) {
+            return self.rebase(id, rec, rev);
+        }
+        self.replace(id, rec, rev);
+    }
+
+    /// Repeats a write over a record that differs by the cancel mark only.
+    fn rebase(&mut self, id: &JobId, rec: JobRecord, rev: Revision) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.rec.cancel = rec.cancel;
+        job.rev = rev;
+        let Some(write) = job.write.take() else {
+            return;
+        };
+        let mut record = write.record;
+        record.cancel = rec.cancel;
+        self.write(id, record);
+    }
+
+    pub(crate) fn take_record(&mut self, rec: JobRecord, rev: Revision) {
+        let id = rec.spec.id.clone();
+        let epoch = self.epoch;
+        let ready = self.role == Role::Ready;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return self.add_record(rec, rev);
+        };
+        if rev <= job.rev {
+            return;
+        }
+        let writes = job.write.as_ref().map(|w| w.record.op);
+        if writes.is_some_and(|op| is_own(&rec, epoch, op)) {
+            accept(job, rev);
+            job.rec.cancel |= rec.cancel;
+        } else if job.write.is_some() {
+            // The conflict that this write meets tells the same.
+            return;
+        } else if ready && differs_by_cancel(&job.rec, &rec) {
+            job.rec = rec;
+            job.rev = rev;
+            if job.rec.cancel {
+                self.active.insert(id.clone());
+            }
+        } else {
+            return self.replace(&id, rec, rev);
+        }
+        self.dirty.insert(id);
+    }
+
+    fn add_record(&mut self, rec: JobRecord, rev: Revision) {
+        if rec.is_done() || rec.domain != self.domain {
+            return;
+        }
+        let id = rec.spec.id.clone();
+        self.jobs.insert(id.clone(), Job::new(rec, rev));
+        if self.role == Role::Ready {
+            self.reconcile(&id);
+        }
+    }
+
+    /// Takes in a record that somebody else wrote.
+    fn replace(&mut self, id: &JobId, rec: JobRecord, rev: Revision) {
+        if self.role != Role::Idle && rec.epoch > self.epoch && rec.domain == self.domain {
+            self.keep(id, rec, rev);
+            return self.depose(None);
+        }
+        let queued = self.jobs.get(id).is_some_and(|j| j.stage == Stage::Queued);
+        self.drop_attempt(id);
+        self.keep(id, rec, rev);
+        if self.role != Role::Ready {
+            return;
+        }
+        if self.jobs.contains_key(id) {
+            self.reconcile(id);
+        } else if queued {
+            self.tell(Report::Unqueued(id.clone()));
+        }
+    }
+
+    fn keep(&mut self, id: &JobId, rec: JobRecord, rev: Revision) {
+        self.jobs.remove(id);
+        if !rec.is_done() && rec.domain == self.domain {
+            self.jobs.insert(id.clone(), Job::new(rec, rev));
+        }
+    }
+
+    pub(crate) fn erase(&mut self, id: &JobId) {
+        self.drop_attempt(id);
+        if self.jobs.remove(id).is_some() && self.role == Role::Ready {
+            self.tell(Report::Unqueued(id.clone()));
+        }
+    }
+
+    /// Marks a job as cancelled when its record says so.
+    pub(crate) fn apply_cancel(job: &mut Job) {
+        if job.rec.cancel && !matches!(job.why, Some(Why::Request(StopWhy::Cancel))) {
+            job.why = Some(Why::Request(StopWhy::Cancel));
+        }
+    }
+}
+
+fn is_own(rec: &JobRecord, epoch: Epoch, op: u64) -> bool {
+    rec.epoch == epoch && rec.op == op
+}
+
+/// Whether at most the cancel mark was set since.
+fn differs_by_cancel(old: &JobRecord, new: &JobRecord) -> bool {
+    let mut marked = old.clone();
+    marked.cancel = new.cancel;
+    marked == *new
+}
+
+fn accept(job: &mut Job, rev: Revision) {
+    if let Some(write) = job.write.take() {
+        let cancel = job.rec.cancel;
+        job.rec = write.record;
+        job.rec.cancel |= cancel;
+        job.rev = rev;
+    }
+}
