Let the system clock never go back

Cause: leases and proofs of freshness are counted in the clock's time; a step of the wall clock would end or extend them. Change: the wall clock is read once and moved on by the monotonic clock. Conclusion: spans measured in one process are true.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -8,7 +8,9 @@
 use std::ops::Sub;
 use std::rc::Rc;
 use std::str::FromStr;
+use std::sync::OnceLock;
 use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -95,7 +97,7 @@
 pub enum Clock {
     /// A time set by a test.
     Manual(ManualClock),
-    /// The system's wall clock.
+    /// The system's clock; it never goes back.
     System,
 }
 
@@ -134,7 +136,15 @@
     }
 }
 
+/// The wall clock as it was at the first call, moved on by the monotonic clock, so that
+/// steps of the wall clock never show.
 fn system_now() -> Millis {
+    static START: OnceLock<(Instant, u64)> = OnceLock::new();
+    let (instant, wall) = START.get_or_init(|| (Instant::now(), wall_now()));
+    Millis(wall + instant.elapsed().as_millis() as u64)
+}
+
+fn wall_now() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    Millis(since.map_or(0, |d| d.as_millis() as u64))
+    since.map_or(0, |d| d.as_millis() as u64)
 }
