Add watches, the VM list client and the fault cases of the store

Cause: settings must reach every daemon in seconds although watches break, fall silent and fall behind, and the list of VMs is the only word on leaving upstreams. Ruled out: waiting for the store's progress messages (every ten minutes by default, too rare to tell a silent connection), polling beside the watch. Change: Store::watch resumes from the last revision, is reopened when quiet, reads all after a compaction and counts in the budget. Vms keeps the last good list with its age. A relay whose connections go silent. The budget counts in millionths of a call: with floats, a wait was one millisecond short.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform, the workers and the callers for tests.
 
 pub mod fault;
+pub mod fault_relay;
 pub mod platform;
 pub mod platform_calls;
 pub mod platform_http;
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -32,6 +32,8 @@
 use crate::platform_http;
 use crate::platform_state::Shared;
 use crate::platform_vms::VmRow;
+use crate::platform_wire::Blob;
+use crate::platform_wire::PutCall;
 
 /// Period at which lapsed leases are ended.
 const LEASE_TICK: Duration = Duration::from_millis(20);
@@ -120,6 +122,18 @@
         done
     }
 
+    /// Writes a key beside all faults, as another client would; answers its revision.
+    pub fn put(&self, key: &str, value: &[u8]) -> i64 {
+        let call = PutCall {
+            key: Blob(key.as_bytes().to_vec()),
+            value: Blob(value.to_vec()),
+            ..PutCall::default()
+        };
+        let _ = self.shared.lock().kv.put(&call);
+        self.shared.notify();
+        self.revision()
+    }
+
     /// The value of a key, read beside all faults.
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
         let state = self.shared.lock();
--- a/crates/plat/src/budget.rs
+++ b/crates/plat/src/budget.rs
@@ -5,8 +5,17 @@
 
 use crate::error::Violation;
 
-/// Share of the rate that waiting watches can never use up.
-const MIN_SHARE: f64 = 0.1;
+/// Tokens of one call.
+const CALL: i64 = 1_000_000;
+
+/// Highest rate in calls a second.
+const MAX_RATE: f64 = 1_000_000.0;
+
+/// Part of the rate that waiting watches can never use up: one in this many.
+const MIN_SHARE: i64 = 10;
+
+/// Time after which even an overdrawn bucket is full.
+const MAX_FILL: Millis = Millis::from_secs(60);
 
 /// Importance of a call, most important first.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -40,13 +49,13 @@
         }
     }
 
-    /// Share of the bucket that calls of this priority have to leave to those above.
-    fn floor(self) -> f64 {
+    /// Percentage of the bucket that calls of this priority have to leave to those above.
+    fn floor(self) -> i64 {
         match self {
-            Priority::Lease => -1.0,
-            Priority::Settings => 0.0,
-            Priority::Records => 0.25,
-            Priority::Rest => 0.5,
+            Priority::Lease => -100,
+            Priority::Settings => 0,
+            Priority::Records => 25,
+            Priority::Rest => 50,
         }
     }
 }
@@ -55,21 +64,25 @@
 ///
 /// Lower priorities must leave a part of the bucket to higher ones. Lease calls always pass;
 /// they may overdraw the bucket by one second of calls, and the others wait for that.
+///
+/// Tokens are counted in millionths of a call, so that refills are exact.
 #[derive(Clone, Debug)]
 pub struct Budget {
-    rate: f64,
+    /// Tokens a second, and the size of the bucket.
+    rate: i64,
     watches: u32,
-    tokens: f64,
+    tokens: i64,
     filled: Millis,
 }
 
 impl Budget {
-    /// A full bucket for this many calls a second.
+    /// A full bucket for this many calls a second, at least one.
     pub fn new(rate: Rate, now: Millis) -> Budget {
+        let rate = (rate.0.clamp(1.0, MAX_RATE) * CALL as f64) as i64;
         Budget {
-            rate: rate.0.max(1.0),
+            rate,
             watches: 0,
-            tokens: rate.0.max(1.0),
+            tokens: rate,
             filled: now,
         }
     }
@@ -77,19 +90,20 @@
     /// Takes `cost` calls, or tells how long to wait before asking again.
     pub fn take(&mut self, now: Millis, priority: Priority, cost: u32) -> Result<(), Millis> {
         self.fill(now);
-        let cost = f64::from(cost);
+        let cost = i64::from(cost) * CALL;
         let left = self.tokens - cost;
         if priority == Priority::Lease {
             self.tokens = left.max(-self.rate);
             return Ok(());
         }
-        let floor = (priority.floor() * self.rate).min(self.rate - cost);
+        // A call that costs more than the bucket holds above the floor would never pass.
+        let floor = (self.rate / 100 * priority.floor()).min(self.rate - cost);
         if left >= floor {
             self.tokens = left;
             return Ok(());
         }
-        let secs = (floor - left) / self.refill();
-        Err(Millis((secs * 1000.0).ceil() as u64))
+        let missing = (floor - left) as u64;
+        Err(Millis(missing.div_ceil(self.refill() as u64)))
     }
 
     /// Counts the watches that wait from now on.
@@ -98,11 +112,6 @@
         self.watches = watches;
     }
 
-    /// The calls that could be made at once by the highest priority.
-    pub fn tokens(&self) -> f64 {
-        self.tokens
-    }
-
     /// Checks that the bucket is within its bounds.
     pub fn check(&self) -> Result<(), Violation> {
         if self.tokens <= self.rate && self.tokens >= -self.rate {
@@ -111,14 +120,15 @@
         Err(Violation::Bucket(self.tokens, self.rate))
     }
 
-    fn refill(&self) -> f64 {
-        let left = self.rate - f64::from(self.watches);
-        left.max(self.rate * MIN_SHARE)
+    /// Tokens a millisecond.
+    fn refill(&self) -> i64 {
+        let left = self.rate - i64::from(self.watches) * CALL;
+        left.max(self.rate / MIN_SHARE) / 1000
     }
 
     fn fill(&mut self, now: Millis) {
-        let secs = now.since(self.filled).0 as f64 / 1000.0;
+        let span = now.since(self.filled).0.min(MAX_FILL.0) as i64;
         self.filled = self.filled.max(now);
-        self.tokens = (self.tokens + secs * self.refill()).min(self.rate);
+        self.tokens = (self.tokens + span * self.refill()).min(self.rate);
     }
 }
--- a/crates/plat/src/error.rs
+++ b/crates/plat/src/error.rs
@@ -40,10 +40,10 @@
 
 quick_error! {
     /// An invariant of a policy that does not hold.
-    #[derive(Clone, Debug, PartialEq)]
+    #[derive(Clone, Debug, Eq, PartialEq)]
     pub enum Violation {
         /// Tokens of the budget and its rate.
-        Bucket(tokens: f64, rate: f64) {
+        Bucket(tokens: i64, rate: i64) {
             display("{tokens} tokens at a rate of {rate}")
         }
         /// A health state and what contradicts it.
--- a/crates/plat/src/inner.rs
+++ b/crates/plat/src/inner.rs
@@ -33,6 +33,9 @@
 /// Longest pause that a failed call asks for.
 const RETRY_AFTER: Millis = Millis(500);
 
+/// Least tries of a repeatable call.
+const MIN_TRIES: u64 = 2;
+
 /// Whether a call may be made again after an answer was lost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Repeat {
@@ -48,8 +51,8 @@
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
     pub(crate) metrics: StoreMetrics,
-    heavy: Client,
-    lease: Client,
+    heavy: RefCell<Client>,
+    lease: RefCell<Client>,
     pub(crate) watch: Client,
     current: Cell<usize>,
     closed: Cell<bool>,
@@ -66,8 +69,8 @@
         let metrics = StoreMetrics::new(metrics);
         metrics.state.set(&[], state_level(HealthState::Up));
         Inner {
-            heavy: call::client(connect),
-            lease: call::client(connect),
+            heavy: RefCell::new(call::client(connect)),
+            lease: RefCell::new(call::client(connect)),
             watch: call::client(connect),
             metrics,
             current: Cell::new(0),
@@ -107,7 +110,7 @@
         let body = serde_json::to_vec(body)
             .map_err(|e| StoreError::NotSent(e.to_string(), Millis::ZERO))?;
         let end = self.clock.now() + self.config.deadline;
-        let tries = self.config.endpoints.len().max(1) as u64;
+        let tries = self.tries(repeat);
         let mut last = None;
         for left in (1..=tries).rev() {
             let admitted = self.admit(priority, end).await;
@@ -135,6 +138,16 @@
         Err(last.unwrap_or_else(|| self.not_sent("no endpoint")))
     }
 
+    /// A repeatable call is tried again even at an only endpoint: its connection may have
+    /// gone silent while new ones work.
+    fn tries(&self, repeat: Repeat) -> u64 {
+        let endpoints = self.config.endpoints.len() as u64;
+        match repeat {
+            Repeat::Never => endpoints.max(1),
+            Repeat::Safe => endpoints.max(MIN_TRIES),
+        }
+    }
+
     /// The endpoint in use.
     pub(crate) fn endpoint(&self) -> Option<SocketAddr> {
         let endpoints = &self.config.endpoints;
@@ -216,6 +229,8 @@
         emit(&self.log, Event::StoreBudgetSpent, why);
     }
 
+    /// Makes one exchange. After a lost answer all idle connections are suspect, so that later
+    /// calls get new ones.
     async fn attempt<R>(
         &self,
         priority: Priority,
@@ -229,12 +244,16 @@
         let Some(addr) = self.endpoint() else {
             return Err(Failure::NotSent("no endpoint is configured".to_string()));
         };
-        let client = match priority {
+        let pool = match priority {
             Priority::Lease => &self.lease,
             _ => &self.heavy,
         };
+        let client = pool.borrow().clone();
         let start = self.clock.now();
-        let result = call::post(client, addr, path, body, span.duration()).await;
+        let result = call::post(&client, addr, path, body, span.duration()).await;
+        if matches!(result, Err(Failure::Lost(_))) {
+            pool.replace(call::client(self.config.connect.duration()));
+        }
         let result = result.and_then(|data| {
             let parsed = serde_json::from_slice(&data);
             parsed.map_err(|e| Failure::Lost(format!("{addr}{path}: malformed answer: {e}")))
--- a/crates/plat/src/store.rs
+++ b/crates/plat/src/store.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// The priority of the calls of this clone.
+    pub fn priority(&self) -> Priority {
+        self.priority
+    }
+
     /// Health of the store as the calls show it.
     pub fn state(&self) -> HealthState {
         self.inner.state()
--- a/crates/plat/src/types.rs
+++ b/crates/plat/src/types.rs
@@ -78,3 +78,27 @@
     /// The lease is over; keys under it are deleted.
     Lapsed,
 }
+
+/// One change that a watch tells.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// A key was deleted or its lease ended.
+    Delete {
+        /// The key.
+        key: String,
+        /// Revision of the deletion.
+        revision: Revision,
+    },
+    /// A key was written.
+    Put(Entry),
+}
+
+impl Change {
+    /// Revision of the change.
+    pub fn revision(&self) -> Revision {
+        match self {
+            Change::Delete { revision, .. } => *revision,
+            Change::Put(entry) => entry.revision,
+        }
+    }
+}
--- /dev/null
+++ b/crates/plat/tests/vms.rs
@@ -0,0 +1,107 @@
+//! The list of VMs, through faults.
+
+mod common;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Clock;
+use base::Millis;
+use fakes::fault::Fault;
+use fakes::platform::Platform;
+use fakes::platform_vms::VmRow;
+use plat::VmList;
+use plat::VmState;
+use plat::Vms;
+use plat::VmsConfig;
+use yare::parameterized;
+
+fn rows() -> Vec<VmRow> {
+    let worker = VmRow {
+        id: "w-1".to_string(),
+        role: "worker".to_string(),
+        domain: "tvm-north".to_string(),
+        rack: "r-1".to_string(),
+        address: "127.0.0.1:7001".to_string(),
+        state: "leaving".to_string(),
+        accels: 8,
+        service: "recovery-ledger".to_string(),
+        ..VmRow::default()
+    };
+    let entry = VmRow {
+        id: "e-1".to_string(),
+        role: "entry".to_string(),
+        peers: Some("127.0.0.1:7003".to_string()),
+        state: "live".to_string(),
+        ..worker.clone()
+    };
+    let odd = VmRow {
+        address: "somewhere".to_string(),
+        ..worker.clone()
+    };
+    vec![worker, entry, odd]
+}
+
+fn start(platform: &Platform) -> Vms {
+    let config = VmsConfig {
+        endpoints: vec![platform.addr()],
+        period: Millis(20),
+        deadline: Millis(100),
+        connect: Millis(50),
+        seed: 3,
+    };
+    Vms::start(config, obs::discard(), &obs::Metrics::new(), Clock::System)
+}
+
+async fn full(vms: &mut Vms) -> Rc<VmList> {
+    loop {
+        vms.changed().await;
+        let list = vms.list().unwrap();
+        if !list.workers.is_empty() {
+            return list;
+        }
+    }
+}
+
+#[test]
+fn reads_rows_and_skips_odd_ones() {
+    common::run(async {
+        let platform = common::platform();
+        platform.set_lag(Duration::from_millis(50));
+        platform.set_vms(rows());
+        let mut vms = start(&platform);
+        let list = full(&mut vms).await;
+        assert_eq!(list.workers[0].id.as_str(), "w-1");
+        assert_eq!(list.workers[0].state, VmState::Leaving);
+        assert_eq!(list.entries[0].peers.port(), 7003);
+        assert_eq!(list.skipped.len(), 1);
+        vms.close();
+        platform.close();
+    });
+}
+
+#[parameterized(
+    down = { Fault::Refuse },
+    garbled = { Fault::Garble },
+    hang = { Fault::Hang },
+    refused = { Fault::Reject },
+    truncated = { Fault::Truncate },
+)]
+fn keeps_the_last_good_list(fault: Fault) {
+    common::run(async move {
+        let platform = common::platform();
+        platform.set_vms(rows());
+        let mut vms = start(&platform);
+        full(&mut vms).await;
+        platform.fault(fault);
+        let before = vms.list().unwrap();
+        common::until(|| before.age(Clock::System.now()) > Millis(300)).await;
+        let kept = vms.list().unwrap();
+        assert!(kept.age(Clock::System.now()) > Millis(200));
+        assert_eq!(kept.workers, before.workers);
+        platform.fault(Fault::Up);
+        common::until(|| vms.list().unwrap().read > kept.read).await;
+        vms.close();
+        platform.close();
+    });
+}
--- /dev/null
+++ b/crates/plat/tests/watch.rs
@@ -0,0 +1,154 @@
+//! Watches that break, fall silent and fall behind.
+
+mod common;
+
+use base::Revision;
+use fakes::fault::Fault;
+use fakes::fault_relay::Relay;
+use fakes::platform::Platform;
+use plat::Change;
+use plat::Store;
+use plat::Watch;
+use plat::WatchEvent;
+use yare::parameterized;
+
+async fn resync(watch: &mut Watch) -> Vec<String> {
+    match watch.next().await {
+        Some(WatchEvent::Resync(listing)) => listing.entries.into_iter().map(|e| e.key).collect(),
+        other => panic!("{other:?}"),
+    }
+}
+
+async fn changes(watch: &mut Watch, count: usize) -> Vec<(String, u64)> {
+    let mut list = Vec::new();
+    while list.len() < count {
+        match watch.next().await {
+            Some(WatchEvent::Changes(changes)) => list.extend(changes.iter().map(describe)),
+            other => panic!("{other:?}"),
+        }
+    }
+    list
+}
+
+fn describe(change: &Change) -> (String, u64) {
+    match change {
+        Change::Delete { key, revision } => (format!("-{key}"), revision.0),
+        Change::Put(entry) => (entry.key.clone(), entry.revision.0),
+    }
+}
+
+async fn open(platform: &Platform, store: &Store) -> Watch {
+    let mut watch = store.watch("s/", None);
+    assert!(resync(&mut watch).await.is_empty());
+    common::until(|| platform.calls().watches == 1).await;
+    watch
+}
+
+#[test]
+fn tells_all_and_then_changes() {
+    common::run(async {
+        let platform = common::platform();
+        platform.put("s/1", b"a");
+        platform.put("t/1", b"a");
+        let store = common::store(&platform);
+        let mut watch = store.watch("s/", None);
+        assert_eq!(resync(&mut watch).await, ["s/1"]);
+        platform.put("t/2", b"b");
+        platform.put("s/2", b"b");
+        assert_eq!(changes(&mut watch, 1).await, [("s/2".to_string(), 5)]);
+        let lease = store.grant(base::Millis(60_000)).await.unwrap();
+        let put = store
+            .put_if("s/3", plat::Expect::Absent, "v".into(), Some(lease))
+            .await;
+        assert!(put.is_ok());
+        platform.lapse(lease.0);
+        let told = changes(&mut watch, 2).await;
+        assert_eq!(told, [("s/3".to_string(), 6), ("-s/3".to_string(), 7)]);
+        watch.close();
+        platform.close();
+    });
+}
+
+#[test]
+fn starts_after_a_revision() {
+    common::run(async {
+        let platform = common::platform();
+        platform.put("s/1", b"a");
+        platform.put("s/2", b"b");
+        let store = common::store(&platform);
+        let mut watch = store.watch("s/", Some(Revision(2)));
+        assert_eq!(changes(&mut watch, 1).await, [("s/2".to_string(), 3)]);
+        watch.close();
+        platform.close();
+    });
+}
+
+#[parameterized(
+    broken = { Fault::WatchBroken },
+    down = { Fault::Refuse },
+    hang = { Fault::Hang },
+    silent = { Fault::WatchSilent },
+)]
+fn resumes_without_a_gap(fault: Fault) {
+    common::run(async move {
+        let platform = common::platform();
+        let store = common::store(&platform);
+        let mut watch = open(&platform, &store).await;
+        platform.fault(fault);
+        platform.put("s/1", b"a");
+        platform.put("s/2", b"b");
+        platform.fault(Fault::Up);
+        let told = changes(&mut watch, 2).await;
+        assert_eq!(told, [("s/1".to_string(), 2), ("s/2".to_string(), 3)]);
+        watch.close();
+        platform.close();
+    });
+}
+
+#[test]
+fn reads_all_after_a_compaction() {
+    common::run(async {
+        let platform = common::platform();
+        let store = common::store(&platform);
+        let mut watch = open(&platform, &store).await;
+        platform.fault(Fault::WatchBroken);
+        common::until(|| platform.calls().watches == 0).await;
+        platform.put("s/1", b"a");
+        platform.put("s/1", b"b");
+        platform.compact();
+        platform.fault(Fault::Up);
+        assert_eq!(resync(&mut watch).await, ["s/1"]);
+        platform.put("s/2", b"c");
+        assert_eq!(changes(&mut watch, 1).await, [("s/2".to_string(), 4)]);
+        watch.close();
+        platform.close();
+    });
+}
+
+#[test]
+fn replaces_a_silent_connection() {
+    common::run(async {
+        let platform = common::platform();
+        let relay = Relay::start(platform.addr());
+        let store = common::store_at(vec![relay.addr()]);
+        let mut watch = open(&platform, &store).await;
+        relay.silence();
+        platform.put("s/1", b"a");
+        assert_eq!(changes(&mut watch, 1).await, [("s/1".to_string(), 2)]);
+        watch.close();
+        relay.close();
+        platform.close();
+    });
+}
+
+#[test]
+fn a_closed_watch_leaves_the_store() {
+    common::run(async {
+        let platform = common::platform();
+        let store = common::store(&platform);
+        let watch = open(&platform, &store).await;
+        watch.close();
+        common::until(|| platform.calls().watches == 0).await;
+        platform.close();
+    });
+}
