--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 //! its own through the examples of this package.
 
 pub mod fault;
+pub mod fault_relay;
 pub mod platform;
 pub mod platform_calls;
 pub mod platform_http;
