Add the claim machine for requests that run at most once

Cause: a non-idempotent request must run at most once although callers resend its id to other entry VMs, VMs end or pause, and views change.

Weighed: dispatch by the owner (the body crosses the link twice, and the caller's connection hangs on two VMs) against a grant to the entry VM that holds the caller's connection. The grant was chosen: a grant names one send and is used once, so late or repeated grants do nothing.

Change: crate claim with Claims::step, its messages, the view type, the transfer between views, and a search over all orders of events in small worlds. Without copies, doubt or the single use of a grant the search finds a violation.

--- /dev/null
+++ b/crates/claim/tests/model/mod.rs
@@ -0,0 +1,13 @@
+//! A model of entry VMs, network, platform and upstream around the claim machine, whose
+//! next events can be listed and carried out one by one.
+
+#![allow(dead_code, unused_imports)]
+
+mod search;
+mod world;
+
+pub use search::search;
+pub use search::Found;
+pub use world::Budget;
+pub use world::Event;
+pub use world::World;
