Add links between daemons

Cause: daemons exchange membership, settings and claims, and must notice a silent connection in about a second. Ruled out: a link for each direction (twice the pings, and a half-dead pair counts as up), keeping the later of two links (both ends may disagree and flap), queueing for a peer that is down (stale messages on return). Change: one duplex WebSocket link a pair with CBOR packets, a hello that refuses foreign peers, a tie-break that both ends compute alike, pings with silence detection, bounded queues with typed refusals, requests with replies or a typed loss, batching, and a close that flushes.

--- /dev/null
+++ b/crates/link/src/accept.rs
@@ -0,0 +1,99 @@
+//! Accepts links of peers.
+
+use std::rc::Rc;
+
+use actix_rt::spawn;
+use obs::emit;
+use obs::Event;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio_tungstenite::accept_async_with_config;
+
+use crate::conn::Conn;
+use crate::error::LinkError;
+use crate::hello::Hello;
+use crate::hello::Welcome;
+use crate::shared::Shared;
+use crate::socket;
+use crate::socket::Socket;
+
+/// Accepts links until the task is ended.
+pub(crate) async fn run(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let shared = shared.clone();
+                spawn(async move {
+                    if let Err(error) = serve(&shared, stream).await {
+                        shared.stats.ended.add(&[("why", error.label())], 1);
+                        emit(&shared.log, Event::LinkRefused, &format!("{from}: {error}"));
+                    }
+                });
+            }
+            // Out of descriptors, for example: give others time to free some.
+            Err(_) => sleep(shared.config.ping.duration()).await,
+        }
+    }
+}
+
+async fn serve(shared: &Rc<Shared>, stream: TcpStream) -> Result<(), LinkError> {
+    let span = shared.config.connect.duration();
+    let open = timeout(span, open(shared, stream)).await;
+    let (mut socket, hello) = open.map_err(|_| LinkError::Silent)??;
+    let stop = match admit(shared, &hello) {
+        Ok(stop) => stop,
+        Err(error) => {
+            let _ = timeout(span, socket::refuse(socket, &error)).await;
+            return Err(error);
+        }
+    };
+    let conn = Conn {
+        shared: shared.clone(),
+        vm: hello.vm.clone(),
+        id: hello.link(),
+        stop,
+    };
+    let welcomed = timeout(span, welcome(shared, &mut socket)).await;
+    match welcomed.unwrap_or(Err(LinkError::Silent)) {
+        Ok(()) => conn.run(socket).await,
+        Err(error) => shared.detach(&conn.vm, &conn.id, &error),
+    }
+    Ok(())
+}
+
+async fn open(shared: &Rc<Shared>, stream: TcpStream) -> Result<(Socket, Hello), LinkError> {
+    let _ = stream.set_nodelay(true);
+    let settings = socket::settings(&shared.config);
+    let accepted = accept_async_with_config(stream, Some(settings)).await;
+    let mut socket = accepted.map_err(|e| socket::failure(&e))?;
+    let data = match socket::receive(&mut socket).await {
+        Ok(data) => data,
+        Err(error) => {
+            socket::refuse(socket, &error).await;
+            return Err(error);
+        }
+    };
+    match Hello::decode(&data) {
+        Ok(hello) => Ok((socket, hello)),
+        Err(error) => {
+            socket::refuse(socket, &error).await;
+            Err(error)
+        }
+    }
+}
+
+fn admit(shared: &Rc<Shared>, hello: &Hello) -> Result<Rc<tokio::sync::Notify>, LinkError> {
+    hello.check(&shared.config)?;
+    shared.attach(&hello.vm, &hello.link(), hello.lost)
+}
+
+async fn welcome(shared: &Rc<Shared>, socket: &mut Socket) -> Result<(), LinkError> {
+    let welcome = Welcome {
+        vm: shared.config.vm.clone(),
+        domain: shared.config.domain.clone(),
+    };
+    let data = welcome.encode()?;
+    socket::send(socket, data).await
+}
--- /dev/null
+++ b/crates/link/src/hello.rs
@@ -0,0 +1,173 @@
+//! The first message of each side of a link.
+
+use base::DomainId;
+use base::VmId;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::config::LinkConfig;
+use crate::config::Secret;
+use crate::error::LinkError;
+use crate::identity::LinkId;
+use crate::packet::from_cbor;
+use crate::packet::to_cbor;
+
+/// Version of the protocol.
+pub const PROTOCOL: u32 = 1;
+
+/// Room for an encoded first message.
+const HELLO_SIZE: usize = 256;
+
+/// First message of the dialing side.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Hello {
+    /// Version of the protocol.
+    pub version: u32,
+    /// Name of the site.
+    pub site: String,
+    /// Secret of the site, if it has one.
+    pub secret: Option<Secret>,
+    /// The dialing VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// The dialer's number for this link.
+    pub number: u64,
+    /// Number of the last link between the two that the dialer saw end.
+    pub lost: Option<u64>,
+}
+
+impl Hello {
+    /// The link that this message opens.
+    pub fn link(&self) -> LinkId {
+        LinkId {
+            dialer: self.vm.clone(),
+            number: self.number,
+        }
+    }
+
+    /// The message on the wire.
+    pub fn encode(self) -> Result<Bytes, LinkError> {
+        to_cbor(&WireHello::from(self), HELLO_SIZE)
+    }
+
+    /// Reads the message from the wire.
+    pub fn decode(data: &[u8]) -> Result<Hello, LinkError> {
+        from_cbor::<WireHello>(data).and_then(Hello::try_from)
+    }
+
+    /// Refuses versions, sites and secrets other than the own ones.
+    pub fn check(&self, config: &LinkConfig) -> Result<(), LinkError> {
+        if self.version != PROTOCOL {
+            return Err(LinkError::Version(self.version));
+        }
+        if self.site != config.site {
+            return Err(LinkError::Foreign("site"));
+        }
+        if self.secret != config.secret {
+            return Err(LinkError::Foreign("secret"));
+        }
+        if self.vm == config.vm {
+            return Err(LinkError::WrongPeer(self.vm.to_string()));
+        }
+        Ok(())
+    }
+}
+
+/// First message of the accepting side.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Welcome {
+    /// The accepting VM.
+    pub vm: VmId,
+    /// Its failure domain.
+    pub domain: DomainId,
+}
+
+impl Welcome {
+    /// The message on the wire.
+    pub fn encode(self) -> Result<Bytes, LinkError> {
+        to_cbor(&WireWelcome::from(self), HELLO_SIZE)
+    }
+
+    /// Reads the message from the wire.
+    pub fn decode(data: &[u8]) -> Result<Welcome, LinkError> {
+        from_cbor::<WireWelcome>(data).and_then(Welcome::try_from)
+    }
+}
+
+/// [`Hello`] on the wire.
+#[derive(Deserialize, Serialize)]
+struct WireHello {
+    #[serde(rename = "v")]
+    version: u32,
+    site: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    secret: Option<String>,
+    vm: String,
+    domain: String,
+    number: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    lost: Option<u64>,
+}
+
+impl From<Hello> for WireHello {
+    fn from(hello: Hello) -> WireHello {
+        WireHello {
+            version: hello.version,
+            site: hello.site,
+            secret: hello.secret.map(|s| s.0),
+            vm: hello.vm.into(),
+            domain: hello.domain.into(),
+            number: hello.number,
+            lost: hello.lost,
+        }
+    }
+}
+
+impl TryFrom<WireHello> for Hello {
+    type Error = LinkError;
+
+    fn try_from(wire: WireHello) -> Result<Hello, LinkError> {
+        Ok(Hello {
+            version: wire.version,
+            site: wire.site,
+            secret: wire.secret.map(Secret),
+            vm: wire.vm.try_into().map_err(malformed)?,
+            domain: wire.domain.try_into().map_err(malformed)?,
+            number: wire.number,
+            lost: wire.lost,
+        })
+    }
+}
+
+/// [`Welcome`] on the wire.
+#[derive(Deserialize, Serialize)]
+struct WireWelcome {
+    vm: String,
+    domain: String,
+}
+
+impl From<Welcome> for WireWelcome {
+    fn from(welcome: Welcome) -> WireWelcome {
+        WireWelcome {
+            vm: welcome.vm.into(),
+            domain: welcome.domain.into(),
+        }
+    }
+}
+
+impl TryFrom<WireWelcome> for Welcome {
+    type Error = LinkError;
+
+    fn try_from(wire: WireWelcome) -> Result<Welcome, LinkError> {
+        Ok(Welcome {
+            vm: wire.vm.try_into().map_err(malformed)?,
+            domain: wire.domain.try_into().map_err(malformed)?,
+        })
+    }
+}
+
+fn malformed(error: base::IdError) -> LinkError {
+    LinkError::Malformed(error.to_string())
+}
--- /dev/null
+++ b/crates/link/tests/refusals.rs
@@ -0,0 +1,170 @@
+//! What the accepting side refuses, and the reason that it gives.
+
+mod common;
+
+use common::config;
+use common::run;
+use common::vm;
+use common::Node;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use link::encode;
+use link::Hello;
+use link::LinkConfig;
+use link::LinkId;
+use link::Packet;
+use link::Secret;
+use link::Topic;
+use link::PROTOCOL;
+use tokio::net::TcpStream;
+use tokio_tungstenite::client_async;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::WebSocketStream;
+use yare::parameterized;
+
+fn hello() -> Hello {
+    Hello {
+        version: PROTOCOL,
+        site: "site".to_string(),
+        secret: Some(Secret("s3".to_string())),
+        vm: vm("a"),
+        domain: "tvm-north".parse().unwrap(),
+        number: 1,
+        lost: None,
+    }
+}
+
+fn node() -> Node {
+    Node::start(LinkConfig {
+        secret: Some(Secret("s3".to_string())),
+        ..config("b")
+    })
+}
+
+async fn connect(node: &Node) -> WebSocketStream<TcpStream> {
+    let addr = node.links.addr();
+    let stream = TcpStream::connect(addr).await.unwrap();
+    client_async(format!("ws://{addr}/"), stream)
+        .await
+        .unwrap()
+        .0
+}
+
+/// Reads until the close frame; answers its code and reason.
+async fn closed(socket: &mut WebSocketStream<TcpStream>) -> (u16, String) {
+    loop {
+        match socket.next().await {
+            Some(Ok(Message::Close(Some(frame)))) => {
+                return (frame.code.into(), frame.reason.to_string());
+            }
+            Some(Ok(_)) => (),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[parameterized(
+    no_secret = { Hello { secret: None, ..hello() }, 4001, "the peer's secret differs" },
+    own_id = { Hello { vm: vm("b"), ..hello() }, 4004, "VM b answers at the peer's address" },
+    secret = { Hello { secret: Some(Secret("s4".to_string())), ..hello() }, 4001, "the peer's secret differs" },
+    site = { Hello { site: "other".to_string(), ..hello() }, 4001, "the peer's site differs" },
+    version = { Hello { version: 99, ..hello() }, 4002, "the peer speaks version 99" },
+)]
+fn foreign_peers(hello: Hello, code: u16, reason: &'static str) {
+    run(async move {
+        let node = node();
+        let mut socket = connect(&node).await;
+        let data = hello.encode().unwrap();
+        socket.send(Message::Binary(data)).await.unwrap();
+        assert_eq!(closed(&mut socket).await, (code, reason.to_string()));
+        assert_eq!(node.events.borrow().len(), 0);
+        node.links.close().await;
+    });
+}
+
+#[parameterized(
+    empty = { Message::Binary(Vec::new().into()), 1007 },
+    garbage = { Message::Binary(vec![0xff; 10].into()), 1007 },
+    oversized = { Message::Binary(vec![0; 3_000_000].into()), 1009 },
+    no_hello = { Message::Binary(encode(&[packet()]).unwrap()), 1007 },
+    text = { Message::Text("hello".into()), 1007 },
+)]
+fn first_messages(message: Message, code: u16) {
+    run(async move {
+        let node = node();
+        let mut socket = connect(&node).await;
+        let _ = socket.send(message).await;
+        assert_eq!(closed(&mut socket).await.0, code);
+        assert_eq!(node.events.borrow().len(), 0);
+        node.links.close().await;
+    });
+}
+
+#[parameterized(
+    empty = { Message::Binary(Vec::new().into()), 1007 },
+    garbage = { Message::Binary(vec![0xff; 10].into()), 1007 },
+    oversized = { Message::Binary(vec![0; 3_000_000].into()), 1009 },
+    text = { Message::Text("hello".into()), 1007 },
+    trailing = { Message::Binary([&encode(&[packet()]).unwrap()[..], &[0]].concat().into()), 1007 },
+)]
+fn later_messages(message: Message, code: u16) {
+    run(async move {
+        let node = node();
+        let mut socket = connect(&node).await;
+        let data = hello().encode().unwrap();
+        socket.send(Message::Binary(data)).await.unwrap();
+        node.told("up a", 1).await;
+        let good = encode(&[packet()]).unwrap();
+        socket.send(Message::Binary(good)).await.unwrap();
+        node.told("a: x", 1).await;
+        let _ = socket.send(message).await;
+        assert_eq!(closed(&mut socket).await.0, code);
+        node.told("down a", 1).await;
+        node.links.close().await;
+    });
+}
+
+fn packet() -> Packet {
+    Packet::Message {
+        topic: Topic(1),
+        body: "x".into(),
+    }
+}
+
+#[test]
+fn a_peer_that_says_nothing() {
+    run(async {
+        let node = node();
+        let stream = TcpStream::connect(node.links.addr()).await.unwrap();
+        let metrics = node.metrics.clone();
+        common::until(|| metrics.text().unwrap().contains("why=\"silent\"")).await;
+        drop(stream);
+        node.links.close().await;
+    });
+}
+
+#[test]
+fn a_second_link_with_a_lower_number() {
+    run(async {
+        let node = node();
+        let mut first = connect(&node).await;
+        let newer = Hello {
+            number: 5,
+            ..hello()
+        };
+        let data = newer.encode().unwrap();
+        first.send(Message::Binary(data)).await.unwrap();
+        node.told("up a", 1).await;
+        let mut second = connect(&node).await;
+        let data = hello().encode().unwrap();
+        second.send(Message::Binary(data)).await.unwrap();
+        assert_eq!(closed(&mut second).await.0, 4003);
+        let link = node.links.peer(&vm("a")).unwrap().link;
+        let kept = LinkId {
+            dialer: vm("a"),
+            number: 5,
+        };
+        assert_eq!(link, Some(kept));
+        node.links.close().await;
+    });
+}
