Run the planner against a random site, with a long run by command

Cause: the invariants had only table cases. Ruled out: a generator of valid inputs only, which would miss late and crossed reports. Change: random operations with the same meaning in every state, so that a failing list can be shrunk; a job that may have run before a take-over fails instead of being refused; isolation is brought within a lowered bound at once.

--- /dev/null
+++ b/crates/gang/examples/soak.rs
@@ -0,0 +1,46 @@
+//! Long random run: `cargo run --release -p gang --example soak -- --seed 1 --steps 10000000`.
+//! At a fault it prints the seed, the step and a shrunk list of operations, and exits with 1.
+
+#[path = "../tests/world/mod.rs"]
+mod world;
+
+use std::process::ExitCode;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use world::shrink;
+use world::Op;
+use world::World;
+
+/// Steps of one world; then a new one begins, so that a trace stays short enough to shrink.
+const EPISODE: usize = 20_000;
+
+fn arg(name: &str, default: u64) -> u64 {
+    let mut args = std::env::args().skip_while(|a| a != name).skip(1);
+    args.next().and_then(|a| a.parse().ok()).unwrap_or(default)
+}
+
+fn main() -> ExitCode {
+    let seed = arg("--seed", 1);
+    let steps = arg("--steps", 1_000_000) as usize;
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut done = 0;
+    while done < steps {
+        let count = EPISODE.min(steps - done);
+        let ops: Vec<Op> = (0..count)
+            .map(|_| Op(rng.random(), rng.random(), rng.random()))
+            .collect();
+        let mut world = World::new();
+        for (i, op) in ops.iter().enumerate() {
+            if let Some(fault) = world.run(*op) {
+                println!("seed {seed}, step {}: {fault}", done + i);
+                println!("{:#?}", shrink(&ops[..=i]));
+                return ExitCode::FAILURE;
+            }
+        }
+        done += count;
+    }
+    println!("seed {seed}: {done} steps, no violation");
+    ExitCode::SUCCESS
+}
--- a/crates/gang/src/event.rs
+++ b/crates/gang/src/event.rs
@@ -66,13 +66,13 @@
         /// The job.
         job: JobId,
     },
-    /// A job to be queued.
+    /// A job to be queued. One that is already known is left as it is.
     Submit {
         /// The job.
         spec: JobSpec,
         /// When its caller submitted it.
         at: Millis,
-        /// Its next attempt.
+        /// Its next attempt. Above 1, it counts as one that may have run.
         attempt: Attempt,
         /// Work saved by checkpoints of earlier attempts.
         saved: Millis,
@@ -126,8 +126,6 @@
 pub enum RefuseReason {
     /// It was cancelled before it started.
     Cancelled,
-    /// A job of this id is already known.
-    Duplicate,
     /// No failure domain that it may use could hold it with all its workers free.
     NoRoom,
     /// It needs more accelerators than its organisation's quota.
@@ -145,7 +143,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             RefuseReason::Cancelled => f.write_str("cancelled before it started"),
-            RefuseReason::Duplicate => f.write_str("a job of this id is already known"),
             RefuseReason::NoRoom => f.write_str("no failure domain can hold its shape"),
             RefuseReason::Quota { quota } => write!(f, "over the quota of {quota} accelerators"),
             RefuseReason::Shape(problem) => f.write_str(problem),
@@ -165,6 +162,8 @@
     pub once: bool,
     /// Whether the result of the last attempt is not known.
     pub unknown: bool,
+    /// Why it can never run again, if that is so.
+    pub refused: Option<RefuseReason>,
 }
 
 /// What the planner wants done.
--- a/crates/gang/src/health.rs
+++ b/crates/gang/src/health.rs
@@ -108,11 +108,7 @@
 
     /// Isolates a worker unless too much would be isolated then.
     fn isolate(&mut self, w: usize) {
-        let sum: u32 = self.site.workers.iter().map(|w| w.spec.accels.0).sum();
-        let isolated = self.site.workers.iter().filter(|w| w.isolated);
-        let now: u32 = isolated.map(|w| w.spec.accels.0).sum();
-        let next = now + self.site.workers[w].spec.accels.0;
-        if next * 100 > sum * self.policy.isolation {
+        if self.exceeds_isolation(self.site.workers[w].spec.accels.0) {
             return;
         }
         self.site.workers[w].isolated = true;
@@ -133,6 +129,26 @@
         self.wake = Wake::All;
     }
 
+    /// Whether too much is isolated with `more` accelerators added.
+    fn exceeds_isolation(&self, more: u32) -> bool {
+        let sum: u32 = self.site.workers.iter().map(|w| w.spec.accels.0).sum();
+        let isolated = self.site.workers.iter().filter(|w| w.isolated);
+        let now: u32 = isolated.map(|w| w.spec.accels.0).sum();
+        (now + more) * 100 > sum * self.policy.isolation
+    }
+
+    /// Restores isolated workers until no more are isolated than settings allow.
+    pub(crate) fn bound_isolation(&mut self) {
+        for w in 0..self.site.workers.len() {
+            if !self.exceeds_isolation(0) {
+                return;
+            }
+            if self.site.workers[w].isolated {
+                self.restore(w);
+            }
+        }
+    }
+
     fn plan_probe(&mut self, id: &WorkerId) {
         let record = self.health.records.entry(id.clone()).or_default();
         let wait = self.policy.probe.0 << record.rounds.min(MAX_DOUBLINGS);
@@ -160,17 +176,24 @@
     }
 
     fn end_probe(&mut self, w: usize, good: bool) {
-        let worker = &mut self.site.workers[w];
-        worker.probing = false;
-        let id = worker.spec.id.clone();
-        if !good {
-            self.plan_probe(&id);
+        if good {
+            self.restore(w);
+            self.rebind();
+            self.wake = Wake::All;
             return;
         }
+        self.site.workers[w].probing = false;
+        let id = self.site.workers[w].spec.id.clone();
+        self.plan_probe(&id);
+    }
+
+    fn restore(&mut self, w: usize) {
+        let worker = &mut self.site.workers[w];
+        worker.probing = false;
         worker.isolated = false;
+        worker.suspect = 0;
+        let id = worker.spec.id.clone();
         self.health.records.remove(&id);
         self.actions.push(Action::Restore(id));
-        self.rebind();
-        self.wake = Wake::All;
     }
 }
--- a/crates/gang/src/job.rs
+++ b/crates/gang/src/job.rs
@@ -61,6 +61,8 @@
     pub mark: Millis,
     /// Work saved when the current attempt started.
     pub base: Millis,
+    /// Whether an attempt before the planner knew the job may have run.
+    pub tried: bool,
     /// Attempts that may have run.
     pub starts: u32,
     /// Workers on which it failed.
@@ -78,9 +80,11 @@
 impl Job {
     /// A queued job.
     pub fn new(spec: JobSpec, at: Millis, attempt: Attempt, saved: Millis) -> Job {
+        let tried = attempt > Attempt(1) || saved > Millis::ZERO;
         Job {
             spec,
             at,
+            tried,
             attempt,
             saved,
             phase: Phase::Queued,
@@ -113,6 +117,11 @@
         self.base + now.since(self.since)
     }
 
+    /// Whether it is certain that it never ran.
+    pub fn never_ran(&self) -> bool {
+        !self.tried && self.starts == 0
+    }
+
     /// Whether it may be started again after it ran.
     pub fn may_restart(&self) -> bool {
         self.starts == 0 || self.spec.is_stoppable()
--- a/crates/gang/src/life.rs
+++ b/crates/gang/src/life.rs
@@ -25,18 +25,16 @@
 
 impl Planner {
     pub(crate) fn submit(&mut self, spec: JobSpec, at: Millis, attempt: Attempt, saved: Millis) {
-        let reason = match self.ids.contains_key(&spec.id) {
-            true => Some(RefuseReason::Duplicate),
-            false => self.refusal(&spec),
-        };
-        if let Some(reason) = reason {
-            let job = spec.id;
-            self.actions.push(Action::Refuse { job, reason });
+        if self.ids.contains_key(&spec.id) {
             return;
         }
-        let key = self.next_key();
-        self.ids.insert(spec.id.clone(), key);
         let job = Job::new(spec, at, attempt, saved);
+        if let Some(reason) = self.refusal(&job.spec) {
+            self.reject(&job, reason);
+            return;
+        }
+        let key = self.next_key();
+        self.ids.insert(job.spec.id.clone(), key);
         self.queue.add(key, &job);
         self.jobs.insert(key, job);
         if self.is_stranded(key) {
@@ -87,17 +85,27 @@
             let Some(job) = self.jobs.get(&key) else {
                 continue;
             };
-            if job.starts > 0 || job.saved > Millis::ZERO {
-                continue;
-            }
             if let Some(reason) = self.refusal(&job.spec) {
-                let job = job.spec.id.clone();
-                self.actions.push(Action::Refuse { job, reason });
+                let job = job.clone();
+                self.reject(&job, reason);
                 self.forget(key);
             }
         }
     }
 
+    /// Refuses a job that does not run. One that may have run before fails instead.
+    fn reject(&mut self, job: &Job, reason: RefuseReason) {
+        let id = job.spec.id.clone();
+        if job.never_ran() {
+            self.actions.push(Action::Refuse { job: id, reason });
+            return;
+        }
+        let mut evidence = evidence(job, false);
+        evidence.refused = Some(reason);
+        let job = id;
+        self.actions.push(Action::Fail { job, evidence });
+    }
+
     pub(crate) fn cancel(&mut self, jobs: &[JobId]) {
         for id in jobs {
             if let Some(key) = self.key(id) {
@@ -127,8 +135,7 @@
             return;
         };
         let id = job.spec.id.clone();
-        let never = job.starts == 0 && job.saved == Millis::ZERO;
-        self.actions.push(match never {
+        self.actions.push(match job.never_ran() {
             true => Action::Refuse {
                 job: id,
                 reason: RefuseReason::Cancelled,
@@ -342,12 +349,7 @@
         let Some(job) = self.jobs.get(&key) else {
             return;
         };
-        let evidence = Evidence {
-            workers: job.failed.iter().cloned().collect(),
-            failures: job.failures,
-            once: !job.spec.is_stoppable(),
-            unknown,
-        };
+        let evidence = evidence(job, unknown);
         let job = job.spec.id.clone();
         self.actions.push(Action::Fail { job, evidence });
         self.forget(key);
@@ -408,3 +410,13 @@
         }
     }
 }
+
+fn evidence(job: &Job, unknown: bool) -> Evidence {
+    Evidence {
+        workers: job.failed.iter().cloned().collect(),
+        failures: job.failures,
+        once: !job.spec.is_stoppable(),
+        unknown,
+        refused: None,
+    }
+}
--- a/crates/gang/src/planner.rs
+++ b/crates/gang/src/planner.rs
@@ -175,6 +175,7 @@
         self.book.units = units(&mut self.site, &policy.guarantees);
         self.short = vec![0; policy.guarantees.len()];
         self.policy = policy;
+        self.bound_isolation();
         self.rebind();
         self.refuse_waiting();
         self.wake = Wake::All;
--- a/crates/gang/src/status.rs
+++ b/crates/gang/src/status.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// The number of jobs accepted and not ended.
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
     fn org_status(&self) -> BTreeMap<OrgId, OrgStatus> {
         let mut map: BTreeMap<OrgId, OrgStatus> = BTreeMap::new();
         for org in self.policy.orgs.keys() {
--- /dev/null
+++ b/crates/gang/tests/world/mod.rs
@@ -0,0 +1,339 @@
+//! A random site around a planner: carries out its actions and checks what it promises.
+#![allow(dead_code, reason = "the test and the long run each use some of these")]
+
+mod ops;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use base::Accels;
+use base::Attempt;
+use base::Bytes;
+use base::Cores;
+use base::DomainId;
+use base::GangPlan;
+use base::JobId;
+use base::JobSpec;
+use base::Millis;
+use base::Shape;
+use base::Spread;
+use base::WorkerSpec;
+use gang::Action;
+use gang::Departure;
+use gang::Ended;
+use gang::Guarantee;
+use gang::Input;
+use gang::OrgPolicy;
+use gang::Planner;
+use gang::Policy;
+
+#[allow(unused_imports, reason = "only the long run shrinks its list")]
+pub use ops::shrink;
+pub use ops::Op;
+
+/// Failure domains, racks in each and workers in each rack.
+const SITE: (u32, u32, u32) = (2, 2, 3);
+
+/// Organisations.
+const ORGS: [&str; 3] = ["a", "b", "c"];
+
+/// Most jobs at once.
+const MAX_JOBS: usize = 40;
+
+/// A job as the world knows it.
+#[derive(Clone, Debug)]
+pub struct Live {
+    pub spec: JobSpec,
+    pub attempt: Attempt,
+    pub saved: Millis,
+    pub plan: Option<GangPlan>,
+    pub since: Millis,
+    pub running: bool,
+    pub stopping: bool,
+    /// Attempts that ran.
+    pub ran: u32,
+}
+
+pub struct World {
+    pub planner: Planner,
+    pub now: Millis,
+    pub policy: Policy,
+    pub workers: Vec<(WorkerSpec, bool)>,
+    pub out: BTreeSet<DomainId>,
+    pub jobs: BTreeMap<JobId, Live>,
+    pub permit: bool,
+    pub made: u64,
+    pub fault: Option<String>,
+}
+
+pub fn worker(d: u32, r: u32, i: u32) -> WorkerSpec {
+    let accels = if (d + r + i) % 5 == 4 { 4 } else { 8 };
+    WorkerSpec {
+        id: format!("d{d}/r{r}/w{i}").parse().unwrap(),
+        domain: format!("d{d}").parse().unwrap(),
+        rack: format!("d{d}/r{r}").parse().unwrap(),
+        accels: Accels(accels),
+        cores: Cores(32),
+        memory: Bytes(64),
+    }
+}
+
+pub fn shape(n: u32) -> Shape {
+    let list = [
+        (1, 1, 2, Spread::Domain),
+        (1, 2, 4, Spread::Domain),
+        (1, 4, 0, Spread::Domain),
+        (1, 8, 8, Spread::Worker),
+        (2, 8, 0, Spread::Rack),
+        (3, 4, 4, Spread::Rack),
+        (4, 8, 8, Spread::Domain),
+        (2, 3, 1, Spread::Worker),
+        (6, 2, 2, Spread::Domain),
+        (3, 0, 6, Spread::Domain),
+        (1, 5, 0, Spread::Domain),
+        (2, 8, 30, Spread::Domain),
+    ];
+    let (tasks, accels, cores, spread) = list[n as usize % list.len()];
+    Shape {
+        tasks,
+        accels: Accels(accels),
+        cores: Cores(cores),
+        memory: Bytes(u64::from(cores)),
+        spread,
+    }
+}
+
+pub fn policy(n: u32) -> Policy {
+    let guarantee = |org: &str, domain: &str, shape: u32, count: u32| Guarantee {
+        org: org.parse().unwrap(),
+        domain: domain.parse().unwrap(),
+        shape: self::shape(shape),
+        count,
+    };
+    let quota = |i: usize| (n % 3 == 2 && i == 2).then_some(Accels(24));
+    let org = |(i, name): (usize, &&str)| {
+        let policy = OrgPolicy {
+            weight: 1 + i as u32,
+            quota: quota(i),
+        };
+        (name.parse().unwrap(), policy)
+    };
+    let mut guarantees = vec![
+        guarantee("a", "d0", 4, 1),
+        guarantee("b", "d0", 3, 1),
+        guarantee("b", "d1", 5, 1),
+        guarantee("c", "d0", 1, 2),
+        guarantee("a", "d1", 9, 2),
+    ];
+    guarantees.truncate(5 - (n as usize % 4));
+    Policy {
+        orgs: ORGS.iter().enumerate().map(org).collect(),
+        guarantees,
+        departure: [Departure::Finish, Departure::Move][n as usize % 2],
+        isolation: [20, 0, 10][n as usize % 3],
+        ..Policy::default()
+    }
+}
+
+impl World {
+    pub fn new() -> World {
+        let mut world = World {
+            planner: Planner::new(policy(0)),
+            now: Millis::from_secs(1),
+            policy: policy(0),
+            workers: Vec::new(),
+            out: BTreeSet::new(),
+            jobs: BTreeMap::new(),
+            permit: true,
+            made: 0,
+            fault: None,
+        };
+        for i in 0..SITE.0 * SITE.1 * SITE.2 {
+            let spec = worker(i / (SITE.1 * SITE.2), i / SITE.2 % SITE.1, i % SITE.2);
+            world.workers.push((spec.clone(), true));
+            world.feed(Input::WorkerUp(spec));
+        }
+        world.feed(Input::Permit(true));
+        world
+    }
+
+    /// Gives the planner an input, carries out its actions and checks both.
+    pub fn feed(&mut self, input: Input) {
+        let actions = self.planner.step(self.now, input);
+        for action in actions {
+            self.act(action);
+        }
+        if let Err(violation) = self.planner.check() {
+            self.fail(violation.to_string());
+        }
+        if self.planner.job_count() != self.jobs.len() {
+            self.fail("a job has no outcome or two".to_string());
+        }
+    }
+
+    pub fn fail(&mut self, fault: String) {
+        self.fault.get_or_insert(fault);
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Start(plan) => self.start(plan),
+            Action::Stop { job, .. } => match self.jobs.get_mut(&job) {
+                Some(live) if live.plan.is_some() => live.stopping = true,
+                _ => self.fail(format!("stop of {job}, which does not run")),
+            },
+            Action::Refuse { job, .. } => match self.jobs.remove(&job) {
+                Some(live) if live.ran == 0 && live.plan.is_none() => {}
+                _ => self.fail(format!("refusal of {job}, which ran")),
+            },
+            Action::Cancelled { job } | Action::Fail { job, .. } => self.drop_job(&job),
+            Action::Release { job, .. } => self.drop_job(&job),
+            Action::Covered { .. }
+            | Action::Isolate(_)
+            | Action::Probe(_)
+            | Action::Restore(_)
+            | Action::Short { .. } => {}
+        }
+    }
+
+    fn drop_job(&mut self, job: &JobId) {
+        match self.jobs.remove(job) {
+            Some(live) if live.plan.is_none() => {}
+            _ => self.fail(format!("end of {job}, which runs or is not known")),
+        }
+    }
+
+    fn start(&mut self, plan: GangPlan) {
+        if let Some(fault) = self.start_fault(&plan) {
+            self.fail(fault);
+            return;
+        }
+        let now = self.now;
+        if let Some(live) = self.jobs.get_mut(&plan.job) {
+            live.attempt = plan.attempt;
+            live.plan = Some(plan);
+            live.since = now;
+            live.running = false;
+            live.stopping = false;
+        }
+    }
+
+    /// What is wrong with a start, seen from outside the planner.
+    fn start_fault(&self, plan: &GangPlan) -> Option<String> {
+        let job = &plan.job;
+        let live = match self.jobs.get(job) {
+            Some(live) if live.plan.is_none() => live,
+            _ => return Some(format!("start of {job}, which runs or is not known")),
+        };
+        if plan.attempt < live.attempt {
+            return Some(format!("attempt of {job} repeated"));
+        }
+        if live.ran > 0 && !live.spec.is_stoppable() {
+            return Some(format!("{job} started twice"));
+        }
+        if !self.permit {
+            return Some(format!("{job} started without permission"));
+        }
+        for place in &plan.places {
+            let up = self
+                .workers
+                .iter()
+                .find(|(w, up)| *up && w.id == place.worker);
+            if up.is_none_or(|(w, _)| self.out.contains(&w.domain)) {
+                return Some(format!("{job} started out of service"));
+            }
+            let mut taken = self.jobs.values().filter_map(|l| l.plan.as_ref());
+            let hits = |p: &base::TaskPlace| {
+                p.worker == place.worker
+                    && p.first < place.first + place.count.0
+                    && place.first < p.first + p.count.0
+            };
+            if taken.any(|p| p.places.iter().any(hits)) {
+                return Some(format!("{job} started on taken accelerators"));
+            }
+        }
+        None
+    }
+
+    /// Whether every idle organisation can claim all its guarantees that are not short.
+    pub fn claim_all(&mut self) {
+        if !self.permit {
+            return;
+        }
+        let mut planner = self.planner.clone();
+        let status = planner.status();
+        let short: Vec<usize> = status.shortfalls.iter().map(|s| s.guarantee).collect();
+        let mut wanted = BTreeSet::new();
+        let mut actions = Vec::new();
+        for (i, guarantee) in self.policy.guarantees.iter().enumerate() {
+            let org = status.orgs.get(&guarantee.org).copied().unwrap_or_default();
+            if short.contains(&i) || org.queued + org.active > 0 {
+                continue;
+            }
+            for n in 0..guarantee.count {
+                let id: JobId = format!("claim-{i}-{n}").parse().unwrap();
+                wanted.insert(id.clone());
+                let mut spec = self.spec(id, guarantee.shape, 0);
+                spec.org = guarantee.org.clone();
+                spec.domain = Some(guarantee.domain.clone());
+                actions.extend(planner.step(self.now, submit(spec, self.now)));
+            }
+        }
+        self.drain(&mut planner, actions, &mut wanted);
+        if !wanted.is_empty() {
+            self.fail(format!("guarantee not met: {wanted:?}"));
+        }
+    }
+
+    /// Ends every job that is told to stop, until nothing more happens.
+    fn drain(&self, planner: &mut Planner, first: Vec<Action>, wanted: &mut BTreeSet<JobId>) {
+        let mut todo = first;
+        for (id, _) in self.jobs.iter().filter(|(_, l)| l.stopping) {
+            let how = Ended::Unknown;
+            let job = id.clone();
+            todo.extend(planner.step(self.now, Input::Ended { job, how }));
+        }
+        while let Some(action) = todo.pop() {
+            match action {
+                Action::Start(plan) => {
+                    wanted.remove(&plan.job);
+                }
+                Action::Stop { job, .. } => {
+                    let saved = Millis::ZERO;
+                    let how = Ended::Stopped { saved };
+                    todo.extend(planner.step(self.now, Input::Ended { job, how }));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn spec(&self, id: JobId, shape: Shape, flags: u32) -> JobSpec {
+        let domain = match flags >> 4 & 7 {
+            0 => Some("d0".parse().unwrap()),
+            1 => Some("d1".parse().unwrap()),
+            _ => None,
+        };
+        JobSpec {
+            id,
+            org: ORGS[flags as usize % ORGS.len()].parse().unwrap(),
+            kind: "k".parse().unwrap(),
+            shape,
+            length: Millis::from_secs(u64::from(1 + (flags >> 8) % 900)),
+            domain,
+            urgent: flags >> 2 & 7 == 0,
+            idempotent: flags >> 7 & 3 != 0,
+            checkpoint: flags >> 6 & 1 == 0,
+            payload: String::new(),
+        }
+    }
+}
+
+pub fn submit(spec: JobSpec, at: Millis) -> Input {
+    Input::Submit {
+        spec,
+        at,
+        attempt: Attempt(1),
+        saved: Millis::ZERO,
+    }
+}
