--- /dev/null
+++ b/crates/member/tests/table.rs
@@ -0,0 +1,48 @@
+//! The table in the documentation is what the function returns.
+
+use member::allowed;
+use member::Activity;
+use member::Decision;
+use member::Peers;
+use member::Platform;
+
+const DOC: &str = include_str!("../../../docs/design/member.md");
+
+fn row(platform: &str, peers: &str) -> Vec<String> {
+    let cells = |line: &str| -> Vec<String> {
+        let parts = line.trim().trim_matches('|').split('|');
+        parts.map(|c| c.trim().to_string()).collect()
+    };
+    let mut rows = DOC.lines().filter(|l| l.starts_with('|')).map(cells);
+    let found = rows.find(|r| r[0] == platform && r[1] == peers).unwrap();
+    found[2..].to_vec()
+}
+
+#[test]
+fn documentation_matches_the_decisions() {
+    let platforms = [
+        (Platform::Up, "up"),
+        (Platform::Slow, "slow"),
+        (Platform::Down, "down"),
+    ];
+    let peers = [
+        (Peers::All, "all"),
+        (Peers::Some, "some"),
+        (Peers::None, "none"),
+    ];
+    for (platform, platform_text) in platforms {
+        for (reach, reach_text) in peers {
+            let decide = |a| allowed(platform, reach, a, false).to_string();
+            let decided: Vec<String> = Activity::ALL.into_iter().map(decide).collect();
+            assert_eq!(decided, row(platform_text, reach_text));
+        }
+    }
+}
+
+#[test]
+fn settings_through_daemons_only_allow_starts_while_all_are_heard() {
+    let decide = |peers| allowed(Platform::Down, peers, Activity::NewTasks, true);
+    assert_eq!(decide(Peers::All), Decision::Yes);
+    assert_eq!(decide(Peers::Some), Decision::Proof);
+    assert_eq!(decide(Peers::None), Decision::No);
+}
