Run the whole path as a daemon: requests, gang jobs, settings, claims, membership

Cause: the policies were pure and nothing hosted them; the users' path did not exist. Ruled out: one actor for everything, because each service then knows every other; handles passed by type, because start order and names were asked for. Conclusion: the thin path is whole.

--- /dev/null
+++ b/crates/bronzetack/src/claims.rs
@@ -0,0 +1,357 @@
+//! The service of claims: lets each non-idempotent request be sent at most once.
+
+mod answer;
+mod gate;
+
+use std::collections::BTreeMap;
+
+use actix::Actor;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Message;
+use actix::ResponseActFuture;
+use actix::WrapFuture;
+use base::DomainId;
+use base::Map;
+use base::Millis;
+use base::Set;
+use base::VmId;
+use claim::home;
+use claim::Action;
+use claim::Batch;
+use claim::Claims;
+use claim::Input;
+use claim::Limits;
+use claim::Packet;
+use claim::Verdict;
+use claim::View;
+use claim::ViewNumber;
+use entry::Claimed;
+use entry::Head;
+use entry::Reply;
+use kernel::Kernel;
+use kernel::KernelError;
+use obs::Event;
+use tokio::sync::oneshot;
+
+pub use gate::gate;
+
+use crate::peers::Peers;
+use crate::peers::PEERS;
+use crate::site::Site;
+
+/// Name of the service; its handle is `Addr<Claiming>`.
+pub const CLAIMS: &str = "claims";
+
+/// Period of the time inputs, also the longest time that messages wait to share a packet.
+const TICK: Millis = Millis(20);
+
+/// Time to come back while this daemon does not know the failure domains.
+const RETRY_UNKNOWN: Millis = Millis(500);
+
+/// A claim of a request.
+#[derive(Debug, Message)]
+#[rtype(result = "Claimed")]
+pub struct ClaimCall(pub Head);
+
+/// How a claimed request ended.
+#[derive(Debug, Message)]
+#[rtype(result = "Reply")]
+pub struct Settle {
+    /// The claim.
+    pub token: u64,
+    /// The end.
+    pub reply: Reply,
+}
+
+/// Claims sent by another daemon.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct ClaimNote {
+    /// The sender.
+    pub from: VmId,
+    /// Its messages.
+    pub packet: Packet,
+}
+
+/// Begins the planned stop; answers once nothing depends on this daemon any more.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "()")]
+pub struct HandOver;
+
+/// A newer membership view of a home domain.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetView {
+    /// The home domain.
+    pub domain: DomainId,
+    /// The view.
+    pub view: View,
+}
+
+/// Proof that a view is the newest.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetLease {
+    /// The home domain.
+    pub domain: DomainId,
+    /// The view.
+    pub view: ViewNumber,
+    /// End of the authority that the proof gives.
+    pub until: Millis,
+}
+
+/// A daemon is heard no more.
+#[derive(Clone, Debug, Message)]
+#[rtype(result = "()")]
+pub struct SetDown(pub VmId);
+
+/// Who waits for a token.
+enum Waiter {
+    Claim(oneshot::Sender<Claimed>),
+    Settle(oneshot::Sender<Reply>),
+}
+
+/// The actor of claims.
+pub struct Claiming {
+    site: Site,
+    peers: Peers,
+    limits: Limits,
+    domains: Vec<DomainId>,
+    machines: BTreeMap<DomainId, Claims>,
+    /// The home domain of each token that is not settled.
+    homes: Map<u64, DomainId>,
+    waiters: Map<u64, Waiter>,
+    outbox: BTreeMap<(VmId, DomainId), Vec<claim::Message>>,
+    token: u64,
+    /// Failure domains whose claims do not depend on this daemon any more.
+    drained: Set<DomainId>,
+    draining: Option<oneshot::Sender<()>>,
+}
+
+/// Starts the service.
+pub fn start(kernel: &mut Kernel, site: &Site) -> Result<(), KernelError> {
+    let claiming = Claiming {
+        peers: site.names.find(PEERS)?,
+        limits: Limits::default(),
+        domains: site.node.domains.clone(),
+        machines: BTreeMap::new(),
+        homes: Map::default(),
+        waiters: Map::default(),
+        outbox: BTreeMap::new(),
+        token: 0,
+        drained: Set::default(),
+        draining: None,
+        site: site.clone(),
+    };
+    kernel.add(CLAIMS, claiming.start(), |_| async {})
+}
+
+impl Claiming {
+    fn machine(&mut self, domain: &DomainId) -> &mut Claims {
+        let (site, limits) = (&self.site, &self.limits);
+        let new = || Claims::new(site.vm.clone(), domain.clone(), limits.clone());
+        self.machines.entry(domain.clone()).or_insert_with(new)
+    }
+
+    fn step(&mut self, domain: &DomainId, input: Input) {
+        let now = self.site.clock.now();
+        let actions = self.machine(domain).step(now, input);
+        for action in actions {
+            self.act(domain, action);
+        }
+    }
+
+    fn act(&mut self, domain: &DomainId, action: Action) {
+        match action {
+            Action::Dispatch { token, fence, .. } => {
+                let fence = fence.0;
+                self.claimed(token, Claimed::Send { fence, token });
+            }
+            Action::Drained => {
+                self.drained.insert(domain.clone());
+                self.check_drained();
+            }
+            Action::Reply { token, verdict } => self.replied(token, verdict),
+            Action::Send { to, msg } => {
+                let key = (to, domain.clone());
+                self.outbox.entry(key).or_default().push(msg);
+            }
+        }
+    }
+
+    fn claimed(&mut self, token: u64, claimed: Claimed) {
+        if let Some(Waiter::Claim(tx)) = self.waiters.remove(&token) {
+            let _ = tx.send(claimed);
+        }
+    }
+
+    fn replied(&mut self, token: u64, verdict: Verdict) {
+        self.homes.remove(&token);
+        let reply = answer::reply(verdict);
+        match self.waiters.remove(&token) {
+            Some(Waiter::Claim(tx)) => drop(tx.send(Claimed::Answer(reply))),
+            Some(Waiter::Settle(tx)) => drop(tx.send(reply)),
+            None => {}
+        }
+    }
+
+    /// Sends the messages of this step, those to one daemon together.
+    fn flush(&mut self) {
+        for ((to, domain), messages) in std::mem::take(&mut self.outbox) {
+            let packet = Packet::from(Batch { domain, messages });
+            self.peers.send_claims(&to, packet);
+        }
+    }
+
+    fn check_drained(&mut self) {
+        let done = self.machines.keys().all(|d| self.drained.contains(d));
+        if done {
+            if let Some(tx) = self.draining.take() {
+                let _ = tx.send(());
+            }
+        }
+    }
+
+    fn step_all(&mut self, input: impl Fn() -> Input) {
+        let domains: Vec<DomainId> = self.machines.keys().cloned().collect();
+        for domain in &domains {
+            self.step(domain, input());
+        }
+        self.flush();
+    }
+}
+
+impl Actor for Claiming {
+    type Context = Context<Claiming>;
+
+    fn started(&mut self, ctx: &mut Context<Claiming>) {
+        ctx.run_interval(TICK.duration(), |claiming, _| {
+            claiming.step_all(|| Input::Tick)
+        });
+    }
+}
+
+impl Handler<SetView> for Claiming {
+    type Result = ();
+
+    fn handle(&mut self, msg: SetView, _: &mut Context<Claiming>) {
+        let text = format!("{} view {}", msg.domain, msg.view.number);
+        obs::emit(&self.site.log, Event::ViewInstalled, &text);
+        self.step(&msg.domain, Input::View(msg.view));
+        self.flush();
+    }
+}
+
+impl Handler<SetLease> for Claiming {
+    type Result = ();
+
+    fn handle(&mut self, msg: SetLease, _: &mut Context<Claiming>) {
+        let (view, until) = (msg.view, msg.until);
+        self.step(&msg.domain, Input::Lease { view, until });
+        self.flush();
+    }
+}
+
+impl Handler<SetDown> for Claiming {
+    type Result = ();
+
+    fn handle(&mut self, msg: SetDown, _: &mut Context<Claiming>) {
+        self.step_all(|| Input::PeerDown(msg.0.clone()));
+    }
+}
+
+impl Handler<ClaimCall> for Claiming {
+    type Result = ResponseActFuture<Claiming, Claimed>;
+
+    fn handle(&mut self, msg: ClaimCall, _: &mut Context<Claiming>) -> Self::Result {
+        let head = msg.0;
+        let Some(domain) = home(&head.id, &self.domains).cloned() else {
+            return Box::pin(async { Claimed::Answer(no_home()) }.into_actor(self));
+        };
+        self.token += 1;
+        let token = self.token;
+        let (tx, rx) = oneshot::channel();
+        self.waiters.insert(token, Waiter::Claim(tx));
+        self.homes.insert(token, domain.clone());
+        let input = Input::Request {
+            id: head.id,
+            attempt: head.attempt,
+            token,
+            deadline: self.site.clock.now() + head.left,
+        };
+        self.step(&domain, input);
+        self.flush();
+        Box::pin(async { rx.await.unwrap_or(Claimed::Answer(no_home())) }.into_actor(self))
+    }
+}
+
+fn no_home() -> Reply {
+    Reply::Unknown {
+        why: "this daemon does not know the failure domains yet".to_string(),
+        retry: RETRY_UNKNOWN,
+    }
+}
+
+impl Handler<Settle> for Claiming {
+    type Result = ResponseActFuture<Claiming, Reply>;
+
+    fn handle(&mut self, msg: Settle, _: &mut Context<Claiming>) -> Self::Result {
+        let Settle { token, reply } = msg;
+        let Some(domain) = self.homes.get(&token).cloned() else {
+            return Box::pin(async { reply }.into_actor(self));
+        };
+        if let Some(answer) = answer::answer(&reply) {
+            self.homes.remove(&token);
+            self.step(&domain, Input::Answered { token, answer });
+            self.flush();
+            return Box::pin(async { reply }.into_actor(self));
+        }
+        let (tx, rx) = oneshot::channel();
+        self.waiters.insert(token, Waiter::Settle(tx));
+        let outcome = reply.outcome();
+        self.step(&domain, Input::Failed { token, outcome });
+        self.flush();
+        let told = async move {
+            let verdict = rx.await;
+            verdict.map_or_else(
+                |_| answer::doubtful(&reply),
+                |v| answer::with_why(v, &reply),
+            )
+        };
+        Box::pin(told.into_actor(self))
+    }
+}
+
+impl Handler<ClaimNote> for Claiming {
+    type Result = ();
+
+    fn handle(&mut self, msg: ClaimNote, _: &mut Context<Claiming>) {
+        let batch = match Batch::try_from(msg.packet) {
+            Ok(batch) => batch,
+            Err(error) => {
+                let text = format!("{}: {error}", msg.from);
+                return obs::emit(&self.site.log, Event::InputRefused, &text);
+            }
+        };
+        for message in batch.messages {
+            let from = msg.from.clone();
+            let input = Input::Peer { from, msg: message };
+            self.step(&batch.domain, input);
+        }
+        self.flush();
+    }
+}
+
+impl Handler<HandOver> for Claiming {
+    type Result = ResponseActFuture<Claiming, ()>;
+
+    fn handle(&mut self, _: HandOver, _: &mut Context<Claiming>) -> Self::Result {
+        let (tx, rx) = oneshot::channel();
+        self.draining = Some(tx);
+        self.step_all(|| Input::Stop);
+        self.check_drained();
+        Box::pin(async { drop(rx.await) }.into_actor(self))
+    }
+}
--- /dev/null
+++ b/crates/bronzetack/src/cmd.rs
@@ -0,0 +1,57 @@
+//! The commands, a file each.
+
+pub mod check;
+pub mod serve;
+pub mod version;
+
+use std::ffi::OsString;
+use std::fs;
+use std::io;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use conf::node;
+use conf::node::Node;
+
+use crate::error::CliError;
+
+/// Prints a text.
+pub fn say(text: &str) -> Result<(), CliError> {
+    io::stdout().write_all(text.as_bytes())?;
+    Ok(())
+}
+
+/// Whether help is asked for.
+fn wants_help(args: &[OsString]) -> bool {
+    args.iter().any(|arg| arg == "-h" || arg == "--help")
+}
+
+/// Reads and checks a settings file.
+fn load(path: &Path) -> Result<Node, CliError> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|e| CliError::Read(name.clone(), e))?;
+    Ok(node::load(&text, &name)?)
+}
+
+/// The settings file that the arguments name.
+struct SettingsArg {
+    settings: PathBuf,
+}
+
+impl SettingsArg {
+    fn parse(args: Vec<OsString>) -> Result<SettingsArg, CliError> {
+        let flags = Flags::from_vec(args)?;
+        Ok(SettingsArg {
+            settings: flags.settings,
+        })
+    }
+}
+
+xflags::xflags! {
+    /// A command that reads a settings file.
+    cmd flags {
+        /// The settings file.
+        required --settings settings: PathBuf
+    }
+}
--- /dev/null
+++ b/crates/bronzetack/src/daemon.rs
@@ -0,0 +1,276 @@
+//! A running daemon: services started in order, closed in reverse.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix::Addr;
+use actix_web::web::ServiceConfig;
+use base::Clock;
+use base::IdError;
+use base::Millis;
+use base::VmId;
+use conf::node::Node;
+use entry::callers_routes;
+use entry::jobs_routes;
+use entry::operators_routes;
+use entry::Drain;
+use entry::JobsPort;
+use entry::OperatorsPort;
+use entry::Ready;
+use entry::Requests;
+use entry::Server;
+use kernel::CloseReport;
+use kernel::Kernel;
+use kernel::KernelError;
+use obs::Event;
+use obs::Metrics;
+use quick_error::quick_error;
+use slog::Logger;
+
+use crate::claims;
+use crate::claims::Claiming;
+use crate::claims::HandOver;
+use crate::jobs;
+use crate::jobs::Jobs;
+use crate::members;
+use crate::members::Leave;
+use crate::members::Membership;
+use crate::peers;
+use crate::requests;
+use crate::settings;
+use crate::settings::Settings;
+use crate::site::Site;
+use crate::status;
+use crate::status::StatusActor;
+use crate::store;
+use crate::vms;
+
+quick_error! {
+    /// Why a daemon could not start.
+    #[derive(Debug)]
+    pub enum DaemonError {
+        /// The generated VM id is malformed.
+        Id(error: IdError) {
+            from()
+            display("{error}")
+        }
+        /// A service is missing or its name is taken.
+        Kernel(error: KernelError) {
+            from()
+            display("{error}")
+        }
+        /// A port could not be bound.
+        Port(name: &'static str, address: SocketAddr, error: io::Error) {
+            display("addresses.{name}: cannot listen on {address}: {error}; free it or choose another")
+        }
+    }
+}
+
+/// Where a daemon listens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Ports {
+    /// Requests and jobs of callers.
+    pub callers: SocketAddr,
+    /// Operators, metrics and health.
+    pub operators: SocketAddr,
+    /// Links of other daemons.
+    pub peers: SocketAddr,
+}
+
+/// A running daemon. It lives on the arbiter that started it.
+pub struct Daemon {
+    site: Site,
+    kernel: Kernel,
+    ports: Ports,
+}
+
+impl Daemon {
+    /// Starts all services. Fails as a whole if one cannot start.
+    pub async fn start(node: Node, log: Logger) -> Result<Daemon, DaemonError> {
+        let site = site(node, log)?;
+        let mut kernel = Kernel::new(site.log.clone());
+        let site = Site {
+            names: kernel.names(),
+            ..site
+        };
+        match start_all(&mut kernel, &site) {
+            Ok(ports) => {
+                obs::emit(&site.log, Event::DaemonStarted, site.vm.as_str());
+                Ok(Daemon {
+                    site,
+                    kernel,
+                    ports,
+                })
+            }
+            Err(error) => {
+                obs::emit(&site.log, Event::ServiceFailed, &error.to_string());
+                kernel.close(site.node.stop.bound).await;
+                Err(error)
+            }
+        }
+    }
+
+    /// Where it listens.
+    pub fn ports(&self) -> Ports {
+        self.ports
+    }
+
+    /// This start of the daemon.
+    pub fn vm(&self) -> &VmId {
+        &self.site.vm
+    }
+
+    /// Stops as planned: readiness goes first, then requests in progress finish, then the
+    /// services close, last one first. Cut short after the bound of the settings.
+    pub async fn close(self) -> CloseReport {
+        obs::emit(&self.site.log, Event::DaemonStopping, self.site.vm.as_str());
+        self.site.ready.set(false);
+        let bound = self.site.node.stop.bound;
+        let drained = actix_rt::time::timeout(bound.duration(), drain(&self.site)).await;
+        if drained.is_err() {
+            obs::emit(
+                &self.site.log,
+                Event::StopForced,
+                "requests are in progress",
+            );
+        }
+        let report = self.kernel.close(CLOSE_BOUND).await;
+        for name in &report.late {
+            obs::emit(&self.site.log, Event::StopForced, name);
+        }
+        obs::emit(&self.site.log, Event::DaemonStopped, self.site.vm.as_str());
+        report
+    }
+}
+
+/// Time for one service to close.
+const CLOSE_BOUND: Millis = Millis(3_000);
+
+/// Time in which the balancer notices that the daemon wants no new connections.
+const NOTICE: Millis = Millis(500);
+
+/// Pause between two looks at the requests in progress.
+const DRAIN_POLL: Millis = Millis(20);
+
+/// Waits until the balancer has noticed and no request is in progress.
+async fn drain(site: &Site) {
+    let Ok(requests) = site.names.find::<Addr<Requests>>(requests::REQUESTS) else {
+        return;
+    };
+    actix_rt::time::sleep(NOTICE.duration()).await;
+    while requests.send(Drain).await.is_ok_and(|open| open > 0) {
+        actix_rt::time::sleep(DRAIN_POLL.duration()).await;
+    }
+    if let Ok(members) = site.names.find::<Addr<Membership>>(members::MEMBERS) {
+        members.do_send(Leave);
+    }
+    if let Ok(claims) = site.names.find::<Addr<Claiming>>(claims::CLAIMS) {
+        let _ = claims.send(HandOver).await;
+    }
+}
+
+fn site(node: Node, log: Logger) -> Result<Site, DaemonError> {
+    let clock = Clock::System;
+    let host = match &node.vm {
+        Some(vm) => vm.clone(),
+        None => uuid::Uuid::new_v4().to_string().parse()?,
+    };
+    let vm = peers::start_of(&host, clock.now())?;
+    let log = log.new(slog::o!("vm" => vm.to_string(), "domain" => node.domain.to_string()));
+    Ok(Site {
+        node: Rc::new(node),
+        vm,
+        log,
+        metrics: Metrics::new(),
+        clock,
+        names: kernel::Names::default(),
+        ready: Ready::default(),
+    })
+}
+
+fn start_all(kernel: &mut Kernel, site: &Site) -> Result<Ports, DaemonError> {
+    store::start(kernel, site)?;
+    vms::start(kernel, site)?;
+    let peers = peers::start(kernel, site)?;
+    requests::start(kernel, site, claims::gate(site.names.clone()))?;
+    jobs::start(kernel, site)?;
+    settings::start(kernel, site)?;
+    claims::start(kernel, site)?;
+    members::start(kernel, site)?;
+    status::start(kernel, site)?;
+    let operators = start_operators(kernel, site)?;
+    let callers = start_callers(kernel, site)?;
+    Ok(Ports {
+        callers,
+        operators,
+        peers,
+    })
+}
+
+fn jobs_port(site: &Site) -> Result<JobsPort, KernelError> {
+    let jobs: Addr<Jobs> = site.names.find(jobs::JOBS)?;
+    Ok(JobsPort {
+        submit: jobs.clone().recipient(),
+        get: jobs.clone().recipient(),
+        list: jobs.clone().recipient(),
+        cancel: jobs.recipient(),
+    })
+}
+
+fn start_callers(kernel: &mut Kernel, site: &Site) -> Result<SocketAddr, DaemonError> {
+    let requests: Addr<Requests> = site.names.find(requests::REQUESTS)?;
+    let requests = requests.recipient();
+    let ready = site.ready.clone();
+    let body = site.node.limits.body.0 as usize;
+    let jobs = jobs_port(site)?;
+    let routes = move |app: &mut ServiceConfig| {
+        jobs_routes(app, jobs.clone());
+        callers_routes(app, requests.clone(), ready.clone(), body);
+    };
+    listen(kernel, site, "callers", site.node.addresses.callers, routes)
+}
+
+fn start_operators(kernel: &mut Kernel, site: &Site) -> Result<SocketAddr, DaemonError> {
+    let settings: Addr<Settings> = site.names.find(settings::SETTINGS)?;
+    let status: Addr<StatusActor> = site.names.find(status::STATUS)?;
+    let port = OperatorsPort {
+        jobs: jobs_port(site)?,
+        settings: settings.clone().recipient(),
+        explain: settings.clone().recipient(),
+        history: settings.clone().recipient(),
+        change: settings.clone().recipient(),
+        domain: settings.clone().recipient(),
+        orgs: settings.clone().recipient(),
+        shapes: settings.recipient(),
+        workers: status.clone().recipient(),
+        status: status.recipient(),
+        metrics: site.metrics.clone(),
+        ready: site.ready.clone(),
+    };
+    let routes = move |app: &mut ServiceConfig| operators_routes(app, port.clone());
+    listen(
+        kernel,
+        site,
+        "operators",
+        site.node.addresses.operators,
+        routes,
+    )
+}
+
+fn listen<F>(
+    kernel: &mut Kernel,
+    site: &Site,
+    name: &'static str,
+    address: SocketAddr,
+    routes: F,
+) -> Result<SocketAddr, DaemonError>
+where
+    F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+{
+    let server = Server::start(address, site.node.stop.bound, routes);
+    let server = server.map_err(|e| DaemonError::Port(name, address, e))?;
+    let bound = server.address();
+    kernel.add(name, (), move |()| server.close())?;
+    Ok(bound)
+}
--- /dev/null
+++ b/crates/bronzetack/src/jobs/submit.rs
@@ -0,0 +1,72 @@
+//! Acceptance of jobs: an accepted job is durable in the platform.
+
+use base::JobSpec;
+use conf::api::JobInfo;
+use entry::ops::Answered;
+use entry::ops::Refused;
+use entry::ops::Submitted;
+use plat::Expect;
+use plat::Put;
+use plat::Store;
+use plat::StoreError;
+use sched::JobRecord;
+
+use super::info::info;
+use super::records::decode;
+use super::records::encode;
+use crate::keys;
+
+/// Creates the record of a job, or finds the one that was created under the same id.
+pub async fn create(
+    store: Store,
+    record: JobRecord,
+) -> Answered<(Submitted, Option<base::Revision>)> {
+    let key = keys::job(&record.spec.id);
+    let put = store.put_resolved(&key, Expect::Absent, encode(&record), None);
+    match put.await {
+        Ok(Put::Done(revision)) => Ok((created(&record), Some(revision))),
+        Ok(Put::Conflict(Some(entry))) => match decode(&entry.value) {
+            Some(known) => known_job(&record.spec, &known).map(|job| (job, None)),
+            None => Err(Refused::not_run(
+                409,
+                "the job's record is of a newer version",
+            )),
+        },
+        Ok(Put::Conflict(None)) => {
+            let why = "the job was created and removed meanwhile; submit it again";
+            Err(Refused::not_run(503, why))
+        }
+        Err(error) => Err(refused(&error)),
+    }
+}
+
+fn created(record: &JobRecord) -> Submitted {
+    Submitted {
+        info: info(record),
+        created: true,
+    }
+}
+
+/// A resubmission finds its job; another job under the same id is refused.
+fn known_job(spec: &JobSpec, known: &JobRecord) -> Answered<Submitted> {
+    if known.spec != *spec {
+        let why = format!("job {} was submitted with other contents", spec.id);
+        return Err(Refused::not_run(409, why));
+    }
+    let info: JobInfo = info(known);
+    Ok(Submitted {
+        info,
+        created: false,
+    })
+}
+
+/// The answer to a call whose write failed.
+pub fn refused(error: &StoreError) -> Refused {
+    let refused = match error {
+        StoreError::Lost(..) => Refused::unknown(error.to_string()),
+        StoreError::NotSent(..) | StoreError::Refused(..) => {
+            Refused::not_run(503, error.to_string())
+        }
+    };
+    refused.after(error.after())
+}
--- a/crates/bronzetack/src/lib.rs
+++ b/crates/bronzetack/src/lib.rs
@@ -1,1 +1,19 @@
-//! The bronzetack daemon.
+//! The bronzetack daemon: its services and how they are put together.
+
+pub mod claims;
+pub mod daemon;
+pub mod jobs;
+pub mod members;
+pub mod peers;
+pub mod settings;
+pub mod status;
+
+mod keys;
+mod requests;
+mod site;
+mod store;
+mod vms;
+
+pub use daemon::Daemon;
+pub use daemon::DaemonError;
+pub use daemon::Ports;
--- a/crates/bronzetack/src/main.rs
+++ b/crates/bronzetack/src/main.rs
@@ -1,3 +1,47 @@
-//! The `bronzetack` daemon.
+//! The `bronzetack` daemon: lists the commands and dispatches.
 
-fn main() {}
+mod cmd;
+mod error;
+
+use std::process::ExitCode;
+
+use crate::error::CliError;
+
+const USAGE: &str = "\
+bronzetack schedules multi-accelerator jobs and carries requests under guarantees.
+
+Usage:
+    bronzetack <command> [<args>...]
+    bronzetack [options]
+
+Options:
+    -h, --help    Show this message.
+
+Commands:
+    check      Check a settings file and report all findings
+    serve      Run the daemon
+    version    Show the version
+";
+
+fn main() -> ExitCode {
+    let mut args: Vec<_> = std::env::args_os().skip(1).collect();
+    if args.is_empty() {
+        eprint!("{USAGE}");
+        return ExitCode::from(error::USAGE);
+    }
+    let command = args.remove(0);
+    let result = match command.to_string_lossy().as_ref() {
+        "check" => cmd::check::run(args),
+        "serve" => cmd::serve::run(args),
+        "version" => cmd::version::run(args),
+        "-h" | "--help" | "help" => cmd::say(USAGE),
+        other => Err(CliError::Command(other.to_string())),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bronzetack: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/bronzetack/src/requests.rs
@@ -0,0 +1,72 @@
+//! The service that carries requests: its upstreams come from the list of VMs.
+
+use actix::Actor;
+use actix::Addr;
+use entry::Gate;
+use entry::Requests;
+use entry::RequestsConfig;
+use entry::SetUpstreams;
+use entry::Target;
+use kernel::Kernel;
+use kernel::KernelError;
+use plat::VmList;
+use plat::WorkerVm;
+use route::Config;
+use route::Standing;
+use route::Upstream;
+
+use crate::site::Site;
+use crate::vms::is_leaving;
+use crate::vms::VmFeed;
+use crate::vms::VMS;
+
+/// Name of the service; its handle is `Addr<Requests>`.
+pub const REQUESTS: &str = "requests";
+
+/// Starts the service.
+pub fn start(kernel: &mut Kernel, site: &Site, gate: Gate) -> Result<(), KernelError> {
+    let addr = Requests::new(RequestsConfig {
+        route: Config::new(site.domain().clone()),
+        body: site.node.limits.body.0 as usize,
+        requests: site.node.limits.requests as usize,
+        clock: site.clock.clone(),
+        log: site.log.clone(),
+        metrics: site.metrics.clone(),
+        gate,
+        rng: site.rng(REQUESTS),
+    })
+    .start();
+    let feed: VmFeed = site.names.find(VMS)?;
+    let slots = site.node.service.slots;
+    let task = actix_rt::spawn(follow(feed, addr.clone(), slots));
+    kernel.add(REQUESTS, addr, move |_| async move { task.abort() })
+}
+
+async fn follow(mut feed: VmFeed, addr: Addr<Requests>, slots: u32) {
+    while let Some(list) = feed.next().await {
+        addr.do_send(SetUpstreams(targets(&list, slots)));
+    }
+}
+
+fn targets(list: &VmList, slots: u32) -> Vec<Target> {
+    let targets = list.workers.iter().filter_map(|vm| target(vm, slots));
+    targets.collect()
+}
+
+fn target(vm: &WorkerVm, slots: u32) -> Option<Target> {
+    let standing = match is_leaving(vm) {
+        true => Standing::Leaving,
+        false => Standing::Live,
+    };
+    let upstream = Upstream {
+        id: vm.id.clone(),
+        domain: vm.domain.clone(),
+        service: vm.service.clone()?,
+        slots: if vm.slots > 0 { vm.slots } else { slots },
+        standing,
+    };
+    Some(Target {
+        upstream,
+        address: vm.addr,
+    })
+}
--- /dev/null
+++ b/crates/bronzetack/src/status.rs
@@ -0,0 +1,300 @@
+//! The service that gathers what operators see of the site, and decides on readiness.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use actix::Actor;
+use actix::ActorFutureExt;
+use actix::Addr;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::ResponseActFuture;
+use actix::WrapFuture;
+use base::Accels;
+use base::DomainId;
+use base::Millis;
+use base::WorkerId;
+use conf::api::Coordinator;
+use conf::api::DomainStatus;
+use conf::api::PeerStatus;
+use conf::api::PlatformState;
+use conf::api::ShapeInfo;
+use conf::api::Status;
+use conf::api::WorkerInfo;
+use conf::api::WorkersReply;
+use entry::ops::Answered;
+use entry::ops::ReadStatus;
+use entry::ops::ReadWorkers;
+use entry::ops::Refused;
+use entry::Requests;
+use entry::UpstreamsStatus;
+use kernel::Kernel;
+use kernel::KernelError;
+use obs::Event;
+use plat::HealthState;
+use plat::Store;
+use plat::VmList;
+use route::UpstreamStatus;
+
+use crate::jobs::Jobs;
+use crate::jobs::JobsState;
+use crate::jobs::ReadJobsState;
+use crate::jobs::JOBS;
+use crate::peers::Peers;
+use crate::peers::PEERS;
+use crate::requests::REQUESTS;
+use crate::settings::ReadSettingsState;
+use crate::settings::Settings;
+use crate::settings::SettingsState;
+use crate::settings::SETTINGS;
+use crate::site::Site;
+use crate::store::STORE;
+use crate::vms::is_leaving;
+use crate::vms::VmFeed;
+use crate::vms::VMS;
+
+/// Name of the service; its handle is `Addr<StatusActor>`.
+pub const STATUS: &str = "status";
+
+/// Period at which readiness is decided.
+const PERIOD: Millis = Millis(200);
+
+/// The actor that gathers the state of the site.
+pub struct StatusActor {
+    site: Site,
+    store: Store,
+    feed: VmFeed,
+    peers: Peers,
+    jobs: Addr<Jobs>,
+    settings: Addr<Settings>,
+    requests: Addr<Requests>,
+}
+
+/// Starts the service.
+pub fn start(kernel: &mut Kernel, site: &Site) -> Result<(), KernelError> {
+    let names = &site.names;
+    let status = StatusActor {
+        store: names.find(STORE)?,
+        feed: names.find(VMS)?,
+        peers: names.find(PEERS)?,
+        jobs: names.find(JOBS)?,
+        settings: names.find(SETTINGS)?,
+        requests: names.find(REQUESTS)?,
+        site: site.clone(),
+    };
+    kernel.add(STATUS, status.start(), |_| async {})
+}
+
+/// What the other services told.
+struct Gathered {
+    jobs: JobsState,
+    settings: SettingsState,
+    upstreams: Vec<UpstreamStatus>,
+}
+
+impl StatusActor {
+    async fn gather(
+        jobs: Addr<Jobs>,
+        settings: Addr<Settings>,
+        requests: Addr<Requests>,
+    ) -> Answered<Gathered> {
+        let stopping = |_| Refused::unknown("the daemon is stopping");
+        Ok(Gathered {
+            jobs: jobs.send(ReadJobsState).await.map_err(stopping)?,
+            settings: settings.send(ReadSettingsState).await.map_err(stopping)?,
+            upstreams: requests.send(UpstreamsStatus).await.map_err(stopping)?,
+        })
+    }
+
+    /// Ready once settings are in force and upstreams are known.
+    fn decide(&mut self, ctx: &mut Context<StatusActor>) {
+        let asking = self.settings.send(ReadSettingsState).into_actor(self);
+        let done = asking.map(|state, status, _| {
+            let has_settings = state.is_ok_and(|s| s.ready);
+            let ready = has_settings && !status.feed.list().workers.is_empty();
+            if ready && !status.site.ready.get() {
+                obs::emit(
+                    &status.site.log,
+                    Event::DaemonReady,
+                    status.site.vm.as_str(),
+                );
+            }
+            status.site.ready.set(ready);
+        });
+        ctx.spawn(done);
+    }
+
+    fn status(&self, got: Gathered) -> Status {
+        let vms = self.feed.list();
+        Status {
+            vm: self.site.vm.clone(),
+            domain: self.site.domain().clone(),
+            ready: self.site.ready.get(),
+            alarms: self.alarms(&got),
+            platform: platform(self.store.state()),
+            revision: got.settings.revision,
+            age: got.settings.age,
+            held: got.settings.held,
+            coordinators: self.coordinators(&got),
+            peers: self.peer_list(&vms, &got),
+            domains: domains(&vms, &got),
+            short: short(&got),
+        }
+    }
+
+    fn alarms(&self, got: &Gathered) -> Vec<String> {
+        let mut alarms = got.settings.alarms.clone();
+        if got.jobs.held {
+            alarms.push("starts are held: the settings cannot be proved current".to_string());
+        }
+        if self.store.state() == HealthState::Down {
+            alarms.push("the platform does not answer".to_string());
+        }
+        alarms
+    }
+
+    fn coordinators(&self, got: &Gathered) -> Vec<Coordinator> {
+        let own = got.jobs.epoch.map(|epoch| Coordinator {
+            domain: self.site.domain().clone(),
+            vm: Some(self.site.vm.clone()),
+            epoch,
+        });
+        own.into_iter().collect()
+    }
+
+    fn peer_list(&self, vms: &VmList, got: &Gathered) -> Vec<PeerStatus> {
+        let now = self.site.clock.now();
+        let own = crate::peers::host_of(&self.site.vm);
+        let others = vms.entries.iter().filter(|vm| vm.id != own);
+        let revision = |host: &base::VmId| {
+            let peers = got.settings.peers.iter();
+            let mut of_host = peers.filter(|(vm, ..)| crate::peers::host_of(vm) == *host);
+            of_host.next().map(|(_, rev, _)| *rev).unwrap_or_default()
+        };
+        others
+            .map(|vm| PeerStatus {
+                vm: vm.id.clone(),
+                domain: vm.domain.clone(),
+                heard: self.peers.heard(&vm.id).map(|at| now.since(at)),
+                revision: revision(&vm.id),
+            })
+            .collect()
+    }
+
+    fn workers(&self, domain: Option<&DomainId>, got: &Gathered) -> WorkersReply {
+        let vms = self.feed.list();
+        let wanted = vms
+            .workers
+            .iter()
+            .filter(|vm| domain.is_none_or(|d| *d == vm.domain));
+        let isolated: BTreeSet<&WorkerId> = match &got.jobs.planner {
+            Some(planner) => planner.isolated.iter().collect(),
+            None => BTreeSet::new(),
+        };
+        let upstreams: BTreeMap<&WorkerId, &UpstreamStatus> =
+            got.upstreams.iter().map(|u| (&u.id, u)).collect();
+        let info = |vm: &plat::WorkerVm| WorkerInfo {
+            worker: vm.id.clone(),
+            domain: vm.domain.clone(),
+            rack: vm.rack.clone(),
+            accels: vm.accels,
+            free: vm.accels - got.jobs.used.get(&vm.id).copied().unwrap_or_default(),
+            live: true,
+            leaving: is_leaving(vm),
+            isolated: isolated.contains(&vm.id),
+            requests: upstreams.get(&vm.id).map_or(0, |u| u.busy),
+        };
+        let mut workers: Vec<WorkerInfo> = wanted.map(info).collect();
+        workers
+            .sort_by(|a, b| (&a.domain, &a.rack, &a.worker).cmp(&(&b.domain, &b.rack, &b.worker)));
+        WorkersReply { workers }
+    }
+}
+
+fn platform(state: HealthState) -> PlatformState {
+    match state {
+        HealthState::Down => PlatformState::Down,
+        HealthState::Slow => PlatformState::Slow,
+        _ => PlatformState::Up,
+    }
+}
+
+fn domains(vms: &VmList, got: &Gathered) -> Vec<DomainStatus> {
+    let mut domains: BTreeMap<DomainId, DomainStatus> = BTreeMap::new();
+    for vm in &vms.workers {
+        let new = || DomainStatus {
+            domain: vm.domain.clone(),
+            out: got.settings.out.contains(&vm.domain),
+            workers: 0,
+            accels: Accels(0),
+            free: Accels(0),
+            running: 0,
+            queued: 0,
+        };
+        let status = domains.entry(vm.domain.clone()).or_insert_with(new);
+        status.workers += 1;
+        status.accels += vm.accels;
+        status.free += vm.accels - got.jobs.used.get(&vm.id).copied().unwrap_or_default();
+    }
+    for (domain, running, queued) in &got.jobs.counts {
+        if let Some(status) = domains.get_mut(domain) {
+            status.running = *running;
+            status.queued = *queued;
+        }
+    }
+    domains.into_values().collect()
+}
+
+fn short(got: &Gathered) -> Vec<ShapeInfo> {
+    let Some(planner) = &got.jobs.planner else {
+        return Vec::new();
+    };
+    let rows = planner.shortfalls.iter();
+    rows.filter_map(|row| {
+        let guarantee = got.jobs.guarantees.get(row.guarantee)?;
+        Some(ShapeInfo {
+            org: row.org.clone(),
+            domain: row.domain.clone(),
+            shape: guarantee.shape,
+            count: row.missing,
+        })
+    })
+    .collect()
+}
+
+impl Actor for StatusActor {
+    type Context = Context<StatusActor>;
+
+    fn started(&mut self, ctx: &mut Context<StatusActor>) {
+        ctx.run_interval(PERIOD.duration(), |status, ctx| status.decide(ctx));
+    }
+}
+
+impl Handler<ReadStatus> for StatusActor {
+    type Result = ResponseActFuture<StatusActor, Answered<Status>>;
+
+    fn handle(&mut self, _: ReadStatus, _: &mut Context<StatusActor>) -> Self::Result {
+        let gathering = StatusActor::gather(
+            self.jobs.clone(),
+            self.settings.clone(),
+            self.requests.clone(),
+        );
+        let done = gathering.into_actor(self);
+        Box::pin(done.map(|got, status, _| Ok(status.status(got?))))
+    }
+}
+
+impl Handler<ReadWorkers> for StatusActor {
+    type Result = ResponseActFuture<StatusActor, Answered<WorkersReply>>;
+
+    fn handle(&mut self, msg: ReadWorkers, _: &mut Context<StatusActor>) -> Self::Result {
+        let gathering = StatusActor::gather(
+            self.jobs.clone(),
+            self.settings.clone(),
+            self.requests.clone(),
+        );
+        let done = gathering.into_actor(self);
+        Box::pin(done.map(move |got, status, _| Ok(status.workers(msg.0.domain.as_ref(), &got?))))
+    }
+}
--- /dev/null
+++ b/crates/bronzetack/src/store.rs
@@ -0,0 +1,21 @@
+//! The service that holds the client of the platform's key-value service.
+
+use kernel::Kernel;
+use kernel::KernelError;
+use plat::Store;
+use plat::StoreConfig;
+
+use crate::site::Site;
+
+/// Name of the service; its handle is [`Store`].
+pub const STORE: &str = "store";
+
+/// Starts the service.
+pub fn start(kernel: &mut Kernel, site: &Site) -> Result<(), KernelError> {
+    let platform = &site.node.platform;
+    let endpoints = platform.store.iter().map(|e| e.addr()).collect();
+    let mut config = StoreConfig::new(endpoints, site.seed(STORE));
+    config.rate = platform.calls;
+    let store = Store::new(config, site.log.clone(), &site.metrics, site.clock.clone());
+    kernel.add(STORE, store, |store| async move { store.close() })
+}
--- a/crates/conf/src/node/mod.rs
+++ b/crates/conf/src/node/mod.rs
@@ -30,6 +30,9 @@
     pub vm: Option<VmId>,
     /// The failure domain that the VM is in.
     pub domain: DomainId,
+    /// All failure domains of the site in order, in service or not. The same on every
+    /// daemon, because the home of a request id depends on it.
+    pub domains: Vec<DomainId>,
     /// Where it listens.
     pub addresses: Addresses,
     /// How it reaches the platform.
--- a/crates/conf/src/node/wire.rs
+++ b/crates/conf/src/node/wire.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 
 use base::Bytes;
+use base::DomainId;
 use base::Findings;
 use base::Millis;
 use base::Rate;
@@ -28,6 +29,8 @@
 
 /// Default of `platform.calls`, calls a second.
 const CALLS: u64 = 20;
+const DOMAINS_REMEDY: &str = "write the names of all failure domains, such as \"tvm-north\"";
+
 /// Most gateways and seed peers that a file may list.
 const MAX_LIST: usize = 64;
 
@@ -66,6 +69,7 @@
     place: String,
     vm: Option<Spot<String>>,
     domain: Option<Spot<String>>,
+    domains: Vec<Spot<String>>,
     addresses: AddressesWire,
     platform: PlatformWire,
     peers: Vec<Spot<String>>,
@@ -132,6 +136,7 @@
             place: top.place(),
             vm: top.text("vm"),
             domain: top.need("domain", DOMAIN_REMEDY),
+            domains: top.texts("domains"),
             addresses: read!(top, addresses => AddressesWire {
                 callers: need(ADDRESS_REMEDY),
                 operators: need(ADDRESS_REMEDY),
@@ -186,10 +191,30 @@
     }
 }
 
+/// All failure domains in order; the VM's own one is among them.
+fn domains(wire: &NodeWire, own: Option<&DomainId>, check: &mut Check) -> Vec<DomainId> {
+    let mut domains: Vec<DomainId> = check.list("domains", &wire.domains, DOMAINS_REMEDY);
+    domains.sort();
+    domains.dedup();
+    let Some(own) = own else { return domains };
+    if domains.is_empty() {
+        return vec![own.clone()];
+    }
+    if !domains.contains(own) {
+        let place = wire.domains[0].place.as_str();
+        let problem = format!("\"domains\" does not list {own}");
+        check
+            .found
+            .add(place, problem, "list every failure domain of the site");
+    }
+    domains
+}
+
 /// Builds the settings; `None` when a field that must be there is not.
 fn convert(wire: &NodeWire, check: &mut Check) -> Option<Node> {
     let vm = check.parse(&wire.vm, VM_REMEDY);
     let domain = check.parse(&wire.domain, DOMAIN_REMEDY);
+    let domains = domains(wire, domain.as_ref(), check);
     let addresses = addresses(&wire.addresses, check);
     let platform = platform(&wire.platform, check);
     let peers = check.list("peers", &wire.peers, ADDRESS_REMEDY);
@@ -200,6 +225,7 @@
     Some(Node {
         vm,
         domain: domain?,
+        domains,
         addresses: addresses?,
         platform: platform?,
         peers,
--- a/crates/conf/tests/tree.rs
+++ b/crates/conf/tests/tree.rs
@@ -272,13 +272,13 @@
         }
     }
     assert!(refused.unwrap().contains("keep them under"));
-    assert!(Tree::decode(&tree.encode()).is_ok());
+    assert!(Tree::decode(tree.encode().as_bytes()).is_ok());
 }
 
 #[test]
 fn settings_of_a_later_version_are_kept() {
     let tree = tree(vec![set("site", "weight", Value::Number(5))]);
-    let text = String::from_utf8(tree.encode()).unwrap();
+    let text = tree.encode();
     let text = text.replace(
         "\"values\":{\"site\":{",
         "\"values\":{\"rack=r\":{\"x\":[1]},\"site\":{\"new-key\":{\"a\":1},",
@@ -287,16 +287,16 @@
     let next = later
         .apply(&change("n", vec![set("site", "weight", Value::Number(6))]))
         .unwrap();
-    let text = String::from_utf8(next.encode()).unwrap();
+    let text = next.encode();
     assert!(text.contains("\"rack=r\":{\"x\":[1]}") && text.contains("\"new-key\":{\"a\":1}"));
     assert_eq!(next.resolve(Key::Weight, &Place::site()), Value::Number(6));
 }
 
 #[parameterized(
     not_json = { "x", "settings document: " },
-    format = { "{\"format\":2,\"revision\":0,\"orgs\":[],\"values\":{},\"history\":[],\"ops\":[]}", "format: format 2 is not known" },
-    value = { "{\"format\":1,\"revision\":0,\"orgs\":[],\"values\":{\"site\":{\"weight\":0}},\"history\":[],\"ops\":[]}", "site weight: 0 is not allowed" },
-    revision = { "{\"format\":1,\"revision\":4,\"orgs\":[],\"values\":{},\"history\":[],\"ops\":[]}", "ops: the last operation" },
+    format = { "{\"format\":2,\"revision\":0,\"version\":0,\"orgs\":[],\"values\":{},\"history\":[],\"ops\":[]}", "format: format 2 is not known" },
+    value = { "{\"format\":1,\"revision\":0,\"version\":0,\"orgs\":[],\"values\":{\"site\":{\"weight\":0}},\"history\":[],\"ops\":[]}", "site weight: 0 is not allowed" },
+    revision = { "{\"format\":1,\"revision\":4,\"version\":0,\"orgs\":[],\"values\":{},\"history\":[],\"ops\":[]}", "ops: the last operation" },
 )]
 fn a_bad_document_is_refused(text: &str, want: &str) {
     let got = Tree::decode(text.as_bytes()).unwrap_err().to_string();
@@ -354,7 +354,7 @@
                 prop_assert_eq!(next.made_by(&change.op), Some(next.revision()));
                 tree = next;
             }
-            prop_assert_eq!(&Tree::decode(&tree.encode()).unwrap(), &tree);
+            prop_assert_eq!(&Tree::decode(tree.encode().as_bytes()).unwrap(), &tree);
             let at: Place = "org=o1,domain=d1,kind=k".parse().unwrap();
             for key in Key::ALL {
                 let shown = tree.explain(*key, &at);
--- a/crates/entry/src/gate.rs
+++ b/crates/entry/src/gate.rs
@@ -4,8 +4,6 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-use base::RequestId;
-
 use crate::head::Head;
 use crate::msg::Reply;
 
@@ -21,6 +19,8 @@
     Send {
         /// Number of the view, passed to the upstream as a fence.
         fence: u64,
+        /// Names the claim when it is settled.
+        token: u64,
     },
 }
 
@@ -29,8 +29,8 @@
 pub struct Gate {
     /// Claims a request for the one send.
     pub claim: Rc<dyn Fn(Head) -> GateFuture<Claimed>>,
-    /// Records how the claimed request ended.
-    pub settle: Rc<dyn Fn(RequestId, Reply) -> GateFuture<()>>,
+    /// Records how the claimed request ended; answers with what the caller is told.
+    pub settle: Rc<dyn Fn(u64, Reply) -> GateFuture<Reply>>,
 }
 
 impl Gate {
@@ -38,7 +38,7 @@
     pub fn shut() -> Gate {
         Gate {
             claim: Rc::new(|_| Box::pin(async { Claimed::Answer(no_view()) })),
-            settle: Rc::new(|_, _| Box::pin(async {})),
+            settle: Rc::new(|_, reply| Box::pin(async { reply })),
         }
     }
 }
--- a/crates/entry/src/head.rs
+++ b/crates/entry/src/head.rs
@@ -31,8 +31,8 @@
     pub left: Millis,
     /// Whether it may run more than once.
     pub idempotent: bool,
-    /// Whether the caller states that it never sent this id before.
-    pub first: bool,
+    /// The caller's number of this send of the id, from 1; 0 if not stated.
+    pub attempt: u32,
     /// The caller's position in a trace.
     pub trace: Option<TraceParent>,
 }
@@ -67,7 +67,7 @@
             service,
             left,
             idempotent: idempotent.unwrap_or(false),
-            first: attempt == Some(1),
+            attempt: attempt.unwrap_or(0),
             trace,
         })
     }
--- /dev/null
+++ b/crates/entry/src/jobs.rs
@@ -0,0 +1,122 @@
+//! Routes of jobs, the same on the callers' and the operators' port.
+
+use actix::Recipient;
+use actix_web::error::JsonPayloadError;
+use actix_web::error::QueryPayloadError;
+use actix_web::http::StatusCode;
+use actix_web::web;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use base::JobId;
+use base::JobSpec;
+use conf::api::CancelCall;
+use conf::api::JobsQuery;
+
+use crate::answer::ask;
+use crate::answer::flatten;
+use crate::answer::malformed;
+use crate::answer::refuse;
+use crate::ops::CancelJobs;
+use crate::ops::GetJob;
+use crate::ops::ListJobs;
+use crate::ops::SubmitJob;
+
+/// Largest body of a call about jobs, in bytes.
+const MAX_BODY: usize = 1 << 20;
+
+/// The service of jobs.
+#[derive(Clone)]
+pub struct JobsPort {
+    /// Accepts jobs.
+    pub submit: Recipient<SubmitJob>,
+    /// Reads one.
+    pub get: Recipient<GetJob>,
+    /// Lists them.
+    pub list: Recipient<ListJobs>,
+    /// Cancels them.
+    pub cancel: Recipient<CancelJobs>,
+}
+
+/// Adds the routes of jobs.
+pub fn jobs_routes(app: &mut web::ServiceConfig, port: JobsPort) {
+    let json = web::JsonConfig::default()
+        .limit(MAX_BODY)
+        .error_handler(|error, _| bad_json(error));
+    let query = web::QueryConfig::default().error_handler(|error, _| bad_query(error));
+    app.app_data(web::Data::new(port))
+        .app_data(json)
+        .app_data(query)
+        .route("/v1/jobs", web::post().to(submit))
+        .route("/v1/jobs", web::get().to(list))
+        .route("/v1/jobs/cancel", web::post().to(cancel))
+        .route("/v1/jobs/{id:.+}", web::get().to(get))
+        .route("/v1/jobs/{id:.+}", web::delete().to(cancel_one));
+}
+
+/// The answer to a body that is not what the route wants.
+pub(crate) fn bad_json(error: JsonPayloadError) -> actix_web::Error {
+    let answer = match &error {
+        JsonPayloadError::Overflow { .. } | JsonPayloadError::OverflowKnownLength { .. } => {
+            let text = format!("the body is larger than {MAX_BODY} bytes");
+            refuse(crate::ops::Refused::not_run(413, text))
+        }
+        _ => malformed(&error),
+    };
+    actix_web::error::InternalError::from_response(error, answer).into()
+}
+
+/// The answer to a query that is not what the route wants.
+pub(crate) fn bad_query(error: QueryPayloadError) -> actix_web::Error {
+    let answer = malformed(&error);
+    actix_web::error::InternalError::from_response(error, answer).into()
+}
+
+async fn submit(port: web::Data<JobsPort>, spec: web::Json<JobSpec>) -> HttpResponse {
+    match flatten(port.submit.send(SubmitJob(spec.into_inner())).await) {
+        Ok(job) if job.created => HttpResponse::Created().json(job.info),
+        Ok(job) => HttpResponse::Ok().json(job.info),
+        Err(refused) => refuse(refused),
+    }
+}
+
+async fn list(port: web::Data<JobsPort>, query: web::Query<JobsQuery>) -> HttpResponse {
+    ask(&port.list, ListJobs(query.into_inner()), StatusCode::OK).await
+}
+
+async fn cancel(port: web::Data<JobsPort>, call: web::Json<CancelCall>) -> HttpResponse {
+    ask(&port.cancel, CancelJobs(call.into_inner()), StatusCode::OK).await
+}
+
+async fn get(port: web::Data<JobsPort>, path: web::Path<String>) -> HttpResponse {
+    match path.parse::<JobId>() {
+        Ok(id) => ask(&port.get, GetJob(id), StatusCode::OK).await,
+        Err(error) => malformed(error),
+    }
+}
+
+async fn cancel_one(
+    port: web::Data<JobsPort>,
+    path: web::Path<String>,
+    req: HttpRequest,
+) -> HttpResponse {
+    let job = match path.parse::<JobId>() {
+        Ok(id) => id,
+        Err(error) => return malformed(error),
+    };
+    let who = req
+        .headers()
+        .get("bt-operator")
+        .and_then(|w| w.to_str().ok());
+    let op = uuid::Uuid::new_v4().to_string().parse();
+    let who = who.unwrap_or("caller").parse();
+    let (Ok(op), Ok(who)) = (op, who) else {
+        return malformed("bt-operator is not a name");
+    };
+    let call = CancelCall {
+        op,
+        who,
+        jobs: vec![job],
+        org: None,
+    };
+    ask(&port.cancel, CancelJobs(call), StatusCode::OK).await
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,10 +3,15 @@
 //! HTTP is parsed on the server's threads. Decisions are made on one thread by actors,
 //! which the handlers reach through typed messages.
 
+pub mod ops;
+
+mod answer;
 mod callers;
 mod gate;
 mod head;
+mod jobs;
 mod msg;
+mod operators;
 mod ready;
 mod requests;
 mod server;
@@ -16,6 +21,8 @@
 pub use gate::Gate;
 pub use gate::GateFuture;
 pub use head::Head;
+pub use jobs::jobs_routes;
+pub use jobs::JobsPort;
 pub use msg::Drain;
 pub use msg::Reply;
 pub use msg::Serve;
@@ -23,6 +30,8 @@
 pub use msg::SetWeights;
 pub use msg::Target;
 pub use msg::UpstreamsStatus;
+pub use operators::operators_routes;
+pub use operators::OperatorsPort;
 pub use ready::Ready;
 pub use requests::Requests;
 pub use requests::RequestsConfig;
--- a/crates/entry/src/requests/carry.rs
+++ b/crates/entry/src/requests/carry.rs
@@ -95,11 +95,10 @@
         }
         match (self.gate.claim)(trip.head.clone()).await {
             Claimed::Answer(reply) => reply,
-            Claimed::Send { fence } => {
+            Claimed::Send { fence, token } => {
                 trip.fence = Some(fence);
                 let reply = self.run(&mut trip).await;
-                (self.gate.settle)(trip.head.id, reply.clone()).await;
-                reply
+                (self.gate.settle)(token, reply).await
             }
         }
     }
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -61,7 +61,7 @@
 /// A gate that lets every request pass.
 fn open_gate() -> Gate {
     let mut gate = Gate::shut();
-    gate.claim = std::rc::Rc::new(|_| Box::pin(async { Claimed::Send { fence: 1 } }));
+    gate.claim = std::rc::Rc::new(|_| Box::pin(async { Claimed::Send { fence: 1, token: 1 } }));
     gate
 }
 
--- a/crates/plat/src/types.rs
+++ b/crates/plat/src/types.rs
@@ -39,6 +39,8 @@
     pub revision: Revision,
     /// The lease that the key ends with.
     pub lease: Option<LeaseId>,
+    /// How often the key was written since it was created.
+    pub version: u64,
 }
 
 /// All keys below a prefix at one revision.
--- a/crates/plat/src/wire.rs
+++ b/crates/plat/src/wire.rs
@@ -129,6 +129,8 @@
     pub create_revision: Num,
     /// Revision of the last change.
     pub mod_revision: Num,
+    /// How often it was written since its creation.
+    pub version: Num,
     /// The value.
     pub value: String,
     /// The lease.
@@ -154,6 +156,7 @@
             create: kv.create_revision.revision()?,
             revision: kv.mod_revision.revision()?,
             lease: (lease != 0).then_some(LeaseId(lease)),
+            version: kv.version.revision()?.0,
         })
     }
 }
--- a/crates/plat/tests/store.rs
+++ b/crates/plat/tests/store.rs
@@ -28,6 +28,7 @@
             create: Revision(2),
             revision: Revision(2),
             lease: None,
+            version: 1,
         };
         assert_eq!(store.get("a").await, Ok(Some(entry.clone())));
         let again = store.put_if("a", Expect::Absent, text("2"), None).await;
