Be ready only with claims, and end a planned stop that nobody can take over

Cause: daemons said that they were ready before any membership view existed, so that non- idempotent requests were refused; a stop waited for its whole bound when no other daemon could take over the claims, and readiness came back on during it. Ruled out: faster first views (they came within 1.2 s of the first link). Change: readiness waits for claims up to 10 s and stays off once a stop has begun; the hand- over of claims has a bound of its own, 5 s. The stop of a whole site still waits for its bound.

--- a/crates/bronzetack/src/claims.rs
+++ b/crates/bronzetack/src/claims.rs
@@ -107,6 +107,11 @@
 #[rtype(result = "()")]
 pub struct SetDown(pub VmId);
 
+/// Asks whether claims of every home domain can be granted.
+#[derive(Clone, Copy, Debug, Message)]
+#[rtype(result = "bool")]
+pub struct CanClaim;
+
 /// Who waits for a token.
 enum Waiter {
     Claim(oneshot::Sender<Claimed>),
@@ -355,3 +360,18 @@
         Box::pin(async { drop(rx.await) }.into_actor(self))
     }
 }
+
+impl Handler<CanClaim> for Claiming {
+    type Result = bool;
+
+    fn handle(&mut self, _: CanClaim, _: &mut Context<Claiming>) -> bool {
+        let now = self.site.clock.now();
+        let usable = |machine: &Claims| {
+            let view = machine.view();
+            let is_member = view.has(&self.site.vm);
+            view.number.0 > 0 && (!is_member || machine.has_lease(now))
+        };
+        let machines = self.domains.iter().map(|domain| self.machines.get(domain));
+        machines.into_iter().all(|m| m.is_some_and(usable))
+    }
+}
--- a/crates/bronzetack/src/daemon.rs
+++ b/crates/bronzetack/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use actix::Addr;
+use actix_rt::time::timeout;
 use actix_web::web::ServiceConfig;
 use base::Clock;
 use base::IdError;
@@ -125,16 +126,22 @@
     /// services close, last one first. Cut short after the bound of the settings.
     pub async fn close(self) -> CloseReport {
         obs::emit(&self.site.log, Event::DaemonStopping, self.site.vm.as_str());
-        self.site.ready.set(false);
+        self.site.ready.close();
         let bound = self.site.node.stop.bound;
-        let drained = actix_rt::time::timeout(bound.duration(), drain(&self.site)).await;
-        if drained.is_err() {
+        if timeout(bound.duration(), drain(&self.site)).await.is_err() {
             obs::emit(
                 &self.site.log,
                 Event::StopForced,
                 "requests are in progress",
             );
         }
+        if timeout(HAND_OVER.duration(), hand_over(&self.site))
+            .await
+            .is_err()
+        {
+            let text = "no other daemon has taken over the claims";
+            obs::emit(&self.site.log, Event::StopForced, text);
+        }
         let report = self.kernel.close(CLOSE_BOUND).await;
         for name in &report.late {
             obs::emit(&self.site.log, Event::StopForced, name);
@@ -147,6 +154,9 @@
 /// Time for one service to close.
 const CLOSE_BOUND: Millis = Millis(3_000);
 
+/// Longest wait for other daemons to take over the claims.
+const HAND_OVER: Millis = Millis(5_000);
+
 /// Time in which the balancer notices that the daemon wants no new connections.
 const NOTICE: Millis = Millis(500);
 
@@ -162,6 +172,10 @@
     while requests.send(Drain).await.is_ok_and(|open| open > 0) {
         actix_rt::time::sleep(DRAIN_POLL.duration()).await;
     }
+}
+
+/// Leaves the membership and waits until no claim depends on this daemon.
+async fn hand_over(site: &Site) {
     if let Ok(members) = site.names.find::<Addr<Membership>>(members::MEMBERS) {
         members.do_send(Leave);
     }
--- a/crates/bronzetack/src/status.rs
+++ b/crates/bronzetack/src/status.rs
@@ -37,6 +37,9 @@
 use plat::VmList;
 use route::UpstreamStatus;
 
+use crate::claims::CanClaim;
+use crate::claims::Claiming;
+use crate::claims::CLAIMS;
 use crate::jobs::Jobs;
 use crate::jobs::JobsState;
 use crate::jobs::ReadJobsState;
@@ -60,6 +63,9 @@
 /// Period at which readiness is decided.
 const PERIOD: Millis = Millis(200);
 
+/// Longest wait of a started daemon for claims to be granted.
+const CLAIMS_MAX: Millis = Millis(10_000);
+
 /// The actor that gathers the state of the site.
 pub struct StatusActor {
     site: Site,
@@ -69,6 +75,8 @@
     jobs: Addr<Jobs>,
     settings: Addr<Settings>,
     requests: Addr<Requests>,
+    claims: Addr<Claiming>,
+    started: Millis,
 }
 
 /// Starts the service.
@@ -81,6 +89,8 @@
         jobs: names.find(JOBS)?,
         settings: names.find(SETTINGS)?,
         requests: names.find(REQUESTS)?,
+        claims: names.find(CLAIMS)?,
+        started: site.clock.now(),
         site: site.clone(),
     };
     kernel.add(STATUS, status.start(), |_| async {})
@@ -107,24 +117,31 @@
         })
     }
 
-    /// Ready once settings are in force and upstreams are known.
+    /// Ready once settings are in force, upstreams are known and claims can be granted. A
+    /// daemon that cannot have claims granted is ready without after a while, for the sake
+    /// of idempotent requests.
     fn decide(&mut self, ctx: &mut Context<StatusActor>) {
-        let asking = self.settings.send(ReadSettingsState).into_actor(self);
-        let done = asking.map(|state, status, _| {
+        let settings = self.settings.send(ReadSettingsState);
+        let claims = self.claims.send(CanClaim);
+        let asking = async move { (settings.await, claims.await) };
+        let done = asking.into_actor(self).map(|(state, claims), status, _| {
+            let waited = status.site.clock.now().since(status.started) >= CLAIMS_MAX;
             let has_settings = state.is_ok_and(|s| s.ready);
-            let ready = has_settings && !status.feed.list().workers.is_empty();
-            if ready && !status.site.ready.get() {
-                obs::emit(
-                    &status.site.log,
-                    Event::DaemonReady,
-                    status.site.vm.as_str(),
-                );
-            }
-            status.site.ready.set(ready);
+            let has_claims = claims.unwrap_or(false) || waited || status.site.ready.get();
+            let has_upstreams = !status.feed.list().workers.is_empty();
+            status.set_ready(has_settings && has_claims && has_upstreams);
         });
         ctx.spawn(done);
     }
 
+    fn set_ready(&self, ready: bool) {
+        let before = self.site.ready.get();
+        self.site.ready.set(ready);
+        if !before && self.site.ready.get() {
+            obs::emit(&self.site.log, Event::DaemonReady, self.site.vm.as_str());
+        }
+    }
+
     fn status(&self, got: Gathered) -> Status {
         let vms = self.feed.list();
         Status {
--- a/crates/entry/src/ready.rs
+++ b/crates/entry/src/ready.rs
@@ -7,17 +7,23 @@
 /// Whether the daemon wants new connections. Clones share the same answer.
 #[derive(Clone, Debug, Default)]
 pub struct Ready {
-    flag: Arc<AtomicBool>,
+    ready: Arc<AtomicBool>,
+    closed: Arc<AtomicBool>,
 }
 
 impl Ready {
-    /// Changes the answer.
+    /// Changes the answer, unless it was closed.
     pub fn set(&self, ready: bool) {
-        self.flag.store(ready, Ordering::Release);
+        self.ready.store(ready, Ordering::Release);
+    }
+
+    /// The answer is no from now on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
     }
 
     /// The answer.
     pub fn get(&self) -> bool {
-        self.flag.load(Ordering::Acquire)
+        self.ready.load(Ordering::Acquire) && !self.closed.load(Ordering::Acquire)
     }
 }
