--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! - [`node`] reads the settings file of one daemon.
 //! - [`tree`] holds the operators' settings as a pure value.
+//! - [`sync`] keeps the tree of a daemon the newest and carries changes out.
 //! - [`api`] holds the JSON messages of the operators' port.
 
 pub mod api;
 pub mod node;
 mod source;
+pub mod sync;
 pub mod tree;
--- /dev/null
+++ b/crates/conf/src/sync/change.rs
@@ -0,0 +1,429 @@
+//! One change of the settings, from the operator's call to the reply.
+//!
+//! Read the document, apply the edits, compare and swap. A lost answer is resolved by
+//! reading back and looking for the operation id; while the store still holds the value
+//! that the write started from, the same write is sent again, so that at most one of its
+//! copies can take effect. Once durable, the run waits for the other daemons up to a bound.
+
+use std::sync::Arc;
+
+use base::Findings;
+use base::Millis;
+use base::Revision;
+use base::VmId;
+
+use crate::api::ChangeReply;
+use crate::api::Conflict;
+use crate::api::Refusal;
+use crate::sync::note::StoreRev;
+use crate::sync::note::Stored;
+use crate::tree::Change;
+use crate::tree::Tree;
+
+/// Pause between two calls to a store that fails.
+const RETRY: Millis = Millis(100);
+
+/// Which safety mechanisms of a [`ChangeRun`] work. Daemons run with all of them; tests
+/// switch one off to show that it is needed.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct ChangeGuards {
+    /// The write compares the revision that was read.
+    pub compare: bool,
+    /// A document older than what any daemon holds is not built upon.
+    pub floor: bool,
+    /// Operation ids are looked for in the document.
+    pub ops: bool,
+    /// A document that was put back for another version of the key is not built upon.
+    pub version: bool,
+    /// After a lost answer the write's fate is settled before anything is replied.
+    pub settle: bool,
+}
+
+impl Default for ChangeGuards {
+    fn default() -> ChangeGuards {
+        ChangeGuards {
+            compare: true,
+            floor: true,
+            ops: true,
+            settle: true,
+            version: true,
+        }
+    }
+}
+
+/// What a [`ChangeRun`] starts from.
+#[derive(Clone, Debug)]
+pub struct ChangeSetup {
+    /// The change.
+    pub change: Change,
+    /// The revision that the operator has seen.
+    pub expect: Option<Revision>,
+    /// The highest revision that any daemon is known to hold, from
+    /// [`Sync::floor`](crate::sync::Sync::floor).
+    pub floor: Revision,
+    /// When the operator is answered at the latest.
+    pub deadline: Millis,
+    /// Longest wait for other daemons once the change is durable.
+    pub spread: Millis,
+    /// Safety mechanisms.
+    pub guards: ChangeGuards,
+}
+
+/// What the run learns. Numbers tell late answers from the one that is waited for.
+#[derive(Clone, Debug)]
+pub enum ChangeInput {
+    /// Live daemons: all of them, and those that hold a revision, with
+    /// [`Sync::holders`](crate::sync::Sync::holders).
+    Heard {
+        /// All live daemons, this one included.
+        live: Vec<VmId>,
+        /// Those that hold the revision.
+        holders: Vec<VmId>,
+    },
+    /// The answer to a read; absent when it failed.
+    Read(u64, Option<Stored>),
+    /// Time has passed.
+    Tick,
+    /// The answer to a write.
+    Write(u64, WriteResult),
+}
+
+/// The answer to a compare-and-swap.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WriteResult {
+    /// The value had changed; nothing was written.
+    Changed,
+    /// Written.
+    Done,
+    /// Certainly not written, for example because no connection was made.
+    NotSent,
+    /// No answer: it may have been written, or may still be.
+    Unknown,
+}
+
+/// What the service does for the run.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ChangeAction {
+    /// Gives the tree, which is durable, to [`Sync`](crate::sync::Sync).
+    Accepted(Arc<Tree>),
+    /// Reads the document, linearisably, and answers with this number.
+    Read(u64),
+    /// Answers the operator. The run is over.
+    Reply(Reply),
+    /// Writes the document if the value is still the one of `base`.
+    Write {
+        /// The number of the answer.
+        seq: u64,
+        /// The revision to compare; 0 for an absent value, absent for no comparison.
+        base: Option<StoreRev>,
+        /// The document.
+        data: String,
+    },
+}
+
+/// The answer to the operator.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// Durable.
+    Accepted(ChangeReply),
+    /// Not run, or unknown.
+    Refused(Box<Refusal>),
+}
+
+/// A write that may have been sent.
+#[derive(Clone, Debug)]
+struct Attempt {
+    base: StoreRev,
+    tree: Arc<Tree>,
+    /// Whether it may have been written, or may still be.
+    sent: bool,
+    /// Whether an earlier copy of it had no answer.
+    doubt: bool,
+}
+
+/// What the run waits for.
+#[derive(Clone, Debug)]
+enum State {
+    Over,
+    Paused(Millis),
+    Reading(u64),
+    Spreading {
+        reply: ChangeReply,
+        until: Millis,
+        live: Vec<VmId>,
+    },
+    Writing(u64),
+}
+
+/// One change on its way.
+#[derive(Clone, Debug)]
+pub struct ChangeRun {
+    setup: ChangeSetup,
+    state: State,
+    seq: u64,
+    attempt: Option<Attempt>,
+}
+
+impl ChangeRun {
+    /// A run that starts with its first tick.
+    pub fn new(setup: ChangeSetup) -> ChangeRun {
+        ChangeRun {
+            setup,
+            state: State::Paused(Millis::ZERO),
+            seq: 0,
+            attempt: None,
+        }
+    }
+
+    /// Whether the operator has been answered.
+    pub fn is_over(&self) -> bool {
+        matches!(self.state, State::Over)
+    }
+
+    /// Whether a write may be on its way to the store.
+    pub fn is_writing(&self) -> bool {
+        self.attempt.as_ref().is_some_and(|a| a.sent) && !self.is_durable()
+    }
+
+    /// The revision made, once durable and until the operator is answered.
+    pub fn revision(&self) -> Option<Revision> {
+        match &self.state {
+            State::Spreading { reply, .. } => Some(reply.revision),
+            _ => None,
+        }
+    }
+
+    /// Takes one input.
+    pub fn step(&mut self, now: Millis, input: ChangeInput) -> Vec<ChangeAction> {
+        let mut out = Vec::new();
+        match input {
+            ChangeInput::Heard { live, holders } => self.on_heard(live, holders, &mut out),
+            ChangeInput::Read(seq, got) => {
+                if matches!(self.state, State::Reading(s) if s == seq) {
+                    self.on_read(got, now, &mut out);
+                }
+            }
+            ChangeInput::Tick => self.on_tick(now, &mut out),
+            ChangeInput::Write(seq, result) => {
+                if matches!(self.state, State::Writing(s) if s == seq) {
+                    self.on_written(result, now, &mut out);
+                }
+            }
+        }
+        out
+    }
+
+    fn is_durable(&self) -> bool {
+        matches!(self.state, State::Spreading { .. } | State::Over)
+    }
+
+    fn on_tick(&mut self, now: Millis, out: &mut Vec<ChangeAction>) {
+        match &self.state {
+            State::Over => {}
+            State::Spreading { until, .. } if now >= *until => self.finish(out),
+            State::Spreading { .. } => {}
+            _ if now >= self.setup.deadline => self.give_up(out),
+            State::Paused(until) if now >= *until => self.read(out),
+            _ => {}
+        }
+    }
+
+    fn read(&mut self, out: &mut Vec<ChangeAction>) {
+        self.seq += 1;
+        self.state = State::Reading(self.seq);
+        out.push(ChangeAction::Read(self.seq));
+    }
+
+    fn on_read(&mut self, got: Option<Stored>, now: Millis, out: &mut Vec<ChangeAction>) {
+        let Some(stored) = got else {
+            self.state = State::Paused(now + RETRY);
+            return;
+        };
+        let tree = match &stored.data {
+            Some(data) => Tree::decode(data),
+            None => Ok(Tree::new()),
+        };
+        let tree = match tree {
+            Ok(tree) => tree,
+            Err(found) => return self.refuse_findings("the store's document", found, out),
+        };
+        let made = tree.made_by(&self.setup.change.op);
+        match made.filter(|_| self.setup.guards.ops) {
+            Some(revision) => self.on_durable(Arc::new(tree), revision, true, now, out),
+            None => self.on_absent(&stored, tree, out),
+        }
+    }
+
+    /// The store does not hold the operation.
+    fn on_absent(&mut self, stored: &Stored, tree: Tree, out: &mut Vec<ChangeAction>) {
+        let attempt = self.attempt.take();
+        let settle = self.setup.guards.settle;
+        match attempt.filter(|a| a.sent && settle) {
+            Some(attempt) if attempt.base == stored.rev => self.write(attempt, out),
+            Some(attempt) if tree.revision() < attempt.tree.revision() => {
+                let reason = "the store's document was replaced by an older one meanwhile";
+                self.refuse(Refusal::unknown(reason), out);
+            }
+            Some(attempt) => {
+                let base = Revision(attempt.tree.revision().0 - 1);
+                self.conflict(&tree, base, out);
+            }
+            None => self.begin(stored, &tree, out),
+        }
+    }
+
+    /// Applies the edits to the store's document and writes the result.
+    fn begin(&mut self, stored: &Stored, tree: &Tree, out: &mut Vec<ChangeAction>) {
+        if tree.revision() < self.setup.floor && self.setup.guards.floor {
+            let reason = format!(
+                "the store holds revision {}, older than revision {} in force",
+                tree.revision(),
+                self.setup.floor
+            );
+            return self.refuse(Refusal::not_run(reason), out);
+        }
+        if tree.version() != stored.version && self.setup.guards.version {
+            let reason = "somebody has put an older document back into the store";
+            return self.refuse(Refusal::not_run(reason), out);
+        }
+        let expect = self.setup.expect.unwrap_or(tree.revision());
+        if expect != tree.revision() {
+            return self.conflict(tree, expect, out);
+        }
+        match tree.apply(&self.setup.change) {
+            Ok(next) => {
+                let attempt = Attempt {
+                    base: stored.rev,
+                    tree: Arc::new(next.with_version(stored.version.next())),
+                    sent: false,
+                    doubt: false,
+                };
+                self.write(attempt, out);
+            }
+            Err(found) => self.refuse_findings("the change", found, out),
+        }
+    }
+
+    fn write(&mut self, mut attempt: Attempt, out: &mut Vec<ChangeAction>) {
+        self.seq += 1;
+        self.state = State::Writing(self.seq);
+        attempt.sent = true;
+        out.push(ChangeAction::Write {
+            seq: self.seq,
+            base: self.setup.guards.compare.then_some(attempt.base),
+            data: attempt.tree.encode(),
+        });
+        self.attempt = Some(attempt);
+    }
+
+    fn on_written(&mut self, result: WriteResult, now: Millis, out: &mut Vec<ChangeAction>) {
+        match result {
+            WriteResult::Done => {
+                let tree = self.attempt.as_ref().map(|a| a.tree.clone());
+                if let Some(tree) = tree {
+                    let revision = tree.revision();
+                    self.on_durable(tree, revision, false, now, out);
+                }
+            }
+            WriteResult::Changed => self.read(out),
+            WriteResult::NotSent => {
+                self.mark(|a| a.sent = a.doubt);
+                self.state = State::Paused(now + RETRY);
+            }
+            WriteResult::Unknown if self.setup.guards.settle => {
+                self.mark(|a| a.doubt = true);
+                self.read(out);
+            }
+            WriteResult::Unknown => self.refuse(Refusal::not_run("no answer"), out),
+        }
+    }
+
+    fn mark(&mut self, change: impl Fn(&mut Attempt)) {
+        self.attempt.iter_mut().for_each(change);
+    }
+
+    fn on_durable(
+        &mut self,
+        tree: Arc<Tree>,
+        revision: Revision,
+        repeated: bool,
+        now: Millis,
+        out: &mut Vec<ChangeAction>,
+    ) {
+        let own = self.attempt.as_ref().is_some_and(|a| a.sent);
+        let reply = ChangeReply {
+            op: self.setup.change.op.clone(),
+            revision,
+            repeated: repeated && !own,
+            in_force: Vec::new(),
+            not_heard: Vec::new(),
+        };
+        self.state = State::Spreading {
+            reply,
+            until: now + self.setup.spread,
+            live: Vec::new(),
+        };
+        out.push(ChangeAction::Accepted(tree));
+    }
+
+    fn on_heard(&mut self, live: Vec<VmId>, holders: Vec<VmId>, out: &mut Vec<ChangeAction>) {
+        let State::Spreading {
+            reply, live: all, ..
+        } = &mut self.state
+        else {
+            return;
+        };
+        *all = live;
+        reply.in_force = holders;
+        if all.iter().all(|vm| reply.in_force.contains(vm)) {
+            self.finish(out);
+        }
+    }
+
+    fn finish(&mut self, out: &mut Vec<ChangeAction>) {
+        if let State::Spreading { reply, live, .. } = &self.state {
+            let mut reply = reply.clone();
+            let held = &reply.in_force;
+            let rest = live.iter().filter(|vm| !held.contains(vm));
+            reply.not_heard = rest.cloned().collect();
+            out.push(ChangeAction::Reply(Reply::Accepted(reply)));
+            self.state = State::Over;
+        }
+    }
+
+    fn give_up(&mut self, out: &mut Vec<ChangeAction>) {
+        if self.is_writing() {
+            let reason = "the store did not say whether the change took effect; \
+                          send it again with the same operation id";
+            self.refuse(Refusal::unknown(reason), out);
+        } else {
+            self.refuse(Refusal::not_run("the store does not answer"), out);
+        }
+    }
+
+    fn conflict(&mut self, tree: &Tree, base: Revision, out: &mut Vec<ChangeAction>) {
+        let conflict = Conflict {
+            revision: tree.revision(),
+            records: tree.since(base),
+        };
+        let mut refusal = Refusal::not_run("another change came first");
+        refusal.conflict = Some(conflict);
+        self.refuse(refusal, out);
+    }
+
+    fn refuse_findings(&mut self, what: &str, found: Findings, out: &mut Vec<ChangeAction>) {
+        let sent = self.is_writing();
+        let reason = format!("{what} has findings");
+        let mut refusal = Refusal::not_run(reason.clone());
+        if sent {
+            refusal = Refusal::unknown(reason);
+        }
+        refusal.findings = found;
+        self.refuse(refusal, out);
+    }
+
+    fn refuse(&mut self, refusal: Refusal, out: &mut Vec<ChangeAction>) {
+        self.state = State::Over;
+        out.push(ChangeAction::Reply(Reply::Refused(Box::new(refusal))));
+    }
+}
--- /dev/null
+++ b/crates/conf/src/sync/state.rs
@@ -0,0 +1,558 @@
+//! The state machine on each daemon that keeps its settings the newest.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use base::digest;
+use base::DomainId;
+use base::Findings;
+use base::Millis;
+use base::Revision;
+use base::VmId;
+use quick_error::quick_error;
+
+use crate::sync::held::Guards;
+use crate::sync::held::Held;
+use crate::sync::note::Note;
+use crate::sync::note::Stamp;
+use crate::sync::note::StoreRev;
+use crate::sync::note::Stored;
+use crate::tree::StartsOffline;
+use crate::tree::Tree;
+
+/// Added to each relayed age, because ages are cut to whole milliseconds.
+const ROUNDING: Millis = Millis(1);
+/// Longest multiple of the poll period between reads of a store that does not answer.
+const MAX_BACKOFF: u64 = 4;
+
+quick_error! {
+    /// A broken invariant.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum Violation {
+        /// A proof lies in the future.
+        Future(proof: Millis, now: Millis) {
+            display("the proof of {proof} is later than now, {now}")
+        }
+        /// An older revision took the place of a newer one.
+        Reverted(held: Revision, top: Revision) {
+            display("revision {held} is held after {top}")
+        }
+    }
+}
+
+/// Periods and bounds of [`Sync`].
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This daemon.
+    pub me: VmId,
+    /// Age of the proof from which starts are held.
+    pub freshness: Millis,
+    /// Age of the proof from which the store is read, plus up to half of it by daemon.
+    /// At most half of `freshness`.
+    pub poll: Millis,
+    /// Time after which a read is given up.
+    pub timeout: Millis,
+    /// Safety mechanisms.
+    pub guards: Guards,
+}
+
+/// What [`Sync`] learns.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A change made by this daemon, or read back by it, is durable: the tree in the store.
+    Accepted(Arc<Tree>),
+    /// A change is on its way to the store, or no longer.
+    Changing(bool),
+    /// A daemon is live.
+    Join(VmId),
+    /// A daemon is gone.
+    Leave(VmId),
+    /// A note from another daemon.
+    Note(VmId, Note),
+    /// The answer to the read with this number.
+    Read(u64, Stored),
+    /// The read with this number failed or was refused.
+    ReadFailed(u64),
+    /// An event of the store's watch. It may be late, so it proves nothing.
+    Seen(Stored),
+    /// Time has passed.
+    Tick,
+}
+
+/// What the service does for [`Sync`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Tells operators.
+    Alarm(Alarm),
+    /// Puts a tree into force.
+    Apply(Arc<Tree>),
+    /// Reads the document from the store, linearisably, and answers with this number.
+    Read(u64),
+    /// Writes the document back if the store's value is still the one of `base`.
+    Restore {
+        /// The revision of the older value.
+        base: StoreRev,
+        /// The document.
+        data: String,
+    },
+    /// Sends a note to a daemon.
+    Send(VmId, Note),
+}
+
+/// What operators should know.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Alarm {
+    /// The store holds another change under the revision held here.
+    Forked(Revision),
+    /// The store's document was put back by somebody else: it is older than the held one,
+    /// or it was written for another version of the key.
+    Replaced {
+        /// The store's revision.
+        stored: Revision,
+        /// The revision held here.
+        held: Revision,
+    },
+    /// A document cannot be read. The held one stays in force.
+    Unreadable(Findings),
+}
+
+/// Another daemon.
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    /// The revision that it holds.
+    revision: Option<Revision>,
+    /// The latest stamp of its own that it told.
+    told: Option<Stamp>,
+    /// An own time after which it said that it holds the same tree and changes nothing.
+    vouched: Option<Millis>,
+    /// When it was heard last.
+    heard: Option<Millis>,
+}
+
+/// A read on its way.
+#[derive(Clone, Copy, Debug)]
+struct Reading {
+    seq: u64,
+    asked: Millis,
+}
+
+/// The settings of one daemon.
+#[derive(Clone, Debug)]
+pub struct Sync {
+    config: Config,
+    held: Option<Held>,
+    top: Revision,
+    peers: BTreeMap<VmId, Peer>,
+    changing: bool,
+    reading: Option<Reading>,
+    seq: u64,
+    failures: u32,
+    read_at: Option<Millis>,
+    asked_at: Option<Millis>,
+    wanted_at: Option<Millis>,
+    turn: usize,
+    era: u32,
+    last: Millis,
+}
+
+impl Sync {
+    /// A daemon that holds nothing.
+    pub fn new(config: Config) -> Sync {
+        Sync {
+            config,
+            held: None,
+            top: Revision(0),
+            peers: BTreeMap::new(),
+            changing: false,
+            reading: None,
+            seq: 0,
+            failures: 0,
+            read_at: None,
+            asked_at: None,
+            wanted_at: None,
+            turn: 0,
+            era: 0,
+            last: Millis::ZERO,
+        }
+    }
+
+    /// The tree in force; absent until one is known.
+    pub fn tree(&self) -> Option<&Arc<Tree>> {
+        self.held.as_ref().map(|h| &h.tree)
+    }
+
+    /// Whether there are settings to work by.
+    pub fn is_ready(&self) -> bool {
+        self.held.is_some()
+    }
+
+    /// Age of the proof that no newer revision exists.
+    pub fn age(&self, now: Millis) -> Option<Millis> {
+        self.held.as_ref()?.age(now)
+    }
+
+    /// Whether the proof is young enough and no daemon has told of a newer revision.
+    pub fn is_fresh(&self, now: Millis) -> bool {
+        let young = self.age(now).is_some_and(|a| a < self.config.freshness);
+        now >= self.last && young && self.is_top()
+    }
+
+    fn is_top(&self) -> bool {
+        let held = self.held.as_ref().map(|h| h.revision());
+        held >= Some(self.floor()) || !self.config.guards.floor
+    }
+
+    /// Whether tasks may start in a failure domain as far as the settings' age goes.
+    pub fn may_start(&self, domain: &DomainId, now: Millis) -> bool {
+        let Some(tree) = self.tree() else {
+            return false;
+        };
+        let offline = tree.starts_offline(domain) == StartsOffline::AllHeard;
+        self.is_fresh(now) || (offline && self.all_heard(now))
+    }
+
+    /// Whether every live daemon has said, a short time ago, that it holds the same tree and
+    /// has no change on its way.
+    pub fn all_heard(&self, now: Millis) -> bool {
+        let young = |at: Option<Millis>| at.is_some_and(|at| now.since(at) < self.config.freshness);
+        now >= self.last
+            && self.is_top()
+            && !self.changing
+            && self.peers.values().all(|p| young(p.vouched))
+    }
+
+    /// The highest revision that any daemon has told of, or that is held.
+    pub fn floor(&self) -> Revision {
+        let told = self.peers.values().filter_map(|p| p.revision).max();
+        self.top.max(told.unwrap_or_default())
+    }
+
+    /// Live daemons with the revision that each holds and the time at which it was heard.
+    pub fn peers(&self) -> impl Iterator<Item = (&VmId, Option<Revision>, Option<Millis>)> {
+        self.peers.iter().map(|(vm, p)| (vm, p.revision, p.heard))
+    }
+
+    /// Live daemons that hold at least a revision, this one included.
+    pub fn holders(&self, revision: Revision) -> Vec<VmId> {
+        let mine = self.held.as_ref().is_some_and(|h| h.revision() >= revision);
+        let mut holders: Vec<VmId> = mine.then(|| self.config.me.clone()).into_iter().collect();
+        let peers = self.peers.iter();
+        let theirs = peers.filter(|(_, p)| p.revision.is_some_and(|r| r >= revision));
+        holders.extend(theirs.map(|(vm, _)| vm.clone()));
+        holders
+    }
+
+    /// Takes one input. `now` is this daemon's time.
+    pub fn step(&mut self, now: Millis, input: Input) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.watch_clock(now);
+        match input {
+            Input::Accepted(tree) => self.take(tree, None, now, &mut out),
+            Input::Changing(changing) => self.changing = changing,
+            Input::Join(vm) if vm != self.config.me => {
+                self.peers.entry(vm).or_default();
+            }
+            Input::Join(_) => {}
+            Input::Leave(vm) => {
+                self.peers.remove(&vm);
+            }
+            Input::Note(vm, note) => self.on_note(vm, note, now, &mut out),
+            Input::Read(seq, stored) => self.on_read(seq, stored, now, &mut out),
+            Input::ReadFailed(seq) => self.on_failed(seq),
+            Input::Seen(stored) => {
+                if let Some(tree) = decode(&stored, &mut out) {
+                    self.take(tree, None, now, &mut out);
+                }
+            }
+            Input::Tick => self.on_tick(now, &mut out),
+        }
+        out
+    }
+
+    /// Checks the invariants.
+    pub fn check(&self) -> Result<(), Violation> {
+        let Some(held) = &self.held else {
+            return Ok(());
+        };
+        if held.revision() < self.top {
+            return Err(Violation::Reverted(held.revision(), self.top));
+        }
+        match held.proof.filter(|p| *p > self.last) {
+            Some(proof) => Err(Violation::Future(proof, self.last)),
+            None => Ok(()),
+        }
+    }
+
+    /// Drops what was measured before the clock stepped back.
+    fn watch_clock(&mut self, now: Millis) {
+        if now < self.last && self.config.guards.steps {
+            self.era += 1;
+            self.reading = None;
+            self.read_at = None;
+            self.asked_at = None;
+            self.wanted_at = None;
+            for peer in self.peers.values_mut() {
+                peer.vouched = None;
+                peer.heard = None;
+            }
+            if let Some(held) = &mut self.held {
+                held.proof = None;
+                held.since = now;
+            }
+        }
+        self.last = now;
+    }
+
+    fn on_read(&mut self, seq: u64, stored: Stored, now: Millis, out: &mut Vec<Action>) {
+        let Some(reading) = self.reading.filter(|r| r.seq == seq) else {
+            return;
+        };
+        self.reading = None;
+        self.failures = 0;
+        let Some(tree) = decode(&stored, out) else {
+            return;
+        };
+        let call = self.config.guards.from_call;
+        let asked = if call { reading.asked } else { now };
+        let whole = tree.version() == stored.version || !self.config.guards.version;
+        self.take(tree.clone(), whole.then_some(asked), now, out);
+        self.compare(&tree, reading.asked, &stored, out);
+    }
+
+    /// Compares the store's document with the held one. A document is held only once it is
+    /// durable, so a read sent later must return at least that one. The held one is written
+    /// back over an older one, and over the same one put back for another key version once
+    /// no other daemon holds a newer one.
+    fn compare(&self, tree: &Tree, asked: Millis, stored: &Stored, out: &mut Vec<Action>) {
+        let Some(held) = self.held.as_ref().filter(|h| asked > h.since) else {
+            return;
+        };
+        let (theirs, mine) = (tree.revision(), held.revision());
+        let replaced = tree.version() != stored.version;
+        let older = theirs < mine;
+        if theirs == mine && !held.is_same(theirs, tree.last_op()) {
+            out.push(Action::Alarm(Alarm::Forked(theirs)));
+            return;
+        }
+        if older || replaced {
+            out.push(Action::Alarm(Alarm::Replaced {
+                stored: theirs,
+                held: mine,
+            }));
+        }
+        if older || (replaced && self.all_heard(self.last)) {
+            let tree = held.tree.with_version(stored.version.next());
+            out.push(Action::Restore {
+                base: stored.rev,
+                data: tree.encode(),
+            });
+        }
+    }
+
+    fn on_failed(&mut self, seq: u64) {
+        if self.reading.is_some_and(|r| r.seq == seq) {
+            self.reading = None;
+            self.failures = self.failures.saturating_add(1);
+        }
+    }
+
+    fn on_note(&mut self, from: VmId, mut note: Note, now: Millis, out: &mut Vec<Action>) {
+        if !self.peers.contains_key(&from) {
+            return;
+        }
+        let doc = note.doc.take();
+        let doc = doc.and_then(|d| decode_text(d.as_bytes(), out));
+        if let Some(tree) = doc {
+            self.wanted_at = None;
+            self.take(tree, None, now, out);
+        }
+        let seen = self.on_relay(&note, now);
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.revision = peer.revision.max(note.revision);
+            peer.told = Some(note.sent);
+            peer.heard = Some(now);
+            peer.vouched = if seen.is_some() { seen } else { peer.vouched };
+        }
+        let newer = self.is_newer(&note);
+        let want = newer && self.is_due(self.wanted_at, self.config.poll, now);
+        if want {
+            self.wanted_at = Some(now);
+        }
+        if want || note.ask || note.want {
+            let answer = self.note_to(&from, now, want, note.want);
+            out.push(Action::Send(from, answer));
+        }
+    }
+
+    /// Takes the proof of a peer that holds the same tree, and returns the own time after
+    /// which the peer vouched for it. The peer's age counts back from the own time that it
+    /// echoes, so neither clock skew nor a late note makes the proof look younger.
+    fn on_relay(&mut self, note: &Note, now: Millis) -> Option<Millis> {
+        let mine = |e: &Stamp| e.era == self.era && e.at <= now;
+        let echo = note.echo.filter(mine)?;
+        let base = if self.config.guards.echo {
+            echo.at
+        } else {
+            now
+        };
+        let held = self.held.as_mut()?;
+        if !held.is_same(note.revision?, note.op.as_ref()) {
+            return None;
+        }
+        if let Some(age) = note.age {
+            held.prove(base - age - ROUNDING);
+        }
+        (!note.changing).then_some(base)
+    }
+
+    fn is_newer(&self, note: &Note) -> bool {
+        match (&self.held, note.revision) {
+            (Some(held), Some(theirs)) => theirs > held.revision(),
+            (None, Some(_)) => true,
+            (_, None) => false,
+        }
+    }
+
+    /// Puts a newer tree into force, and takes the proof for the tree in force. The proof
+    /// of the tree before stays good: what was missing from neither is not missing now.
+    fn take(&mut self, tree: Arc<Tree>, proof: Option<Millis>, now: Millis, out: &mut Vec<Action>) {
+        let same = |h: &Held| h.is_same(tree.revision(), tree.last_op());
+        let newer = |h: &Held| tree.revision() > h.revision();
+        let forward = self.config.guards.forward;
+        let fresh = !self
+            .held
+            .as_ref()
+            .is_some_and(|h| same(h) || (forward && !newer(h)));
+        if fresh {
+            self.top = self.top.max(tree.revision());
+            self.held = Some(Held {
+                tree: tree.clone(),
+                since: now,
+                proof: self.held.as_ref().and_then(|h| h.proof),
+            });
+            for peer in self.peers.values_mut() {
+                peer.vouched = None;
+            }
+            out.push(Action::Apply(tree.clone()));
+            self.tell_all(now, out);
+        }
+        let held = self.held.as_mut();
+        let held = held.filter(|h| h.is_same(tree.revision(), tree.last_op()));
+        if let (Some(held), Some(at)) = (held, proof) {
+            held.prove(at);
+        }
+    }
+
+    fn on_tick(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if let Some(old) = self
+            .reading
+            .filter(|r| now.since(r.asked) >= self.config.timeout)
+        {
+            self.on_failed(old.seq);
+        }
+        let age = self.age(now).unwrap_or(Millis::MAX);
+        if age >= self.config.freshness {
+            self.ask_all(now, out);
+        } else if age.0 >= self.config.poll.0 / 2 {
+            self.ask_next(now, out);
+        }
+        if age.0 >= self.config.poll.0 + self.jitter() && self.may_read(now) {
+            self.seq += 1;
+            self.read_at = Some(now);
+            self.reading = Some(Reading {
+                seq: self.seq,
+                asked: now,
+            });
+            out.push(Action::Read(self.seq));
+        }
+    }
+
+    /// Spreads the reads of several daemons over half a poll period.
+    fn jitter(&self) -> u64 {
+        let half = (self.config.poll.0 / 2).max(1);
+        digest(self.config.me.as_str().as_bytes()) % half
+    }
+
+    fn may_read(&self, now: Millis) -> bool {
+        if self.failures == 0 {
+            return self.reading.is_none();
+        }
+        let factor = (1u64 << self.failures.min(6)).min(MAX_BACKOFF);
+        let pause = Millis(self.config.poll.0 * factor / 2 + self.jitter());
+        self.reading.is_none() && self.is_due(self.read_at, pause, now)
+    }
+
+    fn is_due(&self, last: Option<Millis>, period: Millis, now: Millis) -> bool {
+        last.is_none_or(|at| now.since(at) >= period)
+    }
+
+    fn ask_next(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if self.peers.is_empty() {
+            return;
+        }
+        self.turn = (self.turn + 1) % self.peers.len();
+        if let Some(vm) = self.peers.keys().nth(self.turn).cloned() {
+            self.ask(vm, now, out);
+        }
+    }
+
+    fn ask_all(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let period = Millis(self.config.freshness.0 / 4);
+        if !self.is_due(self.asked_at, period, now) {
+            return;
+        }
+        self.asked_at = Some(now);
+        let peers: Vec<VmId> = self.peers.keys().cloned().collect();
+        for vm in peers {
+            self.ask(vm, now, out);
+        }
+    }
+
+    fn ask(&self, vm: VmId, now: Millis, out: &mut Vec<Action>) {
+        let mut note = self.note_to(&vm, now, false, false);
+        note.ask = true;
+        out.push(Action::Send(vm, note));
+    }
+
+    fn tell_all(&self, now: Millis, out: &mut Vec<Action>) {
+        for vm in self.peers.keys() {
+            let note = self.note_to(vm, now, false, false);
+            out.push(Action::Send(vm.clone(), note));
+        }
+    }
+
+    fn note_to(&self, vm: &VmId, now: Millis, want: bool, doc: bool) -> Note {
+        let held = self.held.as_ref();
+        Note {
+            revision: held.map(|h| h.revision()),
+            op: held.and_then(|h| h.tree.last_op().cloned()),
+            age: self.age(now),
+            changing: self.changing,
+            sent: Stamp {
+                era: self.era,
+                at: now,
+            },
+            echo: self.peers.get(vm).and_then(|p| p.told),
+            ask: false,
+            want,
+            doc: held.filter(|_| doc).map(|h| h.tree.encode()),
+        }
+    }
+}
+
+fn decode(stored: &Stored, out: &mut Vec<Action>) -> Option<Arc<Tree>> {
+    match &stored.data {
+        Some(data) => decode_text(data, out),
+        None => Some(Arc::new(Tree::new())),
+    }
+}
+
+fn decode_text(data: &[u8], out: &mut Vec<Action>) -> Option<Arc<Tree>> {
+    match Tree::decode(data) {
+        Ok(tree) => Some(Arc::new(tree)),
+        Err(found) => {
+            out.push(Action::Alarm(Alarm::Unreadable(found)));
+            None
+        }
+    }
+}
--- a/crates/conf/src/tree/mod.rs
+++ b/crates/conf/src/tree/mod.rs
@@ -17,6 +17,8 @@
 
 use base::OrgId;
 use base::Revision;
+use serde::Deserialize;
+use serde::Serialize;
 
 pub use apply::Change;
 pub use apply::MAX_EDITS;
@@ -44,6 +46,21 @@
 pub use wire::MAX_HISTORY;
 pub use wire::MAX_OPS;
 
+/// How often the store's key had been written when it was written with a document, this
+/// write included; etcd calls it the key's version. 0 stands for an absent key.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct KeyVersion(pub u64);
+
+impl KeyVersion {
+    /// The version of the next write.
+    pub fn next(self) -> KeyVersion {
+        KeyVersion(self.0 + 1)
+    }
+}
+
 /// Values set at one place.
 type Values = BTreeMap<Key, Value>;
 
@@ -51,6 +68,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tree {
     revision: Revision,
+    version: KeyVersion,
     orgs: BTreeSet<OrgId>,
     values: BTreeMap<Place, Values>,
     /// Settings of a later version of the program, kept as they are.
@@ -71,6 +89,20 @@
         self.revision
     }
 
+    /// The key's version that this document was written for. In the store it differs from
+    /// the key's own version if somebody put an older document back.
+    pub fn version(&self) -> KeyVersion {
+        self.version
+    }
+
+    /// The same tree as a document for another version of the key.
+    pub fn with_version(&self, version: KeyVersion) -> Tree {
+        Tree {
+            version,
+            ..self.clone()
+        }
+    }
+
     /// The last changes, the latest first.
     pub fn history(&self) -> impl Iterator<Item = &Record> {
         self.history.iter().rev()
--- a/crates/conf/src/tree/wire.rs
+++ b/crates/conf/src/tree/wire.rs
@@ -14,6 +14,7 @@
 use crate::tree::key::Key;
 use crate::tree::place::Place;
 use crate::tree::value::Value;
+use crate::tree::KeyVersion;
 use crate::tree::Tree;
 use crate::tree::Values;
 
@@ -35,6 +36,7 @@
 struct TreeWire {
     format: u32,
     revision: Revision,
+    version: KeyVersion,
     orgs: BTreeSet<OrgId>,
     values: Raw,
     history: Vec<Record>,
@@ -51,6 +53,7 @@
         TreeWire {
             format: FORMAT,
             revision: tree.revision,
+            version: tree.version,
             orgs: tree.orgs.clone(),
             values,
             history: tree.history.clone(),
@@ -74,6 +77,7 @@
         }
         let mut tree = Tree {
             revision: wire.revision,
+            version: wire.version,
             orgs: wire.orgs,
             history: wire.history,
             ops: wire.ops,
@@ -88,7 +92,7 @@
 
 impl Tree {
     /// The document.
-    pub fn encode(&self) -> Vec<u8> {
+    pub fn encode(&self) -> String {
         encode(&TreeWire::from(self))
     }
 
@@ -181,6 +185,6 @@
     serde_json::to_value(value).unwrap_or_default()
 }
 
-fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    serde_json::to_vec(value).unwrap_or_default()
+fn encode<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).unwrap_or_default()
 }
--- /dev/null
+++ b/crates/conf/tests/change.rs
@@ -0,0 +1,405 @@
+//! Changes of the settings: every interleaving of two operators with lost, late and failed
+//! calls, and the same with each mechanism switched off.
+
+use base::digest;
+use base::Millis;
+use base::Outcome;
+use base::Revision;
+use base::Set;
+use base::VmId;
+use conf::sync::ChangeAction;
+use conf::sync::ChangeGuards;
+use conf::sync::ChangeInput;
+use conf::sync::ChangeRun;
+use conf::sync::ChangeSetup;
+use conf::sync::Reply;
+use conf::sync::StoreRev;
+use conf::sync::Stored;
+use conf::sync::WriteResult;
+use conf::tree::Change;
+use conf::tree::Edit;
+use conf::tree::OpId;
+use conf::tree::Tree;
+use conf::tree::Value;
+use yare::parameterized;
+
+const DEADLINE: Millis = Millis(1_000_000);
+
+fn change(op: &str) -> Change {
+    Change {
+        op: op.parse().unwrap(),
+        who: "ana".parse().unwrap(),
+        when: Millis(0),
+        edits: vec![Edit::Set {
+            at: "domain=d".parse().unwrap(),
+            key: "out".into(),
+            value: Value::Flag(true),
+        }],
+    }
+}
+
+fn run(op: &str, guards: ChangeGuards) -> ChangeRun {
+    ChangeRun::new(ChangeSetup {
+        change: change(op),
+        expect: None,
+        floor: Revision(0),
+        deadline: DEADLINE,
+        spread: Millis(0),
+        guards,
+    })
+}
+
+/// A call on its way to the store. `mute` ones were given up by their sender.
+#[derive(Clone, Debug)]
+struct Call {
+    run: usize,
+    seq: u64,
+    write: Option<(Option<StoreRev>, String)>,
+    mute: bool,
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    now: Millis,
+    ops: Vec<OpId>,
+    runs: Vec<ChangeRun>,
+    replies: Vec<Option<Reply>>,
+    store: Stored,
+    calls: Vec<Call>,
+    faults: u32,
+    /// Operations that became durable, in order.
+    made: Vec<OpId>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Move {
+    /// The store carries the call out and its answer arrives.
+    Answer(usize),
+    /// The call is dropped on the way; its sender gets no answer.
+    Drop(usize),
+    /// The sender gives up; the call may arrive later.
+    GiveUp(usize),
+    /// The store carries the call out; the answer is lost.
+    Lose(usize),
+    /// The run is at its deadline.
+    Late(usize),
+    Tick(usize),
+}
+
+impl World {
+    fn new(ops: &[&str], faults: u32, guards: ChangeGuards) -> World {
+        World {
+            now: Millis(1000),
+            ops: ops.iter().map(|o| o.parse().unwrap()).collect(),
+            runs: ops.iter().map(|o| run(o, guards)).collect(),
+            replies: vec![None; ops.len()],
+            store: Stored::default(),
+            calls: Vec::new(),
+            faults,
+            made: Vec::new(),
+        }
+    }
+
+    fn moves(&self) -> Vec<Move> {
+        let mut all = Vec::new();
+        for (at, call) in self.calls.iter().enumerate() {
+            all.push(Move::Answer(at));
+            if call.mute {
+                all.push(Move::Drop(at));
+            } else if self.faults > 0 {
+                all.extend([Move::Drop(at), Move::GiveUp(at), Move::Lose(at)]);
+            }
+        }
+        for (at, run) in self.runs.iter().enumerate() {
+            let busy = self.calls.iter().any(|c| c.run == at && !c.mute);
+            if !run.is_over() && !busy {
+                all.push(Move::Tick(at));
+            }
+            if !run.is_over() && self.faults > 0 {
+                all.push(Move::Late(at));
+            }
+        }
+        all
+    }
+
+    fn go(&mut self, step: Move) -> Result<(), String> {
+        match step {
+            Move::Answer(at) => {
+                let call = self.calls.swap_remove(at);
+                let answer = self.execute(&call)?;
+                if !call.mute {
+                    self.feed(call.run, answer)?;
+                }
+            }
+            Move::Drop(at) => {
+                let call = self.calls.swap_remove(at);
+                self.silence(&call)?;
+            }
+            Move::GiveUp(at) => {
+                let call = self.calls[at].clone();
+                self.calls[at].mute = true;
+                self.silence(&call)?;
+            }
+            Move::Lose(at) => {
+                let call = self.calls.swap_remove(at);
+                self.execute(&call)?;
+                self.silence(&call)?;
+            }
+            Move::Late(at) => {
+                self.faults -= 1;
+                let actions = self.runs[at].step(DEADLINE, ChangeInput::Tick);
+                self.act(at, actions)?;
+            }
+            Move::Tick(at) => {
+                self.now += Millis(100);
+                self.feed(at, ChangeInput::Tick)?;
+            }
+        }
+        Ok(())
+    }
+
+    fn silence(&mut self, call: &Call) -> Result<(), String> {
+        if call.mute {
+            return Ok(());
+        }
+        self.faults -= 1;
+        let input = match call.write {
+            Some(_) => ChangeInput::Write(call.seq, WriteResult::Unknown),
+            None => ChangeInput::Read(call.seq, None),
+        };
+        self.feed(call.run, input)
+    }
+
+    fn execute(&mut self, call: &Call) -> Result<ChangeInput, String> {
+        let Some((base, data)) = &call.write else {
+            return Ok(ChangeInput::Read(call.seq, Some(self.store.clone())));
+        };
+        if base.is_some_and(|b| b != self.store.rev) {
+            return Ok(ChangeInput::Write(call.seq, WriteResult::Changed));
+        }
+        self.store.rev = StoreRev(self.store.rev.0 + 1);
+        self.store.version = self.store.version.next();
+        self.store.data = Some(data.clone().into_bytes());
+        let tree = Tree::decode(data.as_bytes()).unwrap();
+        self.made.extend(tree.last_op().cloned());
+        self.check_store(&tree)?;
+        Ok(ChangeInput::Write(call.seq, WriteResult::Done))
+    }
+
+    /// Every durable change is in the document once, one a revision.
+    fn check_store(&self, tree: &Tree) -> Result<(), String> {
+        let ops: Vec<OpId> = tree.history().map(|r| r.op.clone()).collect();
+        let made: Vec<OpId> = self.made.iter().rev().cloned().collect();
+        let once: Set<&OpId> = made.iter().collect();
+        if once.len() != made.len() {
+            return Err(format!("doubled: {made:?}"));
+        }
+        (ops == made)
+            .then_some(())
+            .ok_or(format!("{ops:?} instead of {made:?}"))
+    }
+
+    fn feed(&mut self, at: usize, input: ChangeInput) -> Result<(), String> {
+        let actions = self.runs[at].step(self.now, input);
+        self.act(at, actions)
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<ChangeAction>) -> Result<(), String> {
+        for action in actions {
+            let (seq, write) = match action {
+                ChangeAction::Accepted(_) => {
+                    let all: Vec<VmId> = vec!["a".parse().unwrap()];
+                    let (live, holders) = (all.clone(), all);
+                    self.feed(at, ChangeInput::Heard { live, holders })?;
+                    continue;
+                }
+                ChangeAction::Reply(reply) => {
+                    self.check_reply(at, &reply)?;
+                    self.replies[at] = Some(reply);
+                    continue;
+                }
+                ChangeAction::Read(seq) => (seq, None),
+                ChangeAction::Write { seq, base, data } => (seq, Some((base, data))),
+            };
+            let run = at;
+            self.calls.push(Call {
+                run,
+                seq,
+                write,
+                mute: false,
+            });
+        }
+        Ok(())
+    }
+
+    fn check_reply(&self, at: usize, reply: &Reply) -> Result<(), String> {
+        let op = &self.ops[at];
+        match reply {
+            Reply::Accepted(r) if self.made.get(r.revision.0 as usize - 1) == Some(op) => Ok(()),
+            Reply::Accepted(r) => Err(format!("{op} accepted as {} but not made", r.revision)),
+            Reply::Refused(r) => match &r.conflict {
+                Some(c) if c.records.is_empty() => Err(format!("{op}: conflict with nothing")),
+                Some(c) if c.records.iter().any(|r| r.op == *op) => {
+                    Err(format!("{op}: conflict with itself"))
+                }
+                _ => Ok(()),
+            },
+        }
+    }
+
+    /// With nothing on its way any more, what was not run is not there.
+    fn check_end(&self) -> Result<(), String> {
+        for (op, reply) in self.ops.iter().zip(&self.replies) {
+            let not_run = matches!(reply, Some(Reply::Refused(r)) if r.outcome == Outcome::NotRun);
+            let same = self.ops.iter().filter(|o| *o == op).count() > 1;
+            if not_run && !same && self.made.contains(op) {
+                return Err(format!("{op} was told not run, but is made"));
+            }
+        }
+        Ok(())
+    }
+}
+
+#[derive(Default)]
+struct Search {
+    seen: Set<u64>,
+    ends: usize,
+}
+
+impl Search {
+    fn visit(&mut self, world: &World) -> Result<(), String> {
+        if !self.seen.insert(digest(format!("{world:?}").as_bytes())) {
+            return Ok(());
+        }
+        let moves = world.moves();
+        if moves.is_empty() {
+            self.ends += 1;
+            return world.check_end();
+        }
+        for step in moves {
+            let mut next = world.clone();
+            let done = next.go(step).and_then(|()| self.visit(&next));
+            done.map_err(|e| format!("{step:?}, {e}"))?;
+        }
+        Ok(())
+    }
+}
+
+#[parameterized(
+    one = { &["x"], 3 },
+    race = { &["x", "y"], 2 },
+    resend = { &["x", "x"], 2 },
+)]
+fn every_interleaving_is_safe(ops: &[&str], faults: u32) {
+    let mut search = Search::default();
+    let world = World::new(ops, faults, ChangeGuards::default());
+    assert_eq!(search.visit(&world), Ok(()));
+    println!(
+        "{ops:?}, {faults} faults: {} states, {} ends",
+        search.seen.len(),
+        search.ends
+    );
+    assert!(search.ends > 0);
+}
+
+#[parameterized(
+    compare = { &["x", "y"], ChangeGuards { compare: false, ..ChangeGuards::default() } },
+    ops = { &["x", "x"], ChangeGuards { ops: false, ..ChangeGuards::default() } },
+    settle = { &["x"], ChangeGuards { settle: false, ..ChangeGuards::default() } },
+)]
+fn each_mechanism_is_needed(ops: &[&str], guards: ChangeGuards) {
+    let found = Search::default().visit(&World::new(ops, 2, guards));
+    println!("{guards:?}: {}", found.clone().unwrap_err());
+    assert!(found.is_err());
+}
+
+fn stored(revisions: u64, version: u64) -> Stored {
+    let mut tree = Tree::new();
+    for i in 0..revisions {
+        tree = tree.apply(&change(&format!("old{i}"))).unwrap();
+    }
+    let tree = tree.with_version(conf::tree::KeyVersion(revisions));
+    Stored {
+        rev: StoreRev(9),
+        version: conf::tree::KeyVersion(version),
+        data: Some(tree.encode().into_bytes()),
+    }
+}
+
+/// The actions after one read by a run that knows of revision 3.
+fn after_read(expect: Option<Revision>, got: Stored, guards: ChangeGuards) -> ChangeAction {
+    let mut run = ChangeRun::new(ChangeSetup {
+        change: change("x"),
+        expect,
+        floor: Revision(3),
+        deadline: DEADLINE,
+        spread: Millis(500),
+        guards,
+    });
+    run.step(Millis(0), ChangeInput::Tick);
+    run.step(Millis(1), ChangeInput::Read(1, Some(got)))
+        .remove(0)
+}
+
+#[parameterized(
+    rolled_back = { 2, 2, "the store holds revision 2, older than revision 3 in force",
+        ChangeGuards { floor: false, ..ChangeGuards::default() } },
+    put_back = { 3, 5, "somebody has put an older document back into the store",
+        ChangeGuards { version: false, ..ChangeGuards::default() } },
+)]
+fn an_older_document_is_not_built_upon(
+    revisions: u64,
+    version: u64,
+    want: &str,
+    off: ChangeGuards,
+) {
+    let got = || stored(revisions, version);
+    let ChangeAction::Reply(Reply::Refused(why)) = after_read(None, got(), ChangeGuards::default())
+    else {
+        panic!("not refused");
+    };
+    assert_eq!((why.outcome, why.reason.as_str()), (Outcome::NotRun, want));
+    assert!(matches!(
+        after_read(None, got(), off),
+        ChangeAction::Write { .. }
+    ));
+}
+
+#[test]
+fn a_later_revision_than_expected_is_a_conflict_that_shows_the_change() {
+    let got = after_read(Some(Revision(3)), stored(5, 5), ChangeGuards::default());
+    let ChangeAction::Reply(Reply::Refused(why)) = got else {
+        panic!("not refused");
+    };
+    let conflict = why.conflict.unwrap();
+    assert_eq!(conflict.revision, Revision(5));
+    let ops: Vec<&str> = conflict.records.iter().map(|r| r.op.as_str()).collect();
+    assert_eq!(ops, ["old4", "old3"]);
+}
+
+#[test]
+fn the_reply_names_the_daemons_that_were_not_heard() {
+    let mut run = run("x", ChangeGuards::default());
+    run.step(Millis(0), ChangeInput::Tick);
+    run.step(Millis(1), ChangeInput::Read(1, Some(Stored::default())));
+    run.step(Millis(2), ChangeInput::Write(2, WriteResult::Done));
+    let ids = |names: &[&str]| {
+        names
+            .iter()
+            .map(|n| n.parse().unwrap())
+            .collect::<Vec<VmId>>()
+    };
+    let (live, holders) = (ids(&["a", "b", "c"]), ids(&["a", "c"]));
+    assert!(run
+        .step(Millis(2), ChangeInput::Heard { live, holders })
+        .is_empty());
+    let got = run.step(Millis(2), ChangeInput::Tick).remove(0);
+    let ChangeAction::Reply(Reply::Accepted(reply)) = got else {
+        panic!("not accepted");
+    };
+    assert_eq!(
+        (reply.in_force, reply.not_heard),
+        (ids(&["a", "c"]), ids(&["b"]))
+    );
+    assert!(!reply.repeated);
+}
--- /dev/null
+++ b/crates/conf/tests/floor.rs
@@ -0,0 +1,124 @@
+//! Settings of one daemon by hand: what it believes of a store that was rolled back as a
+//! whole, of a deleted document and of an unreadable one, and its reads of a dead store.
+
+use std::sync::Arc;
+
+use base::Millis;
+use base::Revision;
+use conf::sync::Action;
+use conf::sync::Alarm;
+use conf::sync::Config;
+use conf::sync::Guards;
+use conf::sync::Input;
+use conf::sync::Note;
+use conf::sync::Stored;
+use conf::sync::Sync;
+use conf::tree::Change;
+use conf::tree::Edit;
+use conf::tree::KeyVersion;
+use conf::tree::Tree;
+use conf::tree::Value;
+use yare::parameterized;
+
+fn sync(guards: Guards) -> Sync {
+    Sync::new(Config {
+        me: "me".parse().unwrap(),
+        freshness: Millis(1000),
+        poll: Millis(500),
+        timeout: Millis(500),
+        guards,
+    })
+}
+
+fn tree() -> Tree {
+    let change = Change {
+        op: "x".parse().unwrap(),
+        who: "ana".parse().unwrap(),
+        when: Millis(0),
+        edits: vec![Edit::Set {
+            at: "domain=d".parse().unwrap(),
+            key: "out".into(),
+            value: Value::Flag(true),
+        }],
+    };
+    Tree::new()
+        .apply(&change)
+        .unwrap()
+        .with_version(KeyVersion(1))
+}
+
+fn reads(actions: &[Action]) -> Vec<u64> {
+    let read = |a: &Action| match a {
+        Action::Read(seq) => Some(*seq),
+        _ => None,
+    };
+    actions.iter().filter_map(read).collect()
+}
+
+fn read(sync: &mut Sync, now: u64, stored: Stored) -> Vec<Action> {
+    let seq = reads(&sync.step(Millis(now), Input::Tick))[0];
+    sync.step(Millis(now + 1), Input::Read(seq, stored))
+}
+
+#[parameterized(
+    on = { Guards::default(), false },
+    off = { Guards { floor: false, ..Guards::default() }, true },
+)]
+fn a_daemon_told_of_a_newer_revision_is_not_fresh(guards: Guards, want: bool) {
+    let mut sync = sync(guards);
+    sync.step(Millis(1), Input::Join("b".parse().unwrap()));
+    let note = Note {
+        revision: Some(Revision(1)),
+        ..Note::default()
+    };
+    sync.step(Millis(2), Input::Note("b".parse().unwrap(), note));
+    read(&mut sync, 3, Stored::default());
+    assert_eq!(sync.is_fresh(Millis(5)), want);
+}
+
+#[test]
+fn a_deleted_document_is_written_back() {
+    let mut sync = sync(Guards::default());
+    sync.step(Millis(1), Input::Accepted(Arc::new(tree())));
+    let got = read(&mut sync, 2, Stored::default());
+    assert!(got
+        .iter()
+        .any(|a| matches!(a, Action::Alarm(Alarm::Replaced { .. }))));
+    let restored = got.iter().find_map(|a| match a {
+        Action::Restore { data, .. } => Tree::decode(data.as_bytes()).ok(),
+        _ => None,
+    });
+    assert_eq!(restored, Some(tree()));
+    assert_eq!(sync.tree().unwrap().revision(), Revision(1));
+    assert!(!sync.is_fresh(Millis(4)));
+}
+
+#[test]
+fn an_unreadable_document_is_an_alarm_and_nothing_else() {
+    let mut sync = sync(Guards::default());
+    let data = Some(b"{".to_vec());
+    let got = read(
+        &mut sync,
+        1,
+        Stored {
+            data,
+            ..Stored::default()
+        },
+    );
+    assert!(matches!(got[..], [Action::Alarm(Alarm::Unreadable(_))]));
+    assert!(!sync.is_ready());
+}
+
+#[test]
+fn a_dead_store_is_read_less_and_less_often() {
+    let mut sync = sync(Guards::default());
+    let mut calls = 0;
+    for now in (0..20_000).step_by(50) {
+        let seqs = reads(&sync.step(Millis(now), Input::Tick));
+        calls += seqs.len();
+        for seq in seqs {
+            sync.step(Millis(now + 1), Input::ReadFailed(seq));
+        }
+    }
+    assert!((10..=30).contains(&calls), "{calls}");
+}
--- /dev/null
+++ b/crates/conf/tests/sync.rs
@@ -0,0 +1,165 @@
+//! Freshness and order of revisions: random runs with fixed seeds, an exhaustive search at
+//! a small size, and the same with each mechanism switched off.
+
+mod model;
+
+use base::digest;
+use base::Set;
+use conf::sync::Guards;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use yare::parameterized;
+
+use model::Move;
+use model::World;
+
+const SEEDS: u64 = 30;
+const MOVES: usize = 4000;
+
+fn pick(world: &World, rng: &mut Pcg32) -> Option<Move> {
+    let (nodes, wires, reads) = world.sizes();
+    let node = rng.random_range(0..nodes);
+    let wire = (wires > 0).then(|| rng.random_range(0..wires));
+    let read = (reads > 0).then(|| rng.random_range(0..reads));
+    match rng.random_range(0..1000) {
+        0..200 => Some(Move::Advance(rng.random_range(1..60))),
+        200..210 => Some(Move::Advance(rng.random_range(60..900))),
+        210..410 => Some(Move::Tick(node)),
+        410..640 => wire.map(Move::Deliver),
+        640..720 => wire.map(Move::Drop),
+        720..735 => wire.filter(|_| wires < 100).map(Move::Repeat),
+        735..845 => read.map(Move::Execute),
+        845..925 => read.filter(|r| world.has_answer(*r)).map(Move::Answer),
+        925..945 => read.map(Move::Fail),
+        945..975 if !world.is_regressed() => Some(Move::Change(node)),
+        975..985 if !world.is_regressed() => Some(Move::Restart(node)),
+        985..992 if world.can_regress() => Some(Move::Regress),
+        992..1000 => Some(Move::StepBack(node, rng.random_range(1000..5000))),
+        _ => None,
+    }
+}
+
+fn run(seed: u64, guards: Guards) -> Result<(), String> {
+    let mut rng = Pcg32::seed_from_u64(seed);
+    let mut world = World::new(3, guards);
+    for _ in 0..MOVES {
+        if let Some(step) = pick(&world, &mut rng) {
+            world.go(step)?;
+        }
+    }
+    settle(&mut world)
+}
+
+/// Two seconds in which everything works.
+fn settle(world: &mut World) -> Result<(), String> {
+    for _ in 0..40 {
+        world.go(Move::Advance(50))?;
+        for node in 0..world.sizes().0 {
+            world.go(Move::Tick(node))?;
+        }
+        while world.sizes().1 > 0 {
+            world.go(Move::Deliver(0))?;
+        }
+        while world.sizes().2 > 0 {
+            world.go(Move::Execute(0))?;
+            world.go(Move::Answer(0))?;
+        }
+    }
+    let settled = world.is_settled() && !world.is_regressed();
+    settled.then_some(()).ok_or("not settled".to_string())
+}
+
+#[test]
+fn random_runs_keep_the_invariants() {
+    for seed in 0..SEEDS {
+        assert_eq!(run(seed, Guards::default()), Ok(()), "seed {seed}");
+    }
+}
+
+#[parameterized(
+    echo = { Guards { echo: false, ..Guards::default() } },
+    forward = { Guards { forward: false, ..Guards::default() } },
+    from_call = { Guards { from_call: false, ..Guards::default() } },
+    steps = { Guards { steps: false, ..Guards::default() } },
+    version = { Guards { version: false, ..Guards::default() } },
+)]
+fn each_mechanism_is_needed(guards: Guards) {
+    let broken = (0..SEEDS).find_map(|seed| run(seed, guards).err().map(|e| (seed, e)));
+    let (seed, found) = broken.expect("no seed shows the need");
+    println!("{guards:?}: seed {seed}: {found}");
+    assert_ne!(found, "not settled");
+}
+
+/// All moves of a small world in which at most two changes and two faults happen.
+fn moves(world: &World, changes: u32, faults: u32) -> Vec<(Move, u32, u32)> {
+    let (nodes, wires, reads) = world.sizes();
+    let mut all = vec![(Move::Advance(500), 0, 0)];
+    for node in 0..nodes {
+        all.push((Move::Tick(node), 0, 0));
+        if changes > 0 && !world.is_regressed() {
+            all.push((Move::Change(node), 1, 0));
+        }
+        if faults > 0 {
+            all.push((Move::StepBack(node, 1000), 0, 1));
+        }
+    }
+    for wire in 0..wires {
+        all.push((Move::Deliver(wire), 0, 0));
+    }
+    for read in 0..reads {
+        let got = world.has_answer(read);
+        let step = if got {
+            Move::Answer(read)
+        } else {
+            Move::Execute(read)
+        };
+        all.push((step, 0, 0));
+    }
+    if faults > 0 && world.can_regress() {
+        all.push((Move::Regress, 0, 1));
+    }
+    all
+}
+
+struct Search {
+    seen: Set<u64>,
+    depth: u32,
+}
+
+impl Search {
+    fn visit(
+        &mut self,
+        world: &World,
+        depth: u32,
+        changes: u32,
+        faults: u32,
+    ) -> Result<(), String> {
+        let state = format!("{world:?} {depth} {changes} {faults}");
+        if depth == self.depth || !self.seen.insert(digest(state.as_bytes())) {
+            return Ok(());
+        }
+        for (step, change, fault) in moves(world, changes, faults) {
+            let mut next = world.clone();
+            next.go(step).map_err(|e| format!("{step:?}: {e}"))?;
+            let deeper = self.visit(&next, depth + 1, changes - change, faults - fault);
+            deeper.map_err(|e| format!("{step:?}, {e}"))?;
+        }
+        Ok(())
+    }
+}
+
+#[test]
+fn exhaustive_search_of_two_daemons() {
+    let mut search = Search {
+        seen: Set::default(),
+        depth: 5,
+    };
+    let mut world = World::new(2, Guards::default());
+    settle(&mut world).unwrap();
+    world.go(Move::Change(0)).unwrap();
+    settle(&mut world).unwrap();
+    assert_eq!(search.visit(&world, 0, 2, 1), Ok(()));
+    println!("{} states", search.seen.len());
+    assert!(search.seen.len() > 4_000, "{}", search.seen.len());
+}
