Replay job tables through the planner and two baselines

Cause: the policy had no measure. Change: trial example with its tables; the first runs showed an unstoppable gang larger than any surplus waiting for ever: it is refused now, with its own reason.

--- /dev/null
+++ b/crates/gang/examples/trial/baseline.rs
@@ -0,0 +1,236 @@
+//! FIFO with first fit and FIFO with backfill, with the planner's interface.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use base::Attempt;
+use base::DomainId;
+use base::GangPlan;
+use base::JobId;
+use base::JobSpec;
+use base::Millis;
+use base::Spread;
+use base::TaskPlace;
+use base::WorkerId;
+use base::WorkerSpec;
+use gang::Action;
+use gang::Ended;
+use gang::Input;
+
+#[derive(Clone)]
+struct Entry {
+    spec: JobSpec,
+    attempt: Attempt,
+    failed: BTreeSet<WorkerId>,
+    /// Places, as worker and accelerators, with the declared end, once started.
+    run: Option<(Vec<(usize, u32)>, Millis)>,
+}
+
+/// A baseline; jobs are served in order of arrival, those that end badly in their old place.
+#[derive(Default)]
+pub struct Fifo {
+    /// Whether jobs may pass the first one if its declared start is not delayed.
+    pub backfill: bool,
+    fleet: Vec<WorkerSpec>,
+    free: Vec<u64>,
+    out: BTreeSet<DomainId>,
+    jobs: BTreeMap<u64, Entry>,
+    ids: BTreeMap<JobId, u64>,
+    next: u64,
+}
+
+fn span(first: u32, count: u32) -> u64 {
+    ((1u64 << count) - 1) << first
+}
+
+impl Fifo {
+    pub fn new(backfill: bool) -> Fifo {
+        Fifo {
+            backfill,
+            ..Fifo::default()
+        }
+    }
+
+    pub fn step(&mut self, now: Millis, input: Input) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match input {
+            Input::WorkerUp(spec) => {
+                self.free.push(span(0, spec.accels.0));
+                self.fleet.push(spec);
+            }
+            Input::DomainOut(d) => drop(self.out.insert(d)),
+            Input::DomainBack(d) => drop(self.out.remove(&d)),
+            Input::Submit { spec, attempt, .. } => {
+                self.next += 1;
+                self.ids.insert(spec.id.clone(), self.next);
+                let failed = BTreeSet::new();
+                let entry = Entry {
+                    spec,
+                    attempt,
+                    failed,
+                    run: None,
+                };
+                self.jobs.insert(self.next, entry);
+            }
+            Input::Cancel(jobs) => jobs.iter().for_each(|job| self.cancel(job, &mut actions)),
+            Input::Ended { job, how } => self.ended(&job, how, &mut actions),
+            _ => return actions,
+        }
+        self.pass(now, &mut actions);
+        actions
+    }
+
+    fn cancel(&mut self, job: &JobId, actions: &mut Vec<Action>) {
+        let Some(key) = self.ids.get(job) else { return };
+        if self.jobs.get(key).is_some_and(|e| e.run.is_none()) {
+            self.jobs.remove(key);
+            self.ids.remove(job);
+            actions.push(Action::Cancelled { job: job.clone() });
+        }
+    }
+
+    fn ended(&mut self, job: &JobId, how: Ended, actions: &mut Vec<Action>) {
+        let Some(&key) = self.ids.get(job) else {
+            return;
+        };
+        let Some(mut entry) = self.jobs.remove(&key) else {
+            return;
+        };
+        for (w, first) in entry.run.take().into_iter().flat_map(|r| r.0) {
+            self.free[w] |= span(first, entry.spec.shape.accels.0);
+        }
+        if how == Ended::Finished {
+            return;
+        }
+        if let Ended::Failed { worker } = how {
+            entry.failed.insert(worker);
+        }
+        if entry.spec.is_stoppable() && entry.failed.len() < 10 {
+            entry.attempt = entry.attempt.next();
+            self.jobs.insert(key, entry);
+        } else {
+            actions.push(Action::Cancelled { job: job.clone() });
+        }
+    }
+
+    fn pass(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let waiting: Vec<u64> = self
+            .jobs
+            .iter()
+            .filter(|(_, e)| e.run.is_none())
+            .map(|(k, _)| *k)
+            .collect();
+        let mut head: Option<(u64, Millis, Vec<u64>)> = None;
+        for key in waiting {
+            let entry = self.jobs[&key].clone();
+            let Some(places) = self.fit(&entry, &self.free) else {
+                if head.is_none() && !self.backfill {
+                    return;
+                }
+                head = head.or_else(|| self.shadow(key, now));
+                continue;
+            };
+            let end = now + entry.spec.length;
+            if let Some((first, start, mut later)) = head.clone() {
+                places
+                    .iter()
+                    .for_each(|(w, at)| later[*w] &= !span(*at, entry.spec.shape.accels.0));
+                if end > start && self.fit(&self.jobs[&first], &later).is_none() {
+                    continue;
+                }
+                if end > start {
+                    head = Some((first, start, later));
+                }
+            }
+            self.start(key, places, end, actions);
+        }
+    }
+
+    fn start(
+        &mut self,
+        key: u64,
+        places: Vec<(usize, u32)>,
+        end: Millis,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(entry) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let count = entry.spec.shape.accels;
+        places
+            .iter()
+            .for_each(|(w, first)| self.free[*w] &= !span(*first, count.0));
+        let fleet = &self.fleet;
+        let task = |(i, (w, first)): (usize, &(usize, u32))| TaskPlace {
+            task: i as u32,
+            worker: fleet[*w].id.clone(),
+            first: *first,
+            count,
+        };
+        let tasks = places.iter().enumerate().map(task).collect();
+        entry.run = Some((places, end));
+        actions.push(Action::Start(GangPlan {
+            job: entry.spec.id.clone(),
+            attempt: entry.attempt,
+            places: tasks,
+        }));
+    }
+
+    /// When the first waiting job fits by the declared ends, and what is free then.
+    fn shadow(&self, key: u64, now: Millis) -> Option<(u64, Millis, Vec<u64>)> {
+        let mut running: Vec<&Entry> = self.jobs.values().filter(|e| e.run.is_some()).collect();
+        running.sort_by_key(|e| e.run.as_ref().map(|r| r.1));
+        let mut free = self.free.clone();
+        for entry in running {
+            let (places, end) = entry.run.as_ref()?;
+            places
+                .iter()
+                .for_each(|(w, at)| free[*w] |= span(*at, entry.spec.shape.accels.0));
+            if self.fit(&self.jobs[&key], &free).is_some() {
+                return Some((key, (*end).max(now), free));
+            }
+        }
+        None
+    }
+
+    /// First fit: the first domain, rack or worker that holds the gang, from its first free
+    /// accelerators on.
+    fn fit(&self, entry: &Entry, free: &[u64]) -> Option<Vec<(usize, u32)>> {
+        let shape = &entry.spec.shape;
+        let mut groups: BTreeMap<&str, Vec<(usize, u32)>> = BTreeMap::new();
+        for (w, worker) in self.fleet.iter().enumerate() {
+            let fixed = entry
+                .spec
+                .domain
+                .as_ref()
+                .is_some_and(|d| *d != worker.domain);
+            if fixed
+                || worker.accels < shape.accels
+                || self.out.contains(&worker.domain)
+                || entry.failed.contains(&worker.id)
+            {
+                continue;
+            }
+            let group = match shape.spread {
+                Spread::Domain => worker.domain.as_str(),
+                Spread::Rack => worker.rack.as_str(),
+                Spread::Worker => worker.id.as_str(),
+            };
+            let list = groups.entry(group).or_default();
+            let mut first = 0;
+            while first + shape.accels.0 <= worker.accels.0 {
+                let want = span(first, shape.accels.0);
+                if free[w] & want == want {
+                    list.push((w, first));
+                    first += shape.accels.0;
+                } else {
+                    first += 1;
+                }
+                if list.len() == shape.tasks as usize {
+                    return Some(list.clone());
+                }
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/gang/examples/trial/table.rs
@@ -0,0 +1,244 @@
+//! The sites and the job tables, with the reason for each.
+
+use base::Accels;
+use base::Bytes;
+use base::Cores;
+use base::DomainId;
+use base::JobSpec;
+use base::Millis;
+use base::Shape;
+use base::Spread;
+use base::WorkerSpec;
+use gang::Departure;
+use gang::Guarantee;
+use gang::OrgPolicy;
+use gang::Policy;
+use rand::Rng;
+use rand::RngExt;
+
+/// One site: its size and the organisations on it.
+#[derive(Clone, Copy)]
+pub struct Site {
+    pub name: &'static str,
+    pub domains: u32,
+    /// Workers with 8 accelerators, and those with none.
+    pub workers: (u32, u32),
+    pub rack: u32,
+    pub orgs: u32,
+}
+
+/// The brief's two sites and the size that the letter expects.
+pub const SITES: [Site; 3] = [
+    Site {
+        name: "recovery-board",
+        domains: 4,
+        workers: (48, 0),
+        rack: 6,
+        orgs: 4,
+    },
+    Site {
+        name: "slatko-dvor",
+        domains: 3,
+        workers: (48, 0),
+        rack: 8,
+        orgs: 4,
+    },
+    Site {
+        name: "letter",
+        domains: 7,
+        workers: (70, 430),
+        rack: 5,
+        orgs: 89,
+    },
+];
+
+/// Cases: many small jobs at once; large gangs at once; declared run times off by up to ten;
+/// workers that fail everything; a wave of cancellations; a failure domain that leaves for two
+/// hours; guarantees claimed on a full site.
+pub const CASES: [&str; 7] = [
+    "small",
+    "large",
+    "wrong",
+    "black-hole",
+    "cancel",
+    "departure",
+    "claim",
+];
+
+/// The mix: weight, tasks, accelerators of a task, spread, usual minutes. Many small jobs, and
+/// few large ones that need most of the accelerator time, as both sites report it.
+const MIX: [(u32, u32, u32, Spread, u64); 8] = [
+    (40, 1, 1, Spread::Domain, 15),
+    (20, 1, 2, Spread::Domain, 20),
+    (12, 1, 4, Spread::Domain, 30),
+    (10, 1, 8, Spread::Domain, 40),
+    (8, 2, 8, Spread::Rack, 60),
+    (6, 4, 8, Spread::Domain, 60),
+    (2, 8, 8, Spread::Domain, 90),
+    (2, 1, 3, Spread::Domain, 20),
+];
+
+/// Accelerator-minutes of the usual job, from the mix.
+const USUAL: f64 = 430.0;
+
+/// Accelerator time asked for while jobs arrive, as a share of what the site has: a site that
+/// is paid a fixed fee runs full, with a queue.
+const LOAD: f64 = 1.1;
+
+/// Hours in which the usual jobs arrive.
+const HOURS: u64 = 4;
+
+/// One job of a table.
+#[derive(Clone)]
+pub struct Row {
+    pub at: Millis,
+    pub spec: JobSpec,
+    pub actual: Millis,
+    /// It fails wherever it runs.
+    pub poison: bool,
+    /// It claims a guarantee.
+    pub claim: bool,
+}
+
+impl Site {
+    pub fn domain(&self, d: u32) -> DomainId {
+        format!("{}-{d}", self.name).parse().expect("valid id")
+    }
+
+    pub fn fleet(&self) -> Vec<WorkerSpec> {
+        let (full, bare) = self.workers;
+        let worker = |i: u32| {
+            let (d, n) = (i % self.domains, i / self.domains);
+            let domain = self.domain(d);
+            let kind = if i < full { 'g' } else { 'c' };
+            WorkerSpec {
+                id: format!("{domain}/{kind}{n}").parse().expect("valid id"),
+                rack: format!("{domain}/{}{kind}", n / self.rack)
+                    .parse()
+                    .expect("valid id"),
+                domain,
+                accels: Accels(if i < full { 8 } else { 0 }),
+                cores: Cores(32),
+                memory: Bytes(64 << 30),
+            }
+        };
+        (0..full + bare).map(worker).collect()
+    }
+
+    /// Each of up to four organisations holds two whole workers of one rack in each domain.
+    pub fn policy(&self) -> Policy {
+        let org = |i: u32| (org(i), OrgPolicy::default());
+        let pairs = (0..self.orgs.min(4)).flat_map(|o| (0..self.domains).map(move |d| (o, d)));
+        let guarantee = |(o, d): (u32, u32)| Guarantee {
+            org: self::org(o),
+            domain: self.domain(d),
+            shape: shape(2, 8, Spread::Rack),
+            count: 1,
+        };
+        Policy {
+            orgs: (0..self.orgs).map(org).collect(),
+            guarantees: pairs.map(guarantee).collect(),
+            departure: Departure::Move,
+            ..Policy::default()
+        }
+    }
+}
+
+fn org(i: u32) -> base::OrgId {
+    format!("org{i}").parse().expect("valid id")
+}
+
+fn shape(tasks: u32, accels: u32, spread: Spread) -> Shape {
+    let cores = Cores(accels.max(1) * 2);
+    Shape {
+        tasks,
+        accels: Accels(accels),
+        cores,
+        memory: Bytes(0),
+        spread,
+    }
+}
+
+/// The table of a case.
+pub fn rows(site: &Site, case: &str, rng: &mut impl Rng) -> Vec<Row> {
+    let accels = f64::from(site.workers.0 * 8);
+    let usual = (accels * 60.0 * HOURS as f64 / USUAL * LOAD) as u64;
+    let span = HOURS * 3_600_000;
+    let mut list: Vec<Row> = (0..usual)
+        .map(|_| row(site, case, None, span, rng))
+        .collect();
+    let burst = match case {
+        "small" => Some((usual, 0..3)),
+        "large" => Some((usual / 8, 4..7)),
+        "cancel" => Some((usual / 2, 0..7)),
+        "claim" => Some((u64::from(site.domains), 4..5)),
+        _ => None,
+    };
+    for i in 0..burst.as_ref().map_or(0, |(n, _)| *n) {
+        let kinds = burst.as_ref().map(|(_, kinds)| kinds.clone());
+        let mut row = row(site, case, kinds, 600_000, rng);
+        row.at += Millis(span / 2);
+        row.claim = case == "claim";
+        if row.claim {
+            row.spec.org = org(0);
+            row.spec.domain = Some(site.domain(i as u32));
+        }
+        list.push(row);
+    }
+    list.sort_by_key(|r| r.at);
+    for (i, row) in list.iter_mut().enumerate() {
+        row.spec.id = format!("job{i}").parse().expect("valid id");
+    }
+    list
+}
+
+fn row(
+    site: &Site,
+    case: &str,
+    kinds: Option<std::ops::Range<usize>>,
+    span: u64,
+    rng: &mut impl Rng,
+) -> Row {
+    let kind = match kinds {
+        Some(kinds) => rng.random_range(kinds),
+        None => pick(rng),
+    };
+    let (_, tasks, accels, spread, minutes) = MIX[kind];
+    let actual = minutes as f64 * 60_000.0 * 10f64.powf(rng.random_range(-0.5..0.5));
+    // The organisation that claims has no other jobs, so that the wait is that of a reclaim.
+    let org_index = rng.random_range(u32::from(case == "claim")..site.orgs);
+    let off = match case {
+        "wrong" => [0.1, 0.3, 3.0, 10.0][(kind + org_index as usize) % 4],
+        _ => rng.random_range(0.5..2.0),
+    };
+    let once = rng.random_range(0..10) == 0;
+    Row {
+        at: Millis(rng.random_range(0..span)),
+        spec: JobSpec {
+            id: "job".parse().expect("valid id"),
+            org: org(org_index),
+            kind: format!("kind{kind}").parse().expect("valid id"),
+            shape: shape(tasks, accels, spread),
+            length: Millis((actual * off) as u64),
+            domain: None,
+            urgent: rng.random_range(0..50) == 0,
+            idempotent: !once,
+            checkpoint: !once && rng.random_range(0..4) != 0,
+            payload: String::new(),
+        },
+        actual: Millis(actual as u64),
+        poison: rng.random_range(0..100) == 0,
+        claim: false,
+    }
+}
+
+fn pick(rng: &mut impl Rng) -> usize {
+    let sum: u32 = MIX.iter().map(|m| m.0).sum();
+    let mut left = rng.random_range(0..sum);
+    let found = MIX.iter().position(|m| {
+        let here = left < m.0;
+        left = left.saturating_sub(m.0);
+        here
+    });
+    found.unwrap_or(0)
+}
--- a/crates/gang/src/event.rs
+++ b/crates/gang/src/event.rs
@@ -128,6 +128,8 @@
     Cancelled,
     /// No failure domain that it may use could hold it with all its workers free.
     NoRoom,
+    /// It cannot be stopped, and is too large for the capacity that no guarantee needs.
+    NoSurplus,
     /// It needs more accelerators than its organisation's quota.
     Quota {
         /// The quota.
@@ -144,6 +146,9 @@
         match self {
             RefuseReason::Cancelled => f.write_str("cancelled before it started"),
             RefuseReason::NoRoom => f.write_str("no failure domain can hold its shape"),
+            RefuseReason::NoSurplus => {
+                f.write_str("it cannot be stopped and does not fit beside the guarantees")
+            }
             RefuseReason::Quota { quota } => write!(f, "over the quota of {quota} accelerators"),
             RefuseReason::Shape(problem) => f.write_str(problem),
             RefuseReason::UnknownOrg => f.write_str("its organisation is not known"),
--- a/crates/gang/src/hold.rs
+++ b/crates/gang/src/hold.rs
@@ -10,9 +10,6 @@
 use crate::site::Key;
 use crate::site::Load;
 
-/// Most reservations in one failure domain.
-const MAX_HOLDS: usize = 2;
-
 /// A reservation for a waiting gang.
 #[derive(Clone, Debug)]
 pub(crate) struct Hold {
@@ -39,7 +36,7 @@
         }
         let best = (0..self.site.domains.len())
             .filter(|&d| self.admits(d, key))
-            .filter(|&d| self.holds.iter().filter(|h| h.domain == d).count() < MAX_HOLDS)
+            .filter(|_| self.holds.is_empty())
             .filter_map(|d| self.plan_hold(key, d))
             .min_by_key(|h| (h.ready, h.domain));
         let Some(mut hold) = best else { return };
--- a/crates/gang/src/life.rs
+++ b/crates/gang/src/life.rs
@@ -22,6 +22,7 @@
 use crate::site::Footing;
 use crate::site::Key;
 use crate::site::Place;
+use crate::witness::Unit;
 
 impl Planner {
     pub(crate) fn submit(&mut self, spec: JobSpec, at: Millis, attempt: Attempt, saved: Millis) {
@@ -58,11 +59,34 @@
         if let Some(quota) = quota {
             return Some(RefuseReason::Quota { quota });
         }
-        let unknown = !self.permit || self.site.workers.is_empty();
-        if unknown || self.could_fit(spec) {
+        if !self.permit || self.site.workers.is_empty() {
             return None;
         }
-        Some(RefuseReason::NoRoom)
+        if !self.could_fit(spec) {
+            return Some(RefuseReason::NoRoom);
+        }
+        let barred = !spec.is_stoppable() && !self.could_stay(spec);
+        barred.then_some(RefuseReason::NoSurplus)
+    }
+
+    /// Whether a job that cannot be stopped has a place beside all guarantees, or on one of
+    /// its organisation's, on an otherwise empty site.
+    fn could_stay(&self, spec: &JobSpec) -> bool {
+        let allowed = |d: usize| {
+            let id = &self.site.domains[d].id;
+            spec.domain.as_ref().is_none_or(|own| own == id)
+        };
+        let own = |u: &Unit| u.org == spec.org && allowed(u.domain) && u.holds(&spec.shape);
+        if self.book.units.iter().any(own) {
+            return true;
+        }
+        let empty = self.site.emptied();
+        let domains = (0..empty.domains.len()).filter(|&d| allowed(d));
+        domains.into_iter().any(|d| {
+            let room = |w: usize| Some((empty.workers[w].all(), spec.shape));
+            let places = place(&empty, d, &spec.shape, &room, &free_of_cost);
+            places.is_some_and(|places| self.book.stands_beside(&empty, d, &places))
+        })
     }
 
     /// Whether a domain could hold a job with all its workers free and healthy.
--- a/crates/gang/src/site.rs
+++ b/crates/gang/src/site.rs
@@ -218,6 +218,24 @@
 }
 
 impl Site {
+    /// The same workers, all in service and with nothing on them.
+    pub fn emptied(&self) -> Site {
+        let mut site = self.clone();
+        for domain in &mut site.domains {
+            domain.out = false;
+        }
+        for worker in &mut site.workers {
+            worker.service = Service::Up;
+            worker.isolated = false;
+            worker.tenants.clear();
+            worker.busy = Load::default();
+            worker.held = Load::default();
+            worker.fixed = Load::default();
+            worker.owed = Load::default();
+        }
+        site
+    }
+
     /// Index of a worker.
     pub fn find(&self, id: &WorkerId) -> Option<usize> {
         self.ids.get(id).copied()
--- a/crates/gang/src/witness.rs
+++ b/crates/gang/src/witness.rs
@@ -11,6 +11,7 @@
 use crate::cells::Mask;
 use crate::policy::Guarantee;
 use crate::search::place;
+use crate::site::Footing;
 use crate::site::Key;
 use crate::site::Load;
 use crate::site::Place;
@@ -49,6 +50,13 @@
         sum
     }
 
+    /// Whether a gang of this shape may fit into the cells.
+    pub fn holds(&self, shape: &Shape) -> bool {
+        let each = shape.accels.0.max(1);
+        let slots = self.shape.accels.0 / each * self.shape.tasks;
+        shape.accels <= self.shape.accels && shape.tasks <= slots
+    }
+
     fn touches(&self, place: &Place) -> bool {
         let places = self.places.iter().flatten();
         places
@@ -244,6 +252,26 @@
         }
     }
 
+    /// Whether the guarantees of a domain can be met on an empty site beside unstoppable work
+    /// as well as without it.
+    pub fn stands_beside(&self, empty: &Site, domain: usize, work: &[Place]) -> bool {
+        let short = |work: &[Place]| {
+            let mut site = empty.clone();
+            site.seat(0, work, Footing::Fixed);
+            let here = self.units.iter().filter(|u| u.domain == domain);
+            let mut book = Book {
+                units: here.cloned().collect(),
+            };
+            for unit in &mut book.units {
+                unit.places = None;
+                unit.jobs.clear();
+            }
+            book.settle(&mut site);
+            book.short()
+        };
+        short(work) <= short(&[])
+    }
+
     fn fill(&mut self, site: &mut Site, order: &[usize]) -> bool {
         let mut done = true;
         for &i in order {
