--- a/crates/gang/src/backing.rs
+++ b/crates/gang/src/backing.rs
@@ -12,6 +12,7 @@
 use crate::site::Load;
 use crate::site::Place;
 use crate::site::Site;
+use crate::start::sum_on;
 use crate::witness::claimable;
 
 impl Planner {
@@ -161,45 +162,47 @@
             if movable {
                 last = Some(u.guarantee);
             }
-            if self.is_within(key, unit) || (movable && self.wrap(key, unit)) {
+            let places = &job.places;
+            if self.is_within(places, unit) || (movable && self.wrap_active(key, unit)) {
                 self.reseat(key, Footing::Backed, Some(unit));
                 return;
             }
         }
     }
 
-    /// Whether a job's places lie in the unused cells of a gang.
-    fn is_within(&self, key: Key, unit: usize) -> bool {
-        let Some(job) = self.jobs.get(&key) else {
-            return false;
-        };
+    /// Whether places lie in the unused cells of a gang.
+    fn is_within(&self, places: &[Place], unit: usize) -> bool {
         if self.book.units[unit].places.is_none() {
             return false;
         }
-        job.places.iter().all(|p| {
-            let mut sum = Load::default();
-            let here = job.places.iter().filter(|q| q.worker == p.worker);
-            here.for_each(|q| sum.add(q.load));
-            self.unit_room(unit, p.worker).covers(sum)
-        })
+        let fits = |p: &Place| {
+            self.unit_room(unit, p.worker)
+                .covers(sum_on(places, p.worker))
+        };
+        places.iter().all(fits)
     }
 
-    /// Assigns a movable gang cells that contain a job's places.
-    fn wrap(&mut self, key: Key, unit: usize) -> bool {
+    /// Assigns a movable gang cells that contain an active job's places.
+    fn wrap_active(&mut self, key: Key, unit: usize) -> bool {
         let Some(job) = self.jobs.get(&key) else {
             return false;
         };
+        let places = job.places.clone();
+        let footing = job.footing;
+        self.site.unseat(key, &places);
+        let done = self.wrap(unit, &places);
+        self.site.seat(key, &places, footing);
+        done
+    }
+
+    /// Assigns a movable gang cells that contain the places.
+    pub(crate) fn wrap(&mut self, unit: usize, places: &[Place]) -> bool {
         if self.site.domains[self.book.units[unit].domain].out {
             return false;
         }
-        let places = job.places.clone();
-        let footing = job.footing;
         let old = self.book.save();
-        self.site.unseat(key, &places);
         self.book.lift(&mut self.site, unit);
-        let done = self.wrap_places(unit, &places);
-        self.site.seat(key, &places, footing);
-        if done && self.is_within(key, unit) {
+        if self.wrap_places(unit, places) && self.is_within(places, unit) {
             return true;
         }
         self.book.rollback(&mut self.site, old);
--- a/crates/gang/src/claim.rs
+++ b/crates/gang/src/claim.rs
@@ -28,16 +28,18 @@
 
     /// Whether a job may be stopped for another under a claim of this kind.
     pub(crate) fn yields(&self, tenant: &Tenant, why: StopReason, urgent: bool) -> bool {
-        if tenant.footing != Footing::Borrowed {
-            return false;
-        }
         let Some(job) = self.jobs.get(&tenant.job) else {
             return false;
         };
-        match why {
-            StopReason::Move => job.spec.checkpoint && !job.spec.urgent,
-            _ => !(urgent && job.spec.urgent),
+        if why == StopReason::Move {
+            let settled = self.now.since(job.since) >= self.policy.restart;
+            let running = job.phase == Phase::Running && settled;
+            return tenant.footing != Footing::Fixed
+                && running
+                && job.spec.checkpoint
+                && !job.spec.urgent;
         }
+        tenant.footing == Footing::Borrowed && !(urgent && job.spec.urgent)
     }
 
     /// Work lost by taking some of a worker's accelerators, in accelerator-seconds.
--- a/crates/gang/src/hold.rs
+++ b/crates/gang/src/hold.rs
@@ -49,7 +49,7 @@
         self.holds.push(hold);
     }
 
-    fn plan_hold(&self, key: Key, domain: usize) -> Option<Hold> {
+    pub(crate) fn plan_hold(&self, key: Key, domain: usize) -> Option<Hold> {
         let job = self.jobs.get(&key)?;
         let shape = &job.spec.shape;
         let fixed = job.loose_footing() == Footing::Fixed;
--- a/crates/gang/src/lib.rs
+++ b/crates/gang/src/lib.rs
@@ -13,6 +13,7 @@
 mod hold;
 mod job;
 mod life;
+mod moves;
 mod offer;
 mod pass;
 mod planner;
--- a/crates/gang/src/pass.rs
+++ b/crates/gang/src/pass.rs
@@ -23,6 +23,9 @@
 /// Scale of the score, which is a ratio, as an integer.
 const SCORE_SCALE: f64 = 1000.0;
 
+/// Most waiting jobs for which moves are weighed in one pass.
+const MAX_MOVERS: usize = 8;
+
 /// What became of a waiting job in a pass.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Tried {
@@ -63,10 +66,19 @@
         let groups: Vec<u64> = self.queue.groups().collect();
         let orders = groups.iter().filter_map(|&g| self.order(g));
         let mut heap: BinaryHeap<Order> = orders.collect();
+        let mut moves = MAX_MOVERS;
         while let Some((_, _, Reverse(key), group)) = heap.pop() {
             match self.attempt(key, &mut full) {
                 Tried::Taken => heap.extend(self.order(group)),
-                Tried::NoRoom => self.hold(key),
+                Tried::NoRoom => {
+                    let moved = moves > 0 && self.try_move(key);
+                    moves -= usize::from(moves > 0);
+                    if moved {
+                        heap.extend(self.order(group));
+                    } else {
+                        self.hold(key);
+                    }
+                }
                 Tried::Barred => {}
             }
         }
@@ -135,7 +147,7 @@
     }
 
     /// Whether a domain that has just returned takes another borrowing job yet.
-    fn is_paced(&self, domain: usize, job: &Job) -> bool {
+    pub(crate) fn is_paced(&self, domain: usize, job: &Job) -> bool {
         let domain = &self.site.domains[domain];
         let Some(back) = domain.back else {
             return false;
@@ -175,7 +187,9 @@
             if best.as_ref().is_some_and(|(cost, _)| *cost == 0) {
                 break;
             }
-            self.shift_unit(unit);
+            if !self.draw_unit(key, unit, bar) {
+                self.shift_unit(unit);
+            }
             self.offer_unit(key, unit, bar, &mut best);
         }
         match best {
@@ -227,6 +241,30 @@
         places.iter().map(cost).sum()
     }
 
+    /// Moves a movable gang's cells to where the job can be placed with the least work lost,
+    /// whatever borrowing work stands on the rest of them.
+    fn draw_unit(&mut self, key: Key, unit: usize, bar: bool) -> bool {
+        let Some(job) = self.jobs.get(&key) else {
+            return false;
+        };
+        let domain = self.book.units[unit].domain;
+        if !self.admits(domain, key) {
+            return false;
+        }
+        let owed = self.owed_firmly();
+        let room = |w: usize| {
+            let worker = &self.site.workers[w];
+            if !worker.is_open() || !self.is_usable(w, job, bar) {
+                return None;
+            }
+            let left = worker.all().without(worker.fixed).without(worker.held);
+            Some((left.without(owed[w]), job.spec.shape))
+        };
+        let cost = |w: usize, mask: Mask| self.eviction_cost(w, mask);
+        let places = place(&self.site, domain, &job.spec.shape, &room, &cost);
+        places.is_some_and(|places| self.wrap(unit, &places))
+    }
+
     /// Moves a movable gang's cells to where least work stands.
     fn shift_unit(&mut self, unit: usize) {
         let Some(old) = self.book.lift(&mut self.site, unit) else {
