--- /dev/null
+++ b/crates/bronzetack/tests/support/callers.rs
@@ -0,0 +1,199 @@
+//! Callers and operators of a site, one blocking call each.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::Client;
+use serde_json::json;
+use serde_json::Value;
+use uuid::Uuid;
+use work::request;
+
+/// Time for one call.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A request and how to send it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub id: String,
+    pub idempotent: bool,
+    pub attempt: Option<u32>,
+    pub deadline: Duration,
+    pub body: String,
+}
+
+impl Request {
+    /// A non-idempotent request with a new id that carries its time.
+    pub fn once() -> Request {
+        let id = Uuid::now_v7().to_string();
+        Request {
+            body: format!("record {id}"),
+            id,
+            idempotent: false,
+            attempt: Some(1),
+            deadline: Duration::from_secs(5),
+        }
+    }
+
+    /// An idempotent request.
+    pub fn idempotent() -> Request {
+        Request {
+            idempotent: true,
+            ..Request::once()
+        }
+    }
+
+    /// The same request as its caller's send with another number.
+    pub fn resend(&self, attempt: u32) -> Request {
+        Request {
+            attempt: Some(attempt),
+            ..self.clone()
+        }
+    }
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Heard {
+    /// HTTP status; 0 without an answer.
+    pub status: u16,
+    /// `ran`, `not-run`, `unknown`, or empty without an answer.
+    pub outcome: String,
+    /// The id in the answer.
+    pub id: String,
+    /// The body.
+    pub body: String,
+    /// When to come back, in milliseconds.
+    pub retry: Option<u64>,
+}
+
+fn block<T>(work: impl std::future::Future<Output = T>) -> T {
+    actix_rt::System::new().block_on(work)
+}
+
+/// Sends a request and waits for its end.
+pub fn send(at: SocketAddr, request: &Request) -> Heard {
+    block(send_async(at, request.clone()))
+}
+
+/// Sends a request.
+pub async fn send_async(at: SocketAddr, request: Request) -> Heard {
+    let client = Client::builder().timeout(TIMEOUT).finish();
+    let mut call = client
+        .post(format!("http://{at}/v1/requests/ledger"))
+        .insert_header((request::ID, request.id))
+        .insert_header((request::ORG, "board"))
+        .insert_header((request::DEADLINE, request.deadline.as_millis().to_string()))
+        .insert_header((request::IDEMPOTENT, request.idempotent.to_string()));
+    if let Some(attempt) = request.attempt {
+        call = call.insert_header((request::ATTEMPT, attempt.to_string()));
+    }
+    let Ok(mut answer) = call.send_body(request.body).await else {
+        return silence();
+    };
+    let header = |name: &str| {
+        let value = answer.headers().get(name);
+        value
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+            .to_string()
+    };
+    let heard = Heard {
+        status: answer.status().as_u16(),
+        outcome: header(request::OUTCOME),
+        id: header(request::ID),
+        retry: header(request::RETRY_AFTER).parse().ok(),
+        body: String::new(),
+    };
+    match answer.body().await {
+        Ok(body) => Heard {
+            body: String::from_utf8_lossy(&body).to_string(),
+            ..heard
+        },
+        Err(_) => silence(),
+    }
+}
+
+fn silence() -> Heard {
+    Heard {
+        status: 0,
+        outcome: String::new(),
+        id: String::new(),
+        body: String::new(),
+        retry: None,
+    }
+}
+
+/// A GET: status and body, `None` without a whole answer.
+pub fn get(at: SocketAddr, path: &str) -> Option<(u16, String)> {
+    block(async {
+        let client = Client::builder().timeout(TIMEOUT).finish();
+        let mut answer = client.get(format!("http://{at}{path}")).send().await.ok()?;
+        let body = answer.body().await.ok()?;
+        Some((
+            answer.status().as_u16(),
+            String::from_utf8_lossy(&body).to_string(),
+        ))
+    })
+}
+
+/// A GET of a JSON document; null without one.
+pub fn get_json(at: SocketAddr, path: &str) -> Value {
+    let body = get(at, path).map(|(_, body)| body).unwrap_or_default();
+    serde_json::from_str(&body).unwrap_or(Value::Null)
+}
+
+/// A POST of a JSON document: status and answer, 0 and null without one.
+pub fn post(at: SocketAddr, path: &str, call: &Value) -> (u16, Value) {
+    block(async {
+        let client = Client::builder().timeout(TIMEOUT).finish();
+        let sent = client
+            .post(format!("http://{at}{path}"))
+            .send_json(call)
+            .await;
+        let Ok(mut answer) = sent else {
+            return (0, Value::Null);
+        };
+        let status = answer.status().as_u16();
+        let body = answer.body().await.unwrap_or_default();
+        (status, serde_json::from_slice(&body).unwrap_or(Value::Null))
+    })
+}
+
+/// Changes settings with a new operation id.
+pub fn change(at: SocketAddr, edits: Value) -> (u16, Value) {
+    let op = Uuid::new_v4().to_string();
+    post(
+        at,
+        "/v1/settings",
+        &json!({ "op": op, "who": "test", "edits": edits }),
+    )
+}
+
+/// Creates the organisation that tests use.
+pub fn add_org(at: SocketAddr) {
+    let (status, answer) = change(at, json!([{ "edit": "add-org", "org": "board" }]));
+    assert_eq!(status, 200, "{answer}");
+}
+
+/// Takes a failure domain `out` or `back`.
+pub fn set_domain(at: SocketAddr, domain: &str, way: &str) -> (u16, Value) {
+    let op = Uuid::new_v4().to_string();
+    let call = json!({ "op": op, "who": "test" });
+    post(at, &format!("/v1/domains/{domain}/{way}"), &call)
+}
+
+/// A job of `tasks` tasks with `accels` accelerators each, in a failure domain if given.
+pub fn job(id: &str, tasks: u32, accels: u32, payload: &str, domain: Option<&str>) -> Value {
+    json!({
+        "id": id, "org": "board", "kind": "reconcile", "domain": domain,
+        "shape": { "tasks": tasks, "accels": accels },
+        "length": 500, "idempotent": true, "payload": payload,
+    })
+}
+
+/// The phase of a job; empty if it is not known.
+pub fn phase(at: SocketAddr, id: &str) -> String {
+    let info = get_json(at, &format!("/v1/jobs/{id}"));
+    info["phase"].as_str().unwrap_or_default().to_string()
+}
