Add tackctl, the operators' command line tool

Cause: operators had no tool for organisations, shapes, jobs, settings, failure domains and loads. Ruled out: one grammar for all commands, since a file a command is easier to read and extend; trusting a refusal by a second daemon after the first was silent, since the first may still carry the change out: the outcome stays unknown then. No figures: not measured. Conclusion: 75 tests against a server that plays the daemon pass.

--- a/crates/conf/src/sync/mod.rs
+++ b/crates/conf/src/sync/mod.rs
@@ -7,6 +7,7 @@
 
 mod change;
 mod held;
+mod input;
 mod note;
 mod state;
 
@@ -19,13 +20,13 @@
 pub use change::WriteResult;
 pub use held::Guards;
 pub use held::Held;
+pub use input::Action;
+pub use input::Alarm;
+pub use input::Config;
+pub use input::Input;
+pub use input::Violation;
 pub use note::Note;
 pub use note::Stamp;
 pub use note::StoreRev;
 pub use note::Stored;
-pub use state::Action;
-pub use state::Alarm;
-pub use state::Config;
-pub use state::Input;
 pub use state::Sync;
-pub use state::Violation;
--- /dev/null
+++ b/crates/tackctl/src/cmd/check.rs
@@ -0,0 +1,44 @@
+//! `tackctl check`: findings of a daemon's settings file.
+
+use std::ffi::OsString;
+use std::fs;
+use std::path::PathBuf;
+
+use crate::exit::Failure;
+use crate::parse_args;
+
+pub const USAGE: &str = "\
+Lists the findings of a daemon's settings file, each with line, column and remedy.
+
+Usage: tackctl check FILE [--json]
+
+Exit code 3 if there are findings.
+
+Example:
+    tackctl check /etc/bronzetack/node.jsonc";
+
+xflags::xflags! {
+    cmd args {
+        /// Prints JSON.
+        optional --json
+        /// The settings file.
+        required file: PathBuf
+    }
+}
+
+pub fn run(args: Vec<OsString>) -> Result<(), Failure> {
+    let args = parse_args!(Args, args)?;
+    let name = args.file.display().to_string();
+    let text = fs::read_to_string(&args.file);
+    let text = text.map_err(|e| Failure::not_run(format!("{name}: {e}")))?;
+    let found = conf::node::load(&text, &name).err().unwrap_or_default();
+    if !found.is_empty() {
+        return Err(Failure::Findings(found));
+    }
+    if args.json {
+        println!("{{\"findings\":[]}}");
+    } else {
+        println!("{name}: no findings");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/tackctl/src/cmd/mod.rs
@@ -0,0 +1,11 @@
+//! One module a command.
+
+pub mod check;
+pub mod domain;
+pub mod job;
+pub mod load;
+pub mod org;
+pub mod settings;
+pub mod shape;
+pub mod status;
+pub mod worker;
--- /dev/null
+++ b/crates/tackctl/src/cmd/settings.rs
@@ -0,0 +1,156 @@
+//! `tackctl settings`: reads and changes the operators' settings.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+
+use base::Millis;
+use base::Revision;
+use conf::api::ExplainReply;
+use conf::api::HistoryQuery;
+use conf::api::HistoryReply;
+use conf::api::SettingsQuery;
+use conf::api::SettingsReply;
+use conf::tree::Edit;
+use conf::tree::Key;
+use conf::tree::OpId;
+use conf::tree::Operator;
+use conf::tree::Place;
+use conf::tree::Value;
+
+use crate::exit::Failure;
+use crate::global::Session;
+use crate::parse_args;
+use crate::show;
+
+pub const USAGE: &str = "\
+Reads and changes the operators' settings. docs/SETTINGS.md lists them.
+
+Usage: tackctl settings get [KEY] [--place PLACE]
+       tackctl settings set KEY VALUE [--place PLACE] [--expect REVISION] [--op ID]
+       tackctl settings unset KEY [--place PLACE] [--expect REVISION] [--op ID]
+       tackctl settings explain KEY [--place PLACE]
+       tackctl settings history [KEY] [--place PLACE] [--limit N]
+
+    --place PLACE       site, domain=D, org=O, org=O,domain=D or org=O,kind=K; for get and
+                        explain also org=O,domain=D,kind=K. Default: site
+    --expect REVISION   Refuses the change if a later revision is in force
+    --op ID             Repeats the operation with this id; it takes effect once
+
+Example:
+    tackctl settings set on-out finish --place org=ledger,domain=tvm-north";
+
+xflags::xflags! {
+    cmd args {
+        /// Operators' port of a daemon.
+        repeated --at at: SocketAddr
+        /// Prints JSON.
+        optional --json
+        /// Longest wait for one daemon.
+        optional --timeout timeout: Millis
+        /// Who asks.
+        optional --who who: Operator
+        /// Where.
+        optional --place place: Place
+        /// Revision that the operator has seen.
+        optional --expect expect: Revision
+        /// Operation id of an earlier send.
+        optional --op op: OpId
+        /// Settings in force.
+        cmd get {
+            optional key: Key
+        }
+        /// Sets a value.
+        cmd set {
+            required key: String
+            required value: String
+        }
+        /// Removes a value.
+        cmd unset {
+            required key: String
+        }
+        /// Where a value comes from.
+        cmd explain {
+            required key: Key
+        }
+        /// The last changes.
+        cmd history {
+            optional --limit limit: usize
+            optional key: Key
+        }
+    }
+}
+
+pub fn run(args: Vec<OsString>) -> Result<(), Failure> {
+    let args = parse_args!(Args, args)?;
+    let session = Session::new(args.at, args.json, args.timeout, args.who)?;
+    let place = args.place;
+    let at = place.clone().unwrap_or_default();
+    match args.subcommand {
+        ArgsCmd::Get(get) => show_settings(&session, place, get.key),
+        ArgsCmd::Set(set) => {
+            let value = read_value(&set.value);
+            let key = set.key;
+            session.edit(args.op, args.expect, vec![Edit::Set { at, key, value }])
+        }
+        ArgsCmd::Unset(unset) => {
+            let key = unset.key;
+            session.edit(args.op, args.expect, vec![Edit::Unset { at, key }])
+        }
+        ArgsCmd::Explain(explain) => show_explain(&session, place, explain.key),
+        ArgsCmd::History(history) => show_history(&session, place, history),
+    }
+}
+
+/// Reads JSON; anything else is a word.
+fn read_value(text: &str) -> Value {
+    serde_json::from_str(text).unwrap_or_else(|_| Value::Word(text.to_string()))
+}
+
+fn show_settings(session: &Session, at: Option<Place>, key: Option<Key>) -> Result<(), Failure> {
+    let query = SettingsQuery { at, key };
+    let reply: SettingsReply = session.client.get("/v1/settings", &query)?;
+    session.print(&reply, |reply| {
+        let rows = reply.settings.iter().map(|s| {
+            let from = s
+                .from
+                .as_ref()
+                .map_or("default".to_string(), Place::to_string);
+            vec![s.key.to_string(), s.value.to_string(), from]
+        });
+        show::table(&["SETTING", "VALUE", "FROM"], &rows.collect::<Vec<_>>())
+    });
+    Ok(())
+}
+
+fn show_explain(session: &Session, at: Option<Place>, key: Key) -> Result<(), Failure> {
+    let query = SettingsQuery { at, key: Some(key) };
+    let reply: ExplainReply = session.client.get("/v1/settings/explain", &query)?;
+    session.print(&reply, |reply| {
+        let rows = reply.chain.iter().map(|l| {
+            let at =
+                l.at.as_ref()
+                    .map_or("default".to_string(), Place::to_string);
+            let value = match &l.value {
+                Some(value) => value.to_string(),
+                None if l.allowed => "inherited".to_string(),
+                None => "cannot be set here".to_string(),
+            };
+            let used = if l.used { "in force" } else { "" };
+            vec![at, value, used.to_string()]
+        });
+        let head = format!("{} = {}\n", reply.key, reply.value);
+        head + &show::table(&["PLACE", "VALUE", ""], &rows.collect::<Vec<_>>())
+    });
+    Ok(())
+}
+
+fn show_history(session: &Session, at: Option<Place>, history: History) -> Result<(), Failure> {
+    let query = HistoryQuery {
+        at,
+        key: history.key,
+        limit: history.limit,
+    };
+    let reply: HistoryReply = session.client.get("/v1/settings/history", &query)?;
+    session.print(&reply, |reply| show::records(&reply.records));
+    Ok(())
+}
--- /dev/null
+++ b/crates/tackctl/src/cmd/shape.rs
@@ -0,0 +1,151 @@
+//! `tackctl shape`: adds, removes and lists guaranteed shapes.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+
+use base::Accels;
+use base::Bytes;
+use base::Cores;
+use base::DomainId;
+use base::Millis;
+use base::OrgId;
+use base::Shape;
+use conf::api::ShapesQuery;
+use conf::api::ShapesReply;
+use conf::tree::Edit;
+use conf::tree::OpId;
+use conf::tree::Operator;
+
+use crate::exit::Failure;
+use crate::global::parse_spread;
+use crate::global::Session;
+use crate::parse_args;
+use crate::show;
+
+pub const USAGE: &str = "\
+Adds, removes and lists the shapes that organisations can claim at any time.
+
+Usage: tackctl shape add ORG DOMAIN --tasks N --accels N [OPTIONS]
+       tackctl shape remove ORG DOMAIN --tasks N --accels N [OPTIONS]
+       tackctl shape list [--org ORG] [--domain DOMAIN]
+
+    --tasks N       Tasks of the gang
+    --accels N      Adjacent accelerators of each task
+    --cores N       Cores of each task
+    --memory BYTES  Memory of each task
+    --spread WORD   How far apart tasks may be: domain, rack or worker. Default: domain
+    --count N       Copies to add or remove. Default: 1
+    --op ID         Repeats the operation with this id; it takes effect once
+
+Example:
+    tackctl shape add ledger tvm-north --tasks 4 --accels 8 --spread rack --count 2";
+
+xflags::xflags! {
+    cmd args {
+        /// Operators' port of a daemon.
+        repeated --at at: SocketAddr
+        /// Prints JSON.
+        optional --json
+        /// Longest wait for one daemon.
+        optional --timeout timeout: Millis
+        /// Who asks.
+        optional --who who: Operator
+        /// Operation id of an earlier send.
+        optional --op op: OpId
+        /// Tasks of the gang.
+        optional --tasks tasks: u32
+        /// Adjacent accelerators of each task.
+        optional --accels accels: Accels
+        /// Cores of each task.
+        optional --cores cores: Cores
+        /// Memory of each task.
+        optional --memory memory: Bytes
+        /// How far apart tasks may be.
+        optional --spread spread: String
+        /// Copies.
+        optional --count count: u32
+        /// Adds copies.
+        cmd add {
+            required org: OrgId
+            required domain: DomainId
+        }
+        /// Removes copies.
+        cmd remove {
+            required org: OrgId
+            required domain: DomainId
+        }
+        /// Lists shapes.
+        cmd list {
+            optional --org org: OrgId
+            optional --domain domain: DomainId
+        }
+    }
+}
+
+pub fn run(args: Vec<OsString>) -> Result<(), Failure> {
+    let args = parse_args!(Args, args)?;
+    let shape = shape(&args);
+    let count = args.count.unwrap_or(1);
+    let session = Session::new(args.at, args.json, args.timeout, args.who)?;
+    match args.subcommand {
+        ArgsCmd::Add(add) => {
+            let edit = Edit::AddShape {
+                org: add.org,
+                domain: add.domain,
+                shape: shape?,
+                count,
+            };
+            session.edit(args.op, None, vec![edit])
+        }
+        ArgsCmd::Remove(gone) => {
+            let edit = Edit::RemoveShape {
+                org: gone.org,
+                domain: gone.domain,
+                shape: shape?,
+                count,
+            };
+            session.edit(args.op, None, vec![edit])
+        }
+        ArgsCmd::List(list) => show_list(&session, list),
+    }
+}
+
+fn shape(args: &Args) -> Result<Shape, Failure> {
+    let missing = |name: &str| Failure::Usage(format!("--{name} is missing\n\n{USAGE}"));
+    Ok(Shape {
+        tasks: args.tasks.ok_or_else(|| missing("tasks"))?,
+        accels: args.accels.ok_or_else(|| missing("accels"))?,
+        cores: args.cores.unwrap_or_default(),
+        memory: args.memory.unwrap_or_default(),
+        spread: parse_spread(args.spread.as_deref())?,
+    })
+}
+
+fn show_list(session: &Session, list: List) -> Result<(), Failure> {
+    let query = ShapesQuery {
+        org: list.org,
+        domain: list.domain,
+    };
+    let reply: ShapesReply = session.client.get("/v1/shapes", &query)?;
+    session.print(&reply, text);
+    Ok(())
+}
+
+fn text(reply: &ShapesReply) -> String {
+    let rows = reply.shapes.iter().map(|s| {
+        vec![
+            s.org.to_string(),
+            s.domain.to_string(),
+            s.count.to_string(),
+            s.shape.tasks.to_string(),
+            s.shape.accels.to_string(),
+            s.shape.cores.to_string(),
+            s.shape.memory.to_string(),
+            format!("{:?}", s.shape.spread).to_lowercase(),
+        ]
+    });
+    let head = [
+        "ORG", "DOMAIN", "COUNT", "TASKS", "ACCELS", "CORES", "MEMORY", "SPREAD",
+    ];
+    show::table(&head, &rows.collect::<Vec<_>>())
+}
--- a/crates/tackctl/src/main.rs
+++ b/crates/tackctl/src/main.rs
@@ -1,3 +1,100 @@
-//! The `tackctl` operator tool.
+//! The `tackctl` operator tool: lists the commands and hands over to one.
 
-fn main() {}
+mod client;
+mod cmd;
+mod exit;
+mod global;
+mod show;
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use crate::exit::Failure;
+
+const USAGE: &str = "\
+tackctl: operates a bronzetack site
+
+Usage: tackctl COMMAND [ARGUMENTS]
+
+Commands:
+    check       Lists the findings of a daemon's settings file
+    domain      Takes a failure domain out of service or back
+    help        Shows the usage of a command
+    job         Submits, shows, lists and cancels jobs
+    load        Sends a bounded load of requests and reports latencies
+    org         Creates, removes and lists organisations
+    settings    Reads and changes the operators' settings
+    shape       Adds, removes and lists guaranteed shapes
+    status      Shows the site as a daemon sees it
+    worker      Lists workers
+
+Options of every command that calls a daemon:
+    --at HOST:PORT      Operators' port of a daemon; repeat it to name others to try.
+                        Default: 127.0.0.1:7002
+    --json              Prints JSON
+    --timeout MS        Longest wait for one daemon. Default: 10000
+    --who NAME          Who asks for a change. Default: the user's name
+
+Exit codes:
+    0 done
+    1 refused; it was not run
+    2 wrong usage
+    3 the input has findings; nothing was changed
+    4 conflict with another change; nothing was changed
+    5 no daemon was reached; nothing was changed
+    6 unknown: it may have been carried out; repeat it with the --op shown
+
+Example:
+    tackctl status --at 127.0.0.1:7002";
+
+fn main() -> ExitCode {
+    let mut args: Vec<OsString> = std::env::args_os().skip(1).collect();
+    if args.is_empty() {
+        eprintln!("{USAGE}");
+        return Failure::Usage(String::new()).code();
+    }
+    let name = args.remove(0);
+    let json = args.iter().any(|a| a == "--json");
+    match dispatch(&name.to_string_lossy(), args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => failure.report(json),
+    }
+}
+
+fn dispatch(name: &str, args: Vec<OsString>) -> Result<(), Failure> {
+    if args.iter().any(|a| a == "--help" || a == "-h") {
+        return help(name);
+    }
+    match name {
+        "check" => cmd::check::run(args),
+        "domain" => cmd::domain::run(args),
+        "job" => cmd::job::run(args),
+        "load" => cmd::load::run(args),
+        "org" => cmd::org::run(args),
+        "settings" => cmd::settings::run(args),
+        "shape" => cmd::shape::run(args),
+        "status" => cmd::status::run(args),
+        "worker" => cmd::worker::run(args),
+        "help" => help(&args.first().map_or("".into(), |a| a.to_string_lossy())),
+        "-h" | "--help" => help(""),
+        _ => Err(Failure::Usage(format!("unknown command {name}\n\n{USAGE}"))),
+    }
+}
+
+fn help(name: &str) -> Result<(), Failure> {
+    let usage = match name {
+        "" | "help" => USAGE,
+        "check" => cmd::check::USAGE,
+        "domain" => cmd::domain::USAGE,
+        "job" => cmd::job::USAGE,
+        "load" => cmd::load::USAGE,
+        "org" => cmd::org::USAGE,
+        "settings" => cmd::settings::USAGE,
+        "shape" => cmd::shape::USAGE,
+        "status" => cmd::status::USAGE,
+        "worker" => cmd::worker::USAGE,
+        _ => return Err(Failure::Usage(format!("unknown command {name}"))),
+    };
+    println!("{usage}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/tackctl/tests/cmd/main.rs
@@ -0,0 +1,14 @@
+//! Every command against a server that plays the daemon.
+
+mod check;
+mod common;
+mod domain;
+mod failure;
+mod help;
+mod job;
+mod load;
+mod org;
+mod settings;
+mod shape;
+mod status;
+mod worker;
