Follow no redirects in tackctl

Cause: the HTTP client follows redirects, and so would send a request a second time to an address that the operator did not name. Ruled out: following them for reads only; a daemon sends none. Change: redirects are off for calls and loads, and show as a refusal. The message page says that a refusal tells of its own send only. Conclusion: every request goes once to a named address.

--- a/crates/conf/src/api.rs
+++ b/crates/conf/src/api.rs
@@ -33,7 +33,9 @@
 //! | 504 | unknown | the write may have taken effect; send it again with the same operation id or job id |
 //!
 //! A call that changes something names its operation or job, and may be sent again with
-//! the same name to any daemon: it takes effect at most once.
+//! the same name to any daemon: it takes effect at most once. A refusal tells of this send
+//! only: after an earlier send without an answer, the outcome stays unknown until the same
+//! operation is accepted.
 
 mod jobs;
 mod settings;
--- a/crates/tackctl/src/client.rs
+++ b/crates/tackctl/src/client.rs
@@ -82,6 +82,7 @@
 
     async fn try_all<R: DeserializeOwned>(&self, call: &Call) -> Result<R, Failure> {
         let client = awc::Client::builder()
+            .disable_redirects()
             .timeout(self.timeout.duration())
             .finish();
         let mut silent = false;
--- a/crates/tackctl/src/cmd/load/sender.rs
+++ b/crates/tackctl/src/cmd/load/sender.rs
@@ -76,7 +76,10 @@
 /// Sends one request after the other, each when it is due.
 async fn lane(plan: Rc<Plan>, tally: Rc<RefCell<Tally>>, next: Rc<Cell<u64>>, start: Instant) {
     let timeout = (plan.deadline + GRACE).duration();
-    let client = awc::Client::builder().timeout(timeout).finish();
+    let client = awc::Client::builder()
+        .disable_redirects()
+        .timeout(timeout)
+        .finish();
     loop {
         let num = next.get();
         if num >= plan.rate * plan.seconds {
