Add random fault runs of racing writers and late copies of writes

Cause: the claim of put_resolved, that it tells what became of a write, had only single cases. Ruled out: checking by the client's own answers alone; the history of the key, read by a watch, decides. Change: four clients race on one key through random faults, among them copies that take effect after the caller has read back. Cases for a connection that ends before the answer, for several silent connections and for a lost write with another endpoint at hand.

--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -11,6 +11,9 @@
     Garble,
     /// Accepts calls and never answers; they do not take effect.
     Hang,
+    /// Calls take effect after this many milliseconds, even if the caller has gone, and are
+    /// never answered.
+    Late(u64),
     /// Calls take effect and are never answered.
     Lose,
     /// Closes the listening socket: connections are refused.
--- a/crates/fakes/src/platform_http.rs
+++ b/crates/fakes/src/platform_http.rs
@@ -6,6 +6,7 @@
 use actix_web::body::BodyStream;
 use actix_web::body::SizedStream;
 use actix_web::http::StatusCode;
+use actix_web::rt::spawn;
 use actix_web::rt::time::sleep;
 use actix_web::web;
 use actix_web::web::Bytes;
@@ -13,6 +14,7 @@
 use actix_web::web::Json;
 use actix_web::web::ServiceConfig;
 use actix_web::HttpResponse;
+use futures_util::future::pending;
 use futures_util::stream::iter;
 use futures_util::stream::once;
 use futures_util::StreamExt;
@@ -133,10 +135,10 @@
     shared: &Shared,
     kind: &str,
     body: &[u8],
-    work: impl FnOnce(&mut Kv, C, u64) -> Result<R, Refusal>,
+    work: impl FnOnce(&mut Kv, C, u64) -> Result<R, Refusal> + 'static,
 ) -> HttpResponse
 where
-    C: DeserializeOwned,
+    C: DeserializeOwned + 'static,
     R: Serialize,
 {
     let fault = shared.enter(kind);
@@ -146,6 +148,16 @@
     if let Some(response) = before(shared, fault).await {
         return response;
     }
+    if let Fault::Late(ms) = fault {
+        let shared = shared.clone();
+        spawn(async move {
+            sleep(Duration::from_millis(ms)).await;
+            let now = shared.now();
+            let _ = work(&mut shared.lock().kv, call, now);
+            shared.notify();
+        });
+        return pending().await;
+    }
     let now = shared.now();
     let result = work(&mut shared.lock().kv, call, now);
     shared.notify();
--- /dev/null
+++ b/crates/plat/tests/chaos.rs
@@ -0,0 +1,145 @@
+//! Clients race on one key through random faults. What each is told of its writes must agree
+//! with the history of the key.
+
+mod common;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Millis;
+use base::Revision;
+use bytes::Bytes;
+use fakes::fault::Fault;
+use fakes::platform::Platform;
+use plat::Change;
+use plat::Expect;
+use plat::Put;
+use plat::Store;
+use plat::StoreConfig;
+use plat::StoreError;
+use plat::WatchEvent;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::time::sleep;
+use yare::parameterized;
+
+const KEY: &str = "race";
+const CLIENTS: u64 = 4;
+const WRITES: u64 = 10;
+
+const FAULTS: [Fault; 8] = [
+    Fault::Garble,
+    Fault::Hang,
+    Fault::Late(45),
+    Fault::Late(70),
+    Fault::Lose,
+    Fault::Reject,
+    Fault::Slow(5),
+    Fault::Truncate,
+];
+
+/// What one client was told of one value.
+type Told = Vec<(Bytes, Result<Put, StoreError>)>;
+
+fn client(platform: &Platform, seed: u64) -> Store {
+    let config = StoreConfig {
+        deadline: Millis(40),
+        seed,
+        ..common::config(vec![platform.addr()])
+    };
+    let metrics = obs::Metrics::new();
+    Store::new(config, obs::discard(), &metrics, base::Clock::System)
+}
+
+async fn write(store: Store, id: u64, told: Rc<RefCell<Told>>) {
+    for i in 0..WRITES {
+        let expect = loop {
+            match store.get(KEY).await {
+                Ok(None) => break Expect::Absent,
+                Ok(Some(entry)) => break Expect::At(entry.revision),
+                Err(error) => sleep(error.after().duration() / 20).await,
+            }
+        };
+        let value = Bytes::from(format!("client {id} write {i}"));
+        let result = store.put_resolved(KEY, expect, value.clone(), None).await;
+        told.borrow_mut().push((value, result));
+    }
+}
+
+async fn disturb(platform: &Platform, seed: u64, done: &Cell<bool>) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    while !done.get() {
+        let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+        let kind = ["txn", "range"][rng.random_range(0..2)];
+        platform.fault_next(fault, kind, rng.random_range(1..4));
+        sleep(Duration::from_millis(rng.random_range(1..20))).await;
+    }
+    platform.fault(Fault::Up);
+}
+
+async fn history(platform: &Platform) -> Vec<(Bytes, Revision)> {
+    let last = Revision(platform.revision() as u64);
+    let mut watch = common::store(platform).watch(KEY, Some(Revision(1)));
+    let mut list = Vec::new();
+    while list.last().is_none_or(|(_, r)| *r < last) {
+        let Some(WatchEvent::Changes(changes)) = watch.next().await else {
+            panic!("the history is whole");
+        };
+        for change in changes {
+            let Change::Put(entry) = change else {
+                panic!("nobody deletes");
+            };
+            list.push((entry.value, entry.revision));
+        }
+    }
+    watch.close();
+    list
+}
+
+#[parameterized(one = { 1 }, two = { 2 }, three = { 3 }, four = { 4 })]
+fn what_is_told_of_writes_is_true(seed: u64) {
+    common::run(async move {
+        let platform = common::platform();
+        let told = Rc::new(RefCell::new(Vec::new()));
+        let done = Cell::new(false);
+        let writers = async {
+            let writer = |id| write(client(&platform, seed * 100 + id), id, told.clone());
+            futures_util::future::join_all((0..CLIENTS).map(writer)).await;
+            // Lets the last late writes take effect.
+            sleep(Duration::from_millis(100)).await;
+            done.set(true);
+        };
+        tokio::join!(writers, disturb(&platform, seed, &done));
+        let history = history(&platform).await;
+        check(&told.borrow(), &history);
+        platform.close();
+    });
+}
+
+fn check(told: &Told, history: &[(Bytes, Revision)]) {
+    let mut counts = [0; 3];
+    for (value, result) in told {
+        let applied: Vec<Revision> = history
+            .iter()
+            .filter(|(v, _)| v == value)
+            .map(|(_, r)| *r)
+            .collect();
+        assert!(applied.len() <= 1, "{value:?} was written {applied:?}");
+        match result {
+            Ok(Put::Done(revision)) => {
+                assert_eq!(applied, [*revision], "{value:?}");
+                counts[0] += 1;
+            }
+            Ok(Put::Conflict(_)) | Err(StoreError::NotSent(..) | StoreError::Refused(..)) => {
+                assert!(applied.is_empty(), "{value:?}: {result:?} but {applied:?}");
+                counts[1] += 1;
+            }
+            Err(StoreError::Lost(..)) => counts[2] += 1,
+        }
+    }
+    assert_eq!(told.len() as u64, CLIENTS * WRITES);
+    assert!(counts[0] > 0 && counts[1] > 0, "{counts:?}");
+}
--- a/crates/plat/tests/faults.rs
+++ b/crates/plat/tests/faults.rs
@@ -90,6 +90,7 @@
 #[parameterized(
     garbled = { Fault::Garble },
     hang = { Fault::Hang },
+    late = { Fault::Late(310) },
     lost = { Fault::Lose },
     truncated = { Fault::Truncate },
 )]
@@ -208,6 +209,60 @@
     });
 }
 
+#[test]
+fn all_idle_connections_are_dropped_after_a_lost_answer() {
+    common::run(async {
+        let platform = common::platform();
+        let relay = Relay::start(platform.addr());
+        let store = common::store_at(vec![relay.addr()]);
+        platform.fault(Fault::Slow(20));
+        let gets = futures_util::future::join_all((0..4).map(|_| store.get("k")));
+        assert!(gets.await.iter().all(Result::is_ok));
+        assert_eq!(relay.accepted(), 4);
+        relay.silence();
+        let put = store.put_if("k", Expect::Absent, OWN, None).await;
+        assert_eq!(class(&put), Class::Lost);
+        let put = store.put_if("k", Expect::Absent, OWN, None).await;
+        assert_eq!(put, Ok(Put::Done(Revision(2))));
+        relay.close();
+        platform.close();
+    });
+}
+
+#[test]
+fn a_lost_write_is_not_sent_to_the_next_endpoint() {
+    common::run(async {
+        let platform = common::platform();
+        let relay = Relay::start(platform.addr());
+        let store = common::store_at(vec![relay.addr(), platform.addr()]);
+        platform.fault_next(Fault::Truncate, "txn", 1);
+        let put = store.put_if("k", Expect::Any, OWN, None).await;
+        assert_eq!(class(&put), Class::Lost);
+        assert_eq!(platform.calls().total("txn"), 1);
+        relay.close();
+        platform.close();
+    });
+}
+
+#[test]
+fn a_connection_that_ends_before_the_answer_loses_it() {
+    common::run(async {
+        let platform = common::platform();
+        let relay = Relay::start(platform.addr());
+        let store = common::store_at(vec![relay.addr()]);
+        platform.fault(Fault::Lose);
+        let put = store.put_if("k", Expect::Absent, OWN, None);
+        let cut = async {
+            common::until(|| platform.value("k").is_some()).await;
+            relay.cut();
+        };
+        let (put, ()) = tokio::join!(put, cut);
+        assert_eq!(class(&put), Class::Lost, "{put:?}");
+        relay.close();
+        platform.close();
+    });
+}
+
 #[test]
 fn the_next_endpoint_is_tried() {
     common::run(async {
