Deliver nothing from a link that was replaced

Cause: the task of a replaced link could read one more message before it was stopped, and deliver it after its successor was up, out of order. Ruled out: waiting for the old task before the new link is announced, which would let a stuck writer delay it. Change: each packet is delivered only while its link is the current one.

--- a/crates/link/src/conn.rs
+++ b/crates/link/src/conn.rs
@@ -94,11 +94,21 @@
         let packets = decode(frame)?;
         self.shared.stats.count("in", packets.len(), frame.len());
         for packet in packets {
+            // A link that was replaced delivers nothing after its successor is up.
+            if !self.is_current() {
+                return Err(LinkError::Replaced);
+            }
             self.deliver(packet);
         }
         Ok(())
     }
 
+    fn is_current(&self) -> bool {
+        let peers = self.shared.peers.borrow();
+        let link = peers.get(&self.vm).and_then(|p| p.link.as_ref());
+        link.is_some_and(|l| l.id == self.id)
+    }
+
     fn deliver(&self, packet: Packet) {
         let from = self.vm.clone();
         let pending = &self.shared.pending;
@@ -168,10 +178,11 @@
     }
 
     fn take(&self) -> Vec<Packet> {
-        let mut peers = self.shared.peers.borrow_mut();
-        match peers.get_mut(&self.vm) {
-            Some(peer) if peer.link.as_ref().is_some_and(|l| l.id == self.id) => peer.outbox.take(),
-            _ => Vec::new(),
+        if !self.is_current() {
+            return Vec::new();
         }
+        let mut peers = self.shared.peers.borrow_mut();
+        let peer = peers.get_mut(&self.vm);
+        peer.map_or_else(Vec::new, |p| p.outbox.take())
     }
 }
--- a/crates/link/tests/refusals.rs
+++ b/crates/link/tests/refusals.rs
@@ -168,3 +168,27 @@
         node.links.close().await;
     });
 }
+
+#[test]
+fn messages_of_a_replaced_link() {
+    run(async {
+        let node = node();
+        let mut old = connect(&node).await;
+        let first = hello().encode().unwrap();
+        old.send(Message::Binary(first)).await.unwrap();
+        node.told("up a", 1).await;
+        for number in 2..60 {
+            let mut new = connect(&node).await;
+            let next = Hello { number, ..hello() };
+            let data = next.encode().unwrap();
+            new.send(Message::Binary(data)).await.unwrap();
+            let late = encode(&[packet()]).unwrap();
+            old.send(Message::Binary(late)).await.unwrap();
+            let _ = closed(&mut old).await;
+            node.told("up a", number as usize).await;
+            assert_eq!(node.events.borrow().last().unwrap(), "up a");
+            old = new;
+        }
+        node.links.close().await;
+    });
+}
