--- a/crates/sched/examples/search.rs
+++ b/crates/sched/examples/search.rs
@@ -1,5 +1,6 @@
 //! Exhaustive search of a small world, to a depth:
 //! `cargo run --release -p sched --example search -- --depth N --faults N`.
+//! With `--coarse 1`, answers come at once or never, which reaches deeper.
 
 #[path = "../tests/model/mod.rs"]
 mod model;
@@ -27,6 +28,10 @@
 fn main() {
     let depth = option("--depth", 10);
     let faults = option("--faults", 1);
+    let run = match option("--coarse", 0) {
+        0 => Search::run,
+        _ => Search::run_coarse,
+    };
     let roots: [(&str, Root); 3] = [
         ("planned", search::planned),
         ("starting", search::starting),
@@ -36,7 +41,7 @@
         for restartable in [false, true] {
             let world = root(search::small(restartable, Faults::default()));
             let begun = Instant::now();
-            let found = Search::run(&world, depth, faults);
+            let found = run(&world, depth, faults);
             let secs = begun.elapsed().as_secs_f64();
             let Some((why, events)) = found.violation else {
                 let (states, events) = (found.states, found.events);
--- a/crates/sched/tests/model/event.rs
+++ b/crates/sched/tests/model/event.rs
@@ -26,6 +26,8 @@
     End(usize, TaskKey, bool),
     /// A node's watch of the settings falls silent, or works again.
     Mute(usize),
+    /// A call is carried out and answered in one go.
+    Exchange(usize),
     /// Operators take the failure domain out.
     Out,
     /// A coordinator's process is paused, its unsent calls too.
@@ -36,6 +38,8 @@
     Reply(usize),
     /// A paused process goes on.
     Resume(usize),
+    /// A write is taken and answered in one go.
+    Store(usize),
     /// The planner of a node stops a job.
     Stop(usize, JobId),
     /// Time passes.
--- a/crates/sched/tests/model/search.rs
+++ b/crates/sched/tests/model/search.rs
@@ -140,6 +140,24 @@
     list
 }
 
+/// The same without late answers: an answer comes at once or never.
+fn exchanges(world: &World) -> Vec<Event> {
+    let mut list = Vec::new();
+    for event in messages(world) {
+        match event {
+            Event::Apply(i) if !world.writes[i].told => {
+                list.extend([Event::Store(i), Event::Apply(i)]);
+            }
+            Event::Deliver(i) if !world.calls[i].told => {
+                list.extend([Event::Exchange(i), Event::Deliver(i)]);
+            }
+            Event::Reply(_) | Event::Wrote(_) => {}
+            other => list.push(other),
+        }
+    }
+    list
+}
+
 /// Faults that can happen.
 pub fn faults(world: &World) -> Vec<Event> {
     let mut list = Vec::new();
@@ -199,6 +217,8 @@
 
 /// Search with a bound on events and, within it, on faults.
 pub struct Search {
+    /// Whether answers come at once or never.
+    coarse: bool,
     seen: Map<u64, (u8, u8)>,
     path: Vec<Event>,
     found: Found,
@@ -207,7 +227,17 @@
 impl Search {
     /// Searches from `world`.
     pub fn run(world: &World, depth: u8, faults: u8) -> Found {
+        Search::begin(world, depth, faults, false)
+    }
+
+    /// Searches deeper with fewer interleavings: answers come at once or never.
+    pub fn run_coarse(world: &World, depth: u8, faults: u8) -> Found {
+        Search::begin(world, depth, faults, true)
+    }
+
+    fn begin(world: &World, depth: u8, faults: u8, coarse: bool) -> Found {
         let mut search = Search {
+            coarse,
             seen: Map::default(),
             path: Vec::new(),
             found: Found::default(),
@@ -221,7 +251,11 @@
         if depth == 0 || self.found.violation.is_some() || !self.is_new(world, depth, budget) {
             return;
         }
-        let mut events = messages(world);
+        let mut events = if self.coarse {
+            exchanges(world)
+        } else {
+            messages(world)
+        };
         events.push(Event::Tick);
         events.extend(hosts(world));
         if budget > 0 {
--- a/crates/sched/tests/model/world.rs
+++ b/crates/sched/tests/model/world.rs
@@ -145,6 +145,22 @@
         seen
     }
 
+    /// Carries out an event, or nothing if its message does not exist here.
+    pub fn try_apply(&mut self, event: &Event) -> Result<(), String> {
+        let exists = match event {
+            Event::Apply(i) | Event::Store(i) | Event::Wrote(i) => *i < self.writes.len(),
+            Event::Copy(i) | Event::Deliver(i) | Event::Exchange(i) | Event::Reply(i) => {
+                *i < self.calls.len()
+            }
+            _ => true,
+        };
+        if exists {
+            self.apply(event)
+        } else {
+            Ok(())
+        }
+    }
+
     fn perform(&mut self, event: &Event) {
         match event {
             Event::Apply(i) => self.take_write(*i),
@@ -171,11 +187,19 @@
                 self.workers[*w].end(key, phase);
             }
             Event::Mute(n) => self.nodes[*n].muted = !self.nodes[*n].muted,
+            Event::Exchange(i) => {
+                self.deliver(*i);
+                self.reply(*i);
+            }
             Event::Out => self.out = Some(self.now),
             Event::Pause(n) => self.nodes[*n].paused = true,
             Event::Plan(n, job, pick) => self.plan(*n, job, *pick),
             Event::Reply(i) => self.reply(*i),
             Event::Resume(n) => self.resume(*n),
+            Event::Store(i) => {
+                self.take_write(*i);
+                self.answer_write(*i);
+            }
             Event::Stop(n, job) => self.feed(
                 *n,
                 Input::Stop {
