Tell the planner of every job that is no longer the coordinator's

Cause: a job in the middle of a start whose record somebody else moved or settled left the planner with its placement. Ruled out: leaving it to the next take-over. Conclusion: reports account for every placement taken.

--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -232,7 +232,8 @@
         /// The attempt.
         attempt: Attempt,
     },
-    /// A queued job is no longer this coordinator's.
+    /// A job is no longer this coordinator's: moved, removed, or given its outcome by another.
+    /// What is left of an attempt is stopped.
     Unqueued(JobId),
     /// A silent worker answers again.
     WorkerBack(WorkerId),
--- a/crates/sched/src/store.rs
+++ b/crates/sched/src/store.rs
@@ -207,7 +207,6 @@
             self.keep(id, rec, rev);
             return self.depose(None);
         }
-        let queued = self.jobs.get(id).is_some_and(|j| j.stage == Stage::Queued);
         self.drop_attempt(id);
         self.keep(id, rec, rev);
         if self.role != Role::Ready {
@@ -215,7 +214,7 @@
         }
         if self.jobs.contains_key(id) {
             self.reconcile(id);
-        } else if queued {
+        } else {
             self.tell(Report::Unqueued(id.clone()));
         }
     }
--- a/crates/sched/tests/life.rs
+++ b/crates/sched/tests/life.rs
@@ -218,3 +218,32 @@
     assert_eq!(site.writes - writes, 30);
     assert!(ids.iter().all(|id| site.outcome(id).is_some()));
 }
+
+#[test]
+fn renewals_cost_a_call_a_worker() {
+    let mut site = Site::new(2);
+    site.elect(1);
+    for i in 0..30 {
+        let id = site.submit(job_spec(&format!("j{i}"), 2, true));
+        site.feed(Input::Plan(plan(&id, 2, i)));
+        site.run(100);
+    }
+    site.run(6_000);
+    let calls = site.calls;
+    site.run(60_000);
+    assert_eq!(site.calls - calls, 20, "60 s / 6 s for each of 2 workers");
+}
+
+#[test]
+fn doubled_and_foreign_replies_change_nothing() {
+    let (mut site, id) = running(false);
+    for call in 0..20 {
+        site.feed(Input::Reply {
+            call: sched::CallId(call),
+            worker: worker_id(0),
+            result: sched::CallResult::Fenced(base::Epoch(9)),
+        });
+    }
+    assert!(site.coord.is_ready());
+    assert_eq!(site.count(&id, TaskPhase::Running), 2);
+}
