Measure the cost of decisions and bound a pass over blocked groups

Cause: a pass looked at each of 10,000 waiting jobs after every event. Ruled out: caching the scores, which change with time and usage. Change: of the groups that could only borrow and find no room, a pass takes the oldest 64.

--- /dev/null
+++ b/crates/gang/examples/cost.rs
@@ -0,0 +1,195 @@
+//! Cost of decisions at the expected size, with slopes:
+//! `cargo run --release -p gang --example cost`. One JSON line a measure.
+
+use std::time::Instant;
+
+use base::Accels;
+use base::Attempt;
+use base::Bytes;
+use base::Cores;
+use base::JobSpec;
+use base::Millis;
+use base::Shape;
+use base::Spread;
+use base::WorkerSpec;
+use gang::Departure;
+use gang::Ended;
+use gang::Input;
+use gang::OrgPolicy;
+use gang::Planner;
+use gang::Policy;
+use hdrhistogram::Histogram;
+use serde_json::json;
+
+/// Rounds of each measure.
+const ROUNDS: u64 = 200;
+
+/// Longest time recorded, in microseconds.
+const MAX_MICROS: u64 = 60_000_000;
+
+/// Organisations and failure domains.
+const ORGS: u32 = 89;
+const DOMAINS: u32 = 7;
+
+struct Size {
+    workers: u32,
+    accels: u32,
+    tasks: u32,
+    queued: u32,
+    gang: u32,
+}
+
+/// The expected size: one planner for all domains, the dearest case.
+const FULL: Size = Size {
+    workers: 500,
+    accels: 560,
+    tasks: 3400,
+    queued: 10_000,
+    gang: 32,
+};
+
+fn shape(tasks: u32, accels: u32, cores: u32) -> Shape {
+    Shape {
+        tasks,
+        accels: Accels(accels),
+        cores: Cores(cores),
+        memory: Bytes(0),
+        spread: Spread::Domain,
+    }
+}
+
+fn job(id: String, n: u32, shape: Shape) -> JobSpec {
+    JobSpec {
+        id: id.parse().expect("valid id"),
+        org: format!("org{}", n % ORGS).parse().expect("valid id"),
+        kind: format!("k{}", n % 7).parse().expect("valid id"),
+        shape,
+        length: Millis::from_secs(600 * u64::from(1 + n % 16)),
+        domain: None,
+        urgent: false,
+        idempotent: true,
+        checkpoint: true,
+        payload: String::new(),
+    }
+}
+
+fn submit(planner: &mut Planner, spec: JobSpec) -> usize {
+    let now = Millis::from_secs(10);
+    let input = Input::Submit {
+        spec,
+        at: now,
+        attempt: Attempt(1),
+        saved: Millis::ZERO,
+    };
+    planner.step(now, input).len()
+}
+
+/// A site whose accelerators are taken, with tasks that run and jobs that wait.
+fn site(size: &Size) -> Planner {
+    let org = |i: u32| {
+        (
+            format!("org{i}").parse().expect("valid id"),
+            OrgPolicy::default(),
+        )
+    };
+    let mut planner = Planner::new(Policy {
+        orgs: (0..ORGS).map(org).collect(),
+        departure: Departure::Move,
+        ..Policy::default()
+    });
+    let full = size.accels / 8;
+    for i in 0..size.workers {
+        planner.step(Millis(1), Input::WorkerUp(worker(i, i < full)));
+    }
+    planner.step(Millis(1), Input::Permit(true));
+    for i in 0..size.accels / 2 {
+        submit(&mut planner, job(format!("a{i}"), i, shape(1, 2, 2)));
+    }
+    for i in 0..(size.tasks - size.accels / 2) / 10 {
+        submit(&mut planner, job(format!("c{i}"), i, shape(10, 0, 3)));
+    }
+    for i in 0..size.queued {
+        let waiting = shape(1 + i % 8, [1, 2, 4, 8][i as usize / 8 % 4], 2);
+        submit(&mut planner, job(format!("q{i}"), i, waiting));
+    }
+    planner
+}
+
+fn worker(i: u32, full: bool) -> WorkerSpec {
+    let domain = i % DOMAINS;
+    WorkerSpec {
+        id: format!("d{domain}/w{i}").parse().expect("valid id"),
+        domain: format!("d{domain}").parse().expect("valid id"),
+        rack: format!("d{domain}/r{}", i / DOMAINS / 8)
+            .parse()
+            .expect("valid id"),
+        accels: Accels(if full { 8 } else { 0 }),
+        cores: Cores(64),
+        memory: Bytes(64 << 30),
+    }
+}
+
+/// Microseconds at the median and the 99th percentile of `run` on fresh clones.
+fn measure(planner: &Planner, rounds: u64, run: impl Fn(&mut Planner, u64)) -> (u64, u64) {
+    let mut times = Histogram::<u64>::new_with_bounds(1, MAX_MICROS, 3).expect("valid bounds");
+    for i in 0..rounds {
+        let mut clone = planner.clone();
+        let start = Instant::now();
+        run(&mut clone, i);
+        times.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    (times.value_at_quantile(0.5), times.value_at_quantile(0.99))
+}
+
+fn report(name: &str, size: &Size) {
+    let planner = site(size);
+    let status = planner.status();
+    let gang = |clone: &mut Planner, i: u64| {
+        submit(
+            clone,
+            job(format!("g{i}"), i as u32, shape(size.gang, 1, 1)),
+        );
+    };
+    let placed = |clone: &mut Planner, i: u64| {
+        submit(
+            clone,
+            job(format!("p{i}"), i as u32, shape(size.gang, 0, 1)),
+        );
+    };
+    let end = |clone: &mut Planner, i: u64| {
+        let job = format!("a{}", i % 50).parse().expect("valid id");
+        let how = Ended::Finished;
+        clone.step(Millis::from_secs(900), Input::Ended { job, how });
+    };
+    let out = |clone: &mut Planner, _| {
+        let domain = "d0".parse().expect("valid id");
+        clone.step(Millis::from_secs(900), Input::DomainOut(domain));
+    };
+    let line = json!({
+        "case": name,
+        "workers": size.workers,
+        "queued": size.queued,
+        "gang": size.gang,
+        "jobs": planner.job_count(),
+        "free": status.free.0,
+        "gang_waits_us": measure(&planner, ROUNDS, gang),
+        "gang_starts_us": measure(&planner, ROUNDS, placed),
+        "job_ends_us": measure(&planner, ROUNDS, end),
+        "departure_us": measure(&planner, ROUNDS / 3, out),
+        "state_bytes": planner.state_bytes(),
+    });
+    println!("{line}");
+}
+
+fn main() {
+    report("full", &FULL);
+    for workers in [125, 250, 1000] {
+        report("workers", &Size { workers, ..FULL });
+    }
+    for queued in [100, 1000, 20_000] {
+        report("queued", &Size { queued, ..FULL });
+    }
+    for gang in [1, 8, 64] {
+        report("gang", &Size { gang, ..FULL });
+    }
+}
--- a/crates/gang/src/pass.rs
+++ b/crates/gang/src/pass.rs
@@ -4,6 +4,7 @@
 use std::collections::BinaryHeap;
 
 use base::DomainId;
+use base::OrgId;
 use base::Set;
 use base::Shape;
 
@@ -26,6 +27,9 @@
 /// Most waiting jobs for which moves are weighed in one pass.
 const MAX_MOVERS: usize = 8;
 
+/// Most groups looked at in one pass that cannot start at once.
+const MAX_BLOCKED: usize = 64;
+
 /// What became of a waiting job in a pass.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Tried {
@@ -63,7 +67,7 @@
         self.passed = self.now;
         self.holds.clear();
         let mut full = Full::default();
-        let groups: Vec<u64> = self.queue.groups().collect();
+        let groups = self.candidates();
         let orders = groups.iter().filter_map(|&g| self.order(g));
         let mut heap: BinaryHeap<Order> = orders.collect();
         let mut moves = MAX_MOVERS;
@@ -84,6 +88,28 @@
         }
     }
 
+    /// The groups worth looking at: of those that cannot start now, only the oldest, for which
+    /// places may be reserved or made free.
+    fn candidates(&self) -> Vec<u64> {
+        let guaranteed: Set<&OrgId> = self.policy.guarantees.iter().map(|g| &g.org).collect();
+        let usable = self
+            .site
+            .workers
+            .iter()
+            .filter(|w| !w.isolated || w.probing);
+        let room = usable
+            .map(|w| w.free().mask.count_ones())
+            .max()
+            .unwrap_or(0);
+        let mut blocked = 0;
+        let keep = |group: &u64| {
+            let wait = self.queue.is_blocked(*group, room, &guaranteed);
+            blocked += usize::from(wait);
+            !wait || blocked <= MAX_BLOCKED
+        };
+        self.queue.groups().filter(keep).collect()
+    }
+
     fn order(&self, group: u64) -> Option<Order> {
         let key = self.queue.head(group)?;
         let job = self.jobs.get(&key)?;
--- a/crates/gang/src/queue.rs
+++ b/crates/gang/src/queue.rs
@@ -7,6 +7,7 @@
 use base::JobKind;
 use base::Map;
 use base::OrgId;
+use base::Set;
 use base::Shape;
 
 use crate::job::Job;
@@ -89,6 +90,16 @@
         self.groups.keys().copied()
     }
 
+    /// Whether a group's jobs could only borrow, and need more than `room` adjacent
+    /// accelerators for a task.
+    pub fn is_blocked(&self, group: u64, room: u32, guaranteed: &Set<&OrgId>) -> bool {
+        let Some((group, _)) = self.groups.get(&group) else {
+            return true;
+        };
+        let borrows = !group.urgent && !guaranteed.contains(&group.org);
+        borrows && group.shape.accels.0 > room
+    }
+
     /// All waiting jobs.
     pub fn jobs(&self) -> impl Iterator<Item = Key> + '_ {
         self.groups
--- a/crates/gang/src/status.rs
+++ b/crates/gang/src/status.rs
@@ -4,14 +4,20 @@
 
 use base::Accels;
 use base::DomainId;
+use base::JobId;
 use base::OrgId;
 use base::WorkerId;
 use serde::Serialize;
 
 use crate::cells::largest;
+use crate::job::Job;
 use crate::job::Phase;
 use crate::offer::DomainOffer;
 use crate::planner::Planner;
+use crate::site::Key;
+use crate::site::Place;
+use crate::site::Tenant;
+use crate::site::Worker;
 
 /// State of one organisation.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
@@ -87,6 +93,21 @@
         self.jobs.len()
     }
 
+    /// Estimated bytes of state for each worker and each job, without their ids' text.
+    pub fn state_bytes(&self) -> (usize, usize) {
+        let workers = self.site.workers.len().max(1);
+        let seats: usize = self.site.workers.iter().map(|w| w.tenants.len()).sum();
+        let cells = self.book.units.iter().flat_map(|u| &u.places).map(Vec::len);
+        let on_workers = seats * size_of::<Tenant>() + cells.sum::<usize>() * size_of::<Place>();
+        let jobs = self.jobs.len().max(1);
+        let places: usize = self.jobs.values().map(|j| j.places.len()).sum();
+        let indexes = 4 * size_of::<Key>() + size_of::<JobId>();
+        (
+            size_of::<Worker>() + on_workers / workers,
+            size_of::<Job>() + indexes + places * size_of::<Place>() / jobs,
+        )
+    }
+
     fn org_status(&self) -> BTreeMap<OrgId, OrgStatus> {
         let mut map: BTreeMap<OrgId, OrgStatus> = BTreeMap::new();
         for org in self.policy.orgs.keys() {
