--- a/crates/gang/src/check.rs
+++ b/crates/gang/src/check.rs
@@ -237,9 +237,13 @@
                 state("waits on places")
             };
         }
-        if job.places.is_empty() {
+        if job.places.is_empty() && job.phase == Phase::Stopping {
+            // Adopted on workers that are not known: only its end is awaited.
             return Ok(());
         }
+        if job.places.is_empty() {
+            return Err(Violation::Gang(id(), "holds no place"));
+        }
         self.check_places(&job.places, &job.spec.shape, None)
             .map_err(|what| Violation::Gang(id(), what))?;
         self.check_seats(key, job)?;
