Let a request that finds no slot wait again, and keep places for small organisations

Cause: in a burst of twice the capacity every refusal for want of a slot went back to the caller, the share of every organisation fell alike, and limits grew by a whole slot at a time so that upstreams refused half of what they were sent. Change: a refusal for want of a slot puts the request back at the head of its queue under the same ticket and rests the upstream for 5 ms; limits grow by 0.1 slot; a request that would wait more than half of its time is refused at once; a full queue drops the newest of the longest queue.

--- a/crates/entry/src/requests/carry.rs
+++ b/crates/entry/src/requests/carry.rs
@@ -103,15 +103,22 @@
     }
 
     async fn run(&self, trip: &mut Trip) -> Reply {
+        let mut ticket = self.next_ticket();
+        let mut grant = self.ask(ticket, trip);
         loop {
-            let ticket = self.next_ticket();
-            let (upstream, ending) = match self.ask(ticket, trip).await {
+            let (upstream, ending) = match granted(grant).await {
                 Grant::Refused { why, retry } => return self.give_up(trip, reason(why), retry),
                 Grant::Send { upstream, address } => {
-                    let ending = self.send(ticket, trip, address).await;
+                    let ending = self.send(trip, address).await;
                     (upstream, ending)
                 }
             };
+            if let Ending::Busy { leaving: false, .. } = ending {
+                grant = self.wait(ticket);
+                self.report(ticket, &ending);
+                continue;
+            }
+            self.report(ticket, &ending);
             let outcome = ending.outcome();
             trip.doubtful |= outcome == Outcome::Unknown;
             if let Ending::Ran(answer) = ending {
@@ -126,6 +133,8 @@
             }
             self.counters.retries.add(1);
             trip.avoid.push(upstream);
+            ticket = self.next_ticket();
+            grant = self.ask(ticket, trip);
         }
     }
 
@@ -135,9 +144,8 @@
         Ticket(ticket)
     }
 
-    async fn ask(&self, ticket: Ticket, trip: &Trip) -> Grant {
-        let (tx, rx) = oneshot::channel();
-        self.waits.borrow_mut().insert(ticket, tx);
+    fn ask(&self, ticket: Ticket, trip: &Trip) -> oneshot::Receiver<Grant> {
+        let grant = self.wait(ticket);
         self.step(Input::Ask(Ask {
             ticket,
             org: trip.head.org.clone(),
@@ -145,13 +153,17 @@
             deadline: trip.deadline,
             avoid: trip.avoid.clone(),
         }));
-        rx.await.unwrap_or(Grant::Refused {
-            why: Why::Waited,
-            retry: RETRY_UNKNOWN,
-        })
+        grant
     }
 
-    async fn send(&self, ticket: Ticket, trip: &mut Trip, at: std::net::SocketAddr) -> Ending {
+    /// The next decision on a ticket.
+    fn wait(&self, ticket: Ticket) -> oneshot::Receiver<Grant> {
+        let (tx, rx) = oneshot::channel();
+        self.waits.borrow_mut().insert(ticket, tx);
+        rx
+    }
+
+    async fn send(&self, trip: &mut Trip, at: std::net::SocketAddr) -> Ending {
         let now = self.clock.now();
         if trip.sends == 0 {
             self.retries.borrow_mut().first_send();
@@ -171,7 +183,6 @@
         let name = label(&ending);
         span.close(&self.log, self.clock.now(), name);
         self.counters.sent(&ending, name);
-        self.report(ticket, &ending);
         ending
     }
 
@@ -213,6 +224,13 @@
     }
 }
 
+async fn granted(grant: oneshot::Receiver<Grant>) -> Grant {
+    grant.await.unwrap_or(Grant::Refused {
+        why: Why::Waited,
+        retry: RETRY_UNKNOWN,
+    })
+}
+
 fn refused(why: &str, retry: Millis) -> Reply {
     Reply::NotRun {
         why: why.to_string(),
--- /dev/null
+++ b/crates/route/examples/overload/main.rs
@@ -0,0 +1,59 @@
+//! A burst over the capacity of the upstreams, in virtual time, through the real request
+//! policy and two baselines in the same run. Prints one JSON line a policy.
+//!
+//! Entry VMs, upstreams with slots, and callers that come back when told to; one upstream
+//! fails everything at once. Goodput counts answers within the caller's deadline.
+
+mod world;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use serde_json::json;
+
+use crate::world::Policy;
+use crate::world::Told;
+use crate::world::World;
+
+/// Seeds unless told otherwise.
+const SEEDS: u64 = 10;
+
+fn main() {
+    let seeds = std::env::args().skip_while(|a| a != "--seeds").nth(1);
+    let seeds = seeds.and_then(|s| s.parse().ok()).unwrap_or(SEEDS);
+    for policy in [Policy::Balancer, Policy::Random, Policy::RoundRobin] {
+        let runs: Vec<Told> = (0..seeds).map(|seed| run(policy, seed)).collect();
+        report(policy, &runs);
+    }
+}
+
+fn run(policy: Policy, seed: u64) -> Told {
+    let mut world = World::new(policy, Pcg64::seed_from_u64(seed));
+    world.run();
+    world.told
+}
+
+fn report(policy: Policy, runs: &[Told]) {
+    let spread = |value: fn(&Told) -> f64| {
+        let mut all: Vec<f64> = runs.iter().map(value).collect();
+        all.sort_by(f64::total_cmp);
+        let round = |x: f64| (x * 1000.0).round() / 1000.0;
+        json!({
+            "min": round(all[0]),
+            "median": round(all[all.len() / 2]),
+            "max": round(all[all.len() - 1]),
+        })
+    };
+    let line = json!({
+        "policy": policy.name(),
+        "seeds": runs.len(),
+        "goodput_before": spread(|t| t.share(0)),
+        "goodput_burst": spread(|t| t.share(1)),
+        "goodput_after": spread(|t| t.share(2)),
+        "failed_by_bad_upstream": spread(|t| t.failed as f64 / t.asked() as f64),
+        "sends_a_request": spread(|t| t.sends as f64 / t.asked() as f64),
+        "p99_ms": spread(|t| t.p99()),
+        "large_org_in_burst": spread(|t| t.org_share(0)),
+        "small_org_in_burst": spread(|t| t.org_share(2)),
+    });
+    println!("{line}");
+}
--- a/crates/route/src/balancer.rs
+++ b/crates/route/src/balancer.rs
@@ -45,7 +45,8 @@
 /// How a send ended, as far as the upstream can be blamed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendResult {
-    /// Refused for want of a slot.
+    /// Refused for want of a slot; the request waits for another upstream under the same
+    /// ticket.
     Busy,
     /// It failed: an error answer, a refused connection, a late or broken answer.
     Failed,
@@ -121,6 +122,8 @@
 pub(crate) struct Flight {
     pub upstream: WorkerId,
     pub sent: Millis,
+    /// The request as it waited, to wait again if the upstream has no slot.
+    pub waited: Waiting,
 }
 
 /// The request policy of one entry VM.
@@ -198,27 +201,43 @@
 
     fn ask(&mut self, now: Millis, ask: Ask, actions: &mut Vec<Action>) {
         let wait = self.expected_wait(&ask.service, &ask.org);
-        match self.refusal(now, &ask, wait) {
-            Some(why) => actions.push(refuse(ask.ticket, why, wait)),
-            None => self.enqueue(now, ask),
+        if let Some(why) = self.refusal(now, &ask, wait) {
+            return actions.push(refuse(ask.ticket, why, wait));
         }
+        if self.waiting() >= self.config.queue {
+            match self.make_room(&ask) {
+                Some(other) => actions.push(refuse(other.ask.ticket, Why::QueueFull, wait)),
+                None => return actions.push(refuse(ask.ticket, Why::QueueFull, wait)),
+            }
+        }
+        self.enqueue(now, ask);
     }
 
+    /// A request that would wait for more than half of its time is refused at once, so that
+    /// what is sent is still wanted when it is answered.
     fn refusal(&self, now: Millis, ask: &Ask, wait: Millis) -> Option<Why> {
         if !self.pool.has(&ask.service) {
             return Some(Why::NoService);
         }
-        if ask.deadline <= now + wait {
-            return Some(Why::Deadline);
+        let late = now + wait + wait >= ask.deadline;
+        late.then_some(Why::Deadline)
+    }
+
+    /// Takes the newest request of the longest queue out, if the organisation of `ask` has
+    /// less than its share of the places.
+    fn make_room(&mut self, ask: &Ask) -> Option<Waiting> {
+        let places = self.config.queue as f64;
+        let queue = self.queues.get_mut(&ask.service)?;
+        let own = queue.lane_len(&ask.org) as f64;
+        if own >= places * queue.share(&ask.org) {
+            return None;
         }
-        (self.waiting() >= self.config.queue).then_some(Why::QueueFull)
+        queue.drop_longest()
     }
 
     fn enqueue(&mut self, now: Millis, ask: Ask) {
-        let weights = &self.weights;
-        let queue = self.queues.entry(ask.service.clone());
-        let queue = queue.or_insert_with(|| FairQueue::new(weights.clone()));
-        queue.push(Waiting { ask, since: now });
+        let service = ask.service.clone();
+        self.queue_of(&service).push(Waiting { ask, since: now });
     }
 
     fn done(&mut self, now: Millis, ticket: Ticket, result: SendResult, actions: &mut Vec<Action>) {
@@ -237,7 +256,7 @@
         let before = member.health.is_isolated();
         match result {
             SendResult::Busy => {
-                member.limit.shrink(now);
+                member.refused_for_slot(now);
                 member.health.unproved(now);
             }
             SendResult::Failed => member.health.bad(now, &rule, may),
@@ -254,7 +273,21 @@
             (true, false) => actions.push(Action::Restored(flight.upstream)),
             _ => {}
         }
-        self.completion(now);
+        match result {
+            SendResult::Busy => self.wait_again(flight.waited),
+            _ => self.completion(now),
+        }
+    }
+
+    /// Puts a request that found no slot back at the head of its organisation's queue.
+    fn wait_again(&mut self, waiting: Waiting) {
+        self.queue_of(&waiting.ask.service).push_front(waiting);
+    }
+
+    fn queue_of(&mut self, service: &ServiceId) -> &mut FairQueue {
+        let weights = &self.weights;
+        let queue = self.queues.entry(service.clone());
+        queue.or_insert_with(|| FairQueue::new(weights.clone()))
     }
 
     fn service_of(&mut self, id: &WorkerId) -> Option<ServiceId> {
@@ -309,10 +342,11 @@
         let picked = picked.or_else(|| self.pool.pick(now, service, &[], &mut self.rng));
         let upstream = picked?;
         let waiting = queue.pop()?;
-        Some(self.send(now, waiting.ask.ticket, upstream))
+        Some(self.send(now, waiting, upstream))
     }
 
-    fn send(&mut self, now: Millis, ticket: Ticket, upstream: WorkerId) -> Action {
+    fn send(&mut self, now: Millis, waited: Waiting, upstream: WorkerId) -> Action {
+        let ticket = waited.ask.ticket;
         if let Some(member) = self.pool.get_mut(&upstream) {
             member.busy += 1;
             member.health.sent(now);
@@ -320,6 +354,7 @@
         let flight = Flight {
             upstream: upstream.clone(),
             sent: now,
+            waited,
         };
         self.flights.insert(ticket, flight);
         Action::Send { ticket, upstream }
--- a/crates/route/src/fair.rs
+++ b/crates/route/src/fair.rs
@@ -78,6 +78,20 @@
         self.len += 1;
     }
 
+    /// Puts a request back that was taken and could not be served; it goes first again.
+    pub fn push_front(&mut self, waiting: Waiting) {
+        let weight = self.weight(&waiting.ask.org);
+        let clock = self.clock;
+        let lane = self.lanes.entry(waiting.ask.org.clone()).or_default();
+        if lane.queue.is_empty() {
+            lane.virtual_time = clock;
+        } else {
+            lane.virtual_time -= 1.0 / weight;
+        }
+        lane.queue.push_front(waiting);
+        self.len += 1;
+    }
+
     /// Takes the next request in fair order.
     pub fn pop(&mut self) -> Option<Waiting> {
         let org = self.next_org()?;
@@ -93,6 +107,18 @@
         Some(waiting)
     }
 
+    /// Takes the newest request of the organisation with the most waiting ones out.
+    pub fn drop_longest(&mut self) -> Option<Waiting> {
+        let longest = self
+            .lanes
+            .values_mut()
+            .max_by_key(|lane| lane.queue.len())?;
+        let waiting = longest.queue.pop_back()?;
+        self.len -= 1;
+        self.lanes.retain(|_, lane| !lane.queue.is_empty());
+        Some(waiting)
+    }
+
     /// The request that [`FairQueue::pop`] would take.
     pub fn peek(&self) -> Option<&Waiting> {
         let org = self.next_org()?;
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -7,6 +7,9 @@
 /// Factor applied to the limit after a refusal for want of a slot.
 const DECREASE: f64 = 0.7;
 
+/// Part of a slot by which as many successes as the limit allows at once raise it.
+const INCREASE: f64 = 0.1;
+
 /// Refusals within this span count as one.
 const DECREASE_PAUSE: Millis = Millis(100);
 
@@ -43,7 +46,7 @@
     /// A request succeeded while `busy` requests, itself included, were in progress.
     pub fn grow(&mut self, busy: u32) {
         if busy >= self.value() {
-            self.value = (self.value + 1.0 / self.value).min(f64::from(self.slots));
+            self.value = (self.value + INCREASE / self.value).min(f64::from(self.slots));
         }
     }
 
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -24,6 +24,9 @@
 /// Added latency for each recent failure, as a factor.
 const FAILURE_COST: f64 = 2.0;
 
+/// Pause after a refusal for want of a slot.
+const FULL_PAUSE: Millis = Millis(5);
+
 /// Random picks before all upstreams are looked at.
 const PICKS: usize = 4;
 
@@ -75,6 +78,8 @@
     pub limit: Limit,
     pub health: Health,
     latency: f64,
+    /// No request is sent before this time, because it had no free slot.
+    full: Millis,
 }
 
 impl Member {
@@ -85,12 +90,19 @@
             busy: 0,
             health: Health::Good { failures: 0 },
             latency: LATENCY_START,
+            full: Millis::ZERO,
         }
     }
 
+    /// It refused a request for want of a slot.
+    pub fn refused_for_slot(&mut self, now: Millis) {
+        self.limit.shrink(now);
+        self.full = now + FULL_PAUSE;
+    }
+
     /// Whether it can take a request now.
     fn open(&self, now: Millis) -> Option<Probe> {
-        let live = self.upstream.standing == Standing::Live;
+        let live = self.upstream.standing == Standing::Live && self.full <= now;
         let probe = self.health.open(now)?;
         let free = match probe {
             Probe::No => self.busy < self.limit.value(),
