--- a/crates/bronzetack/src/requests.rs
+++ b/crates/bronzetack/src/requests.rs
@@ -1,7 +1,10 @@
 //! The service that carries requests: its upstreams come from the list of VMs.
 
+use std::collections::BTreeSet;
+
 use actix::Actor;
 use actix::Addr;
+use base::WorkerId;
 use entry::Gate;
 use entry::Requests;
 use entry::RequestsConfig;
@@ -9,6 +12,7 @@
 use entry::Target;
 use kernel::Kernel;
 use kernel::KernelError;
+use obs::Event;
 use plat::VmList;
 use plat::WorkerVm;
 use route::Config;
@@ -37,17 +41,28 @@
     })
     .start();
     let feed: VmFeed = site.names.find(VMS)?;
-    let slots = site.node.service.slots;
-    let task = actix_rt::spawn(follow(feed, addr.clone(), slots));
+    let task = actix_rt::spawn(follow(feed, addr.clone(), site.clone()));
     kernel.add(REQUESTS, addr, move |_| async move { task.abort() })
 }
 
-async fn follow(mut feed: VmFeed, addr: Addr<Requests>, slots: u32) {
+async fn follow(mut feed: VmFeed, addr: Addr<Requests>, site: Site) {
+    let slots = site.node.service.slots;
+    let mut known = BTreeSet::new();
     while let Some(list) = feed.next().await {
+        let leaving = leaving(&list);
+        for id in leaving.difference(&known) {
+            obs::emit(&site.log, Event::UpstreamLeaving, id.as_str());
+        }
+        known = leaving;
         addr.do_send(SetUpstreams(targets(&list, slots)));
     }
 }
 
+fn leaving(list: &VmList) -> BTreeSet<WorkerId> {
+    let leaving = list.workers.iter().filter(|vm| is_leaving(vm));
+    leaving.map(|vm| vm.id.clone()).collect()
+}
+
 fn targets(list: &VmList, slots: u32) -> Vec<Target> {
     let targets = list.workers.iter().filter_map(|vm| target(vm, slots));
     targets.collect()
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -67,7 +67,6 @@
     LinkDown = 301, Warn, "link to a peer is down";
     LinkRefused = 302, Warn, "a connection on the peer port was refused";
     ViewInstalled = 310, Info, "membership view installed";
-    ViewDoubtful = 311, Warn, "outcome of earlier requests is in doubt until a time";
     SettingsApplied = 400, Info, "settings revision in force";
     SettingsRefused = 401, Warn, "settings change refused";
     SettingsStale = 402, Warn, "settings cannot be proved current; starts are held";
@@ -80,11 +79,9 @@
     AnswerTruncated = 505, Warn, "upstream answer was not whole and was dropped";
     RequestRefused = 510, Debug, "request refused";
     RequestUnknown = 511, Warn, "request ended with its outcome unknown";
-    ClaimRefused = 520, Warn, "claim of a non-idempotent request refused";
     CoordinatorElected = 600, Info, "coordinator epoch taken";
     CoordinatorLost = 601, Warn, "coordinator epoch lost";
     TakeoverDone = 602, Info, "take-over finished; workers read back";
-    WorkerFenced = 603, Warn, "worker refused an older epoch";
     WorkerSilent = 604, Warn, "worker does not answer the coordinator";
     GangStarted = 610, Info, "gang runs";
     GangAborted = 611, Warn, "gang start aborted; all tasks released";
