--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -60,12 +60,16 @@
     requests: web::Data<Recipient<Serve>>,
     path: web::Path<String>,
     req: HttpRequest,
-    body: Bytes,
+    body: Result<Bytes, actix_web::Error>,
 ) -> HttpResponse {
     let head = match Head::read(&path, req.headers()) {
         Ok(head) => head,
         Err(findings) => return malformed(findings),
     };
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return bad_body(&error),
+    };
     let id = head.id.clone();
     let sent = requests.send(Serve { head, body }).await;
     let reply = sent.unwrap_or_else(|_| Reply::Unknown {
@@ -76,11 +80,30 @@
 }
 
 fn malformed(findings: Findings) -> HttpResponse {
-    HttpResponse::BadRequest()
+    let reason = "the request is malformed";
+    not_run(StatusCode::BAD_REQUEST, reason, findings)
+}
+
+/// The answer to a body that is too large or did not come whole.
+fn bad_body(error: &actix_web::Error) -> HttpResponse {
+    match error.as_response_error().status_code() {
+        StatusCode::PAYLOAD_TOO_LARGE => {
+            let reason = "the body is larger than the daemon takes";
+            not_run(StatusCode::PAYLOAD_TOO_LARGE, reason, Findings::new())
+        }
+        _ => {
+            let reason = format!("the body cannot be read: {error}");
+            not_run(StatusCode::BAD_REQUEST, &reason, Findings::new())
+        }
+    }
+}
+
+fn not_run(status: StatusCode, reason: &str, findings: Findings) -> HttpResponse {
+    HttpResponse::build(status)
         .insert_header((request::OUTCOME, Outcome::NotRun.to_string()))
         .json(Refusal {
             outcome: Outcome::NotRun,
-            reason: "the request is malformed",
+            reason,
             findings,
         })
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -6,11 +6,16 @@
 
 use actix_web::dev::ServerHandle;
 use actix_web::middleware;
+use actix_web::web;
 use actix_web::web::ServiceConfig;
 use actix_web::App;
+use actix_web::HttpResponse;
 use actix_web::HttpServer;
 use base::Millis;
 
+use crate::answer::refuse;
+use crate::ops::Refused;
+
 /// Longest time for a caller to send its headers.
 const HEAD_MAX: Duration = Duration::from_secs(10);
 
@@ -35,6 +40,7 @@
             App::new()
                 .wrap(middleware::DefaultHeaders::new().add(("server", "bronzetack")))
                 .configure(routes.clone())
+                .default_service(web::to(no_path))
         };
         let server = HttpServer::new(app)
             .workers(1)
@@ -59,3 +65,8 @@
         self.handle.stop(true).await;
     }
 }
+
+/// The answer to a path or method that no route has.
+async fn no_path() -> HttpResponse {
+    refuse(Refused::not_run(404, "no such path or method"))
+}
--- /dev/null
+++ b/crates/fakes/examples/worker.rs
@@ -0,0 +1,39 @@
+//! Runs one worker stand-in as a process:
+//! `cargo run -p fakes --example worker -- w1 127.0.0.1:9001`.
+//!
+//! Daemons learn of it from the platform's list, which is set at the control port of the
+//! platform stand-in with `POST /vms`.
+
+use std::env;
+use std::net::SocketAddr;
+
+use base::Millis;
+use fakes::worker::Worker;
+use fakes::worker::WorkerConfig;
+
+/// Requests that it serves at the same time.
+const SLOTS: usize = 8;
+
+/// Time that a request takes.
+const SERVICE: Millis = Millis(2);
+
+fn main() {
+    let args: Vec<String> = env::args().skip(1).collect();
+    let [id, address] = &args[..] else {
+        panic!("give an id and an address, such as w1 127.0.0.1:9001");
+    };
+    let address: SocketAddr = address
+        .parse()
+        .expect("the address is an IP number and a port");
+    let worker = Worker::start(WorkerConfig {
+        id: id.parse().expect("the id is an identifier"),
+        address,
+        slots: SLOTS,
+        service: SERVICE,
+    });
+    let worker = worker.expect("the address is free");
+    println!("worker {id} at {}", worker.address());
+    loop {
+        std::thread::park();
+    }
+}
