--- a/crates/bronzetack/tests/interface.rs
+++ b/crates/bronzetack/tests/interface.rs
@@ -7,6 +7,8 @@
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 
 use awc::Client;
 use serde_json::json;
@@ -97,6 +99,13 @@
     })
 }
 
+/// A site of one daemon and one worker, with a work area of its own.
+fn site() -> Site {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let num = NEXT.fetch_add(1, Ordering::Relaxed);
+    Site::start(&format!("interface-{num}"), 1, 1, 1)
+}
+
 /// A request still runs.
 fn serves(site: &Site) {
     let heard = callers::send(site.daemons[0].ports.callers, &callers::Request::once());
@@ -120,7 +129,7 @@
     wrong_method = { read("/v1/requests/ledger"), 404, "no such path" },
 )]
 fn a_caller_gets_a_clear_refusal(raw: Raw, status: u16, reason: &str) {
-    let site = Site::start("interface", 1, 1, 1);
+    let site = site();
     let (got, _, body) = call(site.daemons[0].ports.callers, raw);
     assert_eq!(got, status, "{body}");
     assert_eq!(body["outcome"], "not-run", "{body}");
@@ -136,12 +145,12 @@
     settings_large = { large("/v1/settings", JSON), 413 },
     key_missing = { read("/v1/settings/explain"), 400 },
     key_unknown = { read("/v1/settings/explain?key=colour"), 400 },
-    place_malformed = { read("/v1/settings?place=somewhere"), 400 },
+    place_malformed = { read("/v1/settings?at=somewhere"), 400 },
     domain_call_empty = { write("/v1/domains/d0/out", JSON, "{}"), 400 },
     unknown_path = { write("/v1/nothing", JSON, "{}"), 404 },
 )]
 fn an_operator_gets_a_clear_refusal(raw: Raw, status: u16) {
-    let site = Site::start("interface", 1, 1, 1);
+    let site = site();
     let (got, _, body) = call(site.daemons[0].ports.operators, raw);
     assert_eq!(got, status, "{body}");
     assert_eq!(body["outcome"], "not-run", "{body}");
@@ -152,7 +161,7 @@
 
 #[test]
 fn a_refused_request_carries_its_outcome_in_the_header() {
-    let site = Site::start("interface", 1, 1, 1);
+    let site = site();
     let at = site.daemons[0].ports.callers;
     for raw in [
         write("/v1/requests/ledger", &[], "x"),
@@ -167,7 +176,7 @@
 
 #[test]
 fn all_findings_of_a_change_come_together_and_nothing_is_applied() {
-    let site = Site::start("interface", 1, 1, 1);
+    let site = site();
     let at = site.daemons[0].ports.operators;
     add_org(at);
     let before = get_json(at, "/v1/settings")["revision"].clone();
@@ -195,7 +204,7 @@
     larger_than_the_domain = { "board", 2, 8, "no failure domain can hold its shape" },
 )]
 fn a_job_that_can_never_run_is_refused(org: &str, tasks: u32, accels: u32, reason: &str) {
-    let site = Site::start("interface", 1, 1, 1);
+    let site = site();
     let at = site.daemons[0].ports.callers;
     add_org(site.daemons[0].ports.operators);
     let mut spec = job("never", tasks, accels, "run:10", None);
@@ -211,7 +220,7 @@
 
 #[test]
 fn a_gang_without_tasks_is_refused_at_once() {
-    let site = Site::start("interface", 1, 1, 1);
+    let site = site();
     let at = site.daemons[0].ports.callers;
     let (status, answer) = post(at, "/v1/jobs", &job("none", 0, 1, "run:10", None));
     assert_eq!((status, &answer["outcome"]), (422, &json!("not-run")));
@@ -242,7 +251,7 @@
     half_a_handshake = { b"GET / HTTP/1.1\r\nupgrade: websocket\r\n" },
 )]
 fn a_stranger_on_the_peer_port_is_turned_away(bytes: &[u8]) {
-    let site = Site::start("interface", 1, 1, 1);
+    let site = site();
     ended(site.daemons[0].ports.peers, bytes, false);
     serves(&site);
     site.close();
@@ -250,7 +259,7 @@
 
 #[test]
 fn headers_that_never_end_are_given_up_on() {
-    let site = Site::start("interface", 1, 1, 1);
+    let site = site();
     let at = site.daemons[0].ports.callers;
     let heard = ended(at, b"POST /v1/requests/ledger HTTP/1.1\r\nhost:", false);
     assert!(heard.starts_with(b"HTTP/1.1 408"), "{heard:?}");
@@ -260,7 +269,7 @@
 
 #[test]
 fn a_request_with_a_truncated_body_does_not_run() {
-    let site = Site::start("interface", 1, 1, 1);
+    let site = site();
     let at = site.daemons[0].ports.callers;
     let head = "POST /v1/requests/ledger HTTP/1.1\r\nhost: d\r\nbt-request-id: cut-1\r\n\
                 bt-org: board\r\ncontent-length: 100\r\n\r\nten bytes.";
