--- a/crates/claim/src/entry.rs
+++ b/crates/claim/src/entry.rs
@@ -29,12 +29,8 @@
     Asking(Option<Millis>),
     /// It was dispatched, and the outcome is open.
     Dispatched,
-    /// The outcome is offered to the owner; `reply` if the caller still waits for it.
-    Reporting {
-        answer: Answer,
-        reply: bool,
-        until: Millis,
-    },
+    /// The outcome is offered to the owner.
+    Reporting { answer: Answer, until: Millis },
 }
 
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -141,13 +137,7 @@
                 self.tell_owner(&send, token, out);
             }
             Phase::Dispatched => send.wake = Millis::MAX,
-            Phase::Reporting { reply, until, .. } => {
-                if *reply && now >= send.deadline {
-                    *reply = false;
-                    let after = COME_BACK;
-                    let reason = Reason::Upstream;
-                    out.reply(token, Verdict::Unknown { reason, after });
-                }
+            Phase::Reporting { until, .. } => {
                 if now >= *until {
                     return;
                 }
@@ -261,11 +251,12 @@
                 outcome: Outcome::NotRun,
                 body: None,
             };
-            self.report(now, token, send, (answer, false), out);
+            self.report(now, token, send, answer, out);
         }
     }
 
-    /// Takes the outcome of a dispatched send.
+    /// Takes the outcome of a dispatched send. "Not run" is final for this and all earlier
+    /// sends: both holders have its claim, which no other send gets past.
     pub(crate) fn finish(&mut self, now: Millis, token: u64, answer: Answer, out: &mut Out) {
         let is_open = |s: &Send| s.phase == Phase::Dispatched;
         if !self.sends.map.get(&token).is_some_and(is_open) {
@@ -274,16 +265,14 @@
         let Some(send) = self.sends.remove(token) else {
             return;
         };
-        let first = send.attempt == 1 || self.limits.ablation.no_tombstone;
         let reason = Reason::Upstream;
         let after = COME_BACK;
         match answer.outcome {
-            Outcome::NotRun if first => out.reply(token, Verdict::NotRun { reason, after }),
+            Outcome::NotRun => out.reply(token, Verdict::NotRun { reason, after }),
+            Outcome::Ran => {}
             Outcome::Unknown => out.reply(token, Verdict::Unknown { reason, after }),
-            _ => {}
         }
-        let reply = answer.outcome == Outcome::NotRun && !first;
-        self.report(now, token, send, (self.bounded(answer), reply), out);
+        self.report(now, token, send, self.bounded(answer), out);
     }
 
     fn bounded(&self, mut answer: Answer) -> Answer {
@@ -292,38 +281,17 @@
         answer
     }
 
-    fn report(
-        &mut self,
-        now: Millis,
-        token: u64,
-        mut send: Send,
-        (answer, reply): (Answer, bool),
-        out: &mut Out,
-    ) {
-        send.phase = Phase::Reporting {
-            answer,
-            reply,
-            until: now + self.limits.report,
-        };
+    fn report(&mut self, now: Millis, token: u64, mut send: Send, answer: Answer, out: &mut Out) {
+        let until = now + self.limits.report;
+        send.phase = Phase::Reporting { answer, until };
         self.sends.put(token, send);
         self.wake_send(now, token, out);
     }
 
-    pub(crate) fn on_report_ack(&mut self, token: u64, settled: bool, out: &mut Out) {
+    pub(crate) fn on_report_ack(&mut self, token: u64) {
         let is_open = |s: &Send| matches!(s.phase, Phase::Reporting { .. });
-        if !self.sends.map.get(&token).is_some_and(is_open) {
-            return;
-        }
-        let send = self.sends.remove(token);
-        if let Some(Phase::Reporting { reply: true, .. }) = send.map(|s| s.phase) {
-            let reason = Reason::Upstream;
-            let after = COME_BACK;
-            let verdict = if settled {
-                Verdict::NotRun { reason, after }
-            } else {
-                Verdict::Unknown { reason, after }
-            };
-            out.reply(token, verdict);
+        if self.sends.map.get(&token).is_some_and(is_open) {
+            self.sends.remove(token);
         }
     }
 
--- a/crates/claim/src/limits.rs
+++ b/crates/claim/src/limits.rs
@@ -45,7 +45,7 @@
     pub no_lease: bool,
     /// Uses a grant for a request that was already given up on or dispatched.
     pub no_nonce: bool,
-    /// Says "not run" before the copy-holder has the tombstone.
+    /// Says "not run" of an id before the copy-holder knows that it is closed.
     pub no_tombstone: bool,
 }
 
--- a/crates/claim/src/machine.rs
+++ b/crates/claim/src/machine.rs
@@ -352,12 +352,9 @@
                 answer,
                 ..
             } => self.on_report(now, from, id, (nonce, attempt), answer, out),
-            Message::ReportAck { nonce, settled } => self.on_report_ack(nonce, settled, out),
+            Message::ReportAck { nonce } => self.on_report_ack(nonce),
             Message::View(view) => self.on_view(now, from, view, out),
-            Message::Lag { view } if view < self.view.number => {
-                out.send(&from, Message::View(self.view.clone()))
-            }
-            Message::Lag { .. } => {}
+            Message::Lag { view } => self.on_lag(now, from, view, out),
             Message::Pull { from: last, .. } => self.on_pull(from, last, out),
             Message::Chunk {
                 view,
--- a/crates/claim/src/message.rs
+++ b/crates/claim/src/message.rs
@@ -112,12 +112,10 @@
         /// The outcome.
         answer: Answer,
     },
-    /// The owner has dealt with a report.
+    /// Owner and copy-holder have the outcome, or the owner has no use for it.
     ReportAck {
         /// The send.
         nonce: u64,
-        /// Whether owner and copy-holder have the outcome.
-        settled: bool,
     },
     /// The newest view that the sender knows.
     View(View),
--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -302,8 +302,7 @@
         self.table.set_copied(&id);
         let nonce = send.nonce;
         if done {
-            let settled = lease;
-            return out.send(&send.entry, Message::ReportAck { nonce, settled });
+            return out.send(&send.entry, Message::ReportAck { nonce });
         }
         if lease {
             self.grant(&send, out);
@@ -361,8 +360,7 @@
         }
         let nonce = send.nonce;
         if done {
-            let settled = false;
-            out.send(&send.entry, Message::ReportAck { nonce, settled });
+            out.send(&send.entry, Message::ReportAck { nonce });
         } else {
             refuse(&send, why, !fresh, out);
         }
@@ -384,12 +382,10 @@
         let same = self.table.get(&id).filter(|r| r.record.send == send);
         let known = same.map(|r| (r.record.outcome().is_some(), r.copied, r.fresh));
         if let Some((true, true, _)) = known {
-            let settled = self.has_lease(now);
-            return out.send(&send.entry, Message::ReportAck { nonce, settled });
+            return out.send(&send.entry, Message::ReportAck { nonce });
         }
         if known.is_none() && answer.outcome == Outcome::NotRun {
-            let settled = false;
-            return out.send(&send.entry, Message::ReportAck { nonce, settled });
+            return out.send(&send.entry, Message::ReportAck { nonce });
         }
         let record = Record {
             send: send.clone(),
@@ -398,8 +394,7 @@
         };
         self.learn(now, id.clone(), record);
         if self.table.get(&id).is_some_and(|r| r.record.send != send) {
-            let settled = false;
-            return out.send(&send.entry, Message::ReportAck { nonce, settled });
+            return out.send(&send.entry, Message::ReportAck { nonce });
         }
         if let Some((_, _, true)) = known {
             self.table.set_fresh(&id);
--- a/crates/claim/src/pull.rs
+++ b/crates/claim/src/pull.rs
@@ -195,6 +195,18 @@
         self.enter(now, view, out);
     }
 
+    /// A VM has an older view: it gets this one, and after it the pull that it did not serve.
+    pub(crate) fn on_lag(&mut self, now: Millis, from: VmId, view: ViewNumber, out: &mut Out) {
+        if view >= self.view.number {
+            return;
+        }
+        out.send(&from, Message::View(self.view.clone()));
+        if let Some(pull) = self.pulls.get_mut(&from) {
+            pull.retry = now;
+            self.tick_pulls(now, out);
+        }
+    }
+
     /// While stopping, asks the members that have not told that they joined.
     pub(crate) fn tick_stop(&self, out: &mut Out) {
         if !self.stopping || self.drained || self.view.has(&self.me) {
--- a/crates/claim/tests/cases/mod.rs
+++ b/crates/claim/tests/cases/mod.rs
@@ -9,6 +9,7 @@
 use claim::Limits;
 
 use crate::model::Budget;
+use crate::model::Event;
 use crate::model::World;
 
 /// Times small enough that one jump passes them.
@@ -20,7 +21,7 @@
         retry: Millis(5),
         wait: Millis::ZERO,
         report: Millis(50),
-        rows: 4,
+        rows: 30,
         bytes: 100,
         answer: 50,
         pending: 8,
@@ -41,6 +42,7 @@
         lost: 0,
         downs: 0,
         numbered: true,
+        timed: false,
     }
 }
 
@@ -121,6 +123,64 @@
     three(ablation, budget)
 }
 
+/// A single member is replaced by another; ids carry their time.
+pub fn timed(ablation: Ablation) -> World {
+    let budget = Budget {
+        views: vec![members(&["b"])],
+        jumps: vec![Millis(25)],
+        timed: true,
+        ..calm()
+    };
+    World::new(&["a", "b"], &["order-1"], &["a"], limits(ablation), budget)
+}
+
+/// A new member has the records of the copy-holder, and the owner does not know the view.
+pub fn promise(ablation: Ablation) -> World {
+    let budget = Budget {
+        views: vec![members(&["c"])],
+        ..calm()
+    };
+    let mut world = three(ablation, budget);
+    world.replay(&[Event::Change(0), Event::Read(1), Event::Read(2)]);
+    world
+}
+
+/// The owner is told that the link to the copy-holder is silent, then both are replaced.
+pub fn closed(ablation: Ablation) -> World {
+    let budget = Budget {
+        sends: 3,
+        views: vec![members(&["b", "c"])],
+        numbered: false,
+        ..calm()
+    };
+    let mut world = three(ablation, budget);
+    let id = 0;
+    world.replay(&[Event::Send { id, vm: 2 }, Event::Send { id, vm: 0 }]);
+    world.force(&Event::Down(0, 1));
+    world
+}
+
+/// As [`closed`], when the new members have read the new view.
+pub fn closed_late(ablation: Ablation) -> World {
+    let mut world = closed(ablation);
+    world.replay(&[Event::Change(0), Event::Read(1), Event::Read(2)]);
+    world
+}
+
+/// Two changes of the view in a row, each learned late by some.
+pub fn chain(ablation: Ablation) -> World {
+    let budget = Budget {
+        views: vec![members(&["b", "c"])],
+        ..calm()
+    };
+    let mut world = three(ablation, budget);
+    world.replay(&[Event::Send { id: 0, vm: 0 }]);
+    world.flush();
+    world.force(&Event::View(vec![0, 2]));
+    world.replay(&[Event::Read(2)]);
+    world
+}
+
 /// All worlds by name.
 pub fn all(off: Ablation) -> Vec<(&'static str, World)> {
     vec![
@@ -128,8 +188,13 @@
         ("replace", replace(off)),
         ("lost-pair", lost_pair(off)),
         ("single", single(off)),
+        ("timed", timed(off)),
         ("refusals", refusals(off)),
         ("late", late(off)),
+        ("promise", promise(off)),
+        ("closed", closed(off)),
+        ("closed-late", closed_late(off)),
+        ("chain", chain(off)),
     ]
 }
 
--- a/crates/claim/tests/model/world.rs
+++ b/crates/claim/tests/model/world.rs
@@ -43,14 +43,16 @@
     pub downs: u32,
     /// Whether the caller numbers its sends and waits for one at a time.
     pub numbered: bool,
+    /// Whether ids carry the time of their first send.
+    pub timed: bool,
 }
 
 /// One step of the world.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub enum Event {
     Send { id: usize, vm: usize },
-    Deliver(usize),
-    Repeat(usize),
+    Deliver(u64),
+    Repeat(u64),
     Crash(usize),
     Change(usize),
     Read(usize),
@@ -61,44 +63,60 @@
     Finish(usize, u64),
     Lose(usize, u64),
     Down(usize, usize),
+    Start(usize),
+    Drop(u64),
+    Wait(u64),
+    View(Vec<usize>),
+    Gone(usize, usize),
 }
 
-type Packet = (VmId, VmId, Message);
+pub(super) type Packet = (VmId, VmId, Message);
 
 /// A machine with the hash of its state.
 #[derive(Clone)]
-struct Node {
-    claims: Rc<Claims>,
+pub(super) struct Node {
+    pub(super) claims: Rc<Claims>,
     hash: u64,
-    ticked: Millis,
+    pub(super) ticked: Millis,
 }
 
 /// The whole state.
 #[derive(Clone)]
 pub struct World {
-    names: Vec<VmId>,
-    ids: Vec<RequestId>,
-    limits: Limits,
-    nodes: Vec<Option<Node>>,
-    net: Vec<Rc<(Packet, u64)>>,
-    now: Millis,
-    view: Rc<View>,
-    budget: Budget,
+    pub(super) names: Vec<VmId>,
+    pub(super) ids: Vec<RequestId>,
+    pub(super) limits: Limits,
+    pub(super) nodes: Vec<Option<Node>>,
+    pub(super) net: Vec<Rc<(Packet, u64)>>,
+    pub(super) now: Millis,
+    pub(super) view: Rc<View>,
+    pub(super) budget: Budget,
     /// Sends so far: token to index of the id; tokens count up.
-    sends: Vec<usize>,
+    pub(super) sends: Vec<usize>,
     waiting: BTreeSet<u64>,
-    starts: BTreeMap<u64, usize>,
-    running: BTreeMap<u64, usize>,
-    ran: BTreeSet<u64>,
+    pub(super) starts: BTreeMap<u64, usize>,
+    pub(super) running: BTreeMap<u64, usize>,
+    pub(super) ran: BTreeSet<u64>,
     /// Tokens up to which "not run" was told, by index of the id.
     denied: BTreeMap<usize, u64>,
-    seen: usize,
+    /// When each id was sent first.
+    first: BTreeMap<usize, Millis>,
+    pub(super) started: usize,
+    pub(super) replies: [usize; 3],
     /// What went wrong.
     pub broken: Option<String>,
 }
 
 const DEADLINE: Millis = Millis(10);
 
+/// A UUID of version 7 created at `now`.
+fn timed(now: Millis, id: usize) -> RequestId {
+    let high = now.0 >> 16;
+    let low = now.0 & 0xffff;
+    let text = format!("{high:08x}-{low:04x}-7000-8000-{id:012x}");
+    text.parse().unwrap()
+}
+
 fn digest(value: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     value.hash(&mut hasher);
@@ -109,6 +127,7 @@
     /// VMs with the first view already known to all, and its authority proven.
     pub fn new(names: &[&str], ids: &[&str], first: &[&str], limits: Limits, b: Budget) -> World {
         let names: Vec<VmId> = names.iter().map(|n| n.parse().unwrap()).collect();
+        let started = names.len();
         let members = first.iter().map(|n| n.parse().unwrap()).collect();
         let mut world = World {
             nodes: vec![None; names.len()],
@@ -125,22 +144,44 @@
             running: BTreeMap::new(),
             ran: BTreeSet::new(),
             denied: BTreeMap::new(),
-            seen: 0,
+            first: BTreeMap::new(),
+            started,
+            replies: [0; 3],
             broken: None,
         };
-        for vm in 0..world.names.len() {
-            let name = world.names[vm].clone();
-            let claims = Claims::new(name, "home".parse().unwrap(), world.limits.clone());
-            world.nodes[vm] = Some(Node {
-                hash: 0,
-                claims: Rc::new(claims),
-                ticked: world.now,
-            });
+        for vm in 0..started {
+            world.boot(vm);
             world.read(vm);
         }
         world
     }
 
+    /// As [`World::new`], with only the first `started` VMs running.
+    pub fn with_spares(
+        names: &[&str],
+        ids: &[&str],
+        started: usize,
+        limits: Limits,
+        b: Budget,
+    ) -> World {
+        let mut world = World::new(names, ids, &names[..2], limits, b);
+        world.started = started;
+        for vm in started..names.len() {
+            world.nodes[vm] = None;
+        }
+        world
+    }
+
+    fn boot(&mut self, vm: usize) {
+        let name = self.names[vm].clone();
+        let claims = Claims::new(name, "home".parse().unwrap(), self.limits.clone());
+        self.nodes[vm] = Some(Node {
+            hash: 0,
+            claims: Rc::new(claims),
+            ticked: self.now,
+        });
+    }
+
     /// A 64-bit digest of the state.
     pub fn hash(&self) -> u64 {
         let nodes: Vec<_> = self
@@ -165,68 +206,96 @@
         ))
     }
 
-    /// All events that can happen next.
-    pub fn events(&self) -> Vec<Event> {
-        let mut events = Vec::new();
-        let live = || (0..self.nodes.len()).filter(|&vm| self.nodes[vm].is_some());
-        for (i, _) in self.net.iter().enumerate() {
-            events.push(Event::Deliver(i));
-            if self.budget.repeats > 0 {
-                events.push(Event::Repeat(i));
-            }
-        }
-        for (&token, &vm) in &self.starts {
-            events.push(Event::Run(vm, token));
-            if self.budget.refusals > 0 {
-                events.push(Event::Refuse(vm, token));
-            }
-        }
-        for (&token, &vm) in &self.running {
-            events.push(Event::Finish(vm, token));
-            if self.budget.lost > 0 {
-                events.push(Event::Lose(vm, token));
-            }
-        }
-        for id in 0..self.ids.len() {
-            let sent = self.sends.iter().filter(|&&i| i == id).count();
-            if sent < self.budget.sends as usize {
-                events.extend(live().map(|vm| Event::Send { id, vm }));
-            }
-        }
-        for vm in live() {
-            let node = self.nodes[vm].as_ref().unwrap();
-            let behind = node.claims.view().number < self.view.number;
-            if behind || !node.claims.has_lease(self.now) {
-                events.push(Event::Read(vm));
-            }
-            if node.ticked < self.now {
-                events.push(Event::Tick(vm));
-            }
-            if self.budget.crashes > 0 {
-                events.push(Event::Crash(vm));
-            }
-            if self.budget.downs > 0 {
-                events.extend(live().filter(|&o| o != vm).map(|o| Event::Down(vm, o)));
+    /// Whether the caller may send an id once more: one without a creation time is not sent
+    /// later than its claim is kept.
+    pub(super) fn is_young(&self, id: usize) -> bool {
+        let end = |at: &Millis| *at + self.limits.retention;
+        let latest = self.now + DEADLINE + self.limits.skew;
+        self.budget.timed || self.first.get(&id).map(end).is_none_or(|end| latest < end)
+    }
+
+    /// Carries out the events that are possible.
+    pub fn replay(&mut self, events: &[Event]) {
+        for event in events {
+            if self.broken.is_none() && self.can(event) {
+                self.apply(event);
             }
         }
-        events.extend((0..self.budget.views.len()).map(Event::Change));
-        if !self.budget.jumps.is_empty() {
-            events.push(Event::Jump);
+    }
+
+    /// Carries out an event outside of the budget.
+    pub fn force(&mut self, event: &Event) {
+        let budget = self.budget.clone();
+        self.budget.downs = 1;
+        self.apply(event);
+        self.budget = budget;
+    }
+
+    /// Delivers all messages and what they lead to.
+    pub fn flush(&mut self) {
+        while let Some(packet) = self.message(0) {
+            self.apply(&Event::Deliver(packet));
         }
-        events
+    }
+
+    pub(super) fn place(&self, digest: u64) -> Option<usize> {
+        self.net.binary_search_by_key(&digest, |p| p.1).ok()
+    }
+
+    fn take(&mut self, digest: u64) -> Rc<(Packet, u64)> {
+        let place = self.place(digest).unwrap();
+        self.net.remove(place)
+    }
+
+    /// Dispatches that the upstream has not seen yet.
+    pub fn starts(&self) -> &BTreeMap<u64, usize> {
+        &self.starts
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> &BTreeMap<u64, usize> {
+        &self.running
+    }
+
+    /// Requests that ran.
+    pub fn ran(&self) -> usize {
+        self.ran.len()
+    }
+
+    /// Replies by kind: answers, not run, unknown.
+    pub fn replies(&self) -> [usize; 3] {
+        self.replies
     }
 
     /// Carries out one event.
     pub fn apply(&mut self, event: &Event) {
         match *event {
+            Event::Start(vm) => {
+                self.started = vm + 1;
+                self.boot(vm);
+                self.read(vm);
+            }
+            Event::Drop(p) => {
+                self.take(p);
+            }
+            Event::Wait(span) => self.now += Millis(span),
+            Event::View(ref members) => {
+                let names = members.iter().map(|&vm| self.names[vm].clone());
+                self.view = Rc::new(self.view.next(names.collect()));
+            }
+            Event::Gone(vm, other) => {
+                let other = self.names[other].clone();
+                self.step(vm, Input::Gone(other));
+            }
             Event::Send { id, vm } => self.send(id, vm),
-            Event::Deliver(i) => {
-                let packet = self.net.remove(i);
+            Event::Deliver(p) => {
+                let packet = self.take(p);
                 self.deliver(&packet.0);
             }
-            Event::Repeat(i) => {
+            Event::Repeat(p) => {
                 self.budget.repeats -= 1;
-                let packet = self.net[i].clone();
+                let place = self.place(p).unwrap();
+                let packet = self.net[place].clone();
                 self.deliver(&packet.0);
             }
             Event::Crash(vm) => {
@@ -285,15 +354,25 @@
         }
     }
 
+    /// Whether an answer is that of the id, or one whose body was not kept.
+    fn is_answer(&self, answer: &Answer, id: usize) -> bool {
+        let own = self.answer(id);
+        answer.outcome == own.outcome && (answer.body.is_none() || answer.body == own.body)
+    }
+
     fn send(&mut self, id: usize, vm: usize) {
         let before = self.sends.iter().filter(|&&i| i == id).count() as u32;
         let token = self.sends.len() as u64;
         let mut attempt = 0;
+        if self.budget.timed && before == 0 {
+            self.ids[id] = timed(self.now, id);
+        }
         if self.budget.numbered {
             let sends = &self.sends;
             self.waiting.retain(|&t| sends[t as usize] != id);
             attempt = before + 1;
         }
+        self.first.entry(id).or_insert(self.now);
         self.sends.push(id);
         self.waiting.insert(token);
         let request = Input::Request {
@@ -370,8 +449,13 @@
             return;
         }
         let id = self.sends[token as usize];
+        self.replies[match &verdict {
+            Verdict::Answer(_) => 0,
+            Verdict::NotRun { .. } => 1,
+            Verdict::Unknown { .. } => 2,
+        }] += 1;
         match verdict {
-            Verdict::Answer(answer) if answer != self.answer(id) => {
+            Verdict::Answer(answer) if !self.is_answer(&answer, id) => {
                 self.broken = Some(format!("send {token} got a foreign answer"));
             }
             Verdict::NotRun { .. } => {
