--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -335,7 +335,11 @@
             self.learn(now, id.clone(), record);
             self.table.stop_copying(&id);
         }
-        self.tell_known(now, id, send, attempt, out);
+        if self.has_lease(now) {
+            self.tell_known(now, id, send, attempt, out);
+        } else {
+            refuse(&send, (Reason::NoLease, COME_BACK), true, out);
+        }
     }
 
     pub(crate) fn on_copy_refuse(
