Tell claims when a VM is heard again; doubt a view without its past

Cause: an owner whose copy-holder was silent sent it nothing, so no message ever told that it was back. A view later than the first that names no earlier members was taken for the first.

Change: Input::PeerUp; only view 1 starts without doubt; the set of VMs known to have ended is bounded.

--- a/crates/claim/src/cover.rs
+++ b/crates/claim/src/cover.rs
@@ -16,6 +16,8 @@
 use crate::home::created;
 use crate::limits::Limits;
 use crate::view::pair;
+use crate::view::View;
+use crate::view::ViewNumber;
 
 /// Members whose records are lost together with a claim.
 const PAIR: usize = 2;
@@ -45,6 +47,8 @@
 /// Knowledge of one member in its current view.
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub(crate) struct Cover {
+    /// Whether this is the first view, before which there were no claims.
+    first: bool,
     /// Members of the view before.
     past: Vec<VmId>,
     /// Members of the view before whose records and promise this member has.
@@ -55,11 +59,12 @@
 }
 
 impl Cover {
-    /// Enters a view after `past`, knowing nothing yet.
-    pub(crate) fn new(now: Millis, past: Vec<VmId>, limits: &Limits) -> Cover {
+    /// Enters a view, knowing nothing yet of the one before.
+    pub(crate) fn new(now: Millis, view: &View, limits: &Limits) -> Cover {
         let lapse = now + limits.lease + limits.skew;
         Cover {
-            past,
+            first: view.number == ViewNumber(1),
+            past: view.past.first().cloned().unwrap_or_default(),
             sources: BTreeMap::new(),
             lapse,
             lapsed: Quality {
@@ -88,7 +93,7 @@
 
     /// Whether all claims of `id` made in earlier views are known.
     pub(crate) fn covers(&self, now: Millis, id: &RequestId) -> bool {
-        if self.past.is_empty() {
+        if self.first {
             return true;
         }
         let (first, second) = pair(&self.past, id);
@@ -123,7 +128,7 @@
     /// Whether each pair of the view before has a member whose records are here.
     pub(crate) fn is_complete(&self) -> bool {
         let missing = self.past.len() - self.sources.len();
-        missing < PAIR.min(self.past.len()) || self.past.is_empty()
+        self.first || missing < PAIR.min(self.past.len())
     }
 
     /// Members of the view before whose records are missing.
--- a/crates/claim/src/machine.rs
+++ b/crates/claim/src/machine.rs
@@ -60,6 +60,8 @@
     },
     /// The link to a VM is silent or closed.
     PeerDown(VmId),
+    /// The VM is heard again. A message of it tells the same.
+    PeerUp(VmId),
     /// A caller sent a non-idempotent request to this entry VM.
     Request {
         /// The caller's id of the request.
@@ -291,6 +293,9 @@
             Input::Lease { view, until } => self.extend(view, until),
             Input::Peer { from, msg } => self.receive(now, from, msg, out),
             Input::PeerDown(vm) => self.peer_down(now, vm, out),
+            Input::PeerUp(vm) => {
+                self.down.remove(&vm);
+            }
             Input::Request {
                 id,
                 attempt,
--- a/crates/claim/src/pull.rs
+++ b/crates/claim/src/pull.rs
@@ -18,6 +18,9 @@
 /// Views entered one after the other when a VM learns several at once.
 const MAX_STEPS: usize = 8;
 
+/// VMs remembered at most as ended.
+const MAX_GONE: usize = 1024;
+
 /// Rows of a member after transfers, as a multiple of [`crate::Limits::rows`].
 pub(crate) const TRANSFER_FACTOR: usize = 2;
 
@@ -55,8 +58,7 @@
             .cover
             .quality(now)
             .filter(|_| follows && old.has(&self.me));
-        let past = self.view.past.first().cloned().unwrap_or_default();
-        self.cover = Cover::new(now, past, &self.limits);
+        self.cover = Cover::new(now, &self.view, &self.limits);
         if let Some(quality) = self.left {
             self.cover.add(self.me.clone(), quality);
         }
@@ -167,6 +169,9 @@
 
     pub(crate) fn note_gone(&mut self, now: Millis, vm: VmId) {
         self.gone.insert(vm);
+        while self.gone.len() > MAX_GONE {
+            self.gone.pop_first();
+        }
         self.check_gone(now);
     }
 
--- a/crates/claim/tests/change.rs
+++ b/crates/claim/tests/change.rs
@@ -169,6 +169,28 @@
     ));
 }
 
+#[test]
+fn a_copy_holder_that_is_heard_again_gets_claims() {
+    let mut site = answered();
+    for at in 0..2 {
+        site.step(at, Input::PeerDown(vm(1 - at)));
+        site.step(at, Input::PeerUp(vm(1 - at)));
+    }
+    let before = site.seen.len();
+    site.request(0, 100, 1, 1000);
+    assert!(matches!(site.seen[before].1, Action::Dispatch { .. }));
+}
+
+#[test]
+fn a_view_without_a_past_is_in_doubt_unless_it_is_the_first() {
+    let mut site = Site::new(&Limits::default());
+    let mut view = View::first(vec![vm(0)]).next(vec![vm(0)]);
+    view.past.clear();
+    site.learn(0, &view);
+    site.request(0, 1, 1, 1);
+    assert!(!matches!(site.seen[0].1, Action::Dispatch { .. }));
+}
+
 #[test]
 fn a_lost_pair_leaves_its_ids_in_doubt() {
     let mut site = answered();
