Search a world of two ids; keep copy marks when members stay

Cause: a view that only names other VMs that may replace it changed no pair, yet had the pair of each record computed twice.

Change: equal member lists keep all copy marks. The search has a world of two ids with room for one claim.

The time of a view change was not measured.

--- a/crates/claim/src/pull.rs
+++ b/crates/claim/src/pull.rs
@@ -63,7 +63,9 @@
             self.cover.add(self.me.clone(), quality);
         }
         let view = &self.view;
-        self.table.reset_copies(|id| old.pair(id) == view.pair(id));
+        let same = old.members == view.members;
+        self.table
+            .reset_copies(|id| same || old.pair(id) == view.pair(id));
         self.joined.clear();
         self.pulls.clear();
         if self.view.has(&self.me) {
--- a/crates/claim/tests/cases/mod.rs
+++ b/crates/claim/tests/cases/mod.rs
@@ -181,6 +181,25 @@
     world
 }
 
+/// Two ids with room for the claim of one.
+pub fn two_ids(ablation: Ablation) -> World {
+    let budget = Budget {
+        crashes: 1,
+        ..calm()
+    };
+    let limits = Limits {
+        rows: 1,
+        ..limits(ablation)
+    };
+    World::new(
+        &["a", "b"],
+        &["order-1", "order-2"],
+        &["a", "b"],
+        limits,
+        budget,
+    )
+}
+
 /// All worlds by name.
 pub fn all(off: Ablation) -> Vec<(&'static str, World)> {
     vec![
@@ -195,6 +214,7 @@
         ("closed", closed(off)),
         ("closed-late", closed_late(off)),
         ("chain", chain(off)),
+        ("two-ids", two_ids(off)),
     ]
 }
 
--- a/crates/claim/tests/search.rs
+++ b/crates/claim/tests/search.rs
@@ -21,6 +21,7 @@
     closed = { "closed" },
     closed_late = { "closed-late" },
     chain = { "chain" },
+    two_ids = { "two-ids" },
     refusals = { "refusals" },
     late = { "late" },
 )]
