Let a copy-holder refuse a claim of an id that it knows to be closed

Cause: a new owner that had not yet pulled the records asked the copy-holder to record an older send; the copy-holder merged it over the closed record and acknowledged it, so a send ran after 'not run' was told.

--- a/crates/claim/src/record.rs
+++ b/crates/claim/src/record.rs
@@ -75,6 +75,11 @@
         self.outcome() == Some(Outcome::NotRun) && self.attempt > 0 && attempt > self.attempt
     }
 
+    /// Whether the claim `other` of the same id may be made beside this record.
+    pub fn takes(&self, other: &Record) -> bool {
+        self.send == other.send || self.admits(other.attempt)
+    }
+
     /// Merges two records of one id. Whenever either may stand for a dispatch, so does the
     /// result.
     pub fn merge(self, other: Record) -> Record {
--- a/crates/claim/tests/soak.rs
+++ b/crates/claim/tests/soak.rs
@@ -14,6 +14,7 @@
     unnumbered_opaque = { 3 },
     numbered_timed_again = { 4 },
     unnumbered_opaque_again = { 7 },
+    closed_id_at_a_new_owner = { 2323 },
 )]
 fn nothing_breaks(seed: u64) {
     let limits = cases::limits(Default::default());
