Grant neither of two sends that claimed an id unaware of each other

Cause: a transfer could merge a claim that was never granted with the claim of another send; the merged row named one of them, which could then be granted although the other had been, or after the id was closed.

Change: such records merge into an unknown outcome.

--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -244,7 +244,7 @@
             return out.send(&from, refuse(Reason::Full, COME_BACK));
         }
         let merged = match old.clone() {
-            Some(old) if !done && !old.takes(&record) => old,
+            Some(old) if !record.ran() && !old.takes(&record) => old,
             Some(old) => old.merge(record.clone()),
             None => record.clone(),
         };
--- a/crates/claim/src/record.rs
+++ b/crates/claim/src/record.rs
@@ -96,18 +96,22 @@
         if other.admits(self.attempt) {
             return self;
         }
-        match (self.weight(), other.weight()) {
-            (a, b) if a >= b => self,
-            _ => other,
+        match (self.outcome(), other.outcome()) {
+            (Some(Outcome::Ran), _) => self,
+            (_, Some(Outcome::Ran)) => other,
+            (Some(Outcome::NotRun), Some(Outcome::NotRun)) => self,
+            _ => self.contested(),
         }
     }
 
-    fn weight(&self) -> u8 {
-        match self.outcome() {
-            Some(Outcome::NotRun) => 0,
-            None => 1,
-            Some(Outcome::Unknown) => 2,
-            Some(Outcome::Ran) => 3,
+    /// Two sends claimed the id, each unaware of the other. Neither is granted any more, and
+    /// nothing is said of whether one ran.
+    fn contested(self) -> Record {
+        let outcome = Outcome::Unknown;
+        let body = None;
+        Record {
+            state: State::Done(Answer { outcome, body }),
+            ..self
         }
     }
 }
