--- a/crates/claim/src/owner.rs
+++ b/crates/claim/src/owner.rs
@@ -244,6 +244,7 @@
             return out.send(&from, refuse(Reason::Full, COME_BACK));
         }
         let merged = match old.clone() {
+            Some(old) if !record.ran() && !old.takes(&record) => old,
             Some(old) => old.merge(record.clone()),
             None => record.clone(),
         };
@@ -302,8 +303,7 @@
         self.table.set_copied(&id);
         let nonce = send.nonce;
         if done {
-            let settled = lease;
-            return out.send(&send.entry, Message::ReportAck { nonce, settled });
+            return out.send(&send.entry, Message::ReportAck { nonce });
         }
         if lease {
             self.grant(&send, out);
@@ -336,7 +336,11 @@
             self.learn(now, id.clone(), record);
             self.table.stop_copying(&id);
         }
-        self.tell_known(now, id, send, attempt, out);
+        if self.has_lease(now) {
+            self.tell_known(now, id, send, attempt, out);
+        } else {
+            refuse(&send, (Reason::NoLease, COME_BACK), true, out);
+        }
     }
 
     pub(crate) fn on_copy_refuse(
@@ -361,8 +365,7 @@
         }
         let nonce = send.nonce;
         if done {
-            let settled = false;
-            out.send(&send.entry, Message::ReportAck { nonce, settled });
+            out.send(&send.entry, Message::ReportAck { nonce });
         } else {
             refuse(&send, why, !fresh, out);
         }
@@ -384,12 +387,10 @@
         let same = self.table.get(&id).filter(|r| r.record.send == send);
         let known = same.map(|r| (r.record.outcome().is_some(), r.copied, r.fresh));
         if let Some((true, true, _)) = known {
-            let settled = self.has_lease(now);
-            return out.send(&send.entry, Message::ReportAck { nonce, settled });
+            return out.send(&send.entry, Message::ReportAck { nonce });
         }
         if known.is_none() && answer.outcome == Outcome::NotRun {
-            let settled = false;
-            return out.send(&send.entry, Message::ReportAck { nonce, settled });
+            return out.send(&send.entry, Message::ReportAck { nonce });
         }
         let record = Record {
             send: send.clone(),
@@ -398,8 +399,7 @@
         };
         self.learn(now, id.clone(), record);
         if self.table.get(&id).is_some_and(|r| r.record.send != send) {
-            let settled = false;
-            return out.send(&send.entry, Message::ReportAck { nonce, settled });
+            return out.send(&send.entry, Message::ReportAck { nonce });
         }
         if let Some((_, _, true)) = known {
             self.table.set_fresh(&id);
