--- a/crates/bronzetack/tests/jobs.rs
+++ b/crates/bronzetack/tests/jobs.rs
@@ -8,7 +8,6 @@
 use fakes::fault::Fault;
 use nix::sys::signal::Signal;
 use serde_json::json;
-use work::wire::TaskPhase;
 
 use support::callers::add_org;
 use support::callers::change;
@@ -18,37 +17,12 @@
 use support::callers::post;
 use support::callers::set_domain;
 use support::eventually;
+use support::tasks::await_coordinator;
+use support::tasks::started;
+use support::tasks::OUT;
+use support::tasks::URGENT;
 use support::Site;
 
-/// Start of urgent work, the coordinator's death included.
-const URGENT: Duration = Duration::from_millis(4_100);
-
-/// Time in which a failure domain that was taken out stops starting tasks.
-const OUT: Duration = Duration::from_secs(2);
-
-fn started(site: &Site, job: &str) -> usize {
-    let running = |worker: &fakes::worker::Worker| {
-        let state = worker.state();
-        let state = state.lock();
-        let changes = state.tasks.changes().iter();
-        let of_job = changes.filter(|c| c.key.job.as_str() == job);
-        of_job.filter(|c| c.phase == TaskPhase::Running).count()
-    };
-    site.workers.iter().map(running).sum()
-}
-
-/// The index of the daemon that coordinates failure domain 0.
-fn coordinator(site: &Site) -> Option<usize> {
-    (0..site.daemons.len()).find(|i| {
-        let status = get_json(site.daemons[*i].ports.operators, "/v1/status");
-        let held = status["coordinators"]
-            .as_array()
-            .cloned()
-            .unwrap_or_default();
-        held.iter().any(|c| c["domain"] == "d0")
-    })
-}
-
 #[test]
 fn a_gang_runs_whole_and_a_resubmission_finds_it() {
     let site = Site::start("gang", 1, 2, 2);
@@ -71,8 +45,7 @@
 fn urgent_work_starts_in_time_though_the_coordinator_is_killed() {
     let mut site = Site::start("urgent", 1, 3, 2);
     add_org(site.daemons[0].ports.operators);
-    eventually("a coordinator", || coordinator(&site).is_some());
-    let holder = coordinator(&site).unwrap();
+    let holder = await_coordinator(&site, "d0");
     let other = (holder + 1) % site.daemons.len();
     let at = site.daemons[other].ports.callers;
     let mut spec = job("urgent-1", 2, 8, "run:200", None);
@@ -89,8 +62,7 @@
 fn a_running_gang_survives_the_death_of_its_coordinator() {
     let mut site = Site::start("adopt", 1, 2, 2);
     add_org(site.daemons[0].ports.operators);
-    eventually("a coordinator", || coordinator(&site).is_some());
-    let holder = coordinator(&site).unwrap();
+    let holder = await_coordinator(&site, "d0");
     let at = site.daemons[1 - holder].ports.callers;
     let mut spec = job("long-1", 2, 8, "run:5000", None);
     spec["idempotent"] = json!(false);
@@ -106,8 +78,7 @@
 fn a_frozen_coordinator_starts_nothing_twice() {
     let site = Site::start("frozen", 1, 2, 2);
     add_org(site.daemons[0].ports.operators);
-    eventually("a coordinator", || coordinator(&site).is_some());
-    let holder = coordinator(&site).unwrap();
+    let holder = await_coordinator(&site, "d0");
     let at = site.daemons[1 - holder].ports.callers;
     site.daemons[holder].signal(Signal::SIGSTOP);
     let mut ids = Vec::new();
--- a/crates/bronzetack/tests/support/mod.rs
+++ b/crates/bronzetack/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod callers;
 pub mod relay;
+pub mod tasks;
 
 use std::fs;
 use std::io::BufRead;
@@ -13,6 +14,8 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,6 +24,7 @@
 use fakes::platform_vms::VmRow;
 use fakes::worker::Worker;
 use fakes::worker::WorkerConfig;
+use fakes::worker::WorkerState;
 use nix::sys::signal::kill;
 use nix::sys::signal::Signal;
 use nix::unistd::Pid;
@@ -57,10 +61,24 @@
     done()
 }
 
-/// A free loopback address. Nothing keeps it free; ports are drawn from a wide range.
+/// Ports below the range that the system draws from for outgoing connections.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+/// The last port tried.
+static PORT: AtomicU16 = AtomicU16::new(0);
+
+/// A free loopback address that no outgoing connection takes by chance.
 pub fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(local()).expect("a free port");
-    listener.local_addr().expect("its address")
+    let width = PORTS.end - PORTS.start;
+    let base = (std::process::id() * 97 % u32::from(width)) as u16;
+    loop {
+        let step = PORT.fetch_add(1, Ordering::SeqCst);
+        let port = PORTS.start + ((u32::from(base) + u32::from(step)) % u32::from(width)) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Any port on loopback.
@@ -246,6 +264,60 @@
         }
     }
 
+    /// What each worker recorded.
+    pub fn worker_states(&self) -> Vec<WorkerState> {
+        self.workers.iter().map(Worker::state).collect()
+    }
+
+    /// Puts a relay in front of each daemon's port for peers. Call it before the list is
+    /// published.
+    pub fn relay_links(&mut self) -> Vec<relay::Relay> {
+        let relays = self.daemons.iter_mut().map(|daemon| {
+            let relay = relay::Relay::start(daemon.ports.peers);
+            daemon.listed = relay.address();
+            relay
+        });
+        relays.collect()
+    }
+
+    /// A site whose links between daemons pass through relays, one a daemon.
+    pub fn linked(name: &str, domains: usize, daemons: usize) -> (Site, Vec<relay::Relay>) {
+        let mut site = Site::new(name, domains, 1);
+        for i in 0..domains * daemons {
+            site.add_daemon(i / daemons);
+        }
+        let relays = site.relay_links();
+        site.publish();
+        site.wait_ready();
+        (site, relays)
+    }
+
+    /// A failure domain whose daemons reach the store through a relay each.
+    pub fn stored(name: &str, daemons: usize, workers: usize) -> (Site, Vec<relay::Relay>) {
+        let mut site = Site::new(name, 1, workers);
+        let mut relays = Vec::new();
+        for _ in 0..daemons {
+            let relay = relay::Relay::start(site.platform.addr());
+            site.store = relay.address();
+            site.add_daemon(0);
+            relays.push(relay);
+        }
+        site.publish();
+        site.wait_ready();
+        (site, relays)
+    }
+
+    /// Kills every daemon.
+    pub fn kill_all(&mut self) {
+        self.daemons.iter_mut().for_each(Daemon::kill);
+    }
+
+    /// Starts every daemon again and waits until all are ready.
+    pub fn restart_all(&mut self) {
+        self.daemons.iter_mut().for_each(Daemon::restart);
+        self.wait_ready();
+    }
+
     /// How often the workers ran a request.
     pub fn runs(&self, id: &str) -> u64 {
         let runs = |w: &Worker| w.state().lock().runs.get(id).copied().unwrap_or(0);
