Measure what control costs a daemon, over daemons and running tasks

Cause: the budgets of a node were only worked out from parts. Ruled out: adding up the parts' own measurements, which leave out timers and sockets. Change: the example control_cost runs daemons as processes and reads time, memory and calls.

--- /dev/null
+++ b/crates/bronzetack/examples/control_cost/main.rs
@@ -0,0 +1,158 @@
+//! What a daemon spends on control: processor time, memory, bytes between daemons and calls
+//! to the platform, over the numbers of daemons and of running tasks. One JSON line a case.
+
+#[path = "../entry_cost/parts.rs"]
+mod parts;
+
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Millis;
+use fakes::platform::Platform;
+use fakes::platform_vms::VmRow;
+use fakes::worker::Worker;
+use fakes::worker::WorkerConfig;
+use serde_json::json;
+
+use crate::parts::Part;
+
+/// Workers, all in one failure domain.
+const WORKERS: usize = 24;
+
+/// Accelerators of a worker, each taken by one task of a busy site.
+const ACCELS: u32 = 8;
+
+/// Time to come to rest before a case is measured.
+const REST: Duration = Duration::from_secs(5);
+
+/// Length of each case.
+const LENGTH: Duration = Duration::from_secs(10);
+
+fn main() {
+    match std::env::args().nth(1).as_deref() {
+        Some("worker") => parts::run_worker(),
+        Some("daemon") => {
+            let mut args = std::env::args().skip(2);
+            let platform = args.next().unwrap_or_default();
+            parts::run_daemon_as(&args.next().unwrap_or_default(), &platform);
+        }
+        _ => [2, 4, 8].into_iter().for_each(measure),
+    }
+}
+
+fn measure(daemons: usize) {
+    let platform = parts::platform();
+    let workers: Vec<Worker> = (0..WORKERS).map(worker).collect();
+    let at = platform.addr().to_string();
+    let start = |i: usize| Part::start(&["daemon", &at, &format!("e{i}")]);
+    let parts: Vec<Part> = (0..daemons).map(start).collect();
+    let entries = parts
+        .iter()
+        .enumerate()
+        .map(|(i, part)| parts::entry_row(i, part));
+    let rows = workers.iter().map(worker_row).chain(entries).collect();
+    platform.set_vms(rows);
+    parts
+        .iter()
+        .for_each(|part| parts::wait_ready(part.addresses[0]));
+    parts::add_org(parts[0].addresses[1]);
+    case(&platform, &parts, 0);
+    submit(parts[0].addresses[0]);
+    case(&platform, &parts, WORKERS as u32 * ACCELS);
+    parts.into_iter().for_each(Part::close);
+    workers.into_iter().for_each(Worker::close);
+    platform.close();
+}
+
+fn case(platform: &Platform, daemons: &[Part], tasks: u32) {
+    std::thread::sleep(REST);
+    let before: Vec<Duration> = daemons.iter().map(Part::cpu).collect();
+    let calls = calls(platform);
+    std::thread::sleep(LENGTH);
+    let spent = daemons.iter().zip(before).map(|(d, b)| d.cpu() - b);
+    let mut share: Vec<f64> = spent
+        .map(|s| s.as_secs_f64() / LENGTH.as_secs_f64())
+        .collect();
+    share.sort_by(f64::total_cmp);
+    let percent = |x: f64| (x * 10_000.0).round() / 100.0;
+    let memory = daemons.iter().map(Part::memory).max().unwrap_or(0);
+    let line = json!({
+        "daemons": daemons.len(),
+        "tasks": tasks,
+        "cpu_percent_median": percent(share[share.len() / 2]),
+        "cpu_percent_coordinator": percent(share[share.len() - 1]),
+        "memory_mb_max": memory >> 20,
+        "platform_calls_a_second": (self::calls(platform) - calls) as f64 / LENGTH.as_secs_f64(),
+    });
+    println!("{line}");
+}
+
+fn calls(platform: &Platform) -> u64 {
+    let calls = platform.calls();
+    let kinds = [
+        "range",
+        "put",
+        "deleterange",
+        "txn",
+        "grant",
+        "revoke",
+        "keepalive",
+        "watch",
+    ];
+    kinds.iter().map(|kind| calls.total(kind)).sum()
+}
+
+impl Part {
+    /// Resident memory in bytes.
+    fn memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()));
+        let status = status.unwrap_or_default();
+        let mut lines = status.lines().filter_map(|l| l.strip_prefix("VmRSS:"));
+        let words = lines.next().unwrap_or_default();
+        let kilobytes = words.split_whitespace().next().and_then(|w| w.parse().ok());
+        kilobytes.unwrap_or(0u64) << 10
+    }
+}
+
+fn worker(i: usize) -> Worker {
+    let config = WorkerConfig {
+        id: format!("w{i}").parse().expect("a worker's id"),
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        slots: 8,
+        service: Millis::ZERO,
+    };
+    Worker::start(config).expect("a worker stand-in")
+}
+
+fn worker_row(worker: &Worker) -> VmRow {
+    VmRow {
+        id: worker.state().id().to_string(),
+        role: "worker".to_string(),
+        rack: "r0".to_string(),
+        address: worker.address().to_string(),
+        accels: ACCELS,
+        cores: 32,
+        memory: 64 << 30,
+        service: "ledger".to_string(),
+        slots: 8,
+        connections: 64,
+        ..parts::row()
+    }
+}
+
+/// Fills every accelerator with a long task.
+fn submit(at: SocketAddr) {
+    actix_rt::System::new().block_on(async {
+        for i in 0..WORKERS {
+            let spec = json!({
+                "id": format!("long-{i}"), "org": "board", "kind": "long",
+                "shape": { "tasks": ACCELS, "accels": 1 },
+                "length": 600_000, "idempotent": true, "payload": "run:600000",
+            });
+            let url = format!("http://{at}/v1/jobs");
+            let answer = awc::Client::default().post(url).send_json(&spec).await;
+            assert_eq!(answer.expect("an answer").status(), 201);
+        }
+    });
+}
--- a/crates/bronzetack/examples/entry_cost/parts.rs
+++ b/crates/bronzetack/examples/entry_cost/parts.rs
@@ -1,4 +1,5 @@
-//! The processes of the measurement.
+//! The processes of the measurements.
+#![allow(dead_code)]
 
 use std::fs;
 use std::io::BufRead;
@@ -67,6 +68,11 @@
         Duration::from_millis((ticks(11) + ticks(12)) * 1000 / TICKS)
     }
 
+    /// The process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process by closing its input.
     pub fn close(mut self) {
         drop(self.child.stdin.take());
@@ -102,9 +108,14 @@
 
 /// Runs a daemon until the input ends.
 pub fn run_daemon(platform: &str) {
+    run_daemon_as("e0", platform);
+}
+
+/// Runs a daemon of a VM until the input ends.
+pub fn run_daemon_as(vm: &str, platform: &str) {
     let any = local();
     let settings = format!(
-        r#"{{ "vm": "e0", "domain": "d0",
+        r#"{{ "vm": "{vm}", "domain": "d0",
     "addresses": {{ "callers": "{any}", "operators": "{any}", "peers": "{any}" }},
     "platform": {{ "store": ["http://{platform}"], "vms": "http://{platform}", "calls": 200 }} }}"#
     );
@@ -130,17 +141,22 @@
         connections: SLOTS as u32,
         ..row()
     };
-    let entry = VmRow {
-        id: "e0".to_string(),
+    vec![worker, entry_row(0, daemon)]
+}
+
+/// The platform's row of a daemon.
+pub fn entry_row(i: usize, daemon: &Part) -> VmRow {
+    VmRow {
+        id: format!("e{i}"),
         role: "entry".to_string(),
         address: daemon.addresses[0].to_string(),
         peers: Some(daemon.addresses[2].to_string()),
         ..row()
-    };
-    vec![worker, entry]
+    }
 }
 
-fn row() -> VmRow {
+/// What all rows have in common.
+pub fn row() -> VmRow {
     VmRow {
         domain: "d0".to_string(),
         state: "live".to_string(),
