--- a/crates/bronzetack/examples/chaos/audit.rs
+++ b/crates/bronzetack/examples/chaos/audit.rs
@@ -21,8 +21,12 @@
     pub ran: u64,
     /// Requests whose last answer was a refusal.
     pub not_run: u64,
-    /// Requests whose last answer was unknown, or none.
+    /// Requests whose last answer was unknown.
     pub unknown: u64,
+    /// Requests without an answer to the last send.
+    pub no_answer: u64,
+    /// Of both, those that may run more than once.
+    pub open_idempotent: u64,
     /// Time of the load in seconds.
     pub seconds: f64,
     /// Faults of daemons.
@@ -61,7 +65,9 @@
         once: number(&|r| !r.idempotent),
         ran: number(&ended(Heard::Ran)),
         not_run: number(&ended(Heard::NotRun)),
-        unknown: number(&ended(Heard::Unknown)) + number(&ended(Heard::Nothing)),
+        unknown: number(&ended(Heard::Unknown)),
+        no_answer: number(&ended(Heard::Nothing)),
+        open_idempotent: number(&|r| r.idempotent && is_open(r)),
         seconds,
         faults,
         lost: number(&|r| ended(Heard::Ran)(r) && count(r) == 0),
@@ -76,3 +82,9 @@
 fn is_refused(request: &Sent) -> bool {
     request.heard.iter().all(|heard| *heard == Heard::NotRun)
 }
+
+/// Whether the caller does not know how it ended.
+fn is_open(request: &Sent) -> bool {
+    let last = request.heard.last();
+    matches!(last, Some(Heard::Unknown | Heard::Nothing))
+}
--- a/crates/bronzetack/examples/chaos/load.rs
+++ b/crates/bronzetack/examples/chaos/load.rs
@@ -75,7 +75,10 @@
 /// Sends `total` requests at `rate` a second and waits for the end of all of them.
 pub async fn run(site: Rc<RefCell<Site>>, total: u64, rate: u64, seed: u64) -> Told {
     let caller = Rc::new(Caller {
-        client: Client::builder().timeout(TIMEOUT).finish(),
+        client: Client::builder()
+            .connector(awc::Connector::new().limit(OPEN))
+            .timeout(TIMEOUT)
+            .finish(),
         site,
         told: RefCell::default(),
         open: std::cell::Cell::new(0),
--- a/crates/bronzetack/tests/upstreams.rs
+++ b/crates/bronzetack/tests/upstreams.rs
@@ -86,6 +86,44 @@
     site.close();
 }
 
+#[test]
+fn nothing_runs_twice_when_connections_go_silent_and_a_daemon_is_killed() {
+    let mut site = Site::new("silent-kill", 1, 1);
+    let relay = Relay::start(site.workers[0].address());
+    for _ in 0..3 {
+        site.add_daemon(0);
+    }
+    let address = relay.address().to_string();
+    site.publish_with(|row| {
+        if row.role == "worker" {
+            row.address = address.clone();
+        }
+    });
+    site.wait_ready();
+    let requests: Vec<Request> = (0..10).map(|_| Request::once()).collect();
+    for request in &requests[..5] {
+        assert_eq!(send(site.daemons[0].ports.callers, request).outcome, "ran");
+    }
+    relay.silence();
+    for request in &requests {
+        let short = Request {
+            deadline: Duration::from_millis(500),
+            ..request.resend(2)
+        };
+        send(site.daemons[0].ports.callers, &short);
+    }
+    site.daemons[0].kill();
+    for request in &requests {
+        send(site.daemons[1].ports.callers, &request.resend(3));
+        send(site.daemons[2].ports.callers, &request.resend(4));
+        assert!(site.runs(&request.id) <= 1);
+    }
+    eventually("served again", || {
+        send(site.daemons[1].ports.callers, &Request::once()).outcome == "ran"
+    });
+    site.close();
+}
+
 /// Sends requests while all workers misbehave: what is told as run is whole and the caller's
 /// own, and what may run once does so at most.
 fn bad_answers(name: &str, fault: RequestFault) {
