Give a slow store time to answer the first of two tries

Cause: a repeatable call at an only endpoint is tried twice within its deadline of one second, so each try had 500 ms. A store that takes 800 ms answered none of them: it counted as down and up in turn, starts were held and watches began anew. Ruled out: the call budget and the stand-in (writes, which are not split, took 0.8 s). Change: a deadline of two seconds in the daemon, one second a try. Before: platform 'down' and 'slow' in turn at 800 ms.

--- a/crates/bronzetack/src/store.rs
+++ b/crates/bronzetack/src/store.rs
@@ -1,5 +1,6 @@
 //! The service that holds the client of the platform's key-value service.
 
+use base::Millis;
 use kernel::Kernel;
 use kernel::KernelError;
 use plat::Store;
@@ -10,12 +11,17 @@
 /// Name of the service; its handle is [`Store`].
 pub const STORE: &str = "store";
 
+/// Time for one call. Half of it is for the first of two tries: long enough for a slow store,
+/// short enough for a second try within the coordinator's lease.
+const DEADLINE: Millis = Millis(2_000);
+
 /// Starts the service.
 pub fn start(kernel: &mut Kernel, site: &Site) -> Result<(), KernelError> {
     let platform = &site.node.platform;
     let endpoints = platform.store.iter().map(|e| e.addr()).collect();
     let mut config = StoreConfig::new(endpoints, site.seed(STORE));
     config.rate = platform.calls;
+    config.deadline = DEADLINE;
     let store = Store::new(config, site.log.clone(), &site.metrics, site.clock.clone());
     kernel.add(STORE, store, |store| async move { store.close() })
 }
