--- a/crates/claim/src/machine.rs
+++ b/crates/claim/src/machine.rs
@@ -60,6 +60,8 @@
     },
     /// The link to a VM is silent or closed.
     PeerDown(VmId),
+    /// The VM is heard again. A message of it tells the same.
+    PeerUp(VmId),
     /// A caller sent a non-idempotent request to this entry VM.
     Request {
         /// The caller's id of the request.
@@ -291,6 +293,9 @@
             Input::Lease { view, until } => self.extend(view, until),
             Input::Peer { from, msg } => self.receive(now, from, msg, out),
             Input::PeerDown(vm) => self.peer_down(now, vm, out),
+            Input::PeerUp(vm) => {
+                self.down.remove(&vm);
+            }
             Input::Request {
                 id,
                 attempt,
@@ -352,12 +357,9 @@
                 answer,
                 ..
             } => self.on_report(now, from, id, (nonce, attempt), answer, out),
-            Message::ReportAck { nonce, settled } => self.on_report_ack(nonce, settled, out),
+            Message::ReportAck { nonce } => self.on_report_ack(nonce),
             Message::View(view) => self.on_view(now, from, view, out),
-            Message::Lag { view } if view < self.view.number => {
-                out.send(&from, Message::View(self.view.clone()))
-            }
-            Message::Lag { .. } => {}
+            Message::Lag { view } => self.on_lag(now, from, view, out),
             Message::Pull { from: last, .. } => self.on_pull(from, last, out),
             Message::Chunk {
                 view,
--- a/crates/claim/src/pull.rs
+++ b/crates/claim/src/pull.rs
@@ -18,6 +18,9 @@
 /// Views entered one after the other when a VM learns several at once.
 const MAX_STEPS: usize = 8;
 
+/// VMs remembered at most as ended.
+const MAX_GONE: usize = 1024;
+
 /// Rows of a member after transfers, as a multiple of [`crate::Limits::rows`].
 pub(crate) const TRANSFER_FACTOR: usize = 2;
 
@@ -55,13 +58,14 @@
             .cover
             .quality(now)
             .filter(|_| follows && old.has(&self.me));
-        let past = self.view.past.first().cloned().unwrap_or_default();
-        self.cover = Cover::new(now, past, &self.limits);
+        self.cover = Cover::new(now, &self.view, &self.limits);
         if let Some(quality) = self.left {
             self.cover.add(self.me.clone(), quality);
         }
         let view = &self.view;
-        self.table.reset_copies(|id| old.pair(id) == view.pair(id));
+        let same = old.members == view.members;
+        self.table
+            .reset_copies(|id| same || old.pair(id) == view.pair(id));
         self.joined.clear();
         self.pulls.clear();
         if self.view.has(&self.me) {
@@ -167,6 +171,9 @@
 
     pub(crate) fn note_gone(&mut self, now: Millis, vm: VmId) {
         self.gone.insert(vm);
+        while self.gone.len() > MAX_GONE {
+            self.gone.pop_first();
+        }
         self.check_gone(now);
     }
 
@@ -195,6 +202,18 @@
         self.enter(now, view, out);
     }
 
+    /// A VM has an older view: it gets this one, and after it the pull that it did not serve.
+    pub(crate) fn on_lag(&mut self, now: Millis, from: VmId, view: ViewNumber, out: &mut Out) {
+        if view >= self.view.number {
+            return;
+        }
+        out.send(&from, Message::View(self.view.clone()));
+        if let Some(pull) = self.pulls.get_mut(&from) {
+            pull.retry = now;
+            self.tick_pulls(now, out);
+        }
+    }
+
     /// While stopping, asks the members that have not told that they joined.
     pub(crate) fn tick_stop(&self, out: &mut Out) {
         if !self.stopping || self.drained || self.view.has(&self.me) {
