--- a/crates/bronzetack/tests/platform.rs
+++ b/crates/bronzetack/tests/platform.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use base::Clock;
+use base::Millis;
 use fakes::fault::Fault;
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -20,6 +21,7 @@
 use support::callers::set_domain;
 use support::callers::Request;
 use support::eventually;
+use support::relay::Relay;
 use support::tasks::await_coordinator;
 use support::tasks::changes;
 use support::tasks::started;
@@ -113,12 +115,53 @@
     std::thread::sleep(OUT);
     site.daemons[holder].signal(Signal::SIGCONT);
     std::thread::sleep(OUT);
+    none_started_late(&site, accepted);
+    site.close();
+}
+
+/// Verifies that no task of the jobs `many-*` started later than allowed after a failure domain
+/// was taken out.
+fn none_started_late(site: &Site, accepted: Millis) {
     let bound = accepted.0 + OUT.as_millis() as u64;
     for i in 0..30 {
         let starts = changes(&site.worker_states(), &format!("many-{i}"));
         let mut starts = starts.iter().filter(|c| c.phase == TaskPhase::Running);
         assert!(starts.all(|c| c.at.0 <= bound), "many-{i}");
     }
+}
+
+#[test]
+fn nothing_starts_in_a_domain_that_is_cut_off_and_taken_out() {
+    let mut site = Site::new("cut-domain", 2, 2);
+    let store = Relay::start(site.platform.addr());
+    site.store = store.address();
+    site.add_daemon(0);
+    site.add_daemon(0);
+    site.store = site.platform.addr();
+    site.add_daemon(1);
+    let mut relays = site.relay_links();
+    relays.push(store);
+    site.publish();
+    site.wait_ready();
+    let at = site.daemons[2].ports.operators;
+    add_org(at);
+    for i in 0..30 {
+        let spec = job(&format!("many-{i}"), 2, 4, "run:400", Some("d0"));
+        assert_eq!(post(at, "/v1/jobs", &spec).0, 201);
+    }
+    eventually("begun", || started(&site, "many-0") > 0);
+    relays.iter().for_each(Relay::cut);
+    let (status, answer) = set_domain(at, "d0", "out");
+    assert_eq!(status, 200, "{answer}");
+    let accepted = Clock::System.now();
+    let heard = send(site.daemons[0].ports.callers, &Request::idempotent());
+    assert_eq!(heard.outcome, "ran", "{heard:?}");
+    std::thread::sleep(OUT * 2);
+    none_started_late(&site, accepted);
+    relays.iter().for_each(Relay::mend);
+    let (status, answer) = set_domain(at, "d0", "back");
+    assert_eq!(status, 200, "{answer}");
+    eventually("the last job runs", || phase(at, "many-29") == "finished");
     site.close();
 }
 
