See the end of short jobs soon, and keep the lock while the platform is slow

Cause: (1) a worker with nothing due was called only at renewals, every 6 s, so that jobs of 0.4 s were seen as finished up to 6 s later. (2) With platform calls of 800 ms, renewals of the lock were given up after 400 ms, the lock was always in doubt, and no gang started. Ruled out: for (2) the proof of the settings, which was suspected: it still has 0.2 s left at each read and the start finds it. Change: a worker is called after an eighth of the age of its youngest job, between 0.5 s and 6 s; a call of the lock waits 900 ms. Calls of a worker with old tasks only are as before.

--- a/crates/bronzetack/tests/jobs.rs
+++ b/crates/bronzetack/tests/jobs.rs
@@ -20,6 +20,7 @@
 use support::tasks::await_coordinator;
 use support::tasks::started;
 use support::tasks::OUT;
+use support::tasks::SHORT;
 use support::tasks::URGENT;
 use support::Site;
 
@@ -41,6 +42,20 @@
     site.close();
 }
 
+#[test]
+fn the_end_of_a_short_job_is_seen_soon() {
+    let site = Site::start("short", 1, 1, 2);
+    let at = site.daemons[0].ports.callers;
+    let begun = Instant::now();
+    assert_eq!(
+        post(at, "/v1/jobs", &job("short", 2, 8, "run:400", None)).0,
+        201
+    );
+    eventually("finished", || phase(at, "short") == "finished");
+    assert!(begun.elapsed() < SHORT, "{:?}", begun.elapsed());
+    site.close();
+}
+
 #[test]
 fn urgent_work_starts_in_time_though_the_coordinator_is_killed() {
     let mut site = Site::start("urgent", 1, 3, 2);
--- a/crates/bronzetack/tests/support/tasks.rs
+++ b/crates/bronzetack/tests/support/tasks.rs
@@ -13,6 +13,9 @@
 use super::callers::get_json;
 use super::Site;
 
+/// From the submission of a job of 0.4 s to the sight of its end.
+pub const SHORT: Duration = Duration::from_secs(3);
+
 /// Start of urgent work, the coordinator's death included.
 pub const URGENT: Duration = Duration::from_millis(4_100);
 
--- a/crates/sched/src/call.rs
+++ b/crates/sched/src/call.rs
@@ -22,10 +22,14 @@
 use crate::message::Report;
 use crate::worker::Call;
 use crate::worker::CallKind;
+use crate::worker::Worker;
 
 /// Calls are given up when the host is this many times later with its result than promised.
 const HOST_GRACE: u64 = 2;
 
+/// A worker is called after the age of its youngest job divided by this.
+const AGE_SHARE: u64 = 8;
+
 impl Coordinator {
     pub(crate) fn send_calls(&mut self) {
         while let Some(id) = self.touched.pop_first() {
@@ -45,7 +49,7 @@
         let kind = if !worker.accepted || worker.probe {
             CallKind::Epoch
         } else {
-            let poll = now >= worker.heard + self.timing.renew_every;
+            let poll = now >= worker.heard + self.poll_every(worker);
             let (due, ops) = self.batch(id);
             match (due || poll, ops.is_empty()) {
                 (false, _) => return,
@@ -56,6 +60,17 @@
         self.dispatch(id, kind);
     }
 
+    /// Time between two calls to a worker. Young tasks are looked at more often, so that the
+    /// end of a short job is not seen much later than it happened.
+    fn poll_every(&self, worker: &Worker) -> Millis {
+        let jobs = worker.jobs.iter().filter_map(|id| self.jobs.get(id));
+        let youngest = jobs.map(|job| self.now.since(job.begun)).min();
+        let share = youngest.map_or(Millis::MAX, |age| Millis(age.0 / AGE_SHARE));
+        share
+            .max(self.timing.poll_least)
+            .min(self.timing.renew_every)
+    }
+
     fn dispatch(&mut self, id: &WorkerId, kind: CallKind) {
         let call = CallId(self.last_call.0 + 1);
         self.last_call = call;
--- a/crates/sched/src/elect.rs
+++ b/crates/sched/src/elect.rs
@@ -10,7 +10,7 @@
 /// Part of the lease after which the holder no longer trusts it.
 const DOUBT_AFTER: Millis = Millis(1_400);
 /// Wait for the answer to a call.
-const CALL_WAIT: Millis = Millis(400);
+const CALL_WAIT: Millis = Millis(900);
 /// Pause between attempts to acquire a free lock.
 const RETRY: Millis = Millis(100);
 /// Interval of reads of the lock by a standby, in case its watch is silent.
--- a/crates/sched/src/timing.rs
+++ b/crates/sched/src/timing.rs
@@ -17,6 +17,8 @@
 const RUN_LEASE: Millis = Millis(20_000);
 /// Interval between renewals of a worker's tasks.
 const RENEW_EVERY: Millis = Millis(6_000);
+/// Shortest time between two calls to a worker only to see whether a young task ended.
+const POLL_LEAST: Millis = Millis(500);
 /// Time for all reservations of a gang to be granted.
 const RESERVE_WITHIN: Millis = Millis(1_000);
 /// Time for the record of the release to become durable.
@@ -53,6 +55,8 @@
     pub run_lease: Millis,
     /// Interval between renewals of a worker's tasks.
     pub renew_every: Millis,
+    /// Shortest time between two calls only to see whether a young task ended.
+    pub poll_least: Millis,
     /// Time for all reservations of a gang.
     pub reserve_within: Millis,
     /// Time for the record of the release.
@@ -83,6 +87,7 @@
             start_lease: START_LEASE,
             run_lease: RUN_LEASE,
             renew_every: RENEW_EVERY,
+            poll_least: POLL_LEAST,
             reserve_within: RESERVE_WITHIN,
             commit_within: COMMIT_WITHIN,
             start_within: START_WITHIN,
--- a/crates/sched/tests/model/search.rs
+++ b/crates/sched/tests/model/search.rs
@@ -39,6 +39,7 @@
         start_lease: Millis(3),
         run_lease: Millis(6),
         renew_every: Millis(2),
+        poll_least: Millis(500),
         reserve_within: Millis(2),
         commit_within: Millis(4),
         start_within: Millis(2),
