Let a job wait for workers on which it did not fail; write down capacity and figures

Cause: a job that failed on a worker was placed there again at once while the others were busy, and given up after 12 attempts within a second. Ruled out: a longer limit on attempts, which only delays the same end. Change: the worker is tried again only if the workers on which the job did not fail could not hold it were they free.

--- a/crates/gang/src/pass.rs
+++ b/crates/gang/src/pass.rs
@@ -137,7 +137,7 @@
             return Tried::Barred;
         }
         let mut bars = vec![true];
-        if !job.failed.is_empty() {
+        if !job.failed.is_empty() && !self.has_untried(key, job) {
             bars.push(false);
         }
         let urgent = job.spec.urgent && self.policy.preempt;
@@ -153,6 +153,26 @@
         Tried::NoRoom
     }
 
+    /// Whether the workers on which a job did not fail could hold it, were they free. It then
+    /// waits for those, since it would only fail again on the others.
+    fn has_untried(&self, key: Key, job: &Job) -> bool {
+        let need = job.spec.shape.accels.0;
+        let mut slots = 0;
+        for (w, worker) in self.site.workers.iter().enumerate() {
+            let fits = worker.spec.accels.0 >= need;
+            if fits && self.admits(worker.domain, key) && self.is_usable(w, job, true) {
+                slots += worker
+                    .spec
+                    .accels
+                    .0
+                    .checked_div(need)
+                    .unwrap_or(u32::MAX / 2);
+                slots = slots.min(u32::MAX / 2);
+            }
+        }
+        slots >= job.spec.shape.tasks
+    }
+
     fn is_in_quota(&self, job: &Job) -> bool {
         let Some(policy) = self.policy.orgs.get(&job.spec.org) else {
             return false;
