Describe the stand-ins' rows of VMs once

Cause: five places built the same rows of entry VMs and workers. Ruled out: a shared test module, which examples of another package cannot use. Change: two constructors in the stand-in's row type.

--- a/crates/bronzetack/examples/chaos/site.rs
+++ b/crates/bronzetack/examples/chaos/site.rs
@@ -30,9 +30,6 @@
 /// Requests that a worker serves at once.
 const SLOTS: usize = 8;
 
-/// Accelerators of a worker.
-const ACCELS: u32 = 8;
-
 /// First port of the daemons, below the range of outgoing connections.
 const FIRST_PORT: u16 = 12_000;
 
@@ -246,33 +243,12 @@
 }
 
 fn entry_row(daemon: &Daemon) -> VmRow {
-    VmRow {
-        id: daemon.vm.clone(),
-        role: "entry".to_string(),
-        domain: daemon.domain.clone(),
-        address: daemon.ports.callers.to_string(),
-        peers: Some(daemon.ports.peers.to_string()),
-        state: "live".to_string(),
-        ..VmRow::default()
-    }
+    let ports = daemon.ports;
+    VmRow::entry(&daemon.vm, &daemon.domain, ports.callers, ports.peers)
 }
 
 fn worker_row(worker: &Worker) -> VmRow {
     let id = worker.state().id().to_string();
-    let domain = id.split('-').next().unwrap_or_default().to_string();
-    VmRow {
-        rack: format!("{domain}-r0"),
-        id,
-        role: "worker".to_string(),
-        domain,
-        address: worker.address().to_string(),
-        state: "live".to_string(),
-        accels: ACCELS,
-        cores: 32,
-        memory: 64 << 30,
-        service: "ledger".to_string(),
-        slots: SLOTS as u32,
-        connections: 64,
-        ..VmRow::default()
-    }
+    let domain = id.split('-').next().unwrap_or_default();
+    VmRow::worker(worker, domain, &format!("{domain}-r0"))
 }
--- a/crates/bronzetack/examples/control_cost/main.rs
+++ b/crates/bronzetack/examples/control_cost/main.rs
@@ -51,7 +51,11 @@
         .iter()
         .enumerate()
         .map(|(i, part)| parts::entry_row(i, part));
-    let rows = workers.iter().map(worker_row).chain(entries).collect();
+    let rows = workers
+        .iter()
+        .map(|w| VmRow::worker(w, "d0", "r0"))
+        .chain(entries)
+        .collect();
     platform.set_vms(rows);
     parts
         .iter()
@@ -125,22 +129,6 @@
     Worker::start(config).expect("a worker stand-in")
 }
 
-fn worker_row(worker: &Worker) -> VmRow {
-    VmRow {
-        id: worker.state().id().to_string(),
-        role: "worker".to_string(),
-        rack: "r0".to_string(),
-        address: worker.address().to_string(),
-        accels: ACCELS,
-        cores: 32,
-        memory: 64 << 30,
-        service: "ledger".to_string(),
-        slots: 8,
-        connections: 64,
-        ..parts::row()
-    }
-}
-
 /// Fills every accelerator with a long task.
 fn submit(at: SocketAddr) {
     actix_rt::System::new().block_on(async {
--- a/crates/bronzetack/examples/entry_cost/parts.rs
+++ b/crates/bronzetack/examples/entry_cost/parts.rs
@@ -133,35 +133,23 @@
     let worker = VmRow {
         id: "w0".to_string(),
         role: "worker".to_string(),
+        domain: "d0".to_string(),
         rack: "r0".to_string(),
         address: worker.addresses[0].to_string(),
+        state: "live".to_string(),
         accels: 8,
         service: "ledger".to_string(),
         slots: SLOTS as u32,
         connections: SLOTS as u32,
-        ..row()
+        ..VmRow::default()
     };
     vec![worker, entry_row(0, daemon)]
 }
 
 /// The platform's row of a daemon.
 pub fn entry_row(i: usize, daemon: &Part) -> VmRow {
-    VmRow {
-        id: format!("e{i}"),
-        role: "entry".to_string(),
-        address: daemon.addresses[0].to_string(),
-        peers: Some(daemon.addresses[2].to_string()),
-        ..row()
-    }
-}
-
-/// What all rows have in common.
-pub fn row() -> VmRow {
-    VmRow {
-        domain: "d0".to_string(),
-        state: "live".to_string(),
-        ..VmRow::default()
-    }
+    let at = &daemon.addresses;
+    VmRow::entry(&format!("e{i}"), "d0", at[0], at[2])
 }
 
 /// Waits until a daemon is ready.
--- a/crates/bronzetack/examples/site/start.rs
+++ b/crates/bronzetack/examples/site/start.rs
@@ -23,9 +23,6 @@
 /// Requests that a worker serves at once.
 const SLOTS: usize = 8;
 
-/// Accelerators of a worker.
-const ACCELS: u32 = 8;
-
 /// Time for all daemons to become ready.
 const START_MAX: Duration = Duration::from_secs(15);
 
@@ -63,13 +60,18 @@
         for domain in &domains {
             for i in 0..shape.workers {
                 let worker = worker(&format!("{domain}-w{i}"));
-                rows.push(worker_row(domain, i, &worker));
+                rows.push(VmRow::worker(
+                    &worker,
+                    domain,
+                    &format!("{domain}-r{}", i / 2),
+                ));
                 workers.push(worker);
             }
             for i in 0..shape.daemons {
                 let vm = format!("{domain}-e{i}");
                 let daemon = daemon(&settings(&vm, domain, &domains, platform.addr()));
-                rows.push(entry_row(domain, &vm, daemon.ports));
+                let ports = daemon.ports;
+                rows.push(VmRow::entry(&vm, domain, ports.callers, ports.peers));
                 daemons.push(daemon);
             }
         }
@@ -147,36 +149,6 @@
     Worker::start(config).expect("a worker stand-in")
 }
 
-fn worker_row(domain: &str, i: usize, worker: &Worker) -> VmRow {
-    VmRow {
-        id: worker.state().id().to_string(),
-        role: "worker".to_string(),
-        domain: domain.to_string(),
-        rack: format!("{domain}-r{}", i / 2),
-        address: worker.address().to_string(),
-        state: "live".to_string(),
-        accels: ACCELS,
-        cores: 32,
-        memory: 64 << 30,
-        service: "ledger".to_string(),
-        slots: SLOTS as u32,
-        connections: 64,
-        ..VmRow::default()
-    }
-}
-
-fn entry_row(domain: &str, vm: &str, ports: Ports) -> VmRow {
-    VmRow {
-        id: vm.to_string(),
-        role: "entry".to_string(),
-        domain: domain.to_string(),
-        address: ports.callers.to_string(),
-        peers: Some(ports.peers.to_string()),
-        state: "live".to_string(),
-        ..VmRow::default()
-    }
-}
-
 fn settings(vm: &str, domain: &str, domains: &[String], platform: SocketAddr) -> String {
     let any = local();
     format!(
--- a/crates/bronzetack/tests/support/mod.rs
+++ b/crates/bronzetack/tests/support/mod.rs
@@ -35,9 +35,6 @@
 /// Pause between two looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
 
-/// Accelerators of a worker.
-const ACCELS: u32 = 8;
-
 /// Requests that a worker serves at once.
 const SLOTS: usize = 8;
 
@@ -369,33 +366,16 @@
 }
 
 fn entry_row(daemon: &Daemon) -> VmRow {
-    VmRow {
-        id: daemon.vm.clone(),
-        role: "entry".to_string(),
-        domain: daemon.domain.clone(),
-        address: daemon.ports.callers.to_string(),
-        peers: Some(daemon.listed.to_string()),
-        state: "live".to_string(),
-        ..VmRow::default()
-    }
+    VmRow::entry(
+        &daemon.vm,
+        &daemon.domain,
+        daemon.ports.callers,
+        daemon.listed,
+    )
 }
 
 fn worker_row(worker: &Worker) -> VmRow {
     let id = worker.state().id().to_string();
-    let domain = id.split('-').next().unwrap_or_default().to_string();
-    VmRow {
-        rack: format!("{domain}-r0"),
-        id,
-        role: "worker".to_string(),
-        domain,
-        address: worker.address().to_string(),
-        state: "live".to_string(),
-        accels: ACCELS,
-        cores: 32,
-        memory: 64 << 30,
-        service: "ledger".to_string(),
-        slots: SLOTS as u32,
-        connections: 64,
-        ..VmRow::default()
-    }
+    let domain = id.split('-').next().unwrap_or_default();
+    VmRow::worker(worker, domain, &format!("{domain}-r0"))
 }
--- a/crates/fakes/src/platform_vms.rs
+++ b/crates/fakes/src/platform_vms.rs
@@ -1,10 +1,13 @@
 //! The list of VMs as the platform stand-in serves it.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::worker::Worker;
+
 /// One VM in the list.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct VmRow {
@@ -44,6 +47,41 @@
     pub connections: u32,
 }
 
+impl VmRow {
+    /// A live entry VM.
+    pub fn entry(id: &str, domain: &str, callers: SocketAddr, peers: SocketAddr) -> VmRow {
+        VmRow {
+            id: id.to_string(),
+            role: "entry".to_string(),
+            domain: domain.to_string(),
+            address: callers.to_string(),
+            peers: Some(peers.to_string()),
+            state: "live".to_string(),
+            ..VmRow::default()
+        }
+    }
+
+    /// A live worker of the size that the users have today, which offers the service `ledger`.
+    pub fn worker(worker: &Worker, domain: &str, rack: &str) -> VmRow {
+        let state = worker.state();
+        VmRow {
+            id: state.id().to_string(),
+            role: "worker".to_string(),
+            domain: domain.to_string(),
+            rack: rack.to_string(),
+            address: worker.address().to_string(),
+            state: "live".to_string(),
+            accels: 8,
+            cores: 32,
+            memory: 64 << 30,
+            service: "ledger".to_string(),
+            slots: state.slots() as u32,
+            connections: 64,
+            ..VmRow::default()
+        }
+    }
+}
+
 /// A list that shows each change only after a lag.
 #[derive(Debug, Default)]
 pub struct LaggingList {
--- a/crates/fakes/src/worker.rs
+++ b/crates/fakes/src/worker.rs
@@ -96,6 +96,11 @@
     pub fn id(&self) -> &WorkerId {
         &self.config.id
     }
+
+    /// Requests that it serves at the same time.
+    pub fn slots(&self) -> usize {
+        self.config.slots
+    }
 }
 
 /// A running stand-in.
