Say not-run of a resend only when its earlier sends are known not to have run

Cause: a resend could be refused as not run by a daemon that had sent nothing itself (too many open requests, unknown organisation, no upstream), though an earlier send of the id had run. Ruled out: asking the holder of the claim first, which an overloaded daemon should not do. Change: without a claim, only a first send (bt-attempt 1) is refused as not run, every other one as unknown, with the same time to come back.

--- a/crates/entry/src/requests/carry.rs
+++ b/crates/entry/src/requests/carry.rs
@@ -54,9 +54,10 @@
         let span = Span::start("entry", msg.head.trace, now);
         let refusal = self.orgs.borrow().refusal(&msg.head, msg.body.len());
         let reply = if let Some(why) = refusal {
-            refused(&why, RETRY_ORG)
+            unsent(&msg.head, &why, RETRY_ORG)
         } else if self.open.get() >= self.most {
-            refused("too many requests are open in this daemon", RETRY_FULL)
+            let why = "too many requests are open in this daemon";
+            unsent(&msg.head, why, RETRY_FULL)
         } else {
             self.count_open(1);
             let reply = self.claimed(msg, now, span.context()).await;
@@ -219,6 +220,9 @@
                 retry: retry.max(RETRY_UNKNOWN),
             };
         }
+        if trip.head.idempotent {
+            return unsent(&trip.head, &why, retry);
+        }
         refused(&why, retry)
     }
 }
@@ -243,6 +247,18 @@
     })
 }
 
+/// The refusal of a request that was not claimed and not sent. Only the first send of an id
+/// is known not to have run before.
+fn unsent(head: &Head, why: &str, retry: Millis) -> Reply {
+    if head.attempt == 1 {
+        return refused(why, retry);
+    }
+    Reply::Unknown {
+        why: format!("{why}; an earlier send of the id may have run"),
+        retry,
+    }
+}
+
 fn refused(why: &str, retry: Millis) -> Reply {
     Reply::NotRun {
         why: why.to_string(),
--- a/crates/entry/tests/callers.rs
+++ b/crates/entry/tests/callers.rs
@@ -182,6 +182,30 @@
     site.server.close().await;
 }
 
+#[parameterized(
+    first = { Some("1"), "not-run" },
+    again = { Some("2"), "unknown" },
+    not_stated = { None, "unknown" },
+)]
+fn a_refused_resend_is_not_told_as_not_run(attempt: Option<&str>, expected: &str) {
+    let attempt = attempt.map(str::to_string);
+    let expected = expected.to_string();
+    actix_rt::System::new().block_on(async move {
+        let site = site(&[], Gate::shut()).await;
+        let mut req = post(&site, "r1", true);
+        if let Some(attempt) = attempt {
+            req = req.insert_header((request::ATTEMPT, attempt));
+        }
+        let answer = req.send_body("body").await.unwrap();
+        assert_eq!(
+            answer.headers().get(request::OUTCOME).unwrap(),
+            expected.as_str()
+        );
+        assert!(answer.headers().contains_key(request::RETRY_AFTER));
+        site.server.close().await;
+    });
+}
+
 #[actix_rt::test]
 async fn a_shut_gate_lets_nothing_pass() {
     let worker = worker("w1", RequestFault::None);
