--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -80,15 +80,24 @@
 impl FromStr for Millis {
     type Err = ParseIntError;
 
-    /// Reads `1500`, `1500ms` or `3s`.
+    /// Reads `1500`, `1500ms`, `3s` or `1.5s`.
     fn from_str(text: &str) -> Result<Millis, ParseIntError> {
         if let Some(num) = text.strip_suffix("ms") {
             return num.parse().map(Millis);
         }
-        if let Some(num) = text.strip_suffix('s') {
-            return num.parse().map(Millis::from_secs);
+        let Some(num) = text.strip_suffix('s') else {
+            return text.parse().map(Millis);
+        };
+        match num.split_once('.') {
+            Some((whole, part)) => {
+                let whole: u64 = whole.parse()?;
+                let thousandths: u64 = format!("{part:0<3.3}").parse()?;
+                Ok(Millis(
+                    whole.saturating_mul(1000).saturating_add(thousandths),
+                ))
+            }
+            None => num.parse().map(Millis::from_secs),
         }
-        text.parse().map(Millis)
     }
 }
 
@@ -109,6 +118,14 @@
             Clock::System => system_now(),
         }
     }
+
+    /// The time of day, which may step in either direction.
+    pub fn wall(&self) -> Millis {
+        match self {
+            Clock::Manual(clock) => clock.now(),
+            Clock::System => Millis(wall_now()),
+        }
+    }
 }
 
 /// A clock that moves only when told to. Clones share the same time.
--- /dev/null
+++ b/crates/batch/src/book.rs
@@ -0,0 +1,387 @@
+//! The coordinator's book of jobs and workers.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use base::DomainId;
+use base::Epoch;
+use base::JobId;
+use base::Map;
+use base::Millis;
+use base::Set;
+use base::WorkerId;
+
+use crate::bounds::stretched;
+use crate::bounds::Bounds;
+use crate::bounds::Derived;
+use crate::catalog::Catalog;
+use crate::job::Job;
+use crate::job::JobPhase;
+use crate::job::RunPhase;
+use crate::record::Progress;
+use crate::record::Submitted;
+use crate::spec::RunNumber;
+use crate::spec::TaskId;
+use crate::worker::Worker;
+use crate::worker::WorkerView;
+
+mod orders;
+mod report;
+
+pub use orders::LookOrder;
+pub use orders::Pending;
+pub use orders::StartAnswer;
+pub use orders::StartOrder;
+pub use orders::StopOrder;
+
+/// Time for which an entry that is missing from the list may come back.
+const MISSING: Millis = Millis(2_000);
+
+/// Something worth a log line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Note {
+    /// The job, if it concerns one.
+    pub job: Option<JobId>,
+    /// What happened.
+    pub text: String,
+}
+
+/// The coordinator's book. It lives as long as the coordinator's epoch.
+pub struct Book {
+    pub(crate) epoch: Epoch,
+    pub(crate) bounds: Bounds,
+    pub(crate) times: Derived,
+    pub(crate) catalog: Catalog,
+    pub(crate) out: Set<DomainId>,
+    pub(crate) jobs: Map<JobId, Job>,
+    /// Jobs that have not ended, or whose runs may still go on.
+    pub(crate) live: BTreeSet<JobId>,
+    pub(crate) workers: Map<WorkerId, Worker>,
+    pub(crate) dirty: BTreeSet<JobId>,
+    pub(crate) planned: Vec<StartOrder>,
+    pub(crate) notes: Vec<Note>,
+    pub(crate) fenced: bool,
+    /// When runs inherited on workers that never answer have ended for sure.
+    pub(crate) inherited_end: Millis,
+    pub(crate) look_now: Set<WorkerId>,
+}
+
+impl Book {
+    /// An empty book of a coordinator that took over at `now`.
+    pub fn new(epoch: Epoch, bounds: Bounds, catalog: Catalog, now: Millis) -> Book {
+        let times = bounds.derive();
+        Book {
+            epoch,
+            bounds,
+            times,
+            catalog,
+            out: Set::default(),
+            jobs: Map::default(),
+            live: BTreeSet::new(),
+            workers: Map::default(),
+            dirty: BTreeSet::new(),
+            planned: Vec::new(),
+            notes: Vec::new(),
+            fenced: false,
+            inherited_end: now + times.tail + stretched(times.hold),
+            look_now: Set::default(),
+        }
+    }
+
+    /// The coordinator's epoch, which fences orders of earlier ones.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Whether a worker has accepted orders of a later coordinator.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// The notes since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    pub(crate) fn note(&mut self, job: Option<&JobId>, text: String) {
+        self.notes.push(Note {
+            job: job.cloned(),
+            text,
+        });
+    }
+
+    /// Takes over a newer configuration.
+    pub fn configure(&mut self, catalog: Catalog) {
+        if catalog.version > self.catalog.version {
+            self.catalog = catalog;
+        }
+    }
+
+    /// Sets the failure domains whose workers get nothing.
+    pub fn set_out(&mut self, out: Set<DomainId>) {
+        self.out = out;
+    }
+
+    /// Adds an accepted job, with what was recorded of it.
+    pub fn add(&mut self, id: JobId, given: Submitted, recorded: Option<Progress>, now: Millis) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let mut job = Job::new(id.clone(), given, now);
+        if recorded.is_some_and(|p| !p.restore(&mut job, now)) {
+            self.note(
+                Some(&id),
+                "recorded progress does not fit the job; it starts anew".into(),
+            );
+        }
+        for task in job.open_tasks() {
+            let spec = job.spec(&task).map(|s| s.occupies()).unwrap_or_default();
+            let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_ref()) else {
+                continue;
+            };
+            if let Some(worker) = self.workers.get_mut(&open.worker) {
+                worker.used += spec;
+                worker.open.insert(task.clone(), open.run);
+            }
+        }
+        if job.phase.is_final() {
+            job.ended = Some(now);
+        }
+        if !job.phase.is_final() || !job.open_tasks().is_empty() {
+            self.live.insert(id.clone());
+        }
+        self.jobs.insert(id, job);
+    }
+
+    /// Whether a job is known.
+    pub fn has(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id)
+    }
+
+    /// Cancels a job: nothing of it starts any more, and what runs is stopped.
+    pub fn cancel(&mut self, id: &JobId, now: Millis) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.phase.is_final() {
+            return;
+        }
+        self.end(id, JobPhase::Cancelled, now);
+    }
+
+    /// Ends a job and stops what runs of it.
+    pub(crate) fn end(&mut self, id: &JobId, phase: JobPhase, now: Millis) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.phase = phase;
+        job.ended = Some(now);
+        let open = job.open_tasks();
+        self.dirty.insert(id.clone());
+        for task in open {
+            self.stop(&task);
+        }
+        self.note(Some(id), format!("job ended: {phase:?}"));
+    }
+
+    /// Forgets jobs whose state need not be known any longer and returns them.
+    pub fn expire(&mut self, now: Millis) -> Vec<JobId> {
+        let keep = Millis(self.bounds.status.0 * 2);
+        let old = self.jobs.iter().filter(|(id, j)| {
+            j.ended.is_some_and(|at| now.since(at) > keep) && !self.live.contains(*id)
+        });
+        let old: Vec<JobId> = old.map(|(id, _)| id.clone()).collect();
+        for id in &old {
+            self.jobs.remove(id);
+        }
+        old
+    }
+
+    /// Takes over the list of workers. Those missing from it are kept until what they may run
+    /// has ended.
+    pub fn set_workers(&mut self, listed: Vec<WorkerView>, now: Millis) {
+        let mut seen: Set<WorkerId> = Set::default();
+        for view in listed {
+            seen.insert(view.id.clone());
+            self.see_worker(view);
+        }
+        for (id, worker) in &mut self.workers {
+            if !seen.contains(id) && worker.missing.is_none() {
+                worker.missing = Some(now);
+            }
+        }
+    }
+
+    /// Takes over one worker's entry.
+    pub fn see_worker(&mut self, view: WorkerView) {
+        match self.workers.get_mut(&view.id) {
+            Some(worker) => {
+                worker.missing = None;
+                if worker.view.address != view.address {
+                    worker.known = false;
+                }
+                worker.view = view;
+            }
+            None => {
+                let id = view.id.clone();
+                let mut worker = Worker::new(view);
+                worker.lease_end = self.inherited_end;
+                self.adopt_open(&id, &mut worker);
+                self.look_now.insert(id.clone());
+                self.workers.insert(id, worker);
+            }
+        }
+    }
+
+    /// Counts the runs that are recorded on a worker which is listed only now.
+    fn adopt_open(&mut self, id: &WorkerId, worker: &mut Worker) {
+        for job_id in &self.live {
+            let Some(job) = self.jobs.get_mut(job_id) else {
+                continue;
+            };
+            for task in job.open_tasks() {
+                let need = job.spec(&task).map(|s| s.occupies()).unwrap_or_default();
+                let open = job.task_mut(&task).and_then(|t| t.open.as_ref());
+                if let Some(open) = open.filter(|o| o.worker == *id) {
+                    worker.used += need;
+                    worker.open.insert(task, open.run);
+                }
+            }
+        }
+    }
+
+    /// Notes that a worker's entry is gone.
+    pub fn miss_worker(&mut self, id: &WorkerId, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.missing.get_or_insert(now);
+        }
+    }
+
+    /// Ids and addresses of the workers to look at.
+    pub fn watched(&self) -> Vec<(WorkerId, SocketAddr)> {
+        let all = self.workers.iter();
+        all.map(|(id, w)| (id.clone(), w.view.address)).collect()
+    }
+
+    /// Time-driven changes: occurrences that come due, leases that have run out, workers that
+    /// are gone.
+    pub fn tick(&mut self, now: Millis, wall: Millis) {
+        let live: Vec<JobId> = self.live.iter().cloned().collect();
+        for id in &live {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            if job.due(wall) {
+                self.dirty.insert(id.clone());
+            }
+            for task in job.open_tasks() {
+                self.close_if_lapsed(&task, now);
+            }
+        }
+        let gone = |w: &Worker| {
+            let missing = w.missing.is_some_and(|at| now.since(at) > MISSING);
+            missing && w.open.is_empty() && now.since(w.heard) > MISSING
+        };
+        self.workers.retain(|_, w| !gone(w));
+    }
+
+    /// Closes a run whose worker's lease has run out without a word from it.
+    fn close_if_lapsed(&mut self, task: &TaskId, now: Millis) {
+        let Some(open) = self.open_run(task) else {
+            return;
+        };
+        if open.phase == RunPhase::Planned {
+            return;
+        }
+        let (run, worker) = (open.run, open.worker.clone());
+        let end = match self.workers.get(&worker) {
+            Some(worker) => worker.lease_end,
+            None => self.inherited_end,
+        };
+        if now <= end {
+            return;
+        }
+        self.note(
+            Some(&task.job),
+            format!("run {run} of {task} is over: the lease of {worker} has run out"),
+        );
+        self.close(task, now);
+    }
+
+    pub(crate) fn open_run(&self, task: &TaskId) -> Option<&crate::job::OpenRun> {
+        let job = self.jobs.get(&task.job)?;
+        let step = job
+            .open
+            .get(&task.occurrence)?
+            .steps
+            .get(usize::from(task.step))?;
+        step.tasks.get(usize::from(task.index))?.open.as_ref()
+    }
+
+    /// Frees what a run occupied. Its task may start again.
+    pub(crate) fn close(&mut self, task: &TaskId, now: Millis) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let need = job.spec(task).map(|s| s.occupies()).unwrap_or_default();
+        let Some(open) = job.task_mut(task).and_then(|t| t.open.take()) else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(&open.worker) {
+            if worker.open.remove(task).is_some() {
+                worker.used -= need;
+            }
+        }
+        self.dirty.insert(task.job.clone());
+        self.settle(&task.job, now);
+    }
+
+    /// Ends a job whose tasks are all done; forgets it as live once nothing of it runs.
+    pub(crate) fn settle(&mut self, id: &JobId, now: Millis) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if !job.phase.is_final() && job.settle() {
+            self.end(id, JobPhase::Completed, now);
+        }
+        let Some(job) = self.jobs.get(id) else { return };
+        if job.phase.is_final() && job.open_tasks().is_empty() {
+            self.live.remove(id);
+        }
+    }
+
+    /// Marks a run as no longer wanted.
+    pub(crate) fn stop(&mut self, task: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(open) = job.task_mut(task).and_then(|t| t.open.as_mut()) else {
+            return;
+        };
+        if open.phase != RunPhase::Planned && open.phase != RunPhase::Stopping {
+            open.phase = RunPhase::Stopping;
+            open.settled = None;
+            open.stop_sent = None;
+        }
+    }
+
+    /// Jobs of each queue of which no task has started, scheduled jobs aside.
+    pub fn waiting(&self) -> Map<String, u64> {
+        let mut counts: Map<String, u64> = Map::default();
+        for id in &self.live {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            if job.phase == JobPhase::Queued && job.given.work.schedule.is_none() {
+                *counts.entry(job.given.queue.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Whether a run is known under this number.
+    pub(crate) fn is_open(&self, task: &TaskId, run: RunNumber, worker: &WorkerId) -> bool {
+        let open = self.open_run(task);
+        open.is_some_and(|o| o.run == run && o.worker == *worker)
+    }
+}
--- /dev/null
+++ b/crates/batch/src/book/orders.rs
@@ -0,0 +1,412 @@
+//! Orders to workers: what is recorded before they are sent, and what their answers mean.
+
+use std::net::SocketAddr;
+
+use base::Epoch;
+use base::JobId;
+use base::Millis;
+use base::WorkerId;
+
+use super::Book;
+use crate::bounds::stretched;
+use crate::job::JobPhase;
+use crate::job::RunPhase;
+use crate::record::Progress;
+use crate::spec::RunNumber;
+use crate::spec::TaskId;
+use crate::worker::WorkerState;
+
+/// Age from which a planned start is taken back, because what it was based on is old.
+const PLAN_MAX: Millis = Millis(1_500);
+
+/// Time after which a stop without an effect is sent again.
+const STOP_AGAIN: Millis = Millis(500);
+
+/// Pause before a step is tried again after a refused or unanswered start.
+const RETRY: Millis = Millis(100);
+
+/// Pause for a worker that refused a start or did not answer one.
+const WORKER_PAUSE: Millis = Millis(1_000);
+
+/// An order to start a run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StartOrder {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: RunNumber,
+    /// Where it is to run.
+    pub worker: WorkerId,
+    /// Start of the life of the worker that is meant, Unix time.
+    pub born: u64,
+    /// Where the worker takes orders.
+    pub address: SocketAddr,
+    /// The job's opaque text.
+    pub spec: String,
+    /// Saved progress to go on from, empty if there is none.
+    pub saved: String,
+    /// End of the lease on the worker's clock.
+    pub deadline: u64,
+    /// Fence.
+    pub epoch: Epoch,
+    /// When it was planned.
+    pub since: Millis,
+}
+
+/// An order to stop a run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StopOrder {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: RunNumber,
+    /// Where it may run.
+    pub worker: WorkerId,
+    /// Where the worker takes orders.
+    pub address: SocketAddr,
+    /// Fence.
+    pub epoch: Epoch,
+}
+
+/// A look at a worker, which also renews its lease.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LookOrder {
+    /// Where the worker takes orders.
+    pub address: SocketAddr,
+    /// End of the lease on the worker's clock; `None` leaves it as it is.
+    pub deadline: Option<u64>,
+    /// Highest end whose effect is stored.
+    pub stored: u64,
+    /// Longest wait for an end.
+    pub wait: Millis,
+    /// Fence.
+    pub epoch: Epoch,
+}
+
+/// Records to store before the starts among them are sent.
+#[derive(Clone, Debug, Default)]
+pub struct Pending {
+    /// Jobs with their progress.
+    pub records: Vec<(JobId, Progress)>,
+    starts: Vec<StartOrder>,
+    ends: Vec<(WorkerId, u64, u64)>,
+}
+
+impl Pending {
+    /// Whether there is nothing to store.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
+
+/// The answer to a start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StartAnswer {
+    /// It runs; the worker's clock then.
+    Accepted(u64),
+    /// The worker has seen a later coordinator.
+    Fenced,
+    /// It does not run and will not; why.
+    Refused(String),
+    /// No answer: it may run, also later.
+    Unknown(String),
+}
+
+impl Book {
+    /// Takes what has to be stored. Either [`Book::stored`] or [`Book::put_back`] follows.
+    pub fn take_pending(&mut self) -> Pending {
+        let ids = std::mem::take(&mut self.dirty);
+        let records = ids.into_iter().filter_map(|id| {
+            let progress = Progress::from(self.jobs.get(&id)?);
+            Some((id, progress))
+        });
+        let records = records.collect();
+        let ends = self
+            .workers
+            .iter()
+            .filter(|(_, w)| w.seen_end > w.stored_end);
+        let ends = ends
+            .map(|(id, w)| (id.clone(), w.born, w.seen_end))
+            .collect();
+        Pending {
+            records,
+            starts: std::mem::take(&mut self.planned),
+            ends,
+        }
+    }
+
+    /// The records could not be stored, or it is not known: they are due again.
+    pub fn put_back(&mut self, pending: Pending) {
+        self.dirty
+            .extend(pending.records.into_iter().map(|(id, _)| id));
+        self.planned.splice(0..0, pending.starts);
+    }
+
+    /// The records are stored. Returns the starts that may be sent now.
+    pub fn stored(&mut self, pending: Pending, now: Millis) -> Vec<StartOrder> {
+        for (id, born, end) in pending.ends {
+            let worker = self.workers.get_mut(&id).filter(|w| w.born == born);
+            if let Some(worker) = worker {
+                worker.stored_end = worker.stored_end.max(end);
+            }
+        }
+        let mut bad: Vec<(JobId, u32, u16)> = Vec::new();
+        let step = |t: &TaskId| (t.job.clone(), t.occurrence, t.step);
+        for start in &pending.starts {
+            if !self.may_start(start, now) && !bad.contains(&step(&start.task)) {
+                bad.push(step(&start.task));
+            }
+        }
+        let mut out = Vec::with_capacity(pending.starts.len());
+        for mut start in pending.starts {
+            let gang = self.is_gang(&start.task);
+            if bad.contains(&step(&start.task)) && (gang || !self.may_start(&start, now)) {
+                self.take_back(&start, now);
+                continue;
+            }
+            let Some(deadline) = self.renew(&start.worker, now) else {
+                self.take_back(&start, now);
+                continue;
+            };
+            start.deadline = deadline;
+            self.set_phase(&start.task, RunPhase::Sent);
+            out.push(start);
+        }
+        out
+    }
+
+    fn is_gang(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.and_then(|j| j.spec(task)).is_some_and(|s| s.gang)
+    }
+
+    /// Whether what a planned start was based on still holds.
+    fn may_start(&self, start: &StartOrder, now: Millis) -> bool {
+        let job = self.jobs.get(&start.task.job);
+        let wanted = job.is_some_and(|j| !j.phase.is_final());
+        let worker = self.workers.get(&start.worker);
+        let usable = worker
+            .is_some_and(|w| w.born == start.born && w.clock.is_some() && self.is_usable(w, now));
+        wanted && usable && now.since(start.since) <= PLAN_MAX
+    }
+
+    fn take_back(&mut self, start: &StartOrder, now: Millis) {
+        if self.is_open(&start.task, start.run, &start.worker) {
+            self.close(&start.task, now);
+        }
+    }
+
+    fn set_phase(&mut self, task: &TaskId, phase: RunPhase) {
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(open) = job
+            .and_then(|j| j.task_mut(task))
+            .and_then(|t| t.open.as_mut())
+        {
+            open.phase = phase;
+        }
+    }
+
+    /// Extends a worker's lease from `now`: its end on the worker's clock.
+    fn renew(&mut self, id: &WorkerId, now: Millis) -> Option<u64> {
+        let hold = self.times.hold;
+        let worker = self.workers.get_mut(id)?;
+        let deadline = worker.clock_at(now)? + hold.0;
+        worker.lease_end = worker.lease_end.max(now + stretched(hold));
+        Some(deadline)
+    }
+
+    /// The next look at a worker. `renew` tells whether the coordinator may extend leases.
+    pub fn look(&mut self, id: &WorkerId, renew: bool, now: Millis) -> Option<LookOrder> {
+        let deadline = if renew { self.renew(id, now) } else { None };
+        self.look_now.remove(id);
+        let worker = self.workers.get(id)?;
+        let wait = if worker.known {
+            self.times.look
+        } else {
+            Millis::ZERO
+        };
+        Some(LookOrder {
+            address: worker.view.address,
+            deadline,
+            stored: worker.stored_end,
+            wait,
+            epoch: self.epoch,
+        })
+    }
+
+    /// A look at a worker got no report: nothing is placed there until one comes.
+    pub fn look_failed(&mut self, id: &WorkerId) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.silent = true;
+        }
+    }
+
+    /// Takes the answer to a start.
+    pub fn start_answer(&mut self, order: &StartOrder, answer: StartAnswer, now: Millis) {
+        if !self.is_open(&order.task, order.run, &order.worker) {
+            return;
+        }
+        match answer {
+            StartAnswer::Accepted(clock) => self.accepted(&order.task, clock, now),
+            StartAnswer::Fenced => self.fenced = true,
+            StartAnswer::Refused(why) => self.refused(order, &why, now),
+            StartAnswer::Unknown(why) => self.unanswered(order, &why, now),
+        }
+    }
+
+    fn accepted(&mut self, task: &TaskId, clock: u64, now: Millis) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(open) = job.task_mut(task).and_then(|t| t.open.as_mut()) else {
+            return;
+        };
+        open.seen = Some(now);
+        if open.phase != RunPhase::Stopping {
+            open.phase = RunPhase::Running;
+            open.settled = Some(clock);
+        }
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Running;
+            self.dirty.insert(task.job.clone());
+        }
+    }
+
+    fn refused(&mut self, order: &StartOrder, why: &str, now: Millis) {
+        let task = &order.task;
+        self.note(
+            Some(&task.job),
+            format!(
+                "{} refused run {} of {task}: {why}",
+                order.worker, order.run
+            ),
+        );
+        self.pause_worker(&order.worker, now);
+        self.pause_step(task, now);
+        self.close(task, now);
+        self.break_gang(task, order.run);
+    }
+
+    fn unanswered(&mut self, order: &StartOrder, why: &str, now: Millis) {
+        let task = &order.task;
+        self.note(
+            Some(&task.job),
+            format!(
+                "no answer of {} to run {} of {task}: {why}",
+                order.worker, order.run
+            ),
+        );
+        self.pause_worker(&order.worker, now);
+        self.pause_step(task, now);
+        self.stop(task);
+        self.break_gang(task, order.run);
+    }
+
+    fn pause_worker(&mut self, id: &WorkerId, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.not_before = worker.not_before.max(now + WORKER_PAUSE);
+        }
+    }
+
+    fn pause_step(&mut self, task: &TaskId, now: Millis) {
+        if let Some(step) = self.jobs.get_mut(&task.job).and_then(|j| j.step_mut(task)) {
+            step.not_before = now + RETRY;
+        }
+    }
+
+    /// Stops the other members of a gang's run.
+    pub(crate) fn break_gang(&mut self, task: &TaskId, run: RunNumber) {
+        if !self.is_gang(task) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(step) = job.step_mut(task) else {
+            return;
+        };
+        let members = step
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, t)| t.open.as_ref().is_some_and(|o| o.run == run));
+        let members: Vec<u16> = members.map(|(index, _)| index as u16).collect();
+        for index in members {
+            self.stop(&TaskId {
+                index,
+                ..task.clone()
+            });
+        }
+    }
+
+    /// Stops to send now: new ones, and those without an effect for a while.
+    pub fn stops(&mut self, now: Millis) -> Vec<StopOrder> {
+        let mut out = Vec::new();
+        let epoch = self.epoch;
+        for id in &self.live {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            for task in job.open_tasks() {
+                let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_mut()) else {
+                    continue;
+                };
+                let again = open.stop_sent.is_none_or(|at| now.since(at) >= STOP_AGAIN);
+                let Some(worker) = self.workers.get(&open.worker) else {
+                    continue;
+                };
+                if open.phase != RunPhase::Stopping || !again {
+                    continue;
+                }
+                open.stop_sent = Some(now);
+                out.push(StopOrder {
+                    task: task.clone(),
+                    run: open.run,
+                    worker: open.worker.clone(),
+                    address: worker.view.address,
+                    epoch,
+                });
+            }
+        }
+        for (id, worker) in &mut self.workers {
+            let address = worker.view.address;
+            let strays = std::mem::take(&mut worker.strays);
+            out.extend(strays.into_iter().map(|(task, run)| StopOrder {
+                task,
+                run,
+                worker: id.clone(),
+                address,
+                epoch,
+            }));
+        }
+        out
+    }
+
+    /// A stop was accepted when the worker's clock showed `clock`: the run is not started any
+    /// more, and a later report without it proves it gone.
+    pub fn stop_answer(&mut self, order: &StopOrder, clock: u64) {
+        if !self.is_open(&order.task, order.run, &order.worker) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&order.task.job) else {
+            return;
+        };
+        let open = job.task_mut(&order.task).and_then(|t| t.open.as_mut());
+        if let Some(open) = open.filter(|o| o.phase == RunPhase::Stopping) {
+            open.settled = Some(clock);
+        }
+    }
+
+    /// Whether tasks may be placed on a worker.
+    pub(crate) fn is_usable(&self, worker: &crate::worker::Worker, now: Millis) -> bool {
+        let view = &worker.view;
+        let fresh = now.since(worker.heard) <= Millis(self.times.look.0 * 2);
+        worker.known
+            && !worker.silent
+            && fresh
+            && worker.missing.is_none()
+            && view.state == WorkerState::Ready
+            && !self.out.contains(&view.domain)
+            && now >= worker.not_before
+    }
+}
--- /dev/null
+++ b/crates/batch/src/book/report.rs
@@ -0,0 +1,289 @@
+//! What a worker's report says about the runs on it.
+
+use base::JobId;
+use base::Millis;
+use base::WorkerId;
+
+use super::Book;
+use crate::job::JobPhase;
+use crate::job::RunPhase;
+use crate::spec::RunNumber;
+use crate::spec::TaskId;
+use crate::worker::EndKind;
+use crate::worker::EndRow;
+use crate::worker::Report;
+use crate::worker::RunRow;
+
+/// Ends that a worker lists at a time; with as many there may be more.
+const ENDS_LISTED: usize = 500;
+
+/// Failures in a row, of different jobs, after which a worker is left alone for a while.
+const FAILURES: u32 = 2;
+
+/// First pause of a worker that failed tasks in a row; it doubles with each further failure.
+const FAILING_PAUSE: Millis = Millis(3_000);
+
+/// Most doublings of the pause.
+const DOUBLINGS: u32 = 4;
+
+impl Book {
+    /// Takes a worker's report. `sent` is when the look at it was sent.
+    pub fn report(&mut self, id: &WorkerId, report: Report, sent: Millis, now: Millis) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let born = report.born.or(worker.view.born).unwrap_or_default();
+        if worker.known && worker.born > born {
+            return;
+        }
+        if worker.born != born || !worker.known {
+            self.new_life(id, born, &report, now);
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.known = true;
+        worker.silent = false;
+        worker.heard = worker.heard.max(sent);
+        if worker.clock.is_none_or(|(clock, _)| clock <= report.clock) {
+            worker.clock = Some((report.clock, now));
+        }
+        let more = report.ended.len() >= ENDS_LISTED;
+        for end in &report.ended {
+            self.take_end(id, end, now);
+        }
+        for run in &report.running {
+            self.take_running(id, run, report.clock, now);
+        }
+        if !more {
+            self.close_missing(id, &report, now);
+        }
+    }
+
+    /// The worker answers for the first time in this life: what an earlier life was seen to
+    /// run is over. An order that has got no answer may still reach this life.
+    fn new_life(&mut self, id: &WorkerId, born: u64, report: &Report, now: Millis) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let again = worker.known;
+        worker.born = born;
+        worker.clock = None;
+        worker.seen_end = 0;
+        worker.stored_end = 0;
+        worker.failures = 0;
+        let tasks: Vec<TaskId> = worker.open.keys().cloned().collect();
+        if again {
+            self.note(
+                None,
+                format!("{id} has started again; {} runs were open", tasks.len()),
+            );
+        }
+        for task in tasks {
+            let job = self.jobs.get_mut(&task.job);
+            let open = job
+                .and_then(|j| j.task_mut(&task))
+                .and_then(|t| t.open.as_mut());
+            let Some(open) = open.filter(|o| o.born != born) else {
+                continue;
+            };
+            let listed = report
+                .running
+                .iter()
+                .any(|r| r.task == task && r.run == open.run);
+            let pending = open.seen.is_none() && open.phase != RunPhase::Inherited;
+            if listed || pending {
+                open.born = born;
+                open.settled = None;
+            } else {
+                let run = open.run;
+                self.close(&task, now);
+                self.break_gang(&task, run);
+            }
+        }
+    }
+
+    fn take_end(&mut self, id: &WorkerId, end: &EndRow, now: Millis) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if end.number <= worker.seen_end {
+            return;
+        }
+        worker.seen_end = end.number;
+        match end.kind {
+            EndKind::Done => worker.failures = 0,
+            EndKind::Failed => {
+                worker.failures += 1;
+                if worker.failures >= FAILURES {
+                    let doublings = (worker.failures - FAILURES).min(DOUBLINGS);
+                    worker.not_before = now + Millis(FAILING_PAUSE.0 << doublings);
+                }
+            }
+            EndKind::Alone | EndKind::Broken | EndKind::Lapsed | EndKind::Stopped => {}
+        }
+        let Some(job) = self.jobs.get_mut(&end.task.job) else {
+            return;
+        };
+        let gang = job.spec(&end.task).is_some_and(|s| s.gang);
+        let lasting = job.spec(&end.task).is_some_and(|s| s.lasting);
+        let Some(step) = job.step_mut(&end.task) else {
+            return;
+        };
+        if !end.saved.is_empty() {
+            match gang {
+                true => step
+                    .tasks
+                    .iter_mut()
+                    .for_each(|t| t.saved = end.saved.clone()),
+                false => {
+                    if let Some(task) = step.tasks.get_mut(usize::from(end.task.index)) {
+                        task.saved = end.saved.clone();
+                    }
+                }
+            }
+        }
+        if end.kind == EndKind::Failed && gang && end.run > step.failed_run {
+            step.failed_run = end.run;
+            step.failures += 1;
+        }
+        if end.kind == EndKind::Done && gang && !lasting {
+            step.tasks.iter_mut().for_each(|t| t.done = true);
+        }
+        let Some(task) = step.tasks.get_mut(usize::from(end.task.index)) else {
+            return;
+        };
+        if end.kind == EndKind::Done && !lasting {
+            task.done = true;
+        }
+        if end.kind == EndKind::Failed {
+            task.failures += u32::from(!gang);
+            task.avoid.push(id.clone());
+        }
+        self.dirty.insert(end.task.job.clone());
+        self.after_end(id, end, now);
+    }
+
+    /// Frees the run, and ends its job if the end decides that.
+    fn after_end(&mut self, id: &WorkerId, end: &EndRow, now: Millis) {
+        let id_of = &end.task.job;
+        if self.is_open(&end.task, end.run, id) {
+            self.close(&end.task, now);
+        } else if end.kind == EndKind::Done {
+            self.stop(&end.task);
+        }
+        if matches!(end.kind, EndKind::Failed | EndKind::Alone | EndKind::Lapsed) {
+            self.break_gang(&end.task, end.run);
+        }
+        self.fail_if_spent(id_of, &end.task, now);
+        self.settle(id_of, now);
+    }
+
+    fn fail_if_spent(&mut self, id: &JobId, task: &TaskId, now: Millis) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let attempts = job.given.attempts;
+        let lasting = job.spec(task).is_some_and(|s| s.lasting);
+        let Some(step) = job.step_mut(task) else {
+            return;
+        };
+        let failures = step
+            .tasks
+            .iter()
+            .map(|t| t.failures)
+            .max()
+            .unwrap_or_default();
+        let spent = step.failures.max(failures) >= attempts;
+        if spent && !lasting && !step.is_done() && !job.phase.is_final() {
+            self.end(id, JobPhase::Failed, now);
+        }
+    }
+
+    fn take_running(&mut self, id: &WorkerId, row: &RunRow, clock: u64, now: Millis) {
+        if !self.is_open(&row.task, row.run, id) {
+            self.stray(id, &row.task, row.run);
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&row.task.job) else {
+            return;
+        };
+        let final_phase = job.phase.is_final();
+        let Some(task) = job.task_mut(&row.task) else {
+            return;
+        };
+        let done = task.done;
+        if !row.saved.is_empty() && task.saved != row.saved {
+            task.saved = row.saved.clone();
+            if let Some(open) = task.open.as_mut() {
+                open.saved_at = Some(now);
+            }
+        }
+        let Some(open) = task.open.as_mut() else {
+            return;
+        };
+        open.seen.get_or_insert(now);
+        open.percent = row.percent;
+        if matches!(open.phase, RunPhase::Inherited | RunPhase::Sent) {
+            open.phase = RunPhase::Running;
+        }
+        if open.phase == RunPhase::Running {
+            open.settled.get_or_insert(clock);
+        }
+        if job.phase == JobPhase::Queued {
+            job.phase = JobPhase::Running;
+            self.dirty.insert(row.task.job.clone());
+        }
+        if final_phase || done {
+            self.stop(&row.task);
+        }
+    }
+
+    /// A run that is not wanted there is stopped.
+    fn stray(&mut self, id: &WorkerId, task: &TaskId, run: RunNumber) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.strays.push((task.clone(), run));
+        }
+        self.note(
+            Some(&task.job),
+            format!("{id} runs {task} run {run}, which is not wanted"),
+        );
+    }
+
+    /// Closes the runs that a report proves to be neither going on nor to come.
+    fn close_missing(&mut self, id: &WorkerId, report: &Report, now: Millis) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let tasks: Vec<TaskId> = worker.open.keys().cloned().collect();
+        for task in tasks {
+            let Some(open) = self.open_run(&task) else {
+                continue;
+            };
+            let run = open.run;
+            if report
+                .running
+                .iter()
+                .any(|r| r.task == task && r.run == run)
+            {
+                continue;
+            }
+            let gone = match open.phase {
+                // Recorded by an earlier coordinator, whose orders are refused from now on.
+                RunPhase::Inherited => true,
+                RunPhase::Planned | RunPhase::Sent => false,
+                RunPhase::Running | RunPhase::Stopping => {
+                    open.settled.is_some_and(|clock| report.clock > clock)
+                }
+            };
+            if gone {
+                self.note(
+                    Some(&task.job),
+                    format!("run {run} of {task} is not on {id}"),
+                );
+                self.close(&task, now);
+                self.break_gang(&task, run);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/batch/src/lib.rs
@@ -0,0 +1,50 @@
+//! Decisions on jobs whose tasks run on the workers of a whole site.
+//!
+//! One coordinator keeps a [`Book`] of all jobs and workers. The book takes what is observed
+//! (submissions, cancellations, reports of workers, answers to orders) and gives the orders to
+//! send and the records to store. Nothing here does I/O or reads a clock.
+
+mod book;
+mod bounds;
+mod catalog;
+mod job;
+mod place;
+mod plan;
+mod preempt;
+mod record;
+mod spec;
+mod worker;
+
+pub use book::Book;
+pub use book::LookOrder;
+pub use book::Note;
+pub use book::Pending;
+pub use book::StartAnswer;
+pub use book::StartOrder;
+pub use book::StopOrder;
+pub use bounds::Bounds;
+pub use bounds::Derived;
+pub use catalog::Catalog;
+pub use catalog::CatalogLimits;
+pub use catalog::Found;
+pub use catalog::Pool;
+pub use catalog::Queue;
+pub use catalog::Tenant;
+pub use job::JobPhase;
+pub use record::JobRecord;
+pub use record::Progress;
+pub use record::RecordError;
+pub use record::Submitted;
+pub use spec::Resources;
+pub use spec::RunNumber;
+pub use spec::Schedule;
+pub use spec::StepSpec;
+pub use spec::Submission;
+pub use spec::SubmissionError;
+pub use spec::TaskId;
+pub use worker::EndKind;
+pub use worker::EndRow;
+pub use worker::Report;
+pub use worker::RunRow;
+pub use worker::WorkerState;
+pub use worker::WorkerView;
--- /dev/null
+++ b/crates/batch/src/record.rs
@@ -0,0 +1,232 @@
+//! What the store keeps of a job, in CBOR.
+
+use std::collections::BTreeMap;
+
+use base::Millis;
+use base::OrgId;
+use base::ServiceId;
+use base::WorkerId;
+use quick_error::quick_error;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::catalog::Queue;
+use crate::job::Job;
+use crate::job::JobPhase;
+use crate::job::Occurrence;
+use crate::job::OpenRun;
+use crate::job::RunPhase;
+use crate::job::StepState;
+use crate::job::TaskState;
+use crate::spec::RunNumber;
+use crate::spec::Submission;
+
+quick_error! {
+    /// Why a record cannot be used.
+    #[derive(Debug)]
+    pub enum RecordError {
+        /// The bytes are not a record of this version.
+        Malformed(text: String) {
+            display("malformed record: {text}")
+        }
+        /// The record could not be written.
+        Write(text: String) {
+            display("cannot encode the record: {text}")
+        }
+    }
+}
+
+/// An accepted job with the rules of its queue when it was accepted.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Submitted {
+    /// Name of the queue.
+    pub queue: String,
+    /// The pool that runs it.
+    pub pool: ServiceId,
+    /// The organisation, unless the queue is public.
+    pub org: Option<OrgId>,
+    /// 0 comes first.
+    pub priority: u32,
+    /// Failed runs of a task after which the job has failed.
+    pub attempts: u32,
+    /// Time from acceptance to completion that its queue aims at.
+    pub objective: Millis,
+    /// Unix time of acceptance.
+    pub at: Millis,
+    /// What to run.
+    pub work: Submission,
+}
+
+impl Submitted {
+    /// A job accepted on `queue` at the Unix time `at`.
+    pub fn new(queue: &Queue, org: Option<OrgId>, at: Millis, work: Submission) -> Submitted {
+        let stretched = work.chain().0 as f64 * queue.stretch;
+        Submitted {
+            queue: queue.name.clone(),
+            pool: queue.pool.clone(),
+            org,
+            priority: queue.priority,
+            attempts: queue.attempts,
+            objective: Millis(stretched as u64) + queue.latency,
+            at,
+            work,
+        }
+    }
+}
+
+/// The record under a job's id.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum JobRecord {
+    /// Accepted. Shared, because records are large.
+    Accepted(Box<Submitted>),
+    /// Refused at this Unix time; a later submission may replace it.
+    Refused(Millis),
+}
+
+impl JobRecord {
+    /// The stored form.
+    pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
+        encode(self)
+    }
+
+    /// Reads the stored form.
+    pub fn decode(bytes: &[u8]) -> Result<JobRecord, RecordError> {
+        decode(bytes)
+    }
+}
+
+/// What the coordinator has recorded of a job's tasks.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Progress {
+    /// What callers are told.
+    pub phase: JobPhase,
+    next: u32,
+    open: BTreeMap<u32, Vec<StepWire>>,
+}
+
+/// Failures, the latest failed run of a gang, and the tasks.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct StepWire(u32, RunNumber, Vec<TaskWire>);
+
+/// Latest run, failures, whether done, saved progress, and the open run.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct TaskWire(RunNumber, u32, bool, String, Option<OpenWire>);
+
+/// Run, worker, and start of that life of the worker.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct OpenWire(RunNumber, WorkerId, u64);
+
+impl Progress {
+    /// The stored form.
+    pub fn encode(&self) -> Result<Vec<u8>, RecordError> {
+        encode(self)
+    }
+
+    /// Reads the stored form.
+    pub fn decode(bytes: &[u8]) -> Result<Progress, RecordError> {
+        decode(bytes)
+    }
+
+    /// Puts what was recorded into a job that has just been read; false if it does not fit.
+    pub fn restore(self, job: &mut Job, now: Millis) -> bool {
+        let widths: Vec<usize> = job
+            .given
+            .work
+            .steps
+            .iter()
+            .map(|s| s.count as usize)
+            .collect();
+        let fits = |steps: &Vec<StepWire>| {
+            steps.len() == widths.len() && steps.iter().zip(&widths).all(|(s, w)| s.2.len() == *w)
+        };
+        if !self.open.values().all(fits) {
+            return false;
+        }
+        job.phase = self.phase;
+        job.next = self.next;
+        let states = self.open.into_iter().map(|(num, steps)| {
+            let steps = steps.into_iter().map(|s| s.restore(now)).collect();
+            (num, Occurrence { steps })
+        });
+        job.open = states.collect();
+        true
+    }
+}
+
+impl From<&Job> for Progress {
+    fn from(job: &Job) -> Progress {
+        let steps = |o: &Occurrence| o.steps.iter().map(StepWire::from).collect();
+        let done = job.phase.is_final();
+        let open = job
+            .open
+            .iter()
+            .filter(|(_, o)| !done || o.steps.iter().any(StepState::is_open));
+        Progress {
+            phase: job.phase,
+            next: job.next,
+            open: open.map(|(&num, o)| (num, steps(o))).collect(),
+        }
+    }
+}
+
+impl From<&StepState> for StepWire {
+    fn from(step: &StepState) -> StepWire {
+        let tasks = step.tasks.iter().map(TaskWire::from).collect();
+        StepWire(step.failures, step.failed_run, tasks)
+    }
+}
+
+impl StepWire {
+    fn restore(self, now: Millis) -> StepState {
+        StepState {
+            tasks: self.2.into_iter().map(|t| t.restore(now)).collect(),
+            failures: self.0,
+            failed_run: self.1,
+            ..StepState::default()
+        }
+    }
+}
+
+impl From<&TaskState> for TaskWire {
+    fn from(task: &TaskState) -> TaskWire {
+        let open = task.open.as_ref();
+        let open = open.map(|o| OpenWire(o.run, o.worker.clone(), o.born));
+        TaskWire(task.run, task.failures, task.done, task.saved.clone(), open)
+    }
+}
+
+impl TaskWire {
+    fn restore(self, now: Millis) -> TaskState {
+        let open = self.4.map(|OpenWire(run, worker, born)| OpenRun {
+            run,
+            worker,
+            born,
+            phase: RunPhase::Inherited,
+            since: now,
+            settled: None,
+            stop_sent: None,
+            seen: None,
+            saved_at: None,
+            percent: 0,
+        });
+        TaskState {
+            run: self.0,
+            failures: self.1,
+            done: self.2,
+            saved: self.3,
+            open,
+            avoid: Vec::new(),
+        }
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, RecordError> {
+    let mut bytes = Vec::new();
+    let written = ciborium::into_writer(value, &mut bytes);
+    written.map_err(|e| RecordError::Write(e.to_string()))?;
+    Ok(bytes)
+}
+
+fn decode<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<T, RecordError> {
+    ciborium::from_reader(bytes).map_err(|e| RecordError::Malformed(e.to_string()))
+}
--- /dev/null
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -0,0 +1,282 @@
+//! Answers to callers.
+
+use std::rc::Rc;
+
+use base::JobId;
+use base::Map;
+use base::Millis;
+use base::Revision;
+use batch::Catalog;
+use batch::JobPhase;
+use batch::JobRecord;
+use batch::Progress;
+use batch::Queue;
+use batch::Submitted;
+use obs::Event;
+use platform::Call;
+use platform::CallAnswer;
+use platform::CallKind;
+use platform::Item;
+use platform::Outcome;
+use platform::Put;
+use platform::StoreError;
+use platform::Txn;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot::Sender;
+
+use crate::batch::keys;
+use crate::batch::shared::Shared;
+
+/// When a caller whose call could not be served is asked to come back.
+const COME_BACK: Millis = Millis(1_000);
+
+/// Longest time for a call when the caller does not say how long it waits.
+const WAIT: Millis = Millis(3_000);
+
+/// Part of the caller's wait that is kept for the answer's way back.
+const MARGIN: Millis = Millis(150);
+
+/// Pause between two attempts at the store.
+const PAUSE: Millis = Millis(60);
+
+/// Attempts in a row that a busy store may turn away before the caller is asked to come back.
+const BUSY_MAX: u32 = 3;
+
+/// Answers calls until the port closes.
+pub async fn run(shared: Rc<Shared>, mut calls: UnboundedReceiver<(Call, Sender<CallAnswer>)>) {
+    while let Some((call, reply)) = calls.recv().await {
+        actix_rt::spawn(serve(shared.clone(), call, reply));
+    }
+}
+
+async fn serve(shared: Rc<Shared>, call: Call, reply: Sender<CallAnswer>) {
+    let began = shared.now();
+    let catalog = shared.facts.borrow().catalog.clone();
+    let version = catalog.as_ref().map_or(0, |c| c.version);
+    let answer = match &catalog {
+        Some(catalog) => answer(&shared, catalog, &call).await,
+        None => CallAnswer::Refused(COME_BACK),
+    };
+    let (name, detail) = describe(&answer);
+    let kind = match call.kind {
+        CallKind::Cancel => "cancel",
+        CallKind::Look => "look",
+        CallKind::Submit => "submit",
+    };
+    shared.answers.add(&[("kind", kind), ("answer", name)], 1);
+    let took = shared.now().since(began);
+    obs::record(
+        &shared.log,
+        Event::CallAnswered,
+        &[
+            ("kind", &kind),
+            ("path", &call.path),
+            ("version", &version),
+            ("answer", &name),
+            ("detail", &detail),
+            ("took", &took),
+        ],
+    );
+    if reply.send(answer).is_err() {
+        obs::record(&shared.log, Event::CallerGone, &[("path", &call.path)]);
+    }
+}
+
+fn describe(answer: &CallAnswer) -> (&'static str, String) {
+    match answer {
+        CallAnswer::Accepted => ("accepted", String::new()),
+        CallAnswer::Cancelled => ("cancelled", String::new()),
+        CallAnswer::Forbidden => ("forbidden", "the key is not known".to_string()),
+        CallAnswer::Malformed(why) => ("malformed", why.clone()),
+        CallAnswer::NoJob => ("no-job", String::new()),
+        CallAnswer::NoQueue => ("no-queue", String::new()),
+        CallAnswer::Refused(after) => ("refused", format!("come back after {after}")),
+        CallAnswer::State(phase) => ("state", format!("{phase:?}")),
+        CallAnswer::TooLarge => ("too-large", String::new()),
+        CallAnswer::Unknown(after) => ("unknown", format!("come back after {after}")),
+        CallAnswer::Waiting(num) => ("waiting", num.to_string()),
+    }
+}
+
+async fn answer(shared: &Shared, catalog: &Catalog, call: &Call) -> CallAnswer {
+    let Some(found) = catalog.find(&call.host, &call.path) else {
+        return CallAnswer::NoQueue;
+    };
+    let queue = found.queue;
+    let org = call
+        .key
+        .as_deref()
+        .and_then(|key| catalog.tenant(key))
+        .map(|t| t.name.clone());
+    if org.is_none() && !queue.public {
+        return CallAnswer::Forbidden;
+    }
+    let until = shared.now() + call.deadline.unwrap_or(WAIT).since(MARGIN);
+    if found.rest.is_empty() && call.kind == CallKind::Look {
+        return waiting(shared, queue).await;
+    }
+    let Some(id) = platform::job_id(found.rest) else {
+        return match call.kind {
+            CallKind::Submit => CallAnswer::Malformed("the path names no job id".to_string()),
+            CallKind::Cancel | CallKind::Look => CallAnswer::NoJob,
+        };
+    };
+    match call.kind {
+        CallKind::Cancel => cancel(shared, &id, until).await,
+        CallKind::Look => look(shared, &id, until).await,
+        CallKind::Submit if call.body.len() as u64 > catalog.limits.body => CallAnswer::TooLarge,
+        CallKind::Submit => match platform::submission(&call.body) {
+            Ok(work) => {
+                let given = Submitted::new(queue, org, shared.clock.wall(), work);
+                submit(shared, &id, given, until).await
+            }
+            Err(why) => CallAnswer::Malformed(why),
+        },
+    }
+}
+
+async fn waiting(shared: &Shared, queue: &Queue) -> CallAnswer {
+    if let Some(lead) = shared.leading() {
+        let counts = lead.book.borrow().waiting();
+        return CallAnswer::Waiting(counts.get(&queue.name).copied().unwrap_or(0));
+    }
+    match shared.store.get(keys::WAITING).await {
+        Ok(item) => {
+            shared.heard_store(Ok(()));
+            let value = item.and_then(|i| i.value);
+            let counts: Map<String, u64> = value
+                .and_then(|v| ciborium::from_reader(v.as_slice()).ok())
+                .unwrap_or_default();
+            CallAnswer::Waiting(counts.get(&queue.name).copied().unwrap_or(0))
+        }
+        Err(error) => {
+            shared.heard_store(Err(&error));
+            CallAnswer::Unknown(COME_BACK)
+        }
+    }
+}
+
+/// Stores a job. Whatever the store may still carry out is found again under the job's id.
+async fn submit(shared: &Shared, id: &JobId, given: Submitted, until: Millis) -> CallAnswer {
+    let key = keys::job(id);
+    let value = match JobRecord::Accepted(Box::new(given)).encode() {
+        Ok(value) => value,
+        Err(error) => return CallAnswer::Malformed(error.to_string()),
+    };
+    let mut held = Revision(0);
+    let mut turned_away = 0;
+    while shared.now() < until {
+        let txn = Txn {
+            conditions: vec![(key.clone(), held)],
+            puts: vec![Put {
+                key: key.clone(),
+                value: value.clone(),
+                lease: Default::default(),
+            }],
+            removes: Vec::new(),
+        };
+        match shared.store.commit(&txn).await {
+            Ok(Outcome::Done(_)) => {
+                shared.heard_store(Ok(()));
+                return CallAnswer::Accepted;
+            }
+            Ok(Outcome::Conflict(items)) => {
+                shared.heard_store(Ok(()));
+                match items.into_iter().find(|i| i.key == key) {
+                    Some(item) if is_accepted(&item) => return CallAnswer::Accepted,
+                    Some(item) => held = item.revision,
+                    None => held = Revision(0),
+                }
+                continue;
+            }
+            Ok(Outcome::LeaseEnded) => {}
+            Err(error) => {
+                shared.heard_store(Err(&error));
+                if error.is_nothing_done() {
+                    turned_away += 1;
+                }
+            }
+        }
+        if turned_away >= BUSY_MAX {
+            break;
+        }
+        shared.sleep(PAUSE).await;
+    }
+    // An earlier attempt, here or at another daemon, may have been stored.
+    CallAnswer::Unknown(COME_BACK)
+}
+
+fn is_accepted(item: &Item) -> bool {
+    let record = item.value.as_deref().map(JobRecord::decode);
+    matches!(record, Some(Ok(JobRecord::Accepted(_))))
+}
+
+async fn look(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
+    let read = retry(shared, until, || async {
+        let run = shared.store.get(&keys::run(id)).await?;
+        let progress = run.and_then(|i| i.value).map(|v| Progress::decode(&v));
+        if let Some(Ok(progress)) = progress {
+            return Ok(Some(progress.phase));
+        }
+        let job = shared.store.get(&keys::job(id)).await?;
+        Ok(job.filter(is_accepted).map(|_| JobPhase::Queued))
+    });
+    match read.await {
+        Some(Some(phase)) => CallAnswer::State(phase),
+        Some(None) => CallAnswer::NoJob,
+        None => CallAnswer::Unknown(COME_BACK),
+    }
+}
+
+async fn cancel(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
+    let cancelled = retry(shared, until, || async {
+        let job = shared.store.get(&keys::job(id)).await?;
+        let Some(job) = job.filter(is_accepted) else {
+            return Ok(false);
+        };
+        let key = keys::cancel(id);
+        let txn = Txn {
+            conditions: vec![(job.key, job.revision)],
+            puts: vec![Put {
+                key,
+                value: Vec::new(),
+                lease: Default::default(),
+            }],
+            removes: Vec::new(),
+        };
+        match shared.store.commit(&txn).await? {
+            Outcome::Done(_) => Ok(true),
+            Outcome::Conflict(_) | Outcome::LeaseEnded => Err(StoreError::Unknown(
+                "the job's record has changed".to_string(),
+            )),
+        }
+    });
+    match cancelled.await {
+        Some(true) => CallAnswer::Cancelled,
+        Some(false) => CallAnswer::NoJob,
+        None => CallAnswer::Unknown(COME_BACK),
+    }
+}
+
+/// Tries until there is a result or the caller's time is over.
+async fn retry<T, F, R>(shared: &Shared, until: Millis, attempt: F) -> Option<T>
+where
+    F: Fn() -> R,
+    R: std::future::Future<Output = Result<T, StoreError>>,
+{
+    let mut turned_away = 0;
+    while shared.now() < until && turned_away < BUSY_MAX {
+        match attempt().await {
+            Ok(found) => {
+                shared.heard_store(Ok(()));
+                return Some(found);
+            }
+            Err(error) => {
+                shared.heard_store(Err(&error));
+                turned_away += u32::from(error.is_nothing_done());
+                shared.sleep(PAUSE).await;
+            }
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/bronzetack/src/batch/keys.rs
@@ -0,0 +1,57 @@
+//! Names of the keys in the store.
+
+use base::JobId;
+
+/// Lock of the coordinator.
+pub const LOCK: &str = "bronzetack/lock";
+
+/// Number of jobs that wait in each queue.
+pub const WAITING: &str = "bronzetack/waiting";
+
+/// Prefix of what callers have asked for: submissions and cancellations.
+pub const ASKED: &str = "bronzetack/asked/";
+
+/// Prefix of what the coordinator has recorded.
+pub const RUNS: &str = "bronzetack/runs/";
+
+const JOB: &str = "/job";
+const CANCEL: &str = "/cancel";
+
+/// What a key under [`ASKED`] holds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Asked {
+    /// A cancellation.
+    Cancel(JobId),
+    /// A submission or its refusal.
+    Job(JobId),
+}
+
+/// Key of a submission.
+pub fn job(id: &JobId) -> String {
+    format!("{ASKED}{id}{JOB}")
+}
+
+/// Key of a cancellation.
+pub fn cancel(id: &JobId) -> String {
+    format!("{ASKED}{id}{CANCEL}")
+}
+
+/// Key of the coordinator's record of a job.
+pub fn run(id: &JobId) -> String {
+    format!("{RUNS}{id}")
+}
+
+/// What a key under [`ASKED`] holds; `None` for a foreign key.
+pub fn asked(key: &str) -> Option<Asked> {
+    let rest = key.strip_prefix(ASKED)?;
+    if let Some(id) = rest.strip_suffix(JOB) {
+        return Some(Asked::Job(id.parse().ok()?));
+    }
+    let id = rest.strip_suffix(CANCEL)?;
+    Some(Asked::Cancel(id.parse().ok()?))
+}
+
+/// The job whose record a key under [`RUNS`] holds.
+pub fn run_of(key: &str) -> Option<JobId> {
+    key.strip_prefix(RUNS)?.parse().ok()
+}
--- /dev/null
+++ b/crates/bronzetack/src/batch/pump.rs
@@ -0,0 +1,230 @@
+//! The coordinator's loop: plan, store, send.
+
+use std::rc::Rc;
+
+use base::Map;
+use base::Millis;
+use base::Revision;
+use batch::Book;
+use batch::StartAnswer;
+use batch::StartOrder;
+use batch::StopOrder;
+use obs::Event;
+use platform::Outcome;
+use platform::Put;
+use platform::Txn;
+
+use crate::batch::commit;
+use crate::batch::keys;
+use crate::batch::lead::Lead;
+use crate::batch::shared::Shared;
+use crate::batch::shared::STORE_TIMEOUT;
+
+/// Time in which changes gather before a pass.
+const GATHER: Millis = Millis(4);
+
+/// Longest time between two passes.
+const TICK: Millis = Millis(100);
+
+/// Pause after records could not be stored.
+const PAUSE: Millis = Millis(60);
+
+/// Period of the counts of waiting jobs.
+const PUBLISH: Millis = Millis(500);
+
+/// Period of the search for records that are no longer needed.
+const EXPIRE: Millis = Millis(10_000);
+
+/// Plans until the leadership ends.
+pub async fn run(shared: Rc<Shared>, lead: Rc<Lead>) {
+    while !lead.over.get() {
+        let woken = lead.wake.notified();
+        // A timeout only means that nothing has happened.
+        let _ = actix_rt::time::timeout(TICK.duration(), woken).await;
+        shared.sleep(GATHER).await;
+        let pending = {
+            let mut book = lead.book.borrow_mut();
+            let now = shared.now();
+            book.tick(now, shared.clock.wall());
+            if is_fresh(&shared, now) {
+                book.plan(now, shared.clock.wall());
+            }
+            book.take_pending()
+        };
+        log_notes(&shared, &mut lead.book.borrow_mut());
+        if pending.is_empty() {
+            let starts = lead.book.borrow_mut().stored(pending, shared.now());
+            debug_assert!(starts.is_empty(), "a start without a record");
+            continue;
+        }
+        let done = commit::store(&shared, &lead, &pending).await;
+        if lead.over.get() {
+            return;
+        }
+        if !done {
+            lead.book.borrow_mut().put_back(pending);
+            shared.sleep(PAUSE).await;
+            lead.wake.notify_one();
+            continue;
+        }
+        let starts = lead.book.borrow_mut().stored(pending, shared.now());
+        lead.stored.notify_waiters();
+        for order in starts {
+            actix_rt::spawn(start(shared.clone(), lead.clone(), order));
+        }
+    }
+}
+
+/// Whether the operators' documents are known to be current enough to start tasks.
+fn is_fresh(shared: &Shared, now: Millis) -> bool {
+    let age = now.since(shared.facts.borrow().fresh);
+    age <= shared.times.watch + shared.times.watch + STORE_TIMEOUT
+}
+
+fn log_notes(shared: &Shared, book: &mut Book) {
+    for note in book.take_notes() {
+        let job = note.job.map(|j| j.to_string()).unwrap_or_default();
+        obs::record(
+            &shared.log,
+            Event::JobDecided,
+            &[("job", &job), ("why", &note.text)],
+        );
+    }
+}
+
+async fn start(shared: Rc<Shared>, lead: Rc<Lead>, order: StartOrder) {
+    let answer = shared.workers.start(&order).await;
+    let outcome = match &answer {
+        StartAnswer::Accepted(_) => "accepted",
+        StartAnswer::Fenced => "fenced",
+        StartAnswer::Refused(why) | StartAnswer::Unknown(why) => why,
+    };
+    obs::record(
+        &shared.log,
+        Event::RunOrdered,
+        &[
+            ("task", &order.task),
+            ("run", &order.run),
+            ("worker", &order.worker),
+            ("epoch", &order.epoch),
+            ("outcome", &outcome),
+        ],
+    );
+    if lead.over.get() {
+        return;
+    }
+    lead.book
+        .borrow_mut()
+        .start_answer(&order, answer, shared.now());
+    if lead.book.borrow().is_fenced() {
+        lead.end();
+    }
+    lead.wake.notify_one();
+}
+
+/// Sends stops, also while records wait to be stored.
+pub async fn stops(shared: Rc<Shared>, lead: Rc<Lead>) {
+    while !lead.over.get() {
+        let orders = lead.book.borrow_mut().stops(shared.now());
+        for order in orders {
+            actix_rt::spawn(stop(shared.clone(), lead.clone(), order));
+        }
+        shared.sleep(Millis(20)).await;
+    }
+}
+
+async fn stop(shared: Rc<Shared>, lead: Rc<Lead>, order: StopOrder) {
+    match shared.workers.stop(&order).await {
+        Ok(Some(clock)) if !lead.over.get() => {
+            lead.book.borrow_mut().stop_answer(&order, clock);
+        }
+        Ok(_) => {}
+        Err(error) => {
+            let fields: &[(&'static str, &dyn std::fmt::Display)] = &[
+                ("task", &order.task),
+                ("worker", &order.worker),
+                ("error", &error),
+            ];
+            obs::record(&shared.log, Event::StopUnanswered, fields);
+        }
+    }
+}
+
+/// Publishes how many jobs wait in each queue, and removes records that are no longer needed.
+pub async fn publish(shared: Rc<Shared>, lead: Rc<Lead>) {
+    let mut told: Option<Map<String, u64>> = None;
+    let mut revision: Option<Revision> = None;
+    let mut expired = shared.now();
+    while !lead.over.get() {
+        let counts = lead.book.borrow().waiting();
+        if told.as_ref() != Some(&counts) {
+            match publish_counts(&shared, &lead, &counts, revision).await {
+                Some(at) => {
+                    revision = Some(at);
+                    told = Some(counts);
+                }
+                None => revision = None,
+            }
+        }
+        if shared.now().since(expired) > EXPIRE {
+            expired = shared.now();
+            expire(&shared, &lead).await;
+        }
+        shared.sleep(PUBLISH).await;
+    }
+}
+
+async fn publish_counts(
+    shared: &Shared,
+    lead: &Lead,
+    counts: &Map<String, u64>,
+    revision: Option<Revision>,
+) -> Option<Revision> {
+    let revision = match revision {
+        Some(revision) => revision,
+        None => {
+            let item = shared.store.get(keys::WAITING).await;
+            let item = item.map_err(|e| shared.heard_store(Err(&e))).ok()?;
+            item.map_or(Revision(0), |i| i.revision)
+        }
+    };
+    let mut value = Vec::new();
+    if let Err(error) = ciborium::into_writer(counts, &mut value) {
+        obs::record(&shared.log, Event::InputRefused, &[("error", &error)]);
+        return None;
+    }
+    let key = keys::WAITING.to_string();
+    let txn = Txn {
+        conditions: vec![(keys::LOCK.to_string(), lead.lock), (key.clone(), revision)],
+        puts: vec![Put {
+            key,
+            value,
+            lease: Default::default(),
+        }],
+        removes: Vec::new(),
+    };
+    match shared.store.commit(&txn).await {
+        Ok(Outcome::Done(revision)) => Some(revision),
+        Ok(_) => None,
+        Err(error) => {
+            shared.heard_store(Err(&error));
+            None
+        }
+    }
+}
+
+async fn expire(shared: &Shared, lead: &Lead) {
+    let old = lead.book.borrow_mut().expire(shared.now());
+    for id in old {
+        let txn = Txn {
+            conditions: vec![(keys::LOCK.to_string(), lead.lock)],
+            puts: Vec::new(),
+            removes: vec![keys::job(&id), keys::cancel(&id), keys::run(&id)],
+        };
+        if let Err(error) = shared.store.commit(&txn).await {
+            // The records stay until a later coordinator reads and removes them.
+            shared.heard_store(Err(&error));
+        }
+        lead.revisions.borrow_mut().remove(&id);
+    }
+}
--- /dev/null
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -0,0 +1,168 @@
+//! What the parts of the daemon share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use base::Clock;
+use base::DomainId;
+use base::Millis;
+use base::Set;
+use batch::Bounds;
+use batch::Catalog;
+use batch::Derived;
+use conf::batch::Batch;
+use entry::Ready;
+use obs::Counter;
+use obs::Event;
+use obs::Metrics;
+use platform::Store;
+use platform::StoreError;
+use platform::Workers;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use slog::Logger;
+
+use crate::batch::lead::Lead;
+
+/// Time-out of a call to the store. It answers in a few milliseconds and in a quarter of a
+/// second while it is slow.
+pub const STORE_TIMEOUT: Millis = Millis(800);
+
+/// Time-out of an order to a worker, which answers within a few milliseconds.
+const ORDER_TIMEOUT: Millis = Millis(500);
+
+/// What is known of the operators' documents.
+#[derive(Default)]
+pub struct Facts {
+    /// The configuration.
+    pub catalog: Option<Rc<Catalog>>,
+    /// Failure domains whose workers get nothing.
+    pub out: Set<DomainId>,
+    /// When the store last confirmed that nothing is missing.
+    pub fresh: Millis,
+}
+
+/// Shared parts of a daemon.
+pub struct Shared {
+    /// Its settings.
+    pub settings: Batch,
+    /// Bounds of the deployment.
+    pub bounds: Bounds,
+    /// Times that follow from them.
+    pub times: Derived,
+    /// This start of the process.
+    pub instance: String,
+    /// The log.
+    pub log: Logger,
+    /// The metrics.
+    pub metrics: Metrics,
+    /// Calls of callers by kind and answer.
+    pub answers: Counter,
+    /// Failed calls to the store by kind.
+    pub store_errors: Counter,
+    /// The clock.
+    pub clock: Clock,
+    /// The platform's store.
+    pub store: Store,
+    /// The workers.
+    pub workers: Workers,
+    /// The operators' documents.
+    pub facts: RefCell<Facts>,
+    /// The leadership, while this daemon is the coordinator.
+    pub lead: RefCell<Option<Rc<Lead>>>,
+    /// What the balancer is told.
+    pub ready: Ready,
+    /// Whether a planned stop has begun.
+    pub stopping: Cell<bool>,
+    store_up: Cell<bool>,
+    rng: RefCell<Pcg64>,
+}
+
+impl Shared {
+    /// The parts of a daemon that starts now.
+    pub fn new(settings: Batch, log: Logger) -> Shared {
+        let site = &settings.bounds;
+        let bounds = Bounds {
+            max_hold: site.max_hold,
+            stop_grace: site.stop_grace,
+            gang_timeout: site.gang_timeout,
+            reclaim: site.reclaim,
+            config_apply: site.config_apply,
+            heartbeat: site.heartbeat,
+            status: site.status,
+            remote_factor: site.remote_factor,
+            min_ttl: settings.store.min_ttl,
+        };
+        let clock = Clock::System;
+        let instance = uuid::Uuid::new_v4().to_string();
+        let metrics = Metrics::new();
+        let seed = base::digest(instance.as_bytes());
+        let fields = slog::o!(
+            "vm" => settings.vm.to_string(),
+            "domain" => settings.domain.to_string()
+        );
+        Shared {
+            times: bounds.derive(),
+            bounds,
+            log: log.new(fields),
+            answers: metrics.counter("batch_answers", "Calls of callers by kind and answer"),
+            store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
+            metrics,
+            clock,
+            store: Store::new(settings.store.address, STORE_TIMEOUT),
+            workers: Workers::new(ORDER_TIMEOUT),
+            facts: RefCell::default(),
+            lead: RefCell::default(),
+            ready: Ready::default(),
+            stopping: Cell::new(false),
+            store_up: Cell::new(true),
+            rng: RefCell::new(Pcg64::seed_from_u64(seed)),
+            instance,
+            settings,
+        }
+    }
+
+    /// The current time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// A time of zero to `max`, to spread what would else happen everywhere at once.
+    pub fn spread(&self, max: Millis) -> Millis {
+        use rand::RngExt;
+        Millis(self.rng.borrow_mut().random_range(0..=max.0))
+    }
+
+    /// The leadership, if this daemon is the coordinator.
+    pub fn leading(&self) -> Option<Rc<Lead>> {
+        self.lead.borrow().clone().filter(|lead| !lead.over.get())
+    }
+
+    /// Notes whether the store has answered; a change is logged.
+    pub fn heard_store(&self, result: Result<(), &StoreError>) {
+        if let Err(error) = result {
+            let kind = match error {
+                StoreError::Busy(_) => "busy",
+                StoreError::NotSent(_) => "not-sent",
+                StoreError::Unknown(_) => "no-answer",
+                StoreError::History => "history",
+                StoreError::Protocol(_) => "protocol",
+            };
+            self.store_errors.add(&[("kind", kind)], 1);
+        }
+        let up = result.is_ok() || matches!(result, Err(StoreError::History));
+        if up == self.store_up.replace(up) {
+            return;
+        }
+        match result {
+            Err(error) => obs::record(&self.log, Event::StoreUnreachable, &[("error", error)]),
+            Ok(()) => obs::record(&self.log, Event::StoreReachable, &[]),
+        }
+    }
+
+    /// Pauses.
+    pub async fn sleep(&self, span: Millis) {
+        actix_rt::time::sleep(span.duration()).await;
+    }
+}
--- /dev/null
+++ b/crates/bronzetack/src/batch/views.rs
@@ -0,0 +1,143 @@
+//! Follows the operators' documents.
+
+use std::rc::Rc;
+
+use base::Millis;
+use obs::Event;
+use platform::decode;
+use platform::Change;
+use platform::Fact;
+use platform::Listing;
+use platform::StoreError;
+use platform::OPERATORS;
+
+use crate::batch::shared::Shared;
+use crate::batch::shared::STORE_TIMEOUT;
+
+/// Pause after a failed call, and its spread.
+const PAUSE: Millis = Millis(150);
+
+/// Follows the documents until the process ends.
+pub async fn run(shared: Rc<Shared>) {
+    loop {
+        let sent = shared.now();
+        match shared.store.list(OPERATORS).await {
+            Ok(listing) => {
+                shared.heard_store(Ok(()));
+                let revision = listing.revision;
+                take_all(&shared, listing, sent);
+                follow(&shared, revision).await;
+            }
+            Err(error) => shared.heard_store(Err(&error)),
+        }
+        ready(&shared);
+        shared.sleep(PAUSE + shared.spread(PAUSE)).await;
+    }
+}
+
+/// Watches from `after` on until the history is gone.
+async fn follow(shared: &Rc<Shared>, mut after: base::Revision) {
+    loop {
+        let sent = shared.now();
+        let seen = shared
+            .store
+            .watch(OPERATORS, after, shared.times.watch)
+            .await;
+        match seen {
+            Ok(seen) => {
+                shared.heard_store(Ok(()));
+                after = seen.revision.max(after);
+                for change in &seen.changes {
+                    take(shared, change);
+                }
+                shared.facts.borrow_mut().fresh = sent;
+                ready(shared);
+            }
+            Err(StoreError::History) => return,
+            Err(error) => {
+                shared.heard_store(Err(&error));
+                ready(shared);
+                shared.sleep(PAUSE + shared.spread(PAUSE)).await;
+            }
+        }
+    }
+}
+
+/// The daemon wants callers while it has a configuration and the store answers.
+fn ready(shared: &Shared) {
+    let facts = shared.facts.borrow();
+    let age = shared.now().since(facts.fresh);
+    let fresh = age <= shared.times.watch + STORE_TIMEOUT + STORE_TIMEOUT;
+    let ready = facts.catalog.is_some() && fresh;
+    if ready != shared.ready.get() && !shared.stopping.get() {
+        let version = facts.catalog.as_ref().map_or(0, |c| c.version);
+        let event = if ready {
+            Event::DaemonReady
+        } else {
+            Event::DaemonNotReady
+        };
+        obs::record(&shared.log, event, &[("version", &version), ("age", &age)]);
+    }
+    shared.ready.set(ready);
+}
+
+fn take_all(shared: &Rc<Shared>, listing: Listing, sent: Millis) {
+    shared.facts.borrow_mut().out.clear();
+    for item in listing.items {
+        take(shared, &Change::Put(item));
+    }
+    shared.facts.borrow_mut().fresh = sent;
+    tell_book(shared);
+}
+
+fn take(shared: &Rc<Shared>, change: &Change) {
+    let (key, value) = match change {
+        Change::Put(item) => (&item.key, item.value.as_deref()),
+        Change::Removed { key, .. } => (key, None),
+    };
+    let removed = matches!(change, Change::Removed { .. });
+    match decode(key, value) {
+        Fact::Catalog(Some(catalog)) => {
+            let mut facts = shared.facts.borrow_mut();
+            let held = facts.catalog.as_ref().map_or(0, |c| c.version);
+            if catalog.version > held {
+                obs::record(
+                    &shared.log,
+                    Event::SettingsApplied,
+                    &[("version", &catalog.version), ("before", &held)],
+                );
+                facts.catalog = Some(Rc::new(*catalog));
+            }
+        }
+        Fact::Catalog(None) => {
+            obs::record(&shared.log, Event::InputRefused, &[("key", key)]);
+        }
+        Fact::DomainOut(domain) => {
+            let event = if removed {
+                Event::DomainBack
+            } else {
+                Event::DomainOut
+            };
+            obs::record(&shared.log, event, &[("domain_out", &domain)]);
+            let mut facts = shared.facts.borrow_mut();
+            match removed {
+                true => facts.out.remove(&domain),
+                false => facts.out.insert(domain),
+            };
+        }
+        Fact::Other | Fact::Worker(..) => {}
+    }
+    tell_book(shared);
+}
+
+/// Passes the documents on to the coordinator's book.
+pub fn tell_book(shared: &Shared) {
+    let Some(lead) = shared.leading() else { return };
+    let facts = shared.facts.borrow();
+    let mut book = lead.book.borrow_mut();
+    if let Some(catalog) = &facts.catalog {
+        book.configure(catalog.as_ref().clone());
+    }
+    book.set_out(facts.out.clone());
+    lead.wake.notify_one();
+}
--- a/crates/bronzetack/src/cmd.rs
+++ b/crates/bronzetack/src/cmd.rs
@@ -1,5 +1,6 @@
 //! The commands, a file each.
 
+pub mod batch;
 pub mod check;
 pub mod serve;
 pub mod version;
--- /dev/null
+++ b/crates/bronzetack/src/cmd/batch.rs
@@ -0,0 +1,76 @@
+//! `bronzetack batch`: runs a daemon of a whole site's scheduler.
+
+use std::ffi::OsString;
+use std::fs;
+use std::path::Path;
+use std::process::exit;
+
+use bronzetack::BatchDaemon;
+use conf::batch;
+use conf::batch::Batch;
+use obs::Event;
+use tokio::signal::unix::signal;
+use tokio::signal::unix::SignalKind;
+
+use super::say;
+use super::wants_help;
+use super::SettingsArg;
+use crate::error::CliError;
+use crate::error::START;
+
+const USAGE: &str = "\
+Runs a daemon of a whole site's scheduler. SIGTERM begins a planned stop, a second one ends
+the daemon at once. SIGHUP reads the settings file again. Logs go to standard output.
+
+Usage:
+    bronzetack batch --settings <file>
+
+Exit codes: 0 stopped as planned, 1 could not start or was ended early, 2 wrong usage,
+3 findings in the settings.
+
+Example:
+    bronzetack batch --settings site.jsonc
+";
+
+/// Runs the command.
+pub fn run(args: Vec<OsString>) -> Result<(), CliError> {
+    if wants_help(&args) {
+        return say(USAGE);
+    }
+    let args = SettingsArg::parse(args)?;
+    let settings = load(&args.settings)?;
+    actix_rt::System::new().block_on(serve(settings, &args.settings))
+}
+
+/// Reads the settings of a daemon of a whole site's scheduler.
+pub fn load(path: &Path) -> Result<Batch, CliError> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).map_err(|e| CliError::Read(name.clone(), e))?;
+    Ok(batch::load(&text, &name)?)
+}
+
+async fn serve(settings: Batch, path: &Path) -> Result<(), CliError> {
+    let log = obs::to_stdout(slog::o!(), settings.debug);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let daemon = BatchDaemon::start(settings, log.clone())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => match load(path) {
+                Ok(settings) => daemon.reload(&settings),
+                Err(error) => obs::emit(&log, Event::SettingsRefused, &error.to_string()),
+            },
+        }
+    }
+    let again = log.clone();
+    actix_rt::spawn(async move {
+        terminate.recv().await;
+        obs::emit(&again, Event::StopForced, "second signal");
+        exit(i32::from(START));
+    });
+    daemon.close().await;
+    Ok(())
+}
--- a/crates/bronzetack/src/lib.rs
+++ b/crates/bronzetack/src/lib.rs
@@ -1,5 +1,6 @@
 //! The bronzetack daemon: its services and how they are put together.
 
+pub mod batch;
 pub mod claims;
 pub mod daemon;
 pub mod jobs;
@@ -14,6 +15,7 @@
 mod store;
 mod vms;
 
+pub use batch::BatchDaemon;
 pub use daemon::Daemon;
 pub use daemon::DaemonError;
 pub use daemon::Ports;
--- a/crates/bronzetack/src/main.rs
+++ b/crates/bronzetack/src/main.rs
@@ -18,6 +18,7 @@
     -h, --help    Show this message.
 
 Commands:
+    batch      Run a daemon of a whole site's scheduler
     check      Check a settings file and report all findings
     serve      Run the daemon
     version    Show the version
@@ -31,6 +32,7 @@
     }
     let command = args.remove(0);
     let result = match command.to_string_lossy().as_ref() {
+        "batch" => cmd::batch::run(args),
         "check" => cmd::check::run(args),
         "serve" => cmd::serve::run(args),
         "version" => cmd::version::run(args),
--- /dev/null
+++ b/crates/conf/src/batch/wire.rs
@@ -0,0 +1,168 @@
+//! The settings as the file writes them, and their conversion with all findings.
+
+use std::fmt::Display;
+use std::str::FromStr;
+
+use base::Findings;
+use base::Millis;
+
+use crate::batch::Addresses;
+use crate::batch::Batch;
+use crate::batch::SiteBounds;
+use crate::batch::StoreSettings;
+use crate::source::Section;
+use crate::source::Spot;
+
+const ADDRESS_REMEDY: &str = "write an IP number and a port, such as \"127.0.0.1:7001\"";
+const NAME_REMEDY: &str = "use 1 to 128 letters, digits or '-_.~:/'";
+const SPAN_REMEDY: &str = "write a time, such as \"400ms\" or \"6s\"";
+const FACTOR_REMEDY: &str = "write a number, such as \"3\"";
+
+/// Times without which the scheduler still keeps its own promises.
+const DEFAULTS: SiteBounds = SiteBounds {
+    max_hold: Millis(6_000),
+    stop_grace: Millis(1_000),
+    gang_timeout: Millis(3_000),
+    reclaim: Millis(3_000),
+    config_apply: Millis(2_000),
+    stop: Millis(6_000),
+    heartbeat: Millis(1_500),
+    status: Millis(120_000),
+    remote_factor: 3,
+};
+
+/// Bounds on every time of the file, in milliseconds.
+const SPANS: (u64, u64) = (50, 3_600_000);
+
+type Text = Option<Spot<String>>;
+
+/// The fields of the file, each with its place.
+pub struct BatchWire {
+    vm: Text,
+    domain: Text,
+    debug: Option<Spot<bool>>,
+    addresses: [Text; 4],
+    store: [Text; 2],
+    spans: [Text; 8],
+    factor: Text,
+}
+
+impl BatchWire {
+    /// Takes all fields; what has the wrong type is left out and becomes a finding.
+    pub fn read(mut top: Section<'_, '_>) -> BatchWire {
+        let vm = top.need("vm", NAME_REMEDY);
+        let domain = top.need("domain", NAME_REMEDY);
+        let debug = top.flag("debug");
+        let mut section = top.section("addresses");
+        let names = ["callers", "ready", "operators", "peers"];
+        let addresses = names.map(|name| section.need(name, ADDRESS_REMEDY));
+        section.close();
+        let mut section = top.section("store");
+        let store = [
+            section.need("address", ADDRESS_REMEDY),
+            section.text("min-ttl"),
+        ];
+        section.close();
+        let mut section = top.section("bounds");
+        let names = [
+            "max-hold",
+            "stop-grace",
+            "gang-timeout",
+            "reclaim",
+            "config-apply",
+            "stop",
+            "heartbeat",
+            "status",
+        ];
+        let spans = names.map(|name| section.text(name));
+        let factor = section.text("remote-factor");
+        section.close();
+        top.close();
+        BatchWire {
+            vm,
+            domain,
+            debug,
+            addresses,
+            store,
+            spans,
+            factor,
+        }
+    }
+}
+
+impl TryFrom<BatchWire> for Batch {
+    type Error = Findings;
+
+    fn try_from(wire: BatchWire) -> Result<Batch, Findings> {
+        let mut found = Findings::new();
+        match convert(&wire, &mut found) {
+            Some(batch) => found.into_result(batch),
+            None => Err(found),
+        }
+    }
+}
+
+/// Builds the settings; `None` when a field that must be there is not.
+fn convert(wire: &BatchWire, found: &mut Findings) -> Option<Batch> {
+    let vm = parse(&wire.vm, NAME_REMEDY, found);
+    let domain = parse(&wire.domain, NAME_REMEDY, found);
+    let [callers, ready, operators, peers] =
+        [0, 1, 2, 3].map(|num| parse(&wire.addresses[num], ADDRESS_REMEDY, found));
+    let address = parse(&wire.store[0], ADDRESS_REMEDY, found);
+    let min_ttl = span(&wire.store[1], Millis(1_000), found);
+    let bounds = bounds(wire, found);
+    Some(Batch {
+        vm: vm?,
+        domain: domain?,
+        addresses: Addresses {
+            callers: callers?,
+            ready: ready?,
+            operators: operators?,
+            peers: peers?,
+        },
+        store: StoreSettings {
+            address: address?,
+            min_ttl,
+        },
+        bounds,
+        debug: wire.debug.as_ref().is_some_and(|d| d.value),
+    })
+}
+
+fn bounds(wire: &BatchWire, found: &mut Findings) -> SiteBounds {
+    let [hold, grace, gang, reclaim, config, stop, heartbeat, status] = &wire.spans;
+    let factor: Option<f64> = parse(&wire.factor, FACTOR_REMEDY, found);
+    SiteBounds {
+        max_hold: span(hold, DEFAULTS.max_hold, found),
+        stop_grace: span(grace, DEFAULTS.stop_grace, found),
+        gang_timeout: span(gang, DEFAULTS.gang_timeout, found),
+        reclaim: span(reclaim, DEFAULTS.reclaim, found),
+        config_apply: span(config, DEFAULTS.config_apply, found),
+        stop: span(stop, DEFAULTS.stop, found),
+        heartbeat: span(heartbeat, DEFAULTS.heartbeat, found),
+        status: span(status, DEFAULTS.status, found),
+        remote_factor: factor.map_or(DEFAULTS.remote_factor, |f| f.ceil() as u64),
+    }
+}
+
+fn parse<T>(text: &Text, remedy: &str, found: &mut Findings) -> Option<T>
+where
+    T: FromStr,
+    T::Err: Display,
+{
+    text.as_ref()?.parse(found, remedy)
+}
+
+fn span(text: &Text, default: Millis, found: &mut Findings) -> Millis {
+    let Some(spot) = text else { return default };
+    let Some(span) = spot.parse::<Millis>(found, SPAN_REMEDY) else {
+        return default;
+    };
+    let (min, max) = SPANS;
+    if span.0 < min || span.0 > max {
+        let problem = format!("{span} is out of range");
+        found.add(spot.place.as_str(), problem, "write 50ms to 3600s");
+        return default;
+    }
+    span
+}
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -34,28 +34,43 @@
     where
         F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
     {
-        let listener = TcpListener::bind(address)?;
-        let address = listener.local_addr()?;
+        Server::start_on(&[address], stop, routes)
+    }
+
+    /// As [`Server::start`] on several addresses, all served by one thread. At least one.
+    pub fn start_on<F>(addresses: &[SocketAddr], stop: Millis, routes: F) -> std::io::Result<Server>
+    where
+        F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+    {
+        let listeners: std::io::Result<Vec<TcpListener>> =
+            addresses.iter().map(TcpListener::bind).collect();
+        let listeners = listeners?;
+        let Some(first) = listeners.first() else {
+            return Err(std::io::Error::from(std::io::ErrorKind::InvalidInput));
+        };
+        let address = first.local_addr()?;
         let app = move || {
             App::new()
                 .wrap(middleware::DefaultHeaders::new().add(("server", "bronzetack")))
                 .configure(routes.clone())
                 .default_service(web::to(no_path))
         };
-        let server = HttpServer::new(app)
+        let mut server = HttpServer::new(app)
             .workers(1)
             .max_connections(CONNECTIONS)
             .client_request_timeout(HEAD_MAX)
             .shutdown_timeout(stop.0.div_ceil(1000))
-            .disable_signals()
-            .listen(listener)?
-            .run();
+            .disable_signals();
+        for listener in listeners {
+            server = server.listen(listener)?;
+        }
+        let server = server.run();
         let handle = server.handle();
         actix_rt::spawn(server);
         Ok(Server { address, handle })
     }
 
-    /// Where it listens.
+    /// Where it listens; the first address if there are several.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -56,6 +56,7 @@
     DaemonStopped = 103, Info, "daemon stopped";
     StopForced = 104, Warn, "planned stop ended early with work in progress";
     ServiceFailed = 105, Error, "a service could not start";
+    DaemonNotReady = 106, Warn, "daemon is not ready for callers";
     SpanClosed = 110, Debug, "span closed";
     StoreUnreachable = 200, Warn, "platform store does not answer";
     StoreReachable = 201, Info, "platform store answers again";
@@ -63,6 +64,7 @@
     StoreBudgetSpent = 203, Warn, "store call held back by the call budget";
     WatchRestarted = 204, Info, "store watch resumed from a revision";
     WatchCompacted = 205, Warn, "store watch fell behind; reading all";
+    StoreSlow = 206, Warn, "store did not take records in time";
     LinkUp = 300, Info, "link to a peer is up";
     LinkDown = 301, Warn, "link to a peer is down";
     LinkRefused = 302, Warn, "a connection on the peer port was refused";
@@ -96,5 +98,11 @@
     WorkerProbed = 624, Info, "isolated worker is given a probe task";
     DomainOut = 630, Info, "failure domain taken out";
     DomainBack = 631, Info, "failure domain back";
+    CallAnswered = 640, Info, "call of a caller answered";
+    RunOrdered = 641, Info, "run ordered";
+    JobDecided = 642, Info, "coordinator decided on a job or worker";
+    StopUnanswered = 643, Warn, "worker did not answer a stop";
+    CallerGone = 644, Info, "caller left before its answer";
+    SettingsReloaded = 650, Info, "settings file read again";
     InputRefused = 700, Info, "malformed input refused";
 }
