Let a silent worker's lease run out

Each look at the worker, answered or not, moved the latest possible end of its lease. Ruled out: a lost record; the run was open in the book all the while. Change: a look at a worker that did not answer the last one carries no deadline; the first answer renews the lease again.

--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -63,7 +63,6 @@
     pub(crate) fenced: bool,
     /// When runs inherited on workers that never answer have ended for sure.
     pub(crate) inherited_end: Millis,
-    pub(crate) look_now: Set<WorkerId>,
 }
 
 impl Book {
@@ -84,7 +83,6 @@
             notes: Vec::new(),
             fenced: false,
             inherited_end: now + times.tail + stretched(times.hold),
-            look_now: Set::default(),
         }
     }
 
@@ -227,7 +225,6 @@
                 let mut worker = Worker::new(view);
                 worker.lease_end = self.inherited_end;
                 self.adopt_open(&id, &mut worker);
-                self.look_now.insert(id.clone());
                 self.workers.insert(id, worker);
             }
         }
--- a/crates/batch/src/book/orders.rs
+++ b/crates/batch/src/book/orders.rs
@@ -217,13 +217,17 @@
 
     /// The next look at a worker. `renew` tells whether the coordinator may extend leases.
     pub fn look(&mut self, id: &WorkerId, renew: bool, now: Millis) -> Option<LookOrder> {
-        let deadline = if renew { self.renew(id, now) } else { None };
-        self.look_now.remove(id);
         let worker = self.workers.get(id)?;
-        let wait = if worker.known {
-            self.times.look
-        } else {
-            Millis::ZERO
+        // A silent worker's lease runs out: what it ran can start elsewhere then.
+        let answering = worker.known && !worker.silent;
+        let deadline = match renew && answering {
+            true => self.renew(id, now),
+            false => None,
+        };
+        let worker = self.workers.get(id)?;
+        let wait = match answering {
+            true => self.times.look,
+            false => Millis::ZERO,
         };
         Some(LookOrder {
             address: worker.view.address,
