Order waiting steps by what can still be in time; stop least for urgent work

Preemption counted the room that stopped tasks leave twice, cleared room on several racks for gangs that start on one, and stopped the same small tasks again and again. Gangs wider than any rack never started. Change: rank by class and slack; racks are tried one by one, also for preemption, and only those that can ever hold the gang; loss is bounded by the urgent work unless the guarantee's time is near; room is kept for large gangs of lower priority.

--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -61,6 +61,8 @@
     pub(crate) planned: Vec<StartOrder>,
     pub(crate) notes: Vec<Note>,
     pub(crate) fenced: bool,
+    /// Seen duration of each queue's tasks against their estimates, in percent.
+    pub(crate) ratios: Map<String, u32>,
     /// When runs inherited on workers that never answer have ended for sure.
     pub(crate) inherited_end: Millis,
 }
@@ -82,6 +84,7 @@
             planned: Vec::new(),
             notes: Vec::new(),
             fenced: false,
+            ratios: Map::default(),
             inherited_end: now + times.tail + stretched(times.hold),
         }
     }
--- a/crates/batch/src/book/report.rs
+++ b/crates/batch/src/book/report.rs
@@ -1,6 +1,7 @@
 //! What a worker's report says about the runs on it.
 
 use base::JobId;
+use base::Map;
 use base::Millis;
 use base::WorkerId;
 
@@ -127,6 +128,8 @@
         };
         let gang = job.spec(&end.task).is_some_and(|s| s.gang);
         let lasting = job.spec(&end.task).is_some_and(|s| s.lasting);
+        let estimate = job.spec(&end.task).map(|s| s.estimate).unwrap_or_default();
+        let queue = job.given.queue.clone();
         let Some(step) = job.step_mut(&end.task) else {
             return;
         };
@@ -153,8 +156,16 @@
         let Some(task) = step.tasks.get_mut(usize::from(end.task.index)) else {
             return;
         };
+        let seen = task
+            .open
+            .as_ref()
+            .filter(|o| o.run == end.run)
+            .and_then(|o| o.seen);
         if end.kind == EndKind::Done && !lasting {
             task.done = true;
+            if let Some(seen) = seen.filter(|_| estimate > Millis::ZERO) {
+                learn(&mut self.ratios, queue, now.since(seen), estimate);
+            }
         }
         if end.kind == EndKind::Failed {
             task.failures += u32::from(!gang);
@@ -215,15 +226,15 @@
         let done = task.done;
         if !row.saved.is_empty() && task.saved != row.saved {
             task.saved = row.saved.clone();
-            if let Some(open) = task.open.as_mut() {
-                open.saved_at = Some(now);
-            }
         }
         let Some(open) = task.open.as_mut() else {
             return;
         };
         open.seen.get_or_insert(now);
-        open.percent = row.percent;
+        if open.percent != row.percent {
+            open.percent = row.percent;
+            open.moved = now;
+        }
         if matches!(open.phase, RunPhase::Inherited | RunPhase::Sent) {
             open.phase = RunPhase::Running;
         }
@@ -287,3 +298,16 @@
         }
     }
 }
+
+/// Weight of one more observation, one in this many.
+const WEIGHT: u32 = 16;
+
+/// Largest ratio taken from one observation, in percent.
+const RATIO_MAX: u64 = 500;
+
+/// Takes one task's duration into the ratio of its queue.
+fn learn(ratios: &mut Map<String, u32>, queue: String, took: Millis, estimate: Millis) {
+    let seen = (took.0 * 100 / estimate.0).min(RATIO_MAX) as u32;
+    let ratio = ratios.entry(queue).or_insert(100);
+    *ratio = (*ratio * (WEIGHT - 1) + seen) / WEIGHT;
+}
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -69,12 +69,30 @@
     pub stop_sent: Option<Millis>,
     /// When it was first seen at work.
     pub seen: Option<Millis>,
-    /// When it last saved its progress.
-    pub saved_at: Option<Millis>,
+    /// When its progress last changed.
+    pub moved: Millis,
     /// Work done in percent, as the worker last said.
     pub percent: u32,
 }
 
+impl OpenRun {
+    /// A run that is to be recorded.
+    pub fn planned(run: RunNumber, worker: WorkerId, born: u64, now: Millis) -> OpenRun {
+        OpenRun {
+            run,
+            worker,
+            born,
+            phase: RunPhase::Planned,
+            since: now,
+            settled: None,
+            stop_sent: None,
+            seen: None,
+            moved: now,
+            percent: 0,
+        }
+    }
+}
+
 /// A task.
 #[derive(Clone, Debug, Default)]
 pub struct TaskState {
@@ -199,6 +217,13 @@
         }
     }
 
+    /// Accelerators of its widest step.
+    pub fn accels(&self) -> u64 {
+        let steps = self.given.work.steps.iter();
+        let widths = steps.map(|s| u64::from(s.count) * s.need.accels);
+        widths.max().unwrap_or_default()
+    }
+
     /// Number of occurrences.
     pub fn occurrences(&self) -> u32 {
         self.given.work.schedule.map_or(1, |s| s.runs)
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -8,10 +8,12 @@
 mod bounds;
 mod catalog;
 mod job;
+mod order;
 mod place;
 mod plan;
 mod preempt;
 mod record;
+mod reserve;
 mod spec;
 mod worker;
 
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -4,6 +4,7 @@
 //! spread over all workers leave no room for large ones, so each task goes where it leaves the
 //! least room behind.
 
+use base::Millis;
 use base::ServiceId;
 use base::WorkerId;
 
@@ -21,13 +22,22 @@
     pub labels: Vec<String>,
     /// Its rack.
     pub rack: Option<String>,
+    /// All that it offers.
+    pub capacity: Resources,
     /// Room now.
     pub free: Resources,
     /// Room that tasks being stopped will leave.
     pub coming: Resources,
+    /// What runs on it: expected time left and what it occupies.
+    pub running: Vec<(Millis, Resources)>,
+    /// Kept for a large gang that starts after this time; shorter tasks may use it until then.
+    pub kept: Option<Millis>,
+    /// How far other workers are preferred to it; 0 for not at all.
+    pub slowness: u32,
 }
 
 /// Limits on the choice beside the room.
+#[derive(Clone, Copy)]
 pub struct Limits<'a> {
     /// The pool to choose from.
     pub pool: &'a ServiceId,
@@ -39,6 +49,8 @@
     pub remote: bool,
     /// The one rack to use.
     pub rack: Option<&'a str>,
+    /// Expected duration of a task.
+    pub lasts: Millis,
 }
 
 /// Whether a worker may run a task of the step, room aside.
@@ -64,22 +76,28 @@
 }
 
 /// The worker on which one task leaves the least room, or `None` if it fits nowhere.
-pub fn best_fit(rooms: &[Room], step: &StepSpec, limits: &Limits) -> Option<usize> {
+pub fn best_fit(
+    rooms: &[Room],
+    room_in: &[Resources],
+    step: &StepSpec,
+    limits: &Limits,
+) -> Option<usize> {
     let need = step.occupies();
-    let fitting = rooms
-        .iter()
-        .enumerate()
-        .filter(|(num, room)| room.free.fits(&need) && is_eligible(room, *num, step, limits));
-    let best = fitting.min_by_key(|(_, room)| {
-        let left = room.free.without(&need);
-        (!is_near(room, step), left.accels, left.cpu)
+    let fitting = rooms.iter().enumerate().filter(|(num, room)| {
+        let open = room.kept.is_none_or(|until| limits.lasts <= until);
+        open && room_in[*num].fits(&need) && is_eligible(room, *num, step, limits)
+    });
+    let best = fitting.min_by_key(|(num, room)| {
+        let left = room_in[*num].without(&need);
+        (!is_near(room, step), room.slowness, left.accels, left.cpu)
     });
     best.map(|(num, _)| num)
 }
 
-/// Workers for `count` more tasks of a gang, all or none. Takes the room that it finds.
+/// Workers for `count` more tasks, all or none. Takes the room that it finds.
 pub fn place_all(
-    rooms: &mut [Room],
+    rooms: &[Room],
+    room_in: &mut [Resources],
     step: &StepSpec,
     limits: &Limits,
     count: usize,
@@ -92,50 +110,80 @@
             on_worker: &on_worker,
             ..*limits
         };
-        let Some(num) = best_fit(rooms, step, &limits) else {
+        let Some(num) = best_fit(rooms, room_in, step, &limits) else {
             for num in chosen {
-                let room: &mut Room = &mut rooms[num];
-                room.free += need;
+                let room: &mut Resources = &mut room_in[num];
+                *room += need;
             }
             return None;
         };
-        rooms[num].free -= need;
+        room_in[num] -= need;
         on_worker[num] += 1;
         chosen.push(num);
     }
     Some(chosen)
 }
 
-/// Workers for a gang that runs best on one rack: the rack with the least room that suffices.
-pub fn place_in_rack(
-    rooms: &mut [Room],
+/// Workers for a gang: on one rack if it runs best so and a rack can hold it.
+pub fn place_gang(
+    rooms: &[Room],
+    room_in: &mut [Resources],
     step: &StepSpec,
     limits: &Limits,
     count: usize,
 ) -> Option<Vec<usize>> {
+    let racks = racks(rooms, room_in, step, limits, count);
+    for rack in racks {
+        let limits = Limits {
+            rack: rack.as_deref(),
+            ..*limits
+        };
+        if let Some(chosen) = place_all(rooms, room_in, step, &limits, count) {
+            return Some(chosen);
+        }
+    }
+    None
+}
+
+/// The racks that could hold a gang, least room first; no particular one for a gang that does
+/// not ask for one rack, or that is larger than any.
+pub fn racks(
+    rooms: &[Room],
+    room_in: &[Resources],
+    step: &StepSpec,
+    limits: &Limits,
+    count: usize,
+) -> Vec<Option<String>> {
+    if !step.one_rack || limits.rack.is_some() {
+        return vec![limits.rack.map(str::to_string)];
+    }
     let need = step.occupies();
-    let mut racks: Vec<(u64, String)> = Vec::new();
+    let most = u64::from(step.per_worker.unwrap_or(u32::MAX));
+    let mut found: Vec<(u64, u64, &str)> = Vec::new();
     for (num, room) in rooms.iter().enumerate() {
-        let Some(rack) = &room.rack else { continue };
+        let Some(rack) = room.rack.as_deref() else {
+            continue;
+        };
         if !is_eligible(room, num, step, limits) {
             continue;
         }
-        let copies = need.copies_in(&room.free);
-        match racks.iter_mut().find(|(_, name)| name == rack) {
-            Some((sum, _)) => *sum = sum.saturating_add(copies),
-            None => racks.push((copies, rack.clone())),
+        let now = need.copies_in(&room_in[num]).min(most).min(count as u64);
+        let ever = need.copies_in(&room.capacity).min(most).min(count as u64);
+        match found.iter_mut().find(|(_, _, name)| *name == rack) {
+            Some(sums) => {
+                sums.0 += now;
+                sums.1 += ever;
+            }
+            None => found.push((now, ever, rack)),
         }
     }
-    racks.sort();
-    let fitting = racks.into_iter().filter(|(sum, _)| *sum >= count as u64);
-    for (_, rack) in fitting {
-        let limits = Limits {
-            rack: Some(&rack),
-            ..*limits
-        };
-        if let Some(chosen) = place_all(rooms, step, &limits, count) {
-            return Some(chosen);
-        }
+    found.retain(|(_, ever, _)| *ever >= count as u64);
+    if found.is_empty() {
+        return vec![None];
     }
-    None
+    found.sort();
+    found
+        .into_iter()
+        .map(|(_, _, rack)| Some(rack.to_string()))
+        .collect()
 }
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -4,6 +4,7 @@
 use base::Map;
 use base::Millis;
 use base::OrgId;
+use base::Set;
 use base::WorkerId;
 
 use crate::book::Book;
@@ -11,58 +12,69 @@
 use crate::job::Job;
 use crate::job::OpenRun;
 use crate::job::RunPhase;
+use crate::job::StepState;
+use crate::order::rank;
+use crate::order::Rank;
+use crate::order::Wait;
 use crate::place::best_fit;
-use crate::place::place_all;
-use crate::place::place_in_rack;
+use crate::place::place_gang;
 use crate::place::Limits;
 use crate::place::Room;
+use crate::preempt;
+use crate::preempt::Victim;
+use crate::reserve;
 use crate::spec::Resources;
 use crate::spec::RunNumber;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
 
-/// Time that a step of the highest priority waits for room before others are stopped for it.
-const PREEMPT_AFTER: Millis = Millis(200);
-
 /// Time that a step waits for room near its data, in multiples of its estimate.
 const NEAR_WAIT: u64 = 1;
 
+/// Gangs for which room is kept at a time.
+const KEPT_GANGS: usize = 2;
+
+/// Time that a gang waits before room is kept for it.
+const KEEP_AFTER: Millis = Millis(500);
+
+/// Time for a stopped task's end to be seen and its successor to start, beside the stop's grace.
+const TURNOVER: Millis = Millis(700);
+
 /// A waiting step.
 struct Waiting {
     job: JobId,
     occurrence: u32,
     step: u16,
-    rank: (u32, u64, Millis),
+    rank: Rank,
+    guaranteed: bool,
 }
 
 /// State of one pass.
 struct Pass {
     rooms: Vec<Room>,
-    /// Accelerators in use by jobs of priority 0 of each organisation.
-    in_use: Map<OrgId, u64>,
+    /// Room that may be used, by the place in the list of rooms.
+    free: Vec<Resources>,
+    kept: usize,
     now: Millis,
 }
 
-impl Pass {
-    fn count(&mut self, org: Option<OrgId>, accels: u64) {
-        if let Some(org) = org {
-            *self.in_use.entry(org).or_default() += accels;
-        }
-    }
-}
-
 impl Book {
     /// Plans starts and stops. The starts are sent once they are recorded.
     pub fn plan(&mut self, now: Millis, wall: Millis) {
         let mut waiting = self.waiting_steps(now, wall);
+        if waiting.is_empty() {
+            return;
+        }
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.job.cmp(&b.job)));
+        let rooms = self.rooms(now);
         let mut pass = Pass {
-            in_use: self.guaranteed_use(),
-            rooms: self.rooms(now),
+            free: rooms.iter().map(|r| r.free).collect(),
+            rooms,
+            kept: 0,
             now,
         };
-        for step in waiting {
-            self.plan_step(&mut pass, &step);
+        for at in waiting {
+            self.plan_step(&mut pass, &at);
         }
     }
 
@@ -73,27 +85,49 @@
                 continue;
             }
             let mut coming = Resources::default();
+            let mut running = Vec::with_capacity(worker.open.len());
             for task in worker.open.keys() {
-                let stopping = self
-                    .open_run(task)
-                    .is_some_and(|o| o.phase == RunPhase::Stopping);
-                if stopping {
-                    coming += self.occupied(task);
+                let Some(open) = self.open_run(task) else {
+                    continue;
+                };
+                let need = self.occupied(task);
+                if open.phase == RunPhase::Stopping {
+                    coming += need;
                 }
+                running.push((self.time_left(task, open, now), need));
             }
             rooms.push(Room {
                 id: id.clone(),
                 pool: worker.view.pool.clone(),
                 labels: worker.view.labels.clone(),
                 rack: worker.view.rack().map(str::to_string),
+                capacity: worker.view.capacity,
                 free: worker.free(),
                 coming,
+                running,
+                kept: None,
+                slowness: worker.slowness(),
             });
         }
         rooms.sort_by(|a, b| a.id.cmp(&b.id));
         rooms
     }
 
+    /// Expected time until a run ends.
+    fn time_left(&self, task: &TaskId, open: &OpenRun, now: Millis) -> Millis {
+        if open.phase == RunPhase::Stopping {
+            return self.bounds.stop_grace;
+        }
+        let ran = now.since(open.seen.unwrap_or(open.since));
+        let job = self.jobs.get(&task.job);
+        let expected = job.map_or(Millis::ZERO, |j| self.expected(j, task.step));
+        if open.percent >= 10 {
+            let all = ran.0 * 100 / u64::from(open.percent);
+            return Millis(all).since(ran);
+        }
+        expected.since(ran)
+    }
+
     fn occupied(&self, task: &TaskId) -> Resources {
         let job = self.jobs.get(&task.job);
         job.and_then(|j| j.spec(task))
@@ -101,8 +135,38 @@
             .unwrap_or_default()
     }
 
+    /// Expected duration of a step's tasks: the estimate, corrected by what has been seen on
+    /// its queue.
+    fn expected(&self, job: &Job, step: u16) -> Millis {
+        let estimate = job.given.work.steps[usize::from(step)].estimate;
+        let percent = self.ratios.get(&job.given.queue).copied().unwrap_or(100);
+        Millis(estimate.0 * u64::from(percent) / 100)
+    }
+
+    /// Jobs of the highest priority within their organisation's guarantee, in the order in
+    /// which they were accepted.
+    fn guaranteed(&self) -> Set<JobId> {
+        let urgent = self.live.iter().filter_map(|id| self.jobs.get(id));
+        let mut urgent: Vec<&Job> = urgent
+            .filter(|j| j.given.priority == 0 && !j.phase.is_final())
+            .collect();
+        urgent.sort_by(|a, b| a.given.at.cmp(&b.given.at).then_with(|| a.id.cmp(&b.id)));
+        let mut sums: Map<&OrgId, u64> = Map::default();
+        let mut found = Set::default();
+        for job in urgent {
+            let Some(org) = &job.given.org else { continue };
+            let sum = sums.entry(org).or_default();
+            *sum += job.accels();
+            if *sum <= self.catalog.guarantee(org) {
+                found.insert(job.id.clone());
+            }
+        }
+        found
+    }
+
     /// Steps that could start tasks now.
     fn waiting_steps(&mut self, now: Millis, wall: Millis) -> Vec<Waiting> {
+        let guaranteed = self.guaranteed();
         let mut out = Vec::new();
         for id in &self.live {
             let Some(job) = self.jobs.get_mut(id) else {
@@ -111,25 +175,30 @@
             if job.phase.is_final() {
                 continue;
             }
-            let due_by = due_by(job, wall, now);
+            let is_guaranteed = guaranteed.contains(id);
+            let ratio = self.ratios.get(&job.given.queue).copied().unwrap_or(100);
+            let left = job.given.work.chain();
+            let wait = Wait {
+                priority: job.given.priority,
+                guaranteed: is_guaranteed,
+                age: wall.since(job.given.at),
+                objective: job.given.objective,
+                left: Millis(left.0 * u64::from(ratio) / 100),
+            };
+            let place = rank(&wait);
             let Job { given, open, .. } = job;
             for (&occurrence, state) in open.iter_mut() {
                 for (num, spec) in given.work.steps.iter().enumerate() {
-                    if !state.is_ready(spec) {
-                        continue;
-                    }
-                    let step = &mut state.steps[num];
-                    let all_closed = !step.is_open();
-                    let startable = step.tasks.iter().any(|t| !t.done && t.open.is_none());
-                    if !startable || (spec.gang && !all_closed) || now < step.not_before {
+                    if !state.is_ready(spec) || !is_startable(&state.steps[num], spec, now) {
                         continue;
                     }
-                    step.ready_at.get_or_insert(now);
+                    state.steps[num].ready_at.get_or_insert(now);
                     out.push(Waiting {
                         job: id.clone(),
                         occurrence,
                         step: num as u16,
-                        rank: (given.priority, 0, due_by),
+                        rank: place,
+                        guaranteed: is_guaranteed,
                     });
                 }
             }
@@ -137,24 +206,8 @@
         out
     }
 
-    /// Accelerators in use by jobs of priority 0 of each organisation.
-    fn guaranteed_use(&self) -> Map<OrgId, u64> {
-        let mut sums: Map<OrgId, u64> = Map::default();
-        for id in &self.live {
-            let Some(job) = self.jobs.get(id).filter(|j| j.given.priority == 0) else {
-                continue;
-            };
-            let Some(org) = &job.given.org else { continue };
-            let tasks = job.open_tasks();
-            let accels: u64 = tasks.iter().map(|t| self.occupied(t).accels).sum();
-            *sums.entry(org.clone()).or_default() += accels;
-        }
-        sums
-    }
-
     fn plan_step(&mut self, pass: &mut Pass, at: &Waiting) {
         let now = pass.now;
-        let rooms = &mut pass.rooms;
         let Some(job) = self.jobs.get(&at.job) else {
             return;
         };
@@ -176,85 +229,88 @@
         let missing: Vec<(u16, Vec<WorkerId>)> = missing
             .map(|(index, t)| (index as u16, t.avoid.clone()))
             .collect();
-        let on_worker = on_workers(rooms, state.tasks.iter().filter_map(|t| t.open.as_ref()));
+        let mut on_worker = on_workers(
+            &pass.rooms,
+            state.tasks.iter().filter_map(|t| t.open.as_ref()),
+        );
         let urgent = job.given.priority == 0;
-        let org = job.given.org.clone();
-        let remote = spec.data_rack.is_none() || waited.0 > spec.estimate.0 * NEAR_WAIT;
-        let mut limits = Limits {
+        let limits = Limits {
             pool: &pool,
             avoid: &[],
-            on_worker: &on_worker,
-            remote,
+            on_worker: &[],
+            remote: spec.data_rack.is_none() || waited.0 > spec.estimate.0 * NEAR_WAIT,
             rack: None,
+            lasts: self.expected(job, at.step),
         };
-        if spec.gang {
-            let avoid: Vec<WorkerId> = missing.iter().flat_map(|(_, a)| a.clone()).collect();
-            limits.avoid = &avoid;
-            let found = match spec.one_rack {
-                true => place_in_rack(rooms, &spec, &limits, missing.len()),
-                false => place_all(rooms, &spec, &limits, missing.len()),
-            };
-            if let Some(chosen) = found {
+        let short = match spec.gang {
+            true => {
+                let avoid: Vec<WorkerId> = missing.iter().flat_map(|(_, a)| a.clone()).collect();
+                let limits = Limits {
+                    avoid: &avoid,
+                    on_worker: &on_worker,
+                    ..limits
+                };
                 let run = state.last_run().next();
-                let tasks: Vec<(u16, usize)> = missing.iter().map(|m| m.0).zip(chosen).collect();
-                for (index, num) in tasks {
-                    self.start(at, index, run, &rooms[num].id.clone(), now);
+                let Pass { rooms, free, .. } = pass;
+                let found = place_gang(rooms, free, &spec, &limits, missing.len());
+                if let Some(chosen) = found {
+                    for ((index, _), num) in missing.iter().zip(chosen) {
+                        pass.rooms[num].free = pass.free[num];
+                        self.start(at, *index, run, &pass.rooms[num].id.clone(), now);
+                    }
+                    return;
                 }
-                return;
+                missing.len()
             }
-            let accels = spec.need.accels * missing.len() as u64;
-            if urgent && self.may_preempt(waited, org.as_ref(), &pass.in_use, accels) {
-                self.preempt(rooms, &spec, &limits, missing.len(), now);
-                pass.count(org, accels);
+            false => {
+                let mut short = 0;
+                for (index, avoid) in &missing {
+                    let limits = Limits {
+                        avoid,
+                        on_worker: &on_worker,
+                        ..limits
+                    };
+                    let Some(num) = best_fit(&pass.rooms, &pass.free, &spec, &limits) else {
+                        short += 1;
+                        continue;
+                    };
+                    pass.free[num] -= spec.occupies();
+                    pass.rooms[num].free = pass.free[num];
+                    on_worker[num] += 1;
+                    let run = self.last_run(at, *index).next();
+                    self.start(at, *index, run, &pass.rooms[num].id.clone(), now);
+                }
+                short
             }
+        };
+        if short == 0 {
             return;
         }
-        let mut on_worker = on_worker.clone();
-        let mut short = 0;
-        for (index, avoid) in missing {
-            let limits = Limits {
-                avoid: &avoid,
-                on_worker: &on_worker,
-                ..limits
-            };
-            let Some(num) = best_fit(rooms, &spec, &limits) else {
-                short += 1;
-                if avoid.is_empty() {
-                    break;
-                }
-                continue;
-            };
-            rooms[num].free -= spec.occupies();
-            on_worker[num] += 1;
-            let run = self.last_run(at, index).next();
-            self.start(at, index, run, &rooms[num].id.clone(), now);
-        }
-        let accels = spec.need.accels * short as u64;
-        if short > 0 && urgent && self.may_preempt(waited, org.as_ref(), &pass.in_use, accels) {
-            let limits = Limits {
-                on_worker: &on_worker,
-                ..limits
-            };
-            self.preempt(rooms, &spec, &limits, short, now);
-            pass.count(org, accels);
+        let avoid: Vec<WorkerId> = missing.iter().flat_map(|(_, a)| a.clone()).collect();
+        let limits = Limits {
+            avoid: &avoid,
+            on_worker: &on_worker,
+            ..limits
+        };
+        if urgent {
+            let worth = preempt::work(&spec.need, limits.lasts) * short as u64;
+            let most = self.most_loss(waited, at.guaranteed, worth);
+            self.make_room(pass, &spec, &limits, short, most);
+        } else if spec.gang && waited >= KEEP_AFTER && pass.kept < KEPT_GANGS && !at.rank.is_lost()
+        {
+            reserve::keep(&mut pass.rooms, &spec, &limits, short);
+            pass.kept += 1;
         }
     }
 
-    /// Whether other work may be stopped for a step of the highest priority.
-    fn may_preempt(
-        &self,
-        waited: Millis,
-        org: Option<&OrgId>,
-        in_use: &Map<OrgId, u64>,
-        accels: u64,
-    ) -> bool {
-        let guarantee = org.map_or(0, |o| self.catalog.guarantee(o));
-        let used = org.and_then(|o| in_use.get(o)).copied().unwrap_or(0);
-        let pause = match used + accels <= guarantee {
-            true => PREEMPT_AFTER,
-            false => Millis(PREEMPT_AFTER.0 * 2),
-        };
-        waited >= pause
+    /// Work that may be lost for a waiting step of the highest priority, in core-milliseconds.
+    fn most_loss(&self, waited: Millis, guaranteed: bool, worth: u64) -> u64 {
+        let last = self.bounds.reclaim.since(self.bounds.stop_grace + TURNOVER);
+        match waited {
+            _ if guaranteed && waited >= Millis(last.0 / 2) => u64::MAX,
+            _ if guaranteed => worth * 2,
+            _ => worth,
+        }
     }
 
     fn last_run(&self, at: &Waiting, index: u16) -> RunNumber {
@@ -285,18 +341,7 @@
             return;
         };
         state.run = run;
-        state.open = Some(OpenRun {
-            run,
-            worker: id.clone(),
-            born: worker.born,
-            phase: RunPhase::Planned,
-            since: now,
-            settled: None,
-            stop_sent: None,
-            seen: None,
-            saved_at: None,
-            percent: 0,
-        });
+        state.open = Some(OpenRun::planned(run, id.clone(), worker.born, now));
         worker.used += need;
         worker.open.insert(task.clone(), run);
         self.planned.push(StartOrder {
@@ -313,21 +358,124 @@
         });
         self.dirty.insert(at.job.clone());
     }
+
+    /// Stops work of lower priority so that the tasks fit, and keeps the room for them.
+    fn make_room(
+        &mut self,
+        pass: &mut Pass,
+        spec: &StepSpec,
+        limits: &Limits,
+        count: usize,
+        most: u64,
+    ) {
+        let (victims, tasks) = self.victims(&pass.rooms, pass.now);
+        let Some(choice) = preempt::choose(&pass.rooms, &victims, spec, limits, count) else {
+            return;
+        };
+        if choice.loss > most {
+            return;
+        }
+        let need = spec.occupies();
+        for &num in &choice.rooms {
+            let room = &mut pass.rooms[num];
+            let rest = need.without(&room.free);
+            room.free -= need;
+            room.coming -= rest;
+            pass.free[num] = room.free;
+        }
+        for victim in choice.victims {
+            for task in &tasks[victim] {
+                self.stop(task);
+            }
+            if let Some(task) = tasks[victim].first() {
+                let num = tasks[victim].len();
+                let text = format!("{num} runs of {task} are stopped for work of priority 0");
+                self.note(Some(&task.job), text);
+            }
+        }
+    }
+
+    /// Runs of lower priority on the rooms, each with the work that a stop would lose. The
+    /// members of a gang go together.
+    fn victims(&self, rooms: &[Room], now: Millis) -> (Vec<Victim>, Vec<Vec<TaskId>>) {
+        let place: Map<&WorkerId, usize> = rooms
+            .iter()
+            .enumerate()
+            .map(|(num, r)| (&r.id, num))
+            .collect();
+        let mut victims: Vec<Victim> = Vec::new();
+        let mut tasks: Vec<Vec<TaskId>> = Vec::new();
+        for id in &self.live {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            if job.given.priority == 0 || job.phase.is_final() {
+                continue;
+            }
+            for task in job.open_tasks() {
+                let Some(open) = self.open_run(&task) else {
+                    continue;
+                };
+                let Some(spec) = job.spec(&task) else {
+                    continue;
+                };
+                let Some(&at) = place.get(&open.worker) else {
+                    continue;
+                };
+                if open.phase != RunPhase::Running {
+                    continue;
+                }
+                let loss = preempt::work(&spec.need, lost_by_stop(spec, open, now));
+                let same = tasks.last().and_then(|t| t.first()).filter(|first| {
+                    spec.gang
+                        && first.job == task.job
+                        && first.occurrence == task.occurrence
+                        && first.step == task.step
+                });
+                if same.is_some() {
+                    if let (Some(victim), Some(list)) = (victims.last_mut(), tasks.last_mut()) {
+                        victim.rooms.push(at);
+                        victim.loss += loss;
+                        list.push(task);
+                    }
+                    continue;
+                }
+                victims.push(Victim {
+                    rooms: vec![at],
+                    need: spec.occupies(),
+                    loss,
+                });
+                tasks.push(vec![task]);
+            }
+        }
+        (victims, tasks)
+    }
+}
+
+/// Time that a checkpointing task needs to go on after a stop.
+const RESTORE: Millis = Millis(300);
+
+/// Work time that a stop loses. A checkpointing task saves its progress when it is stopped.
+fn lost_by_stop(spec: &StepSpec, open: &OpenRun, now: Millis) -> Millis {
+    match spec.checkpoints {
+        true => RESTORE,
+        false => now.since(open.seen.unwrap_or(open.since)),
+    }
+}
+
+/// Whether a step has tasks to start; a gang only once none of its tasks is open.
+fn is_startable(state: &StepState, spec: &StepSpec, now: Millis) -> bool {
+    let waits = state.tasks.iter().any(|t| !t.done && t.open.is_none());
+    waits && !(spec.gang && state.is_open()) && now >= state.not_before
 }
 
 /// Tasks of a step on each room.
 fn on_workers<'a>(rooms: &[Room], open: impl Iterator<Item = &'a OpenRun>) -> Vec<u32> {
     let mut counts = vec![0; rooms.len()];
     for run in open {
-        if let Some(num) = rooms.iter().position(|r| r.id == run.worker) {
+        if let Ok(num) = rooms.binary_search_by(|r| r.id.cmp(&run.worker)) {
             counts[num] += 1;
         }
     }
     counts
 }
-
-/// When a job should be completed, by the coordinator's clock.
-fn due_by(job: &Job, wall: Millis, now: Millis) -> Millis {
-    let age = wall.since(job.given.at);
-    Millis((now.0 + job.given.objective.0).saturating_sub(age.0))
-}
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -1,193 +1,175 @@
 //! What is stopped so that work of the highest priority can start.
 //!
 //! Load pattern: the site is full of long work when a burst of short urgent jobs comes. Stopped
-//! work is lost back to its last checkpoint, so the least of it is stopped.
+//! work is lost back to its last checkpoint, so the least of it is stopped, and none that loses
+//! more than the urgent work is worth, unless a guarantee requires it.
 
-use base::Map;
 use base::Millis;
-use base::WorkerId;
 
-use crate::book::Book;
-use crate::job::RunPhase;
 use crate::place::is_eligible;
+use crate::place::racks;
 use crate::place::Limits;
 use crate::place::Room;
 use crate::spec::Resources;
 use crate::spec::StepSpec;
-use crate::spec::TaskId;
 
-/// Cores that an accelerator is worth when lost work is compared.
+/// Cores that an accelerator is worth when work is compared.
 const ACCEL_CORES: u64 = 8;
 
-/// What a stop of a run, or of all members of a gang, would lose.
-struct Victim {
-    tasks: Vec<(TaskId, usize)>,
-    need: Resources,
-    loss: u64,
+/// A run, or the runs of a gang, that could be stopped.
+#[derive(Clone, Debug)]
+pub struct Victim {
+    /// Where its members are, by the place in the list of rooms.
+    pub rooms: Vec<usize>,
+    /// What each member occupies.
+    pub need: Resources,
+    /// Work that a stop would lose, in core-milliseconds.
+    pub loss: u64,
 }
 
-impl Book {
-    /// Stops the work of lower priority that loses least, until the tasks fit. What is already
-    /// being stopped counts first. All or nothing for a gang.
-    pub(crate) fn preempt(
-        &mut self,
-        rooms: &mut [Room],
-        spec: &StepSpec,
-        limits: &Limits,
-        count: usize,
-        now: Millis,
-    ) {
-        let need = spec.occupies();
-        let victims = self.victims(rooms, now);
-        let mut taken = vec![false; victims.len()];
-        let mut trial: Vec<Resources> = Vec::with_capacity(rooms.len());
-        for room in rooms.iter() {
-            let mut sum = room.free;
-            sum += room.coming;
-            trial.push(sum);
-        }
-        let mut placed = Vec::new();
-        let mut on_worker = limits.on_worker.to_vec();
-        for _ in 0..count {
-            let mut best: Option<(u64, usize, Vec<usize>)> = None;
-            for (num, room) in rooms.iter().enumerate() {
-                let limits = Limits {
-                    on_worker: &on_worker,
-                    ..*limits
-                };
-                if !is_eligible(room, num, spec, &limits) {
-                    continue;
-                }
-                let Some((loss, chosen)) = cheapest(&trial[num], &need, &victims, &taken, num)
-                else {
-                    continue;
-                };
-                if best.as_ref().is_none_or(|b| loss < b.0) {
-                    best = Some((loss, num, chosen));
-                }
-            }
-            let Some((_, num, chosen)) = best else { break };
-            for victim in chosen {
-                taken[victim] = true;
-                for (_, at) in &victims[victim].tasks {
-                    trial[*at] += victims[victim].need;
-                }
-            }
-            trial[num] -= need;
-            on_worker[num] += 1;
-            placed.push(num);
-        }
-        if spec.gang && placed.len() < count {
-            return;
-        }
-        for (num, room) in rooms.iter_mut().enumerate() {
-            let here = placed.iter().filter(|&&p| p == num).count();
-            for _ in 0..here {
-                // Kept for this step: nothing that comes later in the pass may take it.
-                room.free -= need;
-                room.coming = room.coming.without(&need);
+/// What to stop, and where the tasks then go.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Choice {
+    /// Work lost, in core-milliseconds.
+    pub loss: u64,
+    /// Victims by their place in the list.
+    pub victims: Vec<usize>,
+    /// Rooms of the tasks, one a task.
+    pub rooms: Vec<usize>,
+}
+
+/// Work of a task that takes `span`, in core-milliseconds.
+pub fn work(need: &Resources, span: Millis) -> u64 {
+    (need.cpu / 1000 + ACCEL_CORES * need.accels) * span.0
+}
+
+/// The choice that loses least for `count` tasks. A gang is placed whole or not at all; of other
+/// steps as many tasks as possible.
+pub fn choose(
+    rooms: &[Room],
+    victims: &[Victim],
+    step: &StepSpec,
+    limits: &Limits,
+    count: usize,
+) -> Option<Choice> {
+    let room_in: Vec<Resources> = rooms.iter().map(with_coming).collect();
+    let mut by_room: Vec<Vec<usize>> = vec![Vec::new(); rooms.len()];
+    for (num, victim) in victims.iter().enumerate() {
+        let mut last = None;
+        for &room in &victim.rooms {
+            if last != Some(room) && !by_room[room].contains(&num) {
+                by_room[room].push(num);
             }
+            last = Some(room);
         }
-        for (victim, _) in victims.iter().zip(&taken).filter(|(_, t)| **t) {
-            for (task, _) in &victim.tasks {
-                self.stop(task);
-            }
-            if let Some((task, _)) = victim.tasks.first() {
-                let text = format!("{task} and its gang are stopped for work of priority 0");
-                self.note(Some(&task.job), text);
-            }
+    }
+    for list in &mut by_room {
+        list.sort_by_key(|&v| victims[v].loss / victims[v].need.accels.max(1));
+    }
+    let racks = match step.gang {
+        true => racks(rooms, &room_in, step, limits, count),
+        false => vec![None],
+    };
+    let mut best: Option<Choice> = None;
+    for rack in racks {
+        let limits = Limits {
+            rack: rack.as_deref(),
+            ..*limits
+        };
+        let found = in_rack(
+            rooms,
+            victims,
+            &by_room,
+            room_in.clone(),
+            step,
+            &limits,
+            count,
+        );
+        let Some(found) = found else { continue };
+        if best.as_ref().is_none_or(|b| found.loss < b.loss) {
+            best = Some(found);
         }
     }
+    best
+}
 
-    /// Runs of lower priority on the rooms, each with the work that a stop would lose. The
-    /// members of a gang go together.
-    fn victims(&self, rooms: &[Room], now: Millis) -> Vec<Victim> {
-        let place: Map<&WorkerId, usize> = rooms
-            .iter()
-            .enumerate()
-            .map(|(num, r)| (&r.id, num))
-            .collect();
-        let mut out = Vec::new();
-        for id in &self.live {
-            let Some(job) = self.jobs.get(id) else {
-                continue;
+fn with_coming(room: &Room) -> Resources {
+    let mut sum = room.free;
+    sum += room.coming;
+    sum
+}
+
+fn in_rack(
+    rooms: &[Room],
+    victims: &[Victim],
+    by_room: &[Vec<usize>],
+    mut room_in: Vec<Resources>,
+    step: &StepSpec,
+    limits: &Limits,
+    count: usize,
+) -> Option<Choice> {
+    let need = step.occupies();
+    let mut on_worker = limits.on_worker.to_vec();
+    let mut choice = Choice::default();
+    for _ in 0..count {
+        let mut best: Option<(u64, u64, usize, Vec<usize>)> = None;
+        for (num, room) in rooms.iter().enumerate() {
+            let limits = Limits {
+                on_worker: &on_worker,
+                ..*limits
             };
-            if job.given.priority == 0 || job.phase.is_final() {
+            if !is_eligible(room, num, step, &limits) {
+                continue;
+            }
+            let list = &by_room[num];
+            let found = cheapest(&room_in[num], &need, victims, list, &choice.victims, num);
+            let Some((loss, chosen)) = found else {
                 continue;
+            };
+            let left = room_in[num].without(&need).accels;
+            if best.as_ref().is_none_or(|b| (loss, left) < (b.0, b.1)) {
+                best = Some((loss, left, num, chosen));
             }
-            for (&occurrence, state) in &job.open {
-                for (num, spec) in job.given.work.steps.iter().enumerate() {
-                    let need = spec.occupies();
-                    let cost = need.cpu / 1000 + ACCEL_CORES * need.accels;
-                    let mut gang: Option<Victim> = None;
-                    for (index, task) in state.steps[num].tasks.iter().enumerate() {
-                        let Some(open) = task.open.as_ref() else {
-                            continue;
-                        };
-                        let Some(&at) = place.get(&open.worker) else {
-                            continue;
-                        };
-                        if open.phase != RunPhase::Running {
-                            continue;
-                        }
-                        let from = open.saved_at.or(open.seen).unwrap_or(open.since);
-                        let loss = cost * now.since(from).0;
-                        let id = TaskId {
-                            job: id.clone(),
-                            occurrence,
-                            step: num as u16,
-                            index: index as u16,
-                        };
-                        match (&mut gang, spec.gang) {
-                            (Some(gang), true) => {
-                                gang.tasks.push((id, at));
-                                gang.loss += loss;
-                            }
-                            (None, true) => {
-                                gang = Some(Victim {
-                                    tasks: vec![(id, at)],
-                                    need,
-                                    loss,
-                                });
-                            }
-                            (_, false) => out.push(Victim {
-                                tasks: vec![(id, at)],
-                                need,
-                                loss,
-                            }),
-                        }
-                    }
-                    out.extend(gang);
-                }
+        }
+        let Some((loss, _, num, chosen)) = best else {
+            break;
+        };
+        choice.loss += loss;
+        for victim in chosen {
+            for &at in &victims[victim].rooms {
+                room_in[at] += victims[victim].need;
             }
+            choice.victims.push(victim);
         }
-        out
+        room_in[num] -= need;
+        on_worker[num] += 1;
+        choice.rooms.push(num);
     }
+    let whole = choice.rooms.len() == count;
+    (whole || !step.gang && !choice.rooms.is_empty()).then_some(choice)
 }
 
-/// The victims on worker `num` whose loss is least and whose room suffices with `have`.
+/// The victims on a room whose loss is least and whose room suffices together with `have`.
 fn cheapest(
     have: &Resources,
     need: &Resources,
     victims: &[Victim],
-    taken: &[bool],
+    here: &[usize],
+    taken: &[usize],
     num: usize,
 ) -> Option<(u64, Vec<usize>)> {
     if have.fits(need) {
         return Some((0, Vec::new()));
     }
-    let here = victims
-        .iter()
-        .enumerate()
-        .filter(|(v, victim)| !taken[*v] && victim.tasks.iter().any(|(_, at)| *at == num));
-    let mut here: Vec<(usize, &Victim)> = here.collect();
-    here.sort_by_key(|(_, v)| v.loss / v.need.accels.max(1));
     let mut sum = *have;
     let mut loss = 0;
     let mut chosen = Vec::new();
-    for (index, victim) in here {
-        let members = victim.tasks.iter().filter(|(_, at)| *at == num).count();
-        for _ in 0..members {
+    for &index in here {
+        if taken.contains(&index) {
+            continue;
+        }
+        let victim = &victims[index];
+        for _ in victim.rooms.iter().filter(|&&at| at == num) {
             sum += victim.need;
         }
         loss += victim.loss;
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -198,16 +198,8 @@
 impl TaskWire {
     fn restore(self, now: Millis) -> TaskState {
         let open = self.4.map(|OpenWire(run, worker, born)| OpenRun {
-            run,
-            worker,
-            born,
             phase: RunPhase::Inherited,
-            since: now,
-            settled: None,
-            stop_sent: None,
-            seen: None,
-            saved_at: None,
-            percent: 0,
+            ..OpenRun::planned(run, worker, born, now)
         });
         TaskState {
             run: self.0,
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -144,6 +144,9 @@
     pub not_before: Millis,
 }
 
+/// Failures in a row that make a worker a second choice.
+const DOUBTFUL: u32 = 1;
+
 impl Worker {
     /// A worker that has not answered yet.
     pub fn new(view: WorkerView) -> Worker {
@@ -171,6 +174,11 @@
         self.clock.map(|(clock, at)| clock + now.since(at).0)
     }
 
+    /// How far other workers are preferred to it; 0 for not at all.
+    pub fn slowness(&self) -> u32 {
+        u32::from(self.failures >= DOUBTFUL)
+    }
+
     /// Room for more tasks.
     pub fn free(&self) -> Resources {
         self.view.capacity.without(&self.used)
