Pass calls to another daemon while the store does not answer this one

Ruled out: a 503 with a time to come back. Change: each daemon writes where it answers callers under a lease; a call is passed on once while the own store does not answer; each try waits a fifth of the caller's time, so that the tries together cover it.

--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -21,6 +21,7 @@
 mod keys;
 mod lead;
 mod looks;
+mod peers;
 mod pump;
 mod shared;
 mod views;
@@ -69,6 +70,7 @@
         actix_rt::spawn(views::run(shared.clone()));
         actix_rt::spawn(lead::run(shared.clone()));
         actix_rt::spawn(calls::run(shared.clone(), taken));
+        actix_rt::spawn(peers::run(shared.clone()));
         obs::record(
             &shared.log,
             Event::DaemonStarted,
--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -15,6 +15,7 @@
 use obs::Event;
 use platform::Call;
 use platform::CallAnswer;
+use platform::CallError;
 use platform::CallKind;
 use platform::Item;
 use platform::Outcome;
@@ -33,14 +34,22 @@
 /// Longest time for a call when the caller does not say how long it waits.
 const WAIT: Millis = Millis(3_000);
 
-/// Part of the caller's wait that is kept for the answer's way back.
-const MARGIN: Millis = Millis(150);
+/// Part of a caller's wait for which the store is tried: one in this many. A caller that gets no
+/// definite answer tries again at another daemon, so that its tries together cover the whole
+/// wait and none of them uses it up.
+const SHARES: u64 = 5;
 
 /// Pause between two attempts at the store.
-const PAUSE: Millis = Millis(60);
+const PAUSE: Millis = Millis(80);
 
-/// Attempts in a row that a busy store may turn away before the caller is asked to come back.
-const BUSY_MAX: u32 = 3;
+/// Longest time after which a caller is asked to come back.
+const COME_BACK_MAX: Millis = Millis(5_000);
+
+/// Other daemons tried for one call.
+const RELAYS: u32 = 2;
+
+/// Longest wait for another daemon's answer.
+const RELAY_WAIT: Millis = Millis(700);
 
 /// Answers calls until the port closes.
 pub async fn run(shared: Rc<Shared>, mut calls: UnboundedReceiver<(Call, Sender<CallAnswer>)>) {
@@ -91,6 +100,7 @@
         CallAnswer::NoJob => ("no-job", String::new()),
         CallAnswer::NoQueue => ("no-queue", String::new()),
         CallAnswer::Refused(after) => ("refused", format!("come back after {after}")),
+        CallAnswer::Relayed { status, .. } => ("relayed", status.to_string()),
         CallAnswer::State(phase) => ("state", format!("{phase:?}")),
         CallAnswer::TooLarge => ("too-large", String::new()),
         CallAnswer::Unknown(after) => ("unknown", format!("come back after {after}")),
@@ -98,7 +108,59 @@
     }
 }
 
+/// Answers a call from the store, or through another daemon while the store does not answer
+/// this one.
 async fn answer(shared: &Shared, catalog: &Catalog, call: &Call) -> CallAnswer {
+    let wait = Millis(call.deadline.unwrap_or(WAIT).0 / SHARES);
+    let until = shared.now() + wait;
+    let lost = shared.store_lost() > Millis::ZERO;
+    if lost && call.relayed {
+        return CallAnswer::Unknown(come_back(shared));
+    }
+    if lost {
+        if let Some(found) = pass_on(shared, call, until).await {
+            return found;
+        }
+    }
+    let own = answer_here(shared, catalog, call, until).await;
+    if lost || call.relayed || !matches!(own, CallAnswer::Unknown(_)) {
+        return own;
+    }
+    pass_on(shared, call, until).await.unwrap_or(own)
+}
+
+/// When a caller is asked to come back while the store does not answer: the longer it has been
+/// away, the longer it is likely to stay so, and callers do not come back many times.
+fn come_back(shared: &Shared) -> Millis {
+    shared.store_lost().clamp(COME_BACK, COME_BACK_MAX)
+}
+
+/// Another daemon's answer; `None` if none could be reached or it cannot tell either.
+async fn pass_on(shared: &Shared, call: &Call, until: Millis) -> Option<CallAnswer> {
+    let mut peers = shared.peers.borrow().clone();
+    for _ in 0..RELAYS {
+        if peers.is_empty() || shared.now() + RELAY_WAIT > until {
+            return None;
+        }
+        let num = shared.spread(Millis(peers.len() as u64 - 1)).0 as usize;
+        let peer = peers.swap_remove(num);
+        match shared.relay.pass(peer, call, RELAY_WAIT).await {
+            Ok(CallAnswer::Unknown(_)) => {}
+            Ok(found) => return Some(found),
+            Err(error) => {
+                let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                    &[("path", &call.path), ("peer", &peer), ("error", &error)];
+                obs::record(&shared.log, Event::RelayFailed, fields);
+                if !matches!(error, CallError::NotSent(_)) {
+                    return None;
+                }
+            }
+        }
+    }
+    None
+}
+
+async fn answer_here(shared: &Shared, catalog: &Catalog, call: &Call, until: Millis) -> CallAnswer {
     let Some(found) = catalog.find(&call.host, &call.path) else {
         return CallAnswer::NoQueue;
     };
@@ -111,7 +173,6 @@
     if org.is_none() && !queue.public {
         return CallAnswer::Forbidden;
     }
-    let until = shared.now() + call.deadline.unwrap_or(WAIT).since(MARGIN);
     if found.rest.is_empty() && call.kind == CallKind::Look {
         return waiting(shared, queue).await;
     }
@@ -140,7 +201,7 @@
         let counts = lead.book.borrow().waiting();
         return CallAnswer::Waiting(counts.get(&queue.name).copied().unwrap_or(0));
     }
-    match shared.store.get(keys::WAITING).await {
+    match shared.quick.get(keys::WAITING).await {
         Ok(item) => {
             shared.heard_store(Ok(()));
             let value = item.and_then(|i| i.value);
@@ -151,7 +212,7 @@
         }
         Err(error) => {
             shared.heard_store(Err(&error));
-            CallAnswer::Unknown(COME_BACK)
+            CallAnswer::Unknown(come_back(shared))
         }
     }
 }
@@ -164,7 +225,6 @@
         Err(error) => return CallAnswer::Malformed(error.to_string()),
     };
     let mut held = Revision(0);
-    let mut turned_away = 0;
     while shared.now() < until {
         let txn = Txn {
             conditions: vec![(key.clone(), held)],
@@ -175,7 +235,7 @@
             }],
             removes: Vec::new(),
         };
-        match shared.store.commit(&txn).await {
+        match shared.quick.commit(&txn).await {
             Ok(Outcome::Done(_)) => {
                 shared.heard_store(Ok(()));
                 return CallAnswer::Accepted;
@@ -192,18 +252,12 @@
             Ok(Outcome::LeaseEnded) => {}
             Err(error) => {
                 shared.heard_store(Err(&error));
-                if error.is_nothing_done() {
-                    turned_away += 1;
-                }
             }
         }
-        if turned_away >= BUSY_MAX {
-            break;
-        }
         shared.sleep(PAUSE).await;
     }
     // An earlier attempt, here or at another daemon, may have been stored.
-    CallAnswer::Unknown(COME_BACK)
+    CallAnswer::Unknown(come_back(shared))
 }
 
 fn is_accepted(item: &Item) -> bool {
@@ -213,24 +267,24 @@
 
 async fn look(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
     let read = retry(shared, until, || async {
-        let run = shared.store.get(&keys::run(id)).await?;
+        let run = shared.quick.get(&keys::run(id)).await?;
         let progress = run.and_then(|i| i.value).map(|v| Progress::decode(&v));
         if let Some(Ok(progress)) = progress {
             return Ok(Some(progress.phase));
         }
-        let job = shared.store.get(&keys::job(id)).await?;
+        let job = shared.quick.get(&keys::job(id)).await?;
         Ok(job.filter(is_accepted).map(|_| JobPhase::Queued))
     });
     match read.await {
         Some(Some(phase)) => CallAnswer::State(phase),
         Some(None) => CallAnswer::NoJob,
-        None => CallAnswer::Unknown(COME_BACK),
+        None => CallAnswer::Unknown(come_back(shared)),
     }
 }
 
 async fn cancel(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
     let cancelled = retry(shared, until, || async {
-        let job = shared.store.get(&keys::job(id)).await?;
+        let job = shared.quick.get(&keys::job(id)).await?;
         let Some(job) = job.filter(is_accepted) else {
             return Ok(false);
         };
@@ -244,7 +298,7 @@
             }],
             removes: Vec::new(),
         };
-        match shared.store.commit(&txn).await? {
+        match shared.quick.commit(&txn).await? {
             Outcome::Done(_) => Ok(true),
             Outcome::Conflict(_) | Outcome::LeaseEnded => Err(StoreError::Unknown(
                 "the job's record has changed".to_string(),
@@ -254,7 +308,7 @@
     match cancelled.await {
         Some(true) => CallAnswer::Cancelled,
         Some(false) => CallAnswer::NoJob,
-        None => CallAnswer::Unknown(COME_BACK),
+        None => CallAnswer::Unknown(come_back(shared)),
     }
 }
 
@@ -264,8 +318,7 @@
     F: Fn() -> R,
     R: std::future::Future<Output = Result<T, StoreError>>,
 {
-    let mut turned_away = 0;
-    while shared.now() < until && turned_away < BUSY_MAX {
+    while shared.now() < until {
         match attempt().await {
             Ok(found) => {
                 shared.heard_store(Ok(()));
@@ -273,7 +326,6 @@
             }
             Err(error) => {
                 shared.heard_store(Err(&error));
-                turned_away += u32::from(error.is_nothing_done());
                 shared.sleep(PAUSE).await;
             }
         }
--- a/crates/bronzetack/src/batch/keys.rs
+++ b/crates/bronzetack/src/batch/keys.rs
@@ -8,6 +8,9 @@
 /// Number of jobs that wait in each queue.
 pub const WAITING: &str = "bronzetack/waiting";
 
+/// Prefix of the daemons' own addresses.
+pub const PEERS: &str = "bronzetack/peers/";
+
 /// Prefix of what callers have asked for: submissions and cancellations.
 pub const ASKED: &str = "bronzetack/asked/";
 
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base::Clock;
@@ -16,6 +17,7 @@
 use obs::Counter;
 use obs::Event;
 use obs::Metrics;
+use platform::Relay;
 use platform::Store;
 use platform::StoreError;
 use platform::Workers;
@@ -29,6 +31,10 @@
 /// second while it is slow.
 pub const STORE_TIMEOUT: Millis = Millis(800);
 
+/// Time-out of a call to the store that a caller waits for. Above the store's answers while it
+/// is slow; a lost answer is noticed in time for a second attempt.
+const QUICK_TIMEOUT: Millis = Millis(450);
+
 /// Time-out of an order to a worker, which answers within a few milliseconds.
 const ORDER_TIMEOUT: Millis = Millis(500);
 
@@ -65,6 +71,12 @@
     pub clock: Clock,
     /// The platform's store.
     pub store: Store,
+    /// The store, with the time-out that callers can wait for.
+    pub quick: Store,
+    /// The other daemons.
+    pub relay: Relay,
+    /// Where other daemons answer callers.
+    pub peers: RefCell<Vec<SocketAddr>>,
     /// The workers.
     pub workers: Workers,
     /// The operators' documents.
@@ -75,7 +87,8 @@
     pub ready: Ready,
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
-    store_up: Cell<bool>,
+    /// Since when the store has not answered.
+    store_lost: Cell<Option<Millis>>,
     rng: RefCell<Pcg64>,
 }
 
@@ -102,6 +115,7 @@
             "vm" => settings.vm.to_string(),
             "domain" => settings.domain.to_string()
         );
+        let store = Store::new(settings.store.address, STORE_TIMEOUT);
         Shared {
             times: bounds.derive(),
             bounds,
@@ -110,13 +124,16 @@
             store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
             metrics,
             clock,
-            store: Store::new(settings.store.address, STORE_TIMEOUT),
+            quick: store.with_timeout(QUICK_TIMEOUT),
+            store,
+            relay: Relay::default(),
+            peers: RefCell::default(),
             workers: Workers::new(ORDER_TIMEOUT),
             facts: RefCell::default(),
             lead: RefCell::default(),
             ready: Ready::default(),
             stopping: Cell::new(false),
-            store_up: Cell::new(true),
+            store_lost: Cell::new(None),
             rng: RefCell::new(Pcg64::seed_from_u64(seed)),
             instance,
             settings,
@@ -152,15 +169,22 @@
             self.store_errors.add(&[("kind", kind)], 1);
         }
         let up = result.is_ok() || matches!(result, Err(StoreError::History));
-        if up == self.store_up.replace(up) {
+        if up == self.store_lost.get().is_none() {
             return;
         }
+        self.store_lost.set((!up).then(|| self.now()));
         match result {
             Err(error) => obs::record(&self.log, Event::StoreUnreachable, &[("error", error)]),
             Ok(()) => obs::record(&self.log, Event::StoreReachable, &[]),
         }
     }
 
+    /// Time for which the store has not answered; zero while it answers.
+    pub fn store_lost(&self) -> Millis {
+        let since = self.store_lost.get();
+        since.map_or(Millis::ZERO, |at| self.now().since(at).max(Millis(1)))
+    }
+
     /// Pauses.
     pub async fn sleep(&self, span: Millis) {
         actix_rt::time::sleep(span.duration()).await;
--- a/crates/bronzetack/src/batch/views.rs
+++ b/crates/bronzetack/src/batch/views.rs
@@ -17,6 +17,9 @@
 /// Pause after a failed call, and its spread.
 const PAUSE: Millis = Millis(150);
 
+/// Wait of a watch while the store does not answer, so that its return is soon seen.
+const PROBE: Millis = Millis(50);
+
 /// Follows the documents until the process ends.
 pub async fn run(shared: Rc<Shared>) {
     loop {
@@ -39,10 +42,11 @@
 async fn follow(shared: &Rc<Shared>, mut after: base::Revision) {
     loop {
         let sent = shared.now();
-        let seen = shared
-            .store
-            .watch(OPERATORS, after, shared.times.watch)
-            .await;
+        let wait = match shared.store_lost() > Millis::ZERO {
+            true => PROBE,
+            false => shared.times.watch,
+        };
+        let seen = shared.store.watch(OPERATORS, after, wait).await;
         match seen {
             Ok(seen) => {
                 shared.heard_store(Ok(()));
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -103,6 +103,7 @@
     JobDecided = 642, Info, "coordinator decided on a job or worker";
     StopUnanswered = 643, Warn, "worker did not answer a stop";
     CallerGone = 644, Info, "caller left before its answer";
+    RelayFailed = 645, Warn, "another daemon did not answer a call that was passed on";
     SettingsReloaded = 650, Info, "settings file read again";
     InputRefused = 700, Info, "malformed input refused";
 }
