Keep a little room for urgent jobs

Ruled out: waiting for natural ends (a job of one second has 0.75 s to spare). Change: the accelerators of one urgent job, and of those expected while room is made, are kept free on the racks with the most room; work that saves its progress when stopped may use them.

--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -20,6 +20,7 @@
 use crate::job::RunPhase;
 use crate::record::Progress;
 use crate::record::Submitted;
+use crate::reserve::Urgent;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
 use crate::worker::Worker;
@@ -63,6 +64,8 @@
     pub(crate) fenced: bool,
     /// Seen duration of each queue's tasks against their estimates, in percent.
     pub(crate) ratios: Map<String, u32>,
+    /// What has been seen of jobs of the highest priority.
+    pub(crate) urgent: Urgent,
     /// When runs inherited on workers that never answer have ended for sure.
     pub(crate) inherited_end: Millis,
 }
@@ -85,6 +88,7 @@
             notes: Vec::new(),
             fenced: false,
             ratios: Map::default(),
+            urgent: Urgent::default(),
             inherited_end: now + times.tail + stretched(times.hold),
         }
     }
@@ -147,6 +151,8 @@
         }
         if job.phase.is_final() {
             job.ended = Some(now);
+        } else if job.given.priority == 0 {
+            self.urgent.see(job.accels(), now);
         }
         if !job.phase.is_final() || !job.open_tasks().is_empty() {
             self.live.insert(id.clone());
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -32,6 +32,8 @@
     pub running: Vec<(Millis, Resources)>,
     /// Kept for a large gang that starts after this time; shorter tasks may use it until then.
     pub kept: Option<Millis>,
+    /// Whether its free room is kept for urgent jobs.
+    pub urgent_only: bool,
     /// How far other workers are preferred to it; 0 for not at all.
     pub slowness: u32,
 }
@@ -51,6 +53,8 @@
     pub rack: Option<&'a str>,
     /// Expected duration of a task.
     pub lasts: Millis,
+    /// Whether room that is kept for urgent jobs may be used.
+    pub urgent: bool,
 }
 
 /// Whether a worker may run a task of the step, room aside.
@@ -84,7 +88,8 @@
 ) -> Option<usize> {
     let need = step.occupies();
     let fitting = rooms.iter().enumerate().filter(|(num, room)| {
-        let open = room.kept.is_none_or(|until| limits.lasts <= until);
+        let open = room.kept.is_none_or(|until| limits.lasts <= until)
+            && (limits.urgent || !room.urgent_only);
         open && room_in[*num].fits(&need) && is_eligible(room, *num, step, limits)
     });
     let best = fitting.min_by_key(|(num, room)| {
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -66,7 +66,8 @@
             return;
         }
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.job.cmp(&b.job)));
-        let rooms = self.rooms(now);
+        let mut rooms = self.rooms(now);
+        reserve::keep_urgent(&mut rooms, self.urgent.accels(now));
         let mut pass = Pass {
             free: rooms.iter().map(|r| r.free).collect(),
             rooms,
@@ -106,6 +107,7 @@
                 coming,
                 running,
                 kept: None,
+                urgent_only: false,
                 slowness: worker.slowness(),
             });
         }
@@ -241,6 +243,8 @@
             remote: spec.data_rack.is_none() || waited.0 > spec.estimate.0 * NEAR_WAIT,
             rack: None,
             lasts: self.expected(job, at.step),
+            // A checkpointing task loses next to nothing when an urgent one takes its place.
+            urgent: urgent || spec.checkpoints,
         };
         let short = match spec.gang {
             true => {
--- a/crates/batch/src/reserve.rs
+++ b/crates/batch/src/reserve.rs
@@ -1,6 +1,6 @@
-//! Room kept for large gangs.
+//! Room kept for large gangs and for urgent jobs.
 //!
-//! Load pattern: small tasks take every accelerator that comes free, so that a gang of whole
+//! Load pattern of large gangs: small tasks take every accelerator that comes free, so that a gang of whole
 //! workers never finds its room. The workers that come free first are kept for the gang that is
 //! next in the order; tasks that end before may still use them.
 
@@ -70,3 +70,79 @@
     chosen.dedup();
     Some((start, chosen))
 }
+
+/// Weight of one more urgent job in what is learned of them, one in this many.
+const WEIGHT: f64 = 12.0;
+
+/// Time for which room is kept for the urgent jobs to come: stopping other work takes as long.
+const AHEAD: Millis = Millis(500);
+
+/// Time without urgent jobs after which no room is kept for them.
+const FORGET: Millis = Millis(10_000);
+
+/// What has been seen of jobs of the highest priority.
+///
+/// Load pattern: urgent jobs come at random, each of several workers' accelerators on one rack.
+/// On a full site each of them stops other work and waits for its end. A little room that only
+/// work which loses nothing by a stop may use serves most of them at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Urgent {
+    accels: f64,
+    gap: f64,
+    last: Option<Millis>,
+}
+
+impl Urgent {
+    /// Takes an urgent job of so many accelerators into account.
+    pub fn see(&mut self, accels: u64, now: Millis) {
+        let Some(last) = self.last.replace(now) else {
+            self.accels = accels as f64;
+            self.gap = FORGET.0 as f64;
+            return;
+        };
+        self.accels += (accels as f64 - self.accels) / WEIGHT;
+        self.gap += (now.since(last).0 as f64 - self.gap) / WEIGHT;
+    }
+
+    /// Accelerators to keep free: one job's, and those of the jobs expected while room for it
+    /// is made elsewhere.
+    pub fn accels(&self, now: Millis) -> u64 {
+        let seen = self.last.is_some_and(|at| now.since(at) < FORGET);
+        if !seen {
+            return 0;
+        }
+        let coming = AHEAD.0 as f64 / self.gap.max(1.0);
+        (self.accels * (1.0 + coming)) as u64
+    }
+}
+
+/// Marks rooms with `accels` free accelerators in all as kept for urgent jobs: those of the rack
+/// with the most room first, as a gang starts on one rack.
+pub fn keep_urgent(rooms: &mut [Room], accels: u64) {
+    if accels == 0 {
+        return;
+    }
+    let mut racks: Vec<(u64, Option<String>)> = Vec::new();
+    for room in rooms.iter() {
+        match racks.iter_mut().find(|(_, rack)| *rack == room.rack) {
+            Some((sum, _)) => *sum += room.free.accels,
+            None => racks.push((room.free.accels, room.rack.clone())),
+        }
+    }
+    racks.sort_by(|a, b| b.cmp(a));
+    let mut left = accels;
+    for (_, rack) in racks {
+        let in_rack = rooms
+            .iter_mut()
+            .filter(|r| r.rack == rack && r.free.accels > 0);
+        let mut in_rack: Vec<&mut Room> = in_rack.collect();
+        in_rack.sort_by_key(|r| std::cmp::Reverse(r.free.accels));
+        for room in in_rack {
+            if left == 0 {
+                return;
+            }
+            room.urgent_only = true;
+            left = left.saturating_sub(room.free.accels);
+        }
+    }
+}
--- a/crates/bronzetack/src/batch/views.rs
+++ b/crates/bronzetack/src/batch/views.rs
@@ -17,6 +17,10 @@
 /// Pause after a failed call, and its spread.
 const PAUSE: Millis = Millis(150);
 
+/// Time without an answer of the store after which callers are better served elsewhere; a lost
+/// answer is made up for within it.
+const LOST: Millis = Millis(300);
+
 /// Wait of a watch while the store does not answer, so that its return is soon seen.
 const PROBE: Millis = Millis(50);
 
@@ -46,7 +50,7 @@
             true => PROBE,
             false => shared.times.watch,
         };
-        let seen = shared.store.watch(OPERATORS, after, wait).await;
+        let seen = shared.quick.watch(OPERATORS, after, wait).await;
         match seen {
             Ok(seen) => {
                 shared.heard_store(Ok(()));
@@ -72,7 +76,8 @@
     let facts = shared.facts.borrow();
     let age = shared.now().since(facts.fresh);
     let fresh = age <= shared.times.watch + STORE_TIMEOUT + STORE_TIMEOUT;
-    let ready = facts.catalog.is_some() && fresh;
+    let answered = shared.store_lost() <= LOST;
+    let ready = facts.catalog.is_some() && fresh && answered;
     if ready != shared.ready.get() && !shared.stopping.get() {
         let version = facts.catalog.as_ref().map_or(0, |c| c.version);
         let event = if ready {
