Stop runs that stand still; model workers, store and faults in a test

Cause: a worker that hangs keeps what it accepted until the fault ends. A worker first seen under an epoch counted as leased for the old coordinator's longest time, so a task lost within 11 s of a take-over started late. Change: a run without progress for a quarter of its expected time, 2.5 s at least, is stopped and its worker paused; the first report under an epoch bounds the lease; changes of workers gather for a sixth of the period. Tests: a model of workers, store and take-over with an observer (twice, over capacity, order, attempts) and ten seeds with all faults at once. With the renewal of silent workers put back, a_task_of_a_lost_worker_starts_elsewhere fails; it failed on the lease bound, too, before that was mended.

--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -28,6 +28,7 @@
 
 mod orders;
 mod report;
+mod stall;
 
 pub use orders::LookOrder;
 pub use orders::Pending;
@@ -282,6 +283,7 @@
             }
             for task in job.open_tasks() {
                 self.close_if_lapsed(&task, now);
+                self.stop_if_stalled(&task, now);
             }
         }
         let gone = |w: &Worker| {
--- a/crates/batch/src/book/report.rs
+++ b/crates/batch/src/book/report.rs
@@ -6,6 +6,7 @@
 use base::WorkerId;
 
 use super::Book;
+use crate::bounds::stretched;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
 use crate::spec::RunNumber;
@@ -40,9 +41,14 @@
         if worker.born != born || !worker.known {
             self.new_life(id, born, &report, now);
         }
+        let hold = stretched(self.times.hold);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if !worker.known {
+            // From now on no earlier coordinator can extend its lease.
+            worker.lease_end = now + hold;
+        }
         worker.known = true;
         worker.silent = false;
         worker.heard = worker.heard.max(sent);
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -139,7 +139,7 @@
 
     /// Expected duration of a step's tasks: the estimate, corrected by what has been seen on
     /// its queue.
-    fn expected(&self, job: &Job, step: u16) -> Millis {
+    pub(crate) fn expected(&self, job: &Job, step: u16) -> Millis {
         let estimate = job.given.work.steps[usize::from(step)].estimate;
         let percent = self.ratios.get(&job.given.queue).copied().unwrap_or(100);
         Millis(estimate.0 * u64::from(percent) / 100)
--- /dev/null
+++ b/crates/batch/tests/faults.rs
@@ -0,0 +1,233 @@
+//! The coordinator's book against workers that fail, vanish, restart and answer late.
+
+mod kit;
+
+use base::Millis;
+use batch::JobPhase;
+use rand::RngExt;
+use yare::parameterized;
+
+use kit::job;
+use kit::site::Faults;
+use kit::site::Site;
+use kit::step;
+
+const SECOND: Millis = Millis(1_000);
+
+fn calm() -> Faults {
+    Faults::default()
+}
+
+#[test]
+fn a_job_of_two_steps_is_completed() {
+    let mut site = Site::new(4, 1, calm());
+    let mut second = step(3, 8, SECOND);
+    second.after = vec![0];
+    let id = site.submit("a", job(1, vec![step(5, 1, SECOND), second], site.now));
+    site.run(Millis(4_000));
+    assert!(site.is_done(&id));
+    assert_eq!(site.told(&id), Some(JobPhase::Completed));
+}
+
+/// Each look at a lost worker moved the end of its lease, and its task never started again.
+#[test]
+fn a_task_of_a_lost_worker_starts_elsewhere() {
+    let mut site = Site::new(2, 2, calm());
+    let id = site.submit("a", job(1, vec![step(1, 1, Millis(3_000))], site.now));
+    site.run(SECOND);
+    let lost = site
+        .workers
+        .iter_mut()
+        .find(|w| !w.runs.is_empty())
+        .expect("a worker in use");
+    lost.up = false;
+    lost.listed = false;
+    site.run(Millis(11_000));
+    assert!(site.is_done(&id));
+}
+
+#[test]
+fn a_cut_worker_runs_on_and_nothing_runs_twice() {
+    let mut site = Site::new(2, 3, calm());
+    let id = site.submit("a", job(1, vec![step(2, 8, Millis(3_000))], site.now));
+    site.run(SECOND);
+    site.workers[0].reached = false;
+    site.workers[0].listed = false;
+    site.run(Millis(4_000));
+    site.workers[0].reached = true;
+    site.workers[0].listed = true;
+    site.run(Millis(8_000));
+    assert!(site.is_done(&id));
+}
+
+#[test]
+fn a_restarted_worker_loses_its_tasks_at_once() {
+    let mut site = Site::new(1, 4, calm());
+    let id = site.submit("a", job(1, vec![step(4, 2, Millis(2_000))], site.now));
+    site.run(SECOND);
+    let now = site.now;
+    site.workers[0].restart(now);
+    site.run(Millis(2_800));
+    assert!(
+        site.is_done(&id),
+        "the tasks start again without waiting for a lease"
+    );
+}
+
+#[test]
+fn a_gang_starts_whole_after_a_member_is_not_answered() {
+    let faults = Faults {
+        unanswered: 200,
+        lost: 100,
+        ..calm()
+    };
+    let mut site = Site::new(4, 5, faults);
+    let mut gang = step(4, 8, SECOND);
+    gang.gang = true;
+    let id = site.submit("a", job(1, vec![gang], site.now));
+    site.run(Millis(40_000));
+    assert!(site.is_done(&id));
+}
+
+#[test]
+fn a_hanging_worker_is_left() {
+    let mut site = Site::new(2, 6, calm());
+    site.workers
+        .iter_mut()
+        .for_each(|w| w.hangs = w.id.as_str() == "w0");
+    let jobs: Vec<_> = (0..4)
+        .map(|n| site.submit(&format!("j{n}"), job(1, vec![step(1, 4, SECOND)], site.now)))
+        .collect();
+    site.run(Millis(8_000));
+    for id in jobs {
+        assert!(site.is_done(&id), "{id} hangs");
+    }
+}
+
+#[test]
+fn a_job_that_fails_everywhere_ends_as_failed() {
+    let mut site = Site::new(
+        4,
+        7,
+        Faults {
+            fail: 1000,
+            ..calm()
+        },
+    );
+    let id = site.submit("a", job(1, vec![step(1, 1, Millis(300))], site.now));
+    site.run(Millis(20_000));
+    assert_eq!(site.told(&id), Some(JobPhase::Failed));
+}
+
+#[test]
+fn a_cancelled_job_starts_nothing_and_stops() {
+    let mut site = Site::new(2, 8, calm());
+    let id = site.submit("a", job(1, vec![step(40, 1, Millis(5_000))], site.now));
+    site.run(Millis(500));
+    site.cancel(&id);
+    site.run(Millis(600));
+    let started = site.starts;
+    assert!(site.workers.iter().all(|w| w.runs.is_empty()));
+    site.run(Millis(3_000));
+    assert_eq!(site.starts, started);
+    assert_eq!(site.told(&id), Some(JobPhase::Cancelled));
+}
+
+#[test]
+fn a_new_coordinator_starts_nothing_twice() {
+    let mut site = Site::new(4, 9, calm());
+    let id = site.submit("a", job(1, vec![step(20, 1, Millis(2_000))], site.now));
+    for _ in 0..6 {
+        site.run(Millis(400));
+        site.take_over();
+    }
+    site.run(Millis(4_000));
+    assert!(site.is_done(&id));
+    assert_eq!(site.starts, 20);
+}
+
+/// Urgent jobs within the guarantee begin in time on a site that is full of long work.
+#[test]
+fn urgent_work_within_the_guarantee_begins_in_time() {
+    let mut site = Site::new(4, 10, calm());
+    let long = job(2, vec![step(32, 1, Millis(60_000))], site.now);
+    site.submit("long", long);
+    site.run(Millis(2_000));
+    let mut gang = step(2, 8, SECOND);
+    gang.gang = true;
+    gang.one_rack = true;
+    let id = site.submit("urgent", job(0, vec![gang], site.now));
+    site.run(kit::BOUNDS.reclaim);
+    let begun = site
+        .workers
+        .iter()
+        .flat_map(|w| w.runs.keys())
+        .filter(|t| t.job == id);
+    assert!(begun.count() == 2 || site.is_done(&id));
+}
+
+/// Everything at once: lost, unanswered and late orders, lost writes, failing runs, workers that
+/// vanish and restart, coordinators that are replaced. The observer of the site checks that
+/// nothing runs twice, over capacity, out of order or beyond its attempts.
+#[parameterized(
+    seed_1 = { 1 }, seed_2 = { 2 }, seed_3 = { 3 }, seed_4 = { 4 }, seed_5 = { 5 },
+    seed_6 = { 6 }, seed_7 = { 7 }, seed_8 = { 8 }, seed_9 = { 9 }, seed_10 = { 10 },
+)]
+fn faults_at_random(seed: u64) {
+    let faults = Faults {
+        lost: 15,
+        unanswered: 15,
+        late: 15,
+        store: 30,
+        fail: 20,
+    };
+    let mut site = Site::new(8, seed, faults);
+    let mut ids = Vec::new();
+    for turn in 0..6_000 {
+        if turn % 40 == 0 && turn < 4_000 {
+            let gang = site.rng.random_range(0..2) == 0;
+            let mut spec = step(
+                site.rng.random_range(1..6),
+                1 << site.rng.random_range(0..4),
+                Millis(site.rng.random_range(200..3_000)),
+            );
+            spec.gang = gang;
+            spec.one_rack = gang && site.rng.random_range(0..2) == 0;
+            let mut steps = vec![spec.clone()];
+            if site.rng.random_range(0..3) == 0 {
+                spec.after = vec![0];
+                steps.push(spec);
+            }
+            let priority = site.rng.random_range(0..3);
+            let given = job(priority, steps, site.now);
+            ids.push(site.submit(&format!("j{turn}"), given));
+        }
+        if turn % 70 == 35 {
+            let num = site.rng.random_range(0..8);
+            let now = site.now;
+            match site.rng.random_range(0..3) {
+                0 => site.workers[num].restart(now),
+                1 => site.workers[num].reached = false,
+                _ => site.workers.iter_mut().for_each(|w| w.reached = true),
+            }
+        }
+        if turn % 500 == 499 {
+            site.take_over();
+        }
+        site.turn();
+    }
+    site.faults = calm();
+    site.workers.iter_mut().for_each(|w| w.reached = true);
+    site.run(Millis(60_000));
+    for id in ids {
+        let told = site.told(&id);
+        let ended = told.is_some_and(JobPhase::is_final);
+        assert!(ended, "{id} has not ended: {told:?}");
+        let done = site.is_done(&id);
+        assert_eq!(
+            told == Some(JobPhase::Completed),
+            done,
+            "{id} is told {told:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/batch/tests/kit/mod.rs
@@ -0,0 +1,93 @@
+//! Workers, a store and callers in memory, with faults and an observer.
+
+#![allow(dead_code)]
+
+pub mod site;
+pub mod worker;
+
+use base::Millis;
+use base::ServiceId;
+use batch::Bounds;
+use batch::Catalog;
+use batch::CatalogLimits;
+use batch::Pool;
+use batch::Queue;
+use batch::Resources;
+use batch::StepSpec;
+use batch::Submission;
+use batch::Submitted;
+use batch::Tenant;
+
+pub const BOUNDS: Bounds = Bounds {
+    max_hold: Millis(6_000),
+    stop_grace: Millis(400),
+    gang_timeout: Millis(3_000),
+    reclaim: Millis(2_900),
+    config_apply: Millis(2_000),
+    heartbeat: Millis(1_500),
+    status: Millis(120_000),
+    remote_factor: 3,
+    min_ttl: Millis(1_000),
+};
+
+/// A queue of a priority, named after it.
+pub fn queue(priority: u32) -> Queue {
+    Queue {
+        name: format!("q{priority}"),
+        host: "jobs.example".to_string(),
+        prefix: format!("/q{priority}/"),
+        pool: pool(),
+        priority,
+        attempts: 3,
+        stretch: 3.0,
+        latency: Millis(1_000),
+        public: false,
+    }
+}
+
+pub fn pool() -> ServiceId {
+    "pool".parse().expect("a service id")
+}
+
+/// Queues of the priorities 0 to 2, one pool, and one organisation with a guarantee.
+pub fn catalog() -> Catalog {
+    Catalog::new(
+        1,
+        (0..3).map(queue).collect(),
+        vec![Pool {
+            name: pool(),
+            guards: false,
+        }],
+        vec![Tenant {
+            name: "board".parse().expect("an organisation"),
+            keys: vec!["key".to_string()],
+            guarantee: 16,
+        }],
+        CatalogLimits { body: 1 << 18 },
+    )
+}
+
+/// A step of `count` tasks of `accels` accelerators that take `lasts`.
+pub fn step(count: u32, accels: u64, lasts: Millis) -> StepSpec {
+    StepSpec {
+        count,
+        need: Resources {
+            cpu: 2_000,
+            memory: 1_000,
+            accels,
+        },
+        estimate: lasts,
+        ..StepSpec::default()
+    }
+}
+
+/// A job of these steps on the queue of a priority, accepted at `at`.
+pub fn job(priority: u32, steps: Vec<StepSpec>, at: Millis) -> Submitted {
+    let work = Submission {
+        spec: "spec".to_string(),
+        steps,
+        schedule: None,
+    };
+    let org = "board".parse().expect("an organisation");
+    Submitted::new(&queue(priority), Some(org), at, work)
+}
--- /dev/null
+++ b/crates/batch/tests/kit/site.rs
@@ -0,0 +1,416 @@
+//! A site in memory: workers, what is stored, a coordinator that is replaced, and an observer.
+
+use std::collections::BTreeMap;
+
+use base::Epoch;
+use base::JobId;
+use base::Millis;
+use base::WorkerId;
+use batch::Book;
+use batch::EndKind;
+use batch::Progress;
+use batch::RunNumber;
+use batch::StartAnswer;
+use batch::StartOrder;
+use batch::Submitted;
+use batch::TaskId;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use super::catalog;
+use super::worker::FakeWorker;
+use super::worker::Running;
+use super::BOUNDS;
+
+/// Chances of faults, in thousandths for each order or answer.
+#[derive(Clone, Copy, Default)]
+pub struct Faults {
+    /// An order is lost.
+    pub lost: u32,
+    /// An order is carried out, its answer is lost.
+    pub unanswered: u32,
+    /// An order gets no answer and is carried out seconds later.
+    pub late: u32,
+    /// A write of records gets no answer.
+    pub store: u32,
+    /// A run fails.
+    pub fail: u32,
+}
+
+pub struct Site {
+    pub now: Millis,
+    pub book: Book,
+    pub workers: Vec<FakeWorker>,
+    pub stored: BTreeMap<JobId, (Submitted, Option<Progress>, bool)>,
+    pub faults: Faults,
+    pub rng: Pcg64,
+    pub starts: u64,
+    /// Tasks whose end as done has been acknowledged.
+    pub done: BTreeMap<TaskId, Millis>,
+    /// Tasks of which a run has ended as done, acknowledged or not.
+    pub ever: BTreeMap<TaskId, Millis>,
+    started: BTreeMap<TaskId, Millis>,
+    failures: BTreeMap<(JobId, u16, RunNumber), u32>,
+    late: Vec<(Millis, StartOrder)>,
+    looks: BTreeMap<WorkerId, Millis>,
+    epoch: u64,
+}
+
+/// Time between two turns.
+const TURN: Millis = Millis(10);
+
+/// Time between two looks at a worker.
+const LOOK: Millis = Millis(100);
+
+/// Time until the store has taken a record.
+const LATE: Millis = Millis(4_000);
+
+impl Site {
+    pub fn new(workers: usize, seed: u64, faults: Faults) -> Site {
+        let now = Millis(1_000_000);
+        let mut site = Site {
+            now,
+            book: Book::new(Epoch(1), BOUNDS, catalog(), now),
+            workers: (0..workers)
+                .map(|num| FakeWorker::new(num, now - Millis(5_000)))
+                .collect(),
+            stored: BTreeMap::new(),
+            faults,
+            rng: Pcg64::seed_from_u64(seed),
+            starts: 0,
+            done: BTreeMap::new(),
+            ever: BTreeMap::new(),
+            started: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            late: Vec::new(),
+            looks: BTreeMap::new(),
+            epoch: 1,
+        };
+        site.list();
+        site
+    }
+
+    fn chance(&mut self, thousandths: u32) -> bool {
+        self.rng.random_range(0..1000) < thousandths
+    }
+
+    fn list(&mut self) {
+        let listed = self.workers.iter().filter(|w| w.listed);
+        self.book
+            .set_workers(listed.map(FakeWorker::view).collect(), self.now);
+    }
+
+    pub fn submit(&mut self, name: &str, given: Submitted) -> JobId {
+        let id: JobId = name.parse().expect("a job id");
+        self.stored.insert(id.clone(), (given.clone(), None, false));
+        self.book.add(id.clone(), given, None, self.now);
+        id
+    }
+
+    pub fn cancel(&mut self, id: &JobId) {
+        if let Some(stored) = self.stored.get_mut(id) {
+            stored.2 = true;
+        }
+        self.book.cancel(id, self.now);
+    }
+
+    /// A new coordinator takes over with what is stored.
+    pub fn take_over(&mut self) {
+        self.epoch += 1;
+        self.book = Book::new(Epoch(self.epoch), BOUNDS, catalog(), self.now);
+        for (id, (given, progress, cancelled)) in &self.stored {
+            self.book
+                .add(id.clone(), given.clone(), progress.clone(), self.now);
+            if *cancelled {
+                self.book.cancel(id, self.now);
+            }
+        }
+        self.list();
+    }
+
+    /// One turn: workers work, the coordinator looks, plans, stores and orders.
+    pub fn turn(&mut self) {
+        self.now += TURN;
+        self.work();
+        self.late_orders();
+        self.list();
+        self.look();
+        self.book.tick(self.now, self.now);
+        self.book.plan(self.now, self.now);
+        for stop in self.book.stops(self.now) {
+            if self.chance(self.faults.lost) {
+                continue;
+            }
+            let now = self.now;
+            let worker = self.workers.iter_mut().find(|w| w.id == stop.worker);
+            let clock = worker
+                .filter(|w| w.up && w.reached)
+                .and_then(|w| w.stop(&stop, now));
+            if let Some(clock) = clock {
+                if !self.chance(self.faults.unanswered) {
+                    self.book.stop_answer(&stop, clock);
+                }
+            }
+        }
+        let pending = self.book.take_pending();
+        if self.chance(self.faults.store) {
+            self.book.put_back(pending);
+            return;
+        }
+        for (id, progress) in &pending.records {
+            if let Some(stored) = self.stored.get_mut(id) {
+                stored.1 = Some(progress.clone());
+            }
+        }
+        for order in self.book.stored(pending, self.now) {
+            self.start(order);
+        }
+    }
+
+    pub fn run(&mut self, span: Millis) {
+        let end = self.now + span;
+        while self.now < end {
+            self.turn();
+        }
+    }
+
+    fn look(&mut self) {
+        for (id, _) in self.book.watched() {
+            let due = self
+                .looks
+                .get(&id)
+                .is_none_or(|at| self.now.since(*at) >= LOOK);
+            if !due {
+                continue;
+            }
+            self.looks.insert(id.clone(), self.now);
+            let Some(order) = self.book.look(&id, true, self.now) else {
+                continue;
+            };
+            let now = self.now;
+            let lost = self.chance(self.faults.lost);
+            let unanswered = self.chance(self.faults.unanswered);
+            let worker = self.workers.iter_mut().find(|w| w.id == id);
+            let Some(worker) = worker.filter(|w| w.up && w.reached && !lost) else {
+                self.book.look_failed(&id);
+                continue;
+            };
+            match worker.look(&order, now).filter(|_| !unanswered) {
+                Some(report) => self.book.report(&id, report, now, now),
+                None => self.book.look_failed(&id),
+            }
+        }
+    }
+
+    fn start(&mut self, order: StartOrder) {
+        let now = self.now;
+        let reached = self
+            .workers
+            .iter()
+            .any(|w| w.id == order.worker && w.up && w.reached);
+        if !reached || self.chance(self.faults.lost) {
+            self.book
+                .start_answer(&order, StartAnswer::Unknown("lost".into()), now);
+            return;
+        }
+        if self.chance(self.faults.late) {
+            self.late.push((now + LATE, order.clone()));
+            self.book
+                .start_answer(&order, StartAnswer::Unknown("late".into()), now);
+            return;
+        }
+        let answer = self.carry_out(&order);
+        let answer = match self.chance(self.faults.unanswered) {
+            true => StartAnswer::Unknown("unanswered".into()),
+            false => answer,
+        };
+        self.book.start_answer(&order, answer, now);
+    }
+
+    fn late_orders(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|l| l.0 <= now);
+        self.late = later;
+        for (_, order) in Vec::<(Millis, StartOrder)>::into_iter(due) {
+            // An order that waits at a worker is lost when the worker ends.
+            let same = |w: &FakeWorker| w.id == order.worker && w.born.0 == order.born;
+            if self.workers.iter().any(|w| same(w) && w.up && w.reached) {
+                self.carry_out(&order);
+            }
+        }
+    }
+
+    /// A worker starts a run; the observer checks what must hold.
+    fn carry_out(&mut self, order: &StartOrder) -> StartAnswer {
+        let now = self.now;
+        let given = self.stored[&order.task.job].0.clone();
+        let spec = given.work.steps[usize::from(order.task.step)].clone();
+        let attempts = given.attempts;
+        let fails = self.chance(self.faults.fail);
+        let Some(num) = self.workers.iter().position(|w| w.id == order.worker) else {
+            return StartAnswer::Refused("no such worker".into());
+        };
+        let run = Running {
+            run: order.run,
+            gang: spec.gang.then_some(spec.count),
+            started: now,
+            work: spec.estimate,
+            need: spec.occupies(),
+            stopping: None,
+            fails: fails || self.workers[num].fails,
+        };
+        let held = self.workers[num].runs.contains_key(&order.task);
+        let answer = self.workers[num].start(order, run, now);
+        if held || !matches!(answer, StartAnswer::Accepted(_)) {
+            return answer;
+        }
+        self.starts += 1;
+        self.started.insert(order.task.clone(), now);
+        let same = self
+            .workers
+            .iter()
+            .filter(|w| w.up && w.runs.contains_key(&order.task));
+        assert_eq!(same.count(), 1, "{} runs twice at {now}", order.task);
+        assert!(
+            !self.done.contains_key(&order.task),
+            "{} starts after its end",
+            order.task
+        );
+        let worker = &self.workers[num];
+        assert!(
+            worker.capacity.fits(&worker.used()),
+            "{} is over its capacity",
+            worker.id
+        );
+        for &after in &spec.after {
+            let before = &given.work.steps[usize::from(after)];
+            let done = (0..before.count).all(|index| {
+                let task = TaskId {
+                    step: after,
+                    index: index as u16,
+                    ..order.task.clone()
+                };
+                self.ever.contains_key(&task)
+            });
+            assert!(done, "{} starts before step {after} has ended", order.task);
+        }
+        let failed = self.failures.keys().filter(|(job, step, _)| {
+            *job == order.task.job && *step == order.task.step && spec.gang
+        });
+        assert!(
+            (failed.count() as u32) < attempts,
+            "{} has no attempts left",
+            order.task
+        );
+        answer
+    }
+
+    /// Work goes on: runs end, gangs end together, leases run out.
+    fn work(&mut self) {
+        let now = self.now;
+        let mut members: BTreeMap<(JobId, u16, RunNumber), u32> = BTreeMap::new();
+        for (task, run) in self.workers.iter().filter(|w| w.up).flat_map(|w| &w.runs) {
+            *members
+                .entry((task.job.clone(), task.step, run.run))
+                .or_default() += 1;
+        }
+        let mut ends: Vec<(usize, TaskId, EndKind)> = Vec::new();
+        for (num, worker) in self.workers.iter().enumerate().filter(|(_, w)| w.up) {
+            for (task, run) in &worker.runs {
+                let key = (task.job.clone(), task.step, run.run);
+                let whole = run.gang.is_none_or(|all| members[&key] == all);
+                let kind = match () {
+                    () if worker.lapsed(now) => EndKind::Lapsed,
+                    () if run.stopping.is_some_and(|at| at <= now) => EndKind::Stopped,
+                    () if !whole && now.since(run.started) > BOUNDS.gang_timeout => EndKind::Alone,
+                    () if worker.hangs || !whole => continue,
+                    () if run.fails && now.since(run.started).0 > run.work.0 / 2 => EndKind::Failed,
+                    () if now.since(run.started) > run.work => EndKind::Done,
+                    () => continue,
+                };
+                ends.push((num, task.clone(), kind));
+            }
+        }
+        for worker in self.workers.iter_mut().filter(|w| w.up && w.lapsed(now)) {
+            worker.lapse();
+        }
+        for (num, task, kind) in ends {
+            self.end(num, &task, kind);
+        }
+        self.acknowledged();
+    }
+
+    /// Ends that have been acknowledged since the last turn.
+    fn acknowledged(&mut self) {
+        for worker in &mut self.workers {
+            for (task, kind, at) in worker.acked.drain(..) {
+                if kind != EndKind::Done {
+                    continue;
+                }
+                let started = self.started.get(&task).copied().unwrap_or_default();
+                assert!(started <= at, "{task} started after its end at {at}");
+                self.done.insert(task, at);
+            }
+        }
+    }
+
+    fn end(&mut self, num: usize, task: &TaskId, kind: EndKind) {
+        let Some(run) = self.workers[num].runs.get(task).cloned() else {
+            return;
+        };
+        if kind == EndKind::Failed {
+            let key = (task.job.clone(), task.step, run.run);
+            *self.failures.entry(key).or_default() += 1;
+        }
+        let now = self.now;
+        if kind == EndKind::Done {
+            self.ever.insert(task.clone(), now);
+        }
+        self.workers[num].end(task, kind, now);
+        if run.gang.is_none() {
+            return;
+        }
+        let others = if kind == EndKind::Done {
+            EndKind::Done
+        } else {
+            EndKind::Broken
+        };
+        for worker in self.workers.iter_mut().filter(|w| w.up) {
+            let same = worker
+                .runs
+                .iter()
+                .filter(|(t, r)| t.job == task.job && t.step == task.step && r.run == run.run);
+            let same: Vec<TaskId> = same.map(|(t, _)| t.clone()).collect();
+            for other in same {
+                if others == EndKind::Done {
+                    self.ever.insert(other.clone(), now);
+                }
+                worker.end(&other, others, now);
+            }
+        }
+    }
+
+    /// Whether every task of a job is done.
+    pub fn is_done(&self, id: &JobId) -> bool {
+        let (given, _, _) = &self.stored[id];
+        given.work.steps.iter().enumerate().all(|(num, step)| {
+            (0..step.count).all(|index| {
+                let task = TaskId {
+                    job: id.clone(),
+                    occurrence: 0,
+                    step: num as u16,
+                    index: index as u16,
+                };
+                self.ever.contains_key(&task)
+            })
+        })
+    }
+
+    /// What callers are told of a job, from its record.
+    pub fn told(&self, id: &JobId) -> Option<batch::JobPhase> {
+        self.stored[id].1.as_ref().map(|p| p.phase)
+    }
+}
--- /dev/null
+++ b/crates/batch/tests/kit/worker.rs
@@ -0,0 +1,232 @@
+//! A worker as the platform's page describes it.
+
+use std::collections::BTreeMap;
+
+use base::DomainId;
+use base::Millis;
+use base::WorkerId;
+use batch::EndKind;
+use batch::EndRow;
+use batch::LookOrder;
+use batch::Report;
+use batch::Resources;
+use batch::RunNumber;
+use batch::RunRow;
+use batch::StartAnswer;
+use batch::StartOrder;
+use batch::StopOrder;
+use batch::TaskId;
+use batch::WorkerState;
+use batch::WorkerView;
+
+use super::BOUNDS;
+
+/// What a run is doing.
+#[derive(Clone, Debug)]
+pub struct Running {
+    pub run: RunNumber,
+    /// Gang that it belongs to, with the number of its members.
+    pub gang: Option<u32>,
+    pub started: Millis,
+    pub work: Millis,
+    pub need: Resources,
+    /// When it ends after a stop.
+    pub stopping: Option<Millis>,
+    pub fails: bool,
+}
+
+/// A worker.
+pub struct FakeWorker {
+    pub id: WorkerId,
+    pub domain: DomainId,
+    pub rack: String,
+    pub capacity: Resources,
+    pub born: Millis,
+    pub up: bool,
+    /// Whether orders and looks reach it.
+    pub reached: bool,
+    /// Whether it lists itself.
+    pub listed: bool,
+    /// Whether its tasks make no progress.
+    pub hangs: bool,
+    /// Whether its tasks fail.
+    pub fails: bool,
+    pub runs: BTreeMap<TaskId, Running>,
+    closed: BTreeMap<TaskId, RunNumber>,
+    /// Ends, with their time, and whether the lease has run out since.
+    ended: Vec<(EndRow, Millis, bool)>,
+    /// Ends that have been acknowledged, with their time.
+    pub acked: Vec<(TaskId, EndKind, Millis)>,
+    number: u64,
+    epoch: u64,
+    lease: Millis,
+}
+
+impl FakeWorker {
+    pub fn new(num: usize, now: Millis) -> FakeWorker {
+        FakeWorker {
+            id: format!("w{num}").parse().expect("a worker id"),
+            domain: format!("d{}", num % 2).parse().expect("a domain"),
+            rack: format!("r{}", num / 4),
+            capacity: Resources {
+                cpu: 32_000,
+                memory: 64_000,
+                accels: 8,
+            },
+            born: now,
+            up: true,
+            reached: true,
+            listed: true,
+            hangs: false,
+            fails: false,
+            runs: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            ended: Vec::new(),
+            acked: Vec::new(),
+            number: 0,
+            epoch: 0,
+            lease: Millis::ZERO,
+        }
+    }
+
+    pub fn view(&self) -> WorkerView {
+        WorkerView {
+            id: self.id.clone(),
+            born: Some(self.born.0),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            domain: self.domain.clone(),
+            pool: super::pool(),
+            state: WorkerState::Ready,
+            capacity: self.capacity,
+            labels: vec!["a".to_string(), self.rack.clone()],
+            cold: Millis::ZERO,
+        }
+    }
+
+    /// Loses all that it holds and starts again.
+    pub fn restart(&mut self, now: Millis) {
+        let old = std::mem::replace(self, FakeWorker::new(0, now));
+        self.id = old.id;
+        self.domain = old.domain;
+        self.rack = old.rack;
+    }
+
+    fn clock(&self, now: Millis) -> Millis {
+        now - self.born
+    }
+
+    fn renew(&mut self, deadline: u64, now: Millis) {
+        let most = self.clock(now) + BOUNDS.max_hold;
+        self.lease = self.lease.max(Millis(deadline).min(most));
+    }
+
+    pub fn start(&mut self, order: &StartOrder, run: Running, now: Millis) -> StartAnswer {
+        if order.epoch.0 < self.epoch {
+            return StartAnswer::Fenced;
+        }
+        self.epoch = order.epoch.0;
+        if order.deadline < self.clock(now).0 {
+            return StartAnswer::Refused("late".to_string());
+        }
+        let clock = self.clock(now).0;
+        if self
+            .runs
+            .get(&order.task)
+            .is_some_and(|r| r.run == order.run)
+        {
+            return StartAnswer::Accepted(clock);
+        }
+        if self
+            .closed
+            .get(&order.task)
+            .is_some_and(|closed| *closed >= order.run)
+        {
+            return StartAnswer::Refused("old".to_string());
+        }
+        self.renew(order.deadline, now);
+        self.runs.insert(order.task.clone(), run);
+        StartAnswer::Accepted(clock)
+    }
+
+    pub fn stop(&mut self, order: &StopOrder, now: Millis) -> Option<u64> {
+        if order.epoch.0 < self.epoch {
+            return None;
+        }
+        self.epoch = order.epoch.0;
+        let closed = self.closed.entry(order.task.clone()).or_default();
+        *closed = (*closed).max(order.run);
+        if let Some(run) = self.runs.get_mut(&order.task) {
+            if run.run <= order.run && run.stopping.is_none() {
+                run.stopping = Some(now + Millis(BOUNDS.stop_grace.0 / 2));
+            }
+        }
+        Some(self.clock(now).0)
+    }
+
+    /// `None` if it has seen a later coordinator.
+    pub fn look(&mut self, order: &LookOrder, now: Millis) -> Option<Report> {
+        if order.epoch.0 < self.epoch {
+            return None;
+        }
+        self.epoch = order.epoch.0;
+        if let Some(deadline) = order.deadline {
+            self.renew(deadline, now);
+        }
+        let ended = std::mem::take(&mut self.ended);
+        let (left, acked) = ended.into_iter().partition(|e| e.0.number > order.stored);
+        self.ended = left;
+        let acked =
+            Vec::<(EndRow, Millis, bool)>::into_iter(acked).filter(|(_, _, lapsed)| !lapsed);
+        self.acked
+            .extend(acked.map(|(e, at, _)| (e.task, e.kind, at)));
+        let hangs = self.hangs;
+        let rows = self.runs.iter().map(|(task, run)| RunRow {
+            task: task.clone(),
+            run: run.run,
+            saved: String::new(),
+            percent: match hangs {
+                true => 0,
+                false => (now.since(run.started).0 * 100 / run.work.0.max(1)).min(99) as u32,
+            },
+        });
+        Some(Report {
+            born: Some(self.born.0),
+            clock: self.clock(now).0,
+            running: rows.collect(),
+            ended: self.ended.iter().map(|(e, _, _)| e.clone()).collect(),
+        })
+    }
+
+    pub fn end(&mut self, task: &TaskId, kind: EndKind, now: Millis) {
+        let Some(run) = self.runs.remove(task) else {
+            return;
+        };
+        self.number += 1;
+        let closed = self.closed.entry(task.clone()).or_default();
+        *closed = (*closed).max(run.run);
+        let row = EndRow {
+            number: self.number,
+            task: task.clone(),
+            run: run.run,
+            kind,
+            saved: String::new(),
+        };
+        self.ended.push((row, now, false));
+    }
+
+    /// Whether its lease has run out.
+    pub fn lapsed(&self, now: Millis) -> bool {
+        self.clock(now) > self.lease
+    }
+
+    /// Notes that its lease has run out.
+    pub fn lapse(&mut self) {
+        self.ended.iter_mut().for_each(|e| e.2 = true);
+    }
+
+    pub fn used(&self) -> Resources {
+        let mut sum = Resources::default();
+        self.runs.values().for_each(|r| sum += r.need);
+        sum
+    }
+}
--- a/crates/bronzetack/src/batch/lead.rs
+++ b/crates/bronzetack/src/batch/lead.rs
@@ -47,6 +47,9 @@
 /// Spread of the daemons' attempts at a free lock.
 const SPREAD: Millis = Millis(60);
 
+/// Reads of the workers' changes within the period of their entries.
+const GATHERS: u64 = 6;
+
 /// Pause after a failed call.
 const PAUSE: Millis = Millis(150);
 
@@ -375,6 +378,12 @@
                     lead.wake.notify_one();
                     lead.listed.notify_one();
                 }
+                if prefix == WORKERS {
+                    // Every worker writes in every period; each watch that returns is a call.
+                    shared
+                        .sleep(Millis(shared.bounds.heartbeat.0 / GATHERS))
+                        .await;
+                }
             }
             Err(StoreError::History) => {
                 obs::record(&shared.log, Event::WatchCompacted, &[("prefix", &prefix)]);
