Count a failed run once; refuse at once what cannot be served

Cause: an end that was recorded but not yet acknowledged is listed again to the next coordinator, which counted it again. Change: the numbers of failed runs are kept in place of their count. Test: a_failure_counts_once_for_all_coordinators, failed before, passes.

Also: the coordinator publishes capacity and backlog; a job that no worker could run, or that could only end after three times its objective, is refused at once with a time to come back that moves on with each refusal. A refusal is written under the job's id first, so that no earlier attempt takes effect after it.

--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -26,6 +26,7 @@
 use crate::worker::Worker;
 use crate::worker::WorkerView;
 
+mod load;
 mod orders;
 mod report;
 mod stall;
@@ -373,20 +374,6 @@
         }
     }
 
-    /// Jobs of each queue of which no task has started, scheduled jobs aside.
-    pub fn waiting(&self) -> Map<String, u64> {
-        let mut counts: Map<String, u64> = Map::default();
-        for id in &self.live {
-            let Some(job) = self.jobs.get(id) else {
-                continue;
-            };
-            if job.phase == JobPhase::Queued && job.given.work.schedule.is_none() {
-                *counts.entry(job.given.queue.clone()).or_default() += 1;
-            }
-        }
-        counts
-    }
-
     /// Whether a run is known under this number.
     pub(crate) fn is_open(&self, task: &TaskId, run: RunNumber, worker: &WorkerId) -> bool {
         let open = self.open_run(task);
--- /dev/null
+++ b/crates/batch/src/book/load.rs
@@ -0,0 +1,81 @@
+//! What is published of the load.
+
+use base::Map;
+use base::Millis;
+
+use super::Book;
+use crate::admit::Load;
+use crate::admit::PoolLoad;
+use crate::job::Job;
+use crate::job::JobPhase;
+use crate::job::OpenRun;
+
+/// Step of published times, so that small changes are not published.
+const STEP: u64 = 1_000_000;
+
+impl Book {
+    /// Jobs of each queue of which no task has started, scheduled jobs aside.
+    pub fn waiting(&self) -> Map<String, u64> {
+        let mut counts: Map<String, u64> = Map::default();
+        for job in self.live.iter().filter_map(|id| self.jobs.get(id)) {
+            if job.phase == JobPhase::Queued && job.given.work.schedule.is_none() {
+                *counts.entry(job.given.queue.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// The load, for admission and for callers who ask how much waits.
+    pub fn load(&self) -> Load {
+        let mut load = Load {
+            waiting: self.waiting(),
+            ratios: self.ratios.clone(),
+            ..Load::default()
+        };
+        for worker in self
+            .workers
+            .values()
+            .filter(|w| w.known && w.missing.is_none())
+        {
+            let pool = load.pools.entry(worker.view.pool.clone()).or_default();
+            pool.capacity += worker.view.capacity;
+            if !pool.kinds.contains(&worker.view.capacity) {
+                pool.kinds.push(worker.view.capacity);
+            }
+        }
+        for job in self.live.iter().filter_map(|id| self.jobs.get(id)) {
+            if !job.phase.is_final() {
+                let pool = load.pools.entry(job.given.pool.clone()).or_default();
+                self.add_backlog(pool, job);
+            }
+        }
+        for pool in load.pools.values_mut() {
+            pool.kinds.sort_by_key(|k| (k.accels, k.cpu, k.memory));
+            for work in pool.backlog.values_mut() {
+                work.cpu = work.cpu.next_multiple_of(STEP);
+                work.accels = work.accels.next_multiple_of(STEP / 1000);
+            }
+        }
+        load
+    }
+
+    /// Adds what a job still needs; of a run that goes on, the part left.
+    fn add_backlog(&self, pool: &mut PoolLoad, job: &Job) {
+        let sum = pool.backlog.entry(job.given.priority).or_default();
+        for state in job.open.values() {
+            for (num, spec) in job.given.work.steps.iter().enumerate() {
+                if spec.lasting {
+                    continue;
+                }
+                let expected = self.expected(job, num as u16);
+                let left = |open: &OpenRun| {
+                    let part = 100 - u64::from(open.percent.min(100));
+                    Millis(expected.0 * part / 100)
+                };
+                for task in state.steps[num].tasks.iter().filter(|t| !t.done) {
+                    sum.add(spec, 1, task.open.as_ref().map_or(expected, left));
+                }
+            }
+        }
+    }
+}
--- a/crates/batch/src/book/report.rs
+++ b/crates/batch/src/book/report.rs
@@ -152,9 +152,8 @@
                 }
             }
         }
-        if end.kind == EndKind::Failed && gang && end.run > step.failed_run {
-            step.failed_run = end.run;
-            step.failures += 1;
+        if end.kind == EndKind::Failed && gang {
+            note_failure(&mut step.failed, end.run);
         }
         if end.kind == EndKind::Done && gang && !lasting {
             step.tasks.iter_mut().for_each(|t| t.done = true);
@@ -174,7 +173,9 @@
             }
         }
         if end.kind == EndKind::Failed {
-            task.failures += u32::from(!gang);
+            if !gang {
+                note_failure(&mut task.failed, end.run);
+            }
             task.avoid.push(id.clone());
         }
         self.dirty.insert(end.task.job.clone());
@@ -205,13 +206,9 @@
         let Some(step) = job.step_mut(task) else {
             return;
         };
-        let failures = step
-            .tasks
-            .iter()
-            .map(|t| t.failures)
-            .max()
-            .unwrap_or_default();
-        let spent = step.failures.max(failures) >= attempts;
+        let failures = step.tasks.iter().map(|t| t.failed.len()).max();
+        let most = step.failed.len().max(failures.unwrap_or_default());
+        let spent = most >= attempts as usize;
         if spent && !lasting && !step.is_done() && !job.phase.is_final() {
             self.end(id, JobPhase::Failed, now);
         }
@@ -317,3 +314,10 @@
     let ratio = ratios.entry(queue).or_insert(100);
     *ratio = (*ratio * (WEIGHT - 1) + seen) / WEIGHT;
 }
+
+/// Counts a failed run once, however often it is listed.
+fn note_failure(failed: &mut Vec<RunNumber>, run: RunNumber) {
+    if !failed.contains(&run) {
+        failed.push(run);
+    }
+}
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -98,8 +98,8 @@
 pub struct TaskState {
     /// Number of its latest run.
     pub run: RunNumber,
-    /// Runs that failed.
-    pub failures: u32,
+    /// Runs that failed. A worker lists an end again until it is acknowledged.
+    pub failed: Vec<RunNumber>,
     /// Whether a run has ended as done.
     pub done: bool,
     /// Saved progress from which the next run goes on.
@@ -115,10 +115,8 @@
 pub struct StepState {
     /// Its tasks.
     pub tasks: Vec<TaskState>,
-    /// Failed runs of the gang.
-    pub failures: u32,
-    /// Latest run of the gang that counts as failed.
-    pub failed_run: RunNumber,
+    /// Runs of the gang that failed.
+    pub failed: Vec<RunNumber>,
     /// When it was first seen that the step can run, by the coordinator's clock.
     pub ready_at: Option<Millis>,
     /// Not to be tried before this time.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -4,6 +4,7 @@
 //! (submissions, cancellations, reports of workers, answers to orders) and gives the orders to
 //! send and the records to store. Nothing here does I/O or reads a clock.
 
+mod admit;
 mod book;
 mod bounds;
 mod catalog;
@@ -17,6 +18,12 @@
 mod spec;
 mod worker;
 
+pub use admit::admit;
+pub use admit::Load;
+pub use admit::PoolLoad;
+pub use admit::Promises;
+pub use admit::Verdict;
+pub use admit::Work;
 pub use book::Book;
 pub use book::LookOrder;
 pub use book::Note;
--- a/crates/batch/src/order.rs
+++ b/crates/batch/src/order.rs
@@ -7,7 +7,7 @@
 use base::Millis;
 
 /// A job's result is of use up to this multiple of its objective.
-const LATE_FACTOR: u64 = 3;
+pub const LATE_FACTOR: u64 = 3;
 
 /// What the order depends on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -104,13 +104,13 @@
     open: BTreeMap<u32, Vec<StepWire>>,
 }
 
-/// Failures, the latest failed run of a gang, and the tasks.
+/// Failed runs of the gang, and the tasks.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct StepWire(u32, RunNumber, Vec<TaskWire>);
+struct StepWire(Vec<RunNumber>, Vec<TaskWire>);
 
-/// Latest run, failures, whether done, saved progress, and the open run.
+/// Latest run, failed runs, whether done, saved progress, and the open run.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct TaskWire(RunNumber, u32, bool, String, Option<OpenWire>);
+struct TaskWire(RunNumber, Vec<RunNumber>, bool, String, Option<OpenWire>);
 
 /// Run, worker, and start of that life of the worker.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -137,7 +137,7 @@
             .map(|s| s.count as usize)
             .collect();
         let fits = |steps: &Vec<StepWire>| {
-            steps.len() == widths.len() && steps.iter().zip(&widths).all(|(s, w)| s.2.len() == *w)
+            steps.len() == widths.len() && steps.iter().zip(&widths).all(|(s, w)| s.1.len() == *w)
         };
         if !self.open.values().all(fits) {
             return false;
@@ -172,16 +172,15 @@
 impl From<&StepState> for StepWire {
     fn from(step: &StepState) -> StepWire {
         let tasks = step.tasks.iter().map(TaskWire::from).collect();
-        StepWire(step.failures, step.failed_run, tasks)
+        StepWire(step.failed.clone(), tasks)
     }
 }
 
 impl StepWire {
     fn restore(self, now: Millis) -> StepState {
         StepState {
-            tasks: self.2.into_iter().map(|t| t.restore(now)).collect(),
-            failures: self.0,
-            failed_run: self.1,
+            tasks: self.1.into_iter().map(|t| t.restore(now)).collect(),
+            failed: self.0,
             ..StepState::default()
         }
     }
@@ -191,7 +190,13 @@
     fn from(task: &TaskState) -> TaskWire {
         let open = task.open.as_ref();
         let open = open.map(|o| OpenWire(o.run, o.worker.clone(), o.born));
-        TaskWire(task.run, task.failures, task.done, task.saved.clone(), open)
+        TaskWire(
+            task.run,
+            task.failed.clone(),
+            task.done,
+            task.saved.clone(),
+            open,
+        )
     }
 }
 
@@ -203,7 +208,7 @@
         });
         TaskState {
             run: self.0,
-            failures: self.1,
+            failed: self.1,
             done: self.2,
             saved: self.3,
             open,
--- a/crates/batch/tests/faults.rs
+++ b/crates/batch/tests/faults.rs
@@ -231,3 +231,23 @@
         );
     }
 }
+
+/// An end that is recorded but not acknowledged is listed again to the next coordinator. Counted
+/// twice, one failure used up two attempts and the job was shown as failed.
+#[test]
+fn a_failure_counts_once_for_all_coordinators() {
+    let mut site = Site::new(2, 11, calm());
+    site.workers.iter_mut().for_each(|w| w.fails = true);
+    let id = site.submit("a", job(1, vec![step(1, 1, Millis(600))], site.now));
+    while !site.workers.iter().any(|w| w.has_failures()) {
+        site.turn();
+    }
+    site.workers.iter_mut().for_each(|w| w.fails = false);
+    for _ in 0..8 {
+        site.run(Millis(110));
+        site.workers.iter_mut().for_each(|w| w.forget_acks());
+        site.take_over();
+    }
+    site.run(Millis(8_000));
+    assert_eq!(site.told(&id), Some(JobPhase::Completed));
+}
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -57,6 +57,7 @@
     ended: Vec<(EndRow, Millis, bool)>,
     /// Ends that have been acknowledged, with their time.
     pub acked: Vec<(TaskId, EndKind, Millis)>,
+    failed: Option<EndRow>,
     number: u64,
     epoch: u64,
     lease: Millis,
@@ -83,6 +84,7 @@
             closed: BTreeMap::new(),
             ended: Vec::new(),
             acked: Vec::new(),
+            failed: None,
             number: 0,
             epoch: 0,
             lease: Millis::ZERO,
@@ -211,6 +213,9 @@
             kind,
             saved: String::new(),
         };
+        if kind == EndKind::Failed {
+            self.failed = Some(row.clone());
+        }
         self.ended.push((row, now, false));
     }
 
@@ -224,6 +229,20 @@
         self.ended.iter_mut().for_each(|e| e.2 = true);
     }
 
+    /// Whether it lists a failed run.
+    pub fn has_failures(&self) -> bool {
+        self.ended.iter().any(|e| e.0.kind == EndKind::Failed)
+    }
+
+    /// Lists the latest failure again, as if its acknowledgement had been lost.
+    pub fn forget_acks(&mut self) {
+        if let Some(row) = self.failed.clone() {
+            if !self.has_failures() {
+                self.ended.push((row, Millis::ZERO, true));
+            }
+        }
+    }
+
     pub fn used(&self) -> Resources {
         let mut sum = Resources::default();
         self.runs.values().for_each(|r| sum += r.need);
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -20,6 +20,7 @@
 mod commit;
 mod keys;
 mod lead;
+mod load;
 mod looks;
 mod peers;
 mod pump;
--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use base::JobId;
-use base::Map;
 use base::Millis;
 use base::Revision;
 use batch::Catalog;
@@ -12,12 +11,14 @@
 use batch::Progress;
 use batch::Queue;
 use batch::Submitted;
+use batch::Verdict;
 use obs::Event;
 use platform::Call;
 use platform::CallAnswer;
 use platform::CallError;
 use platform::CallKind;
 use platform::Item;
+use platform::LeaseId;
 use platform::Outcome;
 use platform::Put;
 use platform::StoreError;
@@ -26,6 +27,7 @@
 use tokio::sync::oneshot::Sender;
 
 use crate::batch::keys;
+use crate::batch::load;
 use crate::batch::shared::Shared;
 
 /// When a caller whose call could not be served is asked to come back.
@@ -110,7 +112,7 @@
 
 /// Answers a call from the store, or through another daemon while the store does not answer
 /// this one.
-async fn answer(shared: &Shared, catalog: &Catalog, call: &Call) -> CallAnswer {
+async fn answer(shared: &Rc<Shared>, catalog: &Catalog, call: &Call) -> CallAnswer {
     let wait = Millis(call.deadline.unwrap_or(WAIT).0 / SHARES);
     let until = shared.now() + wait;
     let lost = shared.store_lost() > Millis::ZERO;
@@ -160,7 +162,12 @@
     None
 }
 
-async fn answer_here(shared: &Shared, catalog: &Catalog, call: &Call, until: Millis) -> CallAnswer {
+async fn answer_here(
+    shared: &Rc<Shared>,
+    catalog: &Catalog,
+    call: &Call,
+    until: Millis,
+) -> CallAnswer {
     let Some(found) = catalog.find(&call.host, &call.path) else {
         return CallAnswer::NoQueue;
     };
@@ -189,27 +196,29 @@
         CallKind::Submit => match platform::submission(&call.body) {
             Ok(work) => {
                 let given = Submitted::new(queue, org, shared.clock.wall(), work);
-                submit(shared, &id, given, until).await
+                match load::verdict(shared, &given) {
+                    Verdict::Accept => {
+                        let record = JobRecord::Accepted(Box::new(given));
+                        submit(shared, &id, record, CallAnswer::Accepted, until).await
+                    }
+                    Verdict::Late(after) | Verdict::NoWorker(after) => {
+                        let record = JobRecord::Refused(shared.clock.wall());
+                        submit(shared, &id, record, CallAnswer::Refused(after), until).await
+                    }
+                }
             }
             Err(why) => CallAnswer::Malformed(why),
         },
     }
 }
 
-async fn waiting(shared: &Shared, queue: &Queue) -> CallAnswer {
+async fn waiting(shared: &Rc<Shared>, queue: &Queue) -> CallAnswer {
     if let Some(lead) = shared.leading() {
         let counts = lead.book.borrow().waiting();
         return CallAnswer::Waiting(counts.get(&queue.name).copied().unwrap_or(0));
     }
-    match shared.quick.get(keys::WAITING).await {
-        Ok(item) => {
-            shared.heard_store(Ok(()));
-            let value = item.and_then(|i| i.value);
-            let counts: Map<String, u64> = value
-                .and_then(|v| ciborium::from_reader(v.as_slice()).ok())
-                .unwrap_or_default();
-            CallAnswer::Waiting(counts.get(&queue.name).copied().unwrap_or(0))
-        }
+    match load::read(shared).await {
+        Ok((load, _)) => CallAnswer::Waiting(load.waiting.get(&queue.name).copied().unwrap_or(0)),
         Err(error) => {
             shared.heard_store(Err(&error));
             CallAnswer::Unknown(come_back(shared))
@@ -217,42 +226,41 @@
     }
 }
 
-/// Stores a job. Whatever the store may still carry out is found again under the job's id.
-async fn submit(shared: &Shared, id: &JobId, given: Submitted, until: Millis) -> CallAnswer {
+/// Stores a job or its refusal, and answers so once that is certain. Whatever an attempt without
+/// an answer may still do is found again under the job's id; a refusal there keeps an earlier
+/// attempt from taking effect later.
+async fn submit(
+    shared: &Shared,
+    id: &JobId,
+    record: JobRecord,
+    answer: CallAnswer,
+    until: Millis,
+) -> CallAnswer {
     let key = keys::job(id);
-    let value = match JobRecord::Accepted(Box::new(given)).encode() {
+    let value = match record.encode() {
         Ok(value) => value,
         Err(error) => return CallAnswer::Malformed(error.to_string()),
     };
+    let refusal = matches!(record, JobRecord::Refused(_));
     let mut held = Revision(0);
     while shared.now() < until {
-        let txn = Txn {
-            conditions: vec![(key.clone(), held)],
-            puts: vec![Put {
-                key: key.clone(),
-                value: value.clone(),
-                lease: Default::default(),
-            }],
-            removes: Vec::new(),
-        };
-        match shared.quick.commit(&txn).await {
+        match store_job(shared, &key, &value, held, refusal).await {
             Ok(Outcome::Done(_)) => {
                 shared.heard_store(Ok(()));
-                return CallAnswer::Accepted;
+                return answer;
             }
             Ok(Outcome::Conflict(items)) => {
                 shared.heard_store(Ok(()));
                 match items.into_iter().find(|i| i.key == key) {
                     Some(item) if is_accepted(&item) => return CallAnswer::Accepted,
+                    Some(_) if refusal => return answer,
                     Some(item) => held = item.revision,
                     None => held = Revision(0),
                 }
                 continue;
             }
-            Ok(Outcome::LeaseEnded) => {}
-            Err(error) => {
-                shared.heard_store(Err(&error));
-            }
+            Ok(Outcome::LeaseEnded) => load::renew_refusals(shared),
+            Err(error) => shared.heard_store(Err(&error)),
         }
         shared.sleep(PAUSE).await;
     }
@@ -260,6 +268,30 @@
     CallAnswer::Unknown(come_back(shared))
 }
 
+async fn store_job(
+    shared: &Shared,
+    key: &str,
+    value: &[u8],
+    held: Revision,
+    refusal: bool,
+) -> Result<Outcome, StoreError> {
+    let lease = match refusal {
+        true => load::refusals(shared).await?,
+        false => LeaseId::default(),
+    };
+    let put = Put {
+        key: key.to_string(),
+        value: value.to_vec(),
+        lease,
+    };
+    let txn = Txn {
+        conditions: vec![(key.to_string(), held)],
+        puts: vec![put],
+        removes: Vec::new(),
+    };
+    shared.quick.commit(&txn).await
+}
+
 fn is_accepted(item: &Item) -> bool {
     let record = item.value.as_deref().map(JobRecord::decode);
     matches!(record, Some(Ok(JobRecord::Accepted(_))))
--- a/crates/bronzetack/src/batch/keys.rs
+++ b/crates/bronzetack/src/batch/keys.rs
@@ -5,8 +5,8 @@
 /// Lock of the coordinator.
 pub const LOCK: &str = "bronzetack/lock";
 
-/// Number of jobs that wait in each queue.
-pub const WAITING: &str = "bronzetack/waiting";
+/// What the coordinator publishes of the load.
+pub const LOAD: &str = "bronzetack/load";
 
 /// Prefix of the daemons' own addresses.
 pub const PEERS: &str = "bronzetack/peers/";
--- a/crates/bronzetack/src/batch/pump.rs
+++ b/crates/bronzetack/src/batch/pump.rs
@@ -2,10 +2,10 @@
 
 use std::rc::Rc;
 
-use base::Map;
 use base::Millis;
 use base::Revision;
 use batch::Book;
+use batch::Load;
 use batch::StartAnswer;
 use batch::StartOrder;
 use batch::StopOrder;
@@ -29,7 +29,7 @@
 /// Pause after records could not be stored.
 const PAUSE: Millis = Millis(60);
 
-/// Period of the counts of waiting jobs.
+/// Period of what is published of the load.
 const PUBLISH: Millis = Millis(500);
 
 /// Period of the search for records that are no longer needed.
@@ -150,18 +150,18 @@
     }
 }
 
-/// Publishes how many jobs wait in each queue, and removes records that are no longer needed.
+/// Publishes the load, and removes records that are no longer needed.
 pub async fn publish(shared: Rc<Shared>, lead: Rc<Lead>) {
-    let mut told: Option<Map<String, u64>> = None;
+    let mut told: Option<Load> = None;
     let mut revision: Option<Revision> = None;
     let mut expired = shared.now();
     while !lead.over.get() {
-        let counts = lead.book.borrow().waiting();
-        if told.as_ref() != Some(&counts) {
-            match publish_counts(&shared, &lead, &counts, revision).await {
+        let load = lead.book.borrow().load();
+        if told.as_ref() != Some(&load) {
+            match publish_load(&shared, &lead, &load, revision).await {
                 Some(at) => {
                     revision = Some(at);
-                    told = Some(counts);
+                    told = Some(load);
                 }
                 None => revision = None,
             }
@@ -174,26 +174,26 @@
     }
 }
 
-async fn publish_counts(
+async fn publish_load(
     shared: &Shared,
     lead: &Lead,
-    counts: &Map<String, u64>,
+    load: &Load,
     revision: Option<Revision>,
 ) -> Option<Revision> {
     let revision = match revision {
         Some(revision) => revision,
         None => {
-            let item = shared.store.get(keys::WAITING).await;
+            let item = shared.store.get(keys::LOAD).await;
             let item = item.map_err(|e| shared.heard_store(Err(&e))).ok()?;
             item.map_or(Revision(0), |i| i.revision)
         }
     };
     let mut value = Vec::new();
-    if let Err(error) = ciborium::into_writer(counts, &mut value) {
+    if let Err(error) = ciborium::into_writer(load, &mut value) {
         obs::record(&shared.log, Event::InputRefused, &[("error", &error)]);
         return None;
     }
-    let key = keys::WAITING.to_string();
+    let key = keys::LOAD.to_string();
     let txn = Txn {
         conditions: vec![(keys::LOCK.to_string(), lead.lock), (key.clone(), revision)],
         puts: vec![Put {
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -12,11 +12,14 @@
 use batch::Bounds;
 use batch::Catalog;
 use batch::Derived;
+use batch::Load;
+use batch::Promises;
 use conf::batch::Batch;
 use entry::Ready;
 use obs::Counter;
 use obs::Event;
 use obs::Metrics;
+use platform::LeaseId;
 use platform::Relay;
 use platform::Store;
 use platform::StoreError;
@@ -85,6 +88,12 @@
     pub lead: RefCell<Option<Rc<Lead>>>,
     /// What the balancer is told.
     pub ready: Ready,
+    /// The load as last read, and when.
+    pub load: RefCell<(Load, Millis)>,
+    /// Callers that have been asked to come back.
+    pub promises: RefCell<Promises>,
+    /// Lease of the refusals, and when it was asked for.
+    pub refusals: Cell<Option<(LeaseId, Millis)>>,
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
     /// Since when the store has not answered.
@@ -132,6 +141,9 @@
             facts: RefCell::default(),
             lead: RefCell::default(),
             ready: Ready::default(),
+            load: RefCell::default(),
+            promises: RefCell::default(),
+            refusals: Cell::new(None),
             stopping: Cell::new(false),
             store_lost: Cell::new(None),
             rng: RefCell::new(Pcg64::seed_from_u64(seed)),
