Replay the load pattern of each decision

Change: one test a decision that replays its pattern from a small table: four times as many jobs in time under overload as in the order of arrival; 8 of 16 workers stay whole where spreading leaves none; a large gang starts within 2 s where it waited 20 s; refused callers get distinct times.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -9,12 +9,12 @@
 mod bounds;
 mod catalog;
 mod job;
-mod order;
-mod place;
+pub mod order;
+pub mod place;
 mod plan;
-mod preempt;
+pub mod preempt;
 mod record;
-mod reserve;
+pub mod reserve;
 mod spec;
 mod worker;
 
--- /dev/null
+++ b/crates/batch/tests/decisions.rs
@@ -0,0 +1,372 @@
+//! Each decision against the load pattern that it answers, and against the policy before it.
+
+mod kit;
+
+use base::Map;
+use base::Millis;
+use batch::admit;
+use batch::order::rank;
+use batch::order::Wait;
+use batch::place::best_fit;
+use batch::place::place_all;
+use batch::place::place_gang;
+use batch::place::Limits;
+use batch::place::Room;
+use batch::preempt::choose;
+use batch::preempt::Victim;
+use batch::reserve;
+use batch::reserve::Urgent;
+use batch::Load;
+use batch::PoolLoad;
+use batch::Promises;
+use batch::Resources;
+use batch::Verdict;
+use batch::Work;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+use kit::job;
+use kit::pool;
+use kit::step;
+
+const SECOND: Millis = Millis(1_000);
+const WHOLE: Resources = Resources {
+    cpu: 32_000,
+    memory: 64_000,
+    accels: 8,
+};
+
+/// Empty workers, four a rack.
+fn rooms(count: usize) -> Vec<Room> {
+    let room = |num: usize| Room {
+        id: format!("w{num:02}").parse().expect("a worker id"),
+        pool: pool(),
+        labels: Vec::new(),
+        rack: Some(format!("r{}", num / 4)),
+        capacity: WHOLE,
+        free: WHOLE,
+        coming: Resources::default(),
+        running: Vec::new(),
+        kept: None,
+        urgent_only: false,
+        slowness: 0,
+    };
+    (0..count).map(room).collect()
+}
+
+fn limits(pool: &base::ServiceId, on_worker: &'static [u32]) -> Limits<'static> {
+    Limits {
+        pool: Box::leak(Box::new(pool.clone())),
+        avoid: &[],
+        on_worker,
+        remote: true,
+        rack: None,
+        lasts: SECOND,
+        urgent: false,
+    }
+}
+
+fn use_up(room: &mut Room, accels: u64, left: Millis) {
+    let used = Resources {
+        cpu: 2_000,
+        memory: 1_000,
+        accels,
+    };
+    room.free -= used;
+    room.running.push((left, used));
+}
+
+/// Overload: jobs of 1 s come every 100 ms for a server that takes 250 ms each, and are of use
+/// for 3 s. In the order of arrival all but the first end late.
+#[test]
+fn work_that_can_be_in_time_goes_before_work_that_is_late() {
+    let served = |ordered: bool| {
+        let mut waiting: Vec<u64> = Vec::new();
+        let mut in_time = 0;
+        for turn in 0..200_u64 {
+            let now = turn * 50;
+            if turn % 2 == 0 {
+                waiting.push(now);
+            }
+            if turn % 5 != 0 || waiting.is_empty() {
+                continue;
+            }
+            let place = |at: &u64| {
+                rank(&Wait {
+                    priority: 1,
+                    guaranteed: false,
+                    age: Millis(now - at),
+                    objective: SECOND,
+                    left: Millis(250),
+                })
+            };
+            if ordered {
+                waiting.sort_by_key(place);
+            }
+            let at = waiting.remove(0);
+            in_time += u32::from(now + 250 - at <= 1_000);
+        }
+        in_time
+    };
+    let before = served(false);
+    let after = served(true);
+    assert!(
+        after >= 4 * before,
+        "{after} in time, {before} in the order of arrival"
+    );
+}
+
+#[test]
+fn a_job_within_its_guarantee_goes_first_and_a_lost_one_last() {
+    let wait = |priority, guaranteed, age: u64| Wait {
+        priority,
+        guaranteed,
+        age: Millis(age),
+        objective: SECOND,
+        left: Millis(500),
+    };
+    let late = rank(&wait(0, true, 2_900));
+    assert!(late < rank(&wait(0, false, 0)));
+    assert!(rank(&wait(0, false, 0)) < rank(&wait(1, false, 0)));
+    assert!(rank(&wait(2, false, 0)) < rank(&wait(0, false, 9_000)));
+    assert!(rank(&wait(0, false, 9_000)).is_lost());
+}
+
+/// Small tasks come one by one to a site of 16 workers that is half full. Spread over the
+/// emptiest workers they leave no whole worker; packed they leave half of them.
+#[test]
+fn small_tasks_leave_whole_workers_to_large_ones() {
+    let small = step(1, 1, SECOND);
+    let large = step(1, 8, SECOND);
+    let on_worker = [0_u32; 16];
+    let on_worker: &'static [u32] = Box::leak(Box::new(on_worker));
+    let limits = limits(&pool(), on_worker);
+    let rooms = rooms(16);
+    let whole = |free: &[Resources]| free.iter().filter(|f| f.fits(&large.occupies())).count();
+    let mut packed: Vec<Resources> = rooms.iter().map(|r| r.free).collect();
+    let mut spread = packed.clone();
+    for _ in 0..64 {
+        let num = best_fit(&rooms, &packed, &small, &limits).expect("room");
+        packed[num] -= small.occupies();
+        let emptiest = (0..16).max_by_key(|&n| spread[n].accels).expect("a worker");
+        spread[emptiest] -= small.occupies();
+    }
+    assert_eq!(whole(&packed), 8);
+    assert_eq!(whole(&spread), 0);
+}
+
+#[test]
+fn a_gang_starts_on_one_rack_and_a_wider_one_anywhere() {
+    let on_worker: &'static [u32] = &[0; 8];
+    let limits = limits(&pool(), on_worker);
+    let mut all = rooms(8);
+    all[0].free = Resources::default();
+    let mut gang = step(4, 8, SECOND);
+    gang.gang = true;
+    gang.one_rack = true;
+    let mut free: Vec<Resources> = all.iter().map(|r| r.free).collect();
+    let chosen = place_gang(&all, &mut free, &gang, &limits, 4).expect("a rack");
+    assert!(
+        chosen.iter().all(|&n| n >= 4),
+        "the second rack holds the gang: {chosen:?}"
+    );
+    let mut free: Vec<Resources> = all.iter().map(|r| r.free).collect();
+    let wide = place_gang(&all, &mut free, &gang, &limits, 6);
+    assert!(wide.is_some(), "no rack could ever hold six");
+}
+
+#[test]
+fn a_gang_that_does_not_fit_takes_nothing() {
+    let on_worker: &'static [u32] = &[0; 4];
+    let limits = limits(&pool(), on_worker);
+    let all = rooms(4);
+    let mut free: Vec<Resources> = all.iter().map(|r| r.free).collect();
+    let before = free.clone();
+    assert!(place_all(&all, &mut free, &step(5, 8, SECOND), &limits, 5).is_none());
+    assert_eq!(free, before);
+}
+
+/// A full site: each rack has one worker with young work. Stopping whatever is on the first
+/// workers loses several times what the choice loses, and room already being made counts.
+#[test]
+fn the_least_work_is_stopped_for_an_urgent_gang() {
+    let mut rng = Pcg64::seed_from_u64(1);
+    let on_worker: &'static [u32] = &[0; 16];
+    let limits = limits(&pool(), on_worker);
+    let mut all = rooms(16);
+    let mut victims = Vec::new();
+    for (num, room) in all.iter_mut().enumerate() {
+        use_up(room, 8, SECOND);
+        victims.push(Victim {
+            rooms: vec![num],
+            need: Resources {
+                cpu: 2_000,
+                memory: 1_000,
+                accels: 8,
+            },
+            loss: rng.random_range(100..10_000),
+        });
+    }
+    let mut gang = step(2, 8, SECOND);
+    gang.gang = true;
+    gang.one_rack = true;
+    let choice = choose(&all, &victims, &gang, &limits, 2).expect("a choice");
+    assert_eq!(choice.victims.len(), 2);
+    let racks: Vec<_> = choice.rooms.iter().map(|&n| n / 4).collect();
+    assert_eq!(racks[0], racks[1]);
+    let first: u64 = victims[..2].iter().map(|v| v.loss).sum();
+    assert!(
+        choice.loss * 2 < first,
+        "{} lost, {first} by the first two",
+        choice.loss
+    );
+    let coming = Resources {
+        cpu: 2_000,
+        memory: 1_000,
+        accels: 8,
+    };
+    all[4].coming = coming;
+    all[5].coming = coming;
+    let again = choose(&all, &victims, &gang, &limits, 2).expect("a choice");
+    assert_eq!(
+        (again.loss, again.victims.len()),
+        (0, 0),
+        "room that is being made is used"
+    );
+}
+
+/// Small tasks of 1 s fill every accelerator that comes free, for 20 s; a gang of two whole
+/// workers waits. Without kept room it starts only when the small tasks run out.
+#[test]
+fn a_large_gang_starts_while_small_tasks_keep_coming() {
+    let starts = |kept: bool| {
+        let on_worker: &'static [u32] = &[0; 4];
+        let small = step(1, 1, SECOND);
+        let mut gang = step(2, 8, SECOND);
+        gang.gang = true;
+        let mut running: Vec<Vec<Millis>> = vec![Vec::new(); 4];
+        for (num, list) in running.iter_mut().enumerate() {
+            *list = (1..=8).map(|n| Millis(n * 120 + num as u64)).collect();
+        }
+        for turn in 0..400_u64 {
+            let now = Millis(turn * 50);
+            running
+                .iter_mut()
+                .for_each(|list| list.retain(|end| *end > now));
+            let mut all = rooms(4);
+            for (room, list) in all.iter_mut().zip(&running) {
+                list.iter().for_each(|end| use_up(room, 1, *end - now));
+            }
+            let limits = limits(&pool(), on_worker);
+            let mut free: Vec<Resources> = all.iter().map(|r| r.free).collect();
+            if place_gang(&all, &mut free, &gang, &limits, 2).is_some() {
+                return now;
+            }
+            if kept {
+                reserve::keep(&mut all, &gang, &limits, 2);
+            }
+            while let Some(num) = best_fit(&all, &free, &small, &limits) {
+                free[num] -= small.occupies();
+                running[num].push(now + SECOND);
+            }
+        }
+        Millis(20_000)
+    };
+    assert_eq!(starts(false), Millis(20_000));
+    assert!(
+        starts(true) <= Millis(2_000),
+        "starts after {}",
+        starts(true)
+    );
+}
+
+/// Urgent jobs of eight accelerators come every 400 ms; other work fills what is free.
+#[test]
+fn room_is_kept_for_urgent_jobs_only_while_they_come() {
+    let mut urgent = Urgent::default();
+    assert_eq!(urgent.accels(Millis(0)), 0);
+    for turn in 0..60 {
+        urgent.see(8, Millis(turn * 400));
+    }
+    let now = Millis(59 * 400);
+    let kept = urgent.accels(now);
+    assert!((8..=32).contains(&kept), "{kept} accelerators are kept");
+    let mut all = rooms(8);
+    reserve::keep_urgent(&mut all, kept);
+    let on_worker: &'static [u32] = &[0; 8];
+    let mut free: Vec<Resources> = all.iter().map(|r| r.free).collect();
+    let other = limits(&pool(), on_worker);
+    while let Some(num) = best_fit(&all, &free, &step(1, 1, SECOND), &other) {
+        free[num] -= step(1, 1, SECOND).occupies();
+    }
+    let limits = Limits {
+        urgent: true,
+        ..other
+    };
+    assert!(best_fit(&all, &free, &step(1, 8, SECOND), &limits).is_some());
+    assert_eq!(urgent.accels(now + Millis(11_000)), 0);
+}
+
+fn load(accel_seconds: u64) -> Load {
+    let work = Work {
+        cpu: 0,
+        accels: accel_seconds * 1_000,
+    };
+    let backlog: Map<u32, Work> = [(1, work)].into_iter().collect();
+    let capacity = Resources {
+        cpu: 320_000,
+        memory: 640_000,
+        accels: 80,
+    };
+    let pool_load = PoolLoad {
+        capacity,
+        kinds: vec![WHOLE],
+        backlog,
+    };
+    Load {
+        pools: [(pool(), pool_load)].into_iter().collect(),
+        ..Load::default()
+    }
+}
+
+#[test]
+fn what_no_worker_can_run_is_refused_at_once() {
+    let given = job(1, vec![step(1, 9, SECOND)], Millis(0));
+    let mut promises = Promises::default();
+    let verdict = admit(&load(0), Millis(0), &given, &mut promises, 1, Millis(0));
+    assert!(matches!(verdict, Verdict::NoWorker(_)), "{verdict:?}");
+}
+
+#[test]
+fn old_news_of_the_load_refuse_nothing() {
+    let given = job(1, vec![step(1, 9, SECOND)], Millis(0));
+    let mut promises = Promises::default();
+    let verdict = admit(&load(0), Millis(6_000), &given, &mut promises, 1, Millis(0));
+    assert_eq!(verdict, Verdict::Accept);
+}
+
+/// A burst of 20 jobs on a site that has work for longer than their results are of use. Each is
+/// told a time of its own, later than the one before.
+#[test]
+fn refused_callers_come_back_one_after_the_other() {
+    let given = job(1, vec![step(8, 8, SECOND)], Millis(0));
+    let mut promises = Promises::default();
+    let load = load(80 * 20);
+    let times: Vec<Millis> = (0..20)
+        .map(
+            |_| match admit(&load, Millis(0), &given, &mut promises, 1, Millis(0)) {
+                Verdict::Late(after) => after,
+                verdict => panic!("{verdict:?}"),
+            },
+        )
+        .collect();
+    assert!(times.windows(2).all(|t| t[0] < t[1]), "{times:?}");
+    let urgent = job(0, vec![step(1, 8, SECOND)], Millis(0));
+    let verdict = admit(&load, Millis(0), &urgent, &mut promises, 1, Millis(0));
+    assert_eq!(
+        verdict,
+        Verdict::Accept,
+        "work of a lower priority is not in its way"
+    );
+}
