Test the daemon against stand-ins of the platform and its workers

A bad span is named by its text and place; the test first expected the field's name, which findings do not carry.

--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -61,6 +61,7 @@
         };
         let ports = [addresses.callers, addresses.ready];
         let server = listen("callers", &ports, CLOSE, routes)?;
+        shared.callers.set(server.address());
         let metrics = shared.metrics.clone();
         let routes = move |app: &mut ServiceConfig| {
             let metrics = metrics.clone();
@@ -87,6 +88,11 @@
         })
     }
 
+    /// Where it answers callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.shared.callers.get()
+    }
+
     /// The settings file has been read again. Addresses and bounds hold from the next start.
     pub fn reload(&self, settings: &Batch) {
         let changed = *settings != self.shared.settings;
--- a/crates/bronzetack/src/batch/peers.rs
+++ b/crates/bronzetack/src/batch/peers.rs
@@ -47,7 +47,7 @@
         let asked = shared.store.lease(LEASE).await?;
         let put = Put {
             key: format!("{}{}", keys::PEERS, shared.instance),
-            value: shared.settings.addresses.callers.to_string().into_bytes(),
+            value: shared.callers.get().to_string().into_bytes(),
             lease: asked,
         };
         let txn = Txn {
@@ -59,7 +59,7 @@
         }
     }
     let listing = shared.store.list(keys::PEERS).await?;
-    let own = shared.settings.addresses.callers;
+    let own = shared.callers.get();
     let addresses = listing.items.iter().filter_map(|item| {
         let text = std::str::from_utf8(item.value.as_deref()?).ok()?;
         text.parse::<SocketAddr>().ok().filter(|a| *a != own)
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -78,6 +78,8 @@
     pub quick: Store,
     /// The other daemons.
     pub relay: Relay,
+    /// Where this daemon answers callers.
+    pub callers: Cell<SocketAddr>,
     /// Where other daemons answer callers.
     pub peers: RefCell<Vec<SocketAddr>>,
     /// The workers.
@@ -135,6 +137,7 @@
             clock,
             quick: store.with_timeout(QUICK_TIMEOUT),
             store,
+            callers: Cell::new(settings.addresses.callers),
             relay: Relay::default(),
             peers: RefCell::default(),
             workers: Workers::new(ORDER_TIMEOUT),
--- /dev/null
+++ b/crates/bronzetack/tests/batch.rs
@@ -0,0 +1,305 @@
+//! Daemons of a whole site's scheduler against stand-ins of the platform and its workers.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use awc::http::StatusCode;
+use bronzetack::BatchDaemon;
+use conf::batch;
+use platform_fakes::FakeStore;
+use platform_fakes::FakeWorker;
+use platform_fakes::Trouble;
+use serde_json::json;
+use serde_json::Value;
+
+/// Longest wait for anything that has to happen.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const KEY: &str = "Token key-1";
+const HOST: &str = "jobs.example";
+
+struct Site {
+    store: FakeStore,
+    workers: Vec<FakeWorker>,
+}
+
+impl Site {
+    /// A store with a configuration, and workers whose tasks take `lasts`.
+    fn start(workers: usize, lasts: Duration) -> Site {
+        let store = FakeStore::start().expect("a free port");
+        let workers = (0..workers).map(|num| FakeWorker::start(&format!("w{num}"), lasts));
+        let workers: Vec<FakeWorker> = workers.map(|w| w.expect("a free port")).collect();
+        let site = Site { store, workers };
+        site.configure(1);
+        for worker in &site.workers {
+            let (key, entry) = worker.entry("pool", "ready");
+            site.store.write(&key, &entry);
+        }
+        site
+    }
+
+    fn configure(&self, version: u64) {
+        let config = json!({
+            "version": version,
+            "routes": [{
+                "name": "q", "host": HOST, "path-prefix": "/q/", "service": "pool",
+                "priority": 1, "max-attempts": 3, "stretch": 3.0, "target-latency-ms": 1000,
+            }],
+            "services": [{ "name": "pool", "admission-check": false }],
+            "tenants": [{ "name": "board", "api-keys": ["key-1"], "guaranteed-gpus": 8 }],
+        });
+        self.store.write("op/config", &config);
+    }
+
+    fn daemon(&self, vm: &str) -> BatchDaemon {
+        let text = format!(
+            r#"{{
+                "vm": "{vm}", "domain": "d0",
+                "addresses": {{
+                    "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
+                    "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
+                }},
+                "store": {{ "address": "{}" }},
+                "bounds": {{ "max-hold": "6s", "stop": "3s", "heartbeat": "300ms" }},
+            }}"#,
+            self.store.address()
+        );
+        let settings = batch::load(&text, "test").expect("settings without findings");
+        BatchDaemon::start(settings, obs::discard()).expect("free ports")
+    }
+
+    fn starts(&self) -> Vec<String> {
+        let mut all: Vec<String> = self.workers.iter().flat_map(|w| w.starts()).collect();
+        all.sort();
+        all
+    }
+}
+
+struct Answer {
+    status: StatusCode,
+    retry: bool,
+    body: Value,
+}
+
+async fn call(daemon: &BatchDaemon, method: &str, path: &str, body: Option<Value>) -> Answer {
+    let url = format!("http://{}{path}", daemon.callers());
+    let client = awc::Client::builder().disable_timeout().finish();
+    let request = client
+        .request(method.parse().expect("a method"), url)
+        .insert_header(("host", HOST))
+        .insert_header(("authorization", KEY))
+        .insert_header(("X-Bronzetack-Deadline-Ms", "3000"));
+    let sent = match body {
+        Some(body) => request.send_json(&body),
+        None => request.send(),
+    };
+    let mut answer = sent.await.expect("an answer");
+    let body = answer.body().await.expect("a body");
+    Answer {
+        status: answer.status(),
+        retry: answer.headers().contains_key("retry-after"),
+        body: serde_json::from_slice(&body).unwrap_or(Value::Null),
+    }
+}
+
+fn job(tasks: u32, accels: u64) -> Value {
+    json!({ "spec": "text", "steps": [
+        { "count": tasks, "cpu": 1000, "mem-mb": 100, "gpus": accels, "estimated-ms": 200 },
+    ] })
+}
+
+/// Submits until a daemon accepts: at its start it has no configuration.
+async fn submit(daemon: &BatchDaemon, path: &str, body: Value) {
+    let end = Instant::now() + PATIENCE;
+    while call(daemon, "POST", path, Some(body.clone())).await.status != StatusCode::OK {
+        assert!(Instant::now() < end, "{path} is not accepted");
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn wait_state(daemon: &BatchDaemon, path: &str, state: &str) {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let answer = call(daemon, "GET", path, None).await;
+        if answer.body["state"] == state {
+            return;
+        }
+        let told = (answer.status, answer.body);
+        assert!(Instant::now() < end, "{path} is not {state}: {told:?}");
+        actix_rt::time::sleep(Duration::from_millis(30)).await;
+    }
+}
+
+fn names(id: &str, tasks: u32) -> Vec<String> {
+    (0..tasks).map(|n| format!("{id}.0.0.{n}")).collect()
+}
+
+#[actix_rt::test]
+async fn a_job_runs_once_and_every_daemon_knows_its_state() {
+    let site = Site::start(2, Duration::from_millis(200));
+    let first = site.daemon("e0");
+    let second = site.daemon("e1");
+    let id = "00000000000000a1";
+    let path = format!("/q/{id}");
+    submit(&first, &path, job(6, 2)).await;
+    submit(&second, &path, job(6, 2)).await;
+    wait_state(&second, &path, "completed").await;
+    wait_state(&first, &path, "completed").await;
+    assert_eq!(site.starts(), names(id, 6));
+    let waiting = call(&second, "GET", "/q/", None).await;
+    assert_eq!(waiting.body["pending-jobs"], 0);
+    first.close().await;
+    second.close().await;
+}
+
+#[actix_rt::test]
+async fn a_successor_goes_on_without_starting_anything_twice() {
+    let site = Site::start(2, Duration::from_millis(3_000));
+    let first = site.daemon("e0");
+    let id = "00000000000000a2";
+    let path = format!("/q/{id}");
+    submit(&first, &path, job(8, 1)).await;
+    wait_state(&first, &path, "running").await;
+    let second = site.daemon("e1");
+    first.close().await;
+    wait_state(&second, &path, "completed").await;
+    assert_eq!(site.starts(), names(id, 8));
+    second.close().await;
+}
+
+#[actix_rt::test]
+async fn calls_that_cannot_be_served_get_definite_answers() {
+    let site = Site::start(1, Duration::from_millis(200));
+    let daemon = site.daemon("e0");
+    submit(&daemon, "/q/00000000000000a3", job(1, 1)).await;
+    let status = |answer: Answer| answer.status.as_u16();
+    assert_eq!(
+        status(call(&daemon, "GET", "/q/00000000000000ff", None).await),
+        410
+    );
+    assert_eq!(
+        status(call(&daemon, "DELETE", "/q/00000000000000ff", None).await),
+        410
+    );
+    assert_eq!(
+        status(call(&daemon, "POST", "/none/00000000000000a4", None).await),
+        404
+    );
+    assert_eq!(
+        status(call(&daemon, "POST", "/q/00000000000000a4", None).await),
+        400
+    );
+    assert_eq!(
+        status(call(&daemon, "POST", "/q/short", Some(job(1, 1))).await),
+        400
+    );
+    assert_eq!(
+        status(call(&daemon, "POST", "/q/00000000000000a4", Some(json!({}))).await),
+        400
+    );
+    assert_eq!(site.store.keys("bronzetack/asked/").len(), 1);
+    daemon.close().await;
+}
+
+#[actix_rt::test]
+async fn a_job_that_no_worker_could_run_is_refused_and_never_runs() {
+    let site = Site::start(1, Duration::from_millis(100));
+    let daemon = site.daemon("e0");
+    submit(&daemon, "/q/00000000000000a5", job(1, 1)).await;
+    wait_state(&daemon, "/q/00000000000000a5", "completed").await;
+    let end = Instant::now() + PATIENCE;
+    let mut num = 0;
+    loop {
+        // The first ones may come before the load has been published.
+        let path = format!("/q/00000000000001{num:02}");
+        let answer = call(&daemon, "POST", &path, Some(job(1, 9))).await;
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            assert!(answer.retry);
+            let told = call(&daemon, "GET", &path, None).await;
+            assert_eq!(told.status, StatusCode::GONE);
+            break;
+        }
+        assert!(Instant::now() < end, "not refused: {}", answer.status);
+        num += 1;
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+    }
+    daemon.close().await;
+}
+
+#[actix_rt::test]
+async fn a_cancelled_job_is_stopped() {
+    let site = Site::start(1, Duration::from_secs(60));
+    let daemon = site.daemon("e0");
+    let path = "/q/00000000000000a6";
+    submit(&daemon, path, job(12, 1)).await;
+    wait_state(&daemon, path, "running").await;
+    assert_eq!(
+        call(&daemon, "DELETE", path, None).await.status,
+        StatusCode::OK
+    );
+    wait_state(&daemon, path, "cancelled").await;
+    let started = site.starts().len();
+    assert!(started <= 8, "{started} of 12 tasks fit");
+    submit(&daemon, "/q/00000000000000a7", job(8, 1)).await;
+    wait_state(&daemon, "/q/00000000000000a7", "running").await;
+    daemon.close().await;
+}
+
+#[actix_rt::test]
+async fn no_refusal_is_claimed_while_the_store_is_away() {
+    let site = Site::start(1, Duration::from_millis(200));
+    let daemon = site.daemon("e0");
+    submit(&daemon, "/q/00000000000000a8", job(1, 1)).await;
+    wait_state(&daemon, "/q/00000000000000a8", "completed").await;
+    for trouble in [Trouble::Busy, Trouble::Mute] {
+        site.store.trouble(trouble);
+        let answer = call(&daemon, "POST", "/q/00000000000000a9", Some(job(1, 1))).await;
+        assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT, "{trouble:?}");
+        assert!(answer.retry);
+        site.store.trouble(Trouble::None);
+    }
+    // The unanswered write took effect; the job runs once however often it is sent.
+    submit(&daemon, "/q/00000000000000a9", job(1, 1)).await;
+    wait_state(&daemon, "/q/00000000000000a9", "completed").await;
+    let runs = site
+        .starts()
+        .iter()
+        .filter(|t| t.starts_with("00000000000000a9"))
+        .count();
+    assert_eq!(runs, 1);
+    daemon.close().await;
+}
+
+#[actix_rt::test]
+async fn a_domain_that_is_out_gets_nothing_until_it_is_back() {
+    let site = Site::start(2, Duration::from_millis(100));
+    let daemon = site.daemon("e0");
+    submit(&daemon, "/q/00000000000000b1", job(1, 1)).await;
+    wait_state(&daemon, "/q/00000000000000b1", "completed").await;
+    site.store.write("op/evacuate/d0", &json!({}));
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+    submit(&daemon, "/q/00000000000000b2", job(1, 1)).await;
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(site.starts().len(), 1, "the domain is out");
+    site.store.compact();
+    site.store.remove("op/evacuate/d0");
+    wait_state(&daemon, "/q/00000000000000b2", "completed").await;
+    daemon.close().await;
+}
+
+#[actix_rt::test]
+async fn a_draining_worker_gets_nothing() {
+    let site = Site::start(2, Duration::from_millis(100));
+    let daemon = site.daemon("e0");
+    let (key, entry) = site.workers[0].entry("pool", "draining");
+    site.store.write(&key, &entry);
+    submit(&daemon, "/q/00000000000000b3", job(8, 1)).await;
+    wait_state(&daemon, "/q/00000000000000b3", "completed").await;
+    submit(&daemon, "/q/00000000000000b4", job(8, 1)).await;
+    wait_state(&daemon, "/q/00000000000000b4", "completed").await;
+    assert!(
+        site.workers[0].starts().is_empty(),
+        "it drains from the start"
+    );
+    daemon.close().await;
+}
--- /dev/null
+++ b/crates/conf/tests/batch.rs
@@ -0,0 +1,50 @@
+//! Settings of a daemon of a whole site's scheduler.
+
+use base::Millis;
+use conf::batch::load;
+use yare::parameterized;
+
+fn file(bounds: &str) -> String {
+    format!(
+        r#"// One daemon.
+        {{
+            "vm": "e0", "domain": "d0",
+            "addresses": {{
+                "callers": "127.0.0.1:1", "ready": "127.0.0.1:2",
+                "operators": "127.0.0.1:3", "peers": "127.0.0.1:4",
+            }},
+            "store": {{ "address": "127.0.0.1:5" }},
+            "bounds": {{ {bounds} }},
+        }}"#
+    )
+}
+
+#[test]
+fn spans_are_read_in_their_units() {
+    let text =
+        file(r#""max-hold": "10000ms", "stop": "6s", "status": "1.5s", "remote-factor": "2.5""#);
+    let settings = load(&text, "f").expect("no findings");
+    assert_eq!(settings.bounds.max_hold, Millis(10_000));
+    assert_eq!(settings.bounds.stop, Millis(6_000));
+    assert_eq!(settings.bounds.status, Millis(1_500));
+    assert_eq!(settings.bounds.remote_factor, 3);
+    assert_eq!(settings.store.min_ttl, Millis(1_000));
+}
+
+#[parameterized(
+    no_unit_text = { r#""max-hold": "long""#, "\"long\"" },
+    out_of_range = { r#""reclaim": "1ms""#, "out of range" },
+    unknown = { r#""max-holt": "1s""#, "max-holt" },
+    factor = { r#""remote-factor": "x""#, "\"x\"" },
+)]
+fn a_bad_bound_is_a_finding_with_its_place(bounds: &str, part: &str) {
+    let found = load(&file(bounds), "f").expect_err("a finding");
+    let text = found.to_string();
+    assert!(text.contains("f:9:") && text.contains(part), "{text}");
+}
+
+#[test]
+fn all_findings_are_reported_together() {
+    let found = load("{ \"vm\": \"e 0\", \"addresses\": {} }", "f").expect_err("findings");
+    assert!(found.len() >= 6, "{found}");
+}
