Count an occurrence's waiting from its own time; let starts under way give room

Occurrences of scheduled jobs counted their age from the job's acceptance and ranked as lost; the whole chain counted although its first steps were done; tasks whose start was not answered yet were not room. Ruled out: a step that is never placed (each urgent job started). Change: age from the occurrence's due time, time left from the steps that are left, starts under way count as victims, an urgent gang that finds no victims keeps room, a lasting task is stopped only within what its step may miss.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -237,8 +237,7 @@
         }
         let first = self.next;
         while self.next < schedule.runs {
-            let at = schedule.start.0 + u64::from(self.next) * schedule.interval.0;
-            if at > wall.0 {
+            if schedule.due(self.next) > wall {
                 break;
             }
             let occurrence = Occurrence::new(&self.given.work.steps);
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -13,6 +13,7 @@
 use crate::job::OpenRun;
 use crate::job::RunPhase;
 use crate::job::StepState;
+use crate::job::TaskState;
 use crate::order::rank;
 use crate::order::Rank;
 use crate::order::Wait;
@@ -179,17 +180,16 @@
             }
             let is_guaranteed = guaranteed.contains(id);
             let ratio = self.ratios.get(&job.given.queue).copied().unwrap_or(100);
-            let left = job.given.work.chain();
-            let wait = Wait {
-                priority: job.given.priority,
-                guaranteed: is_guaranteed,
-                age: wall.since(job.given.at),
-                objective: job.given.objective,
-                left: Millis(left.0 * u64::from(ratio) / 100),
-            };
-            let place = rank(&wait);
             let Job { given, open, .. } = job;
             for (&occurrence, state) in open.iter_mut() {
+                let left = given.work.chain_left(|step| state.steps[step].is_done());
+                let place = rank(&Wait {
+                    priority: given.priority,
+                    guaranteed: is_guaranteed,
+                    age: wall.since(given.due(occurrence)),
+                    objective: given.objective,
+                    left: Millis(left.0 * u64::from(ratio) / 100),
+                });
                 for (num, spec) in given.work.steps.iter().enumerate() {
                     if !state.is_ready(spec) || !is_startable(&state.steps[num], spec, now) {
                         continue;
@@ -299,9 +299,12 @@
         if urgent {
             let worth = preempt::work(&spec.need, limits.lasts) * short as u64;
             let most = self.most_loss(waited, at.guaranteed, worth);
-            self.make_room(pass, &spec, &limits, short, most);
-        } else if spec.gang && waited >= KEEP_AFTER && pass.kept < KEPT_GANGS && !at.rank.is_lost()
-        {
+            if self.make_room(pass, at, &spec, &limits, short, most) {
+                return;
+            }
+        }
+        let starved = waited >= KEEP_AFTER && !at.rank.is_lost();
+        if spec.gang && starved && pass.kept < KEPT_GANGS {
             reserve::keep(&mut pass.rooms, &spec, &limits, short);
             pass.kept += 1;
         }
@@ -363,21 +366,23 @@
         self.dirty.insert(at.job.clone());
     }
 
-    /// Stops work of lower priority so that the tasks fit, and keeps the room for them.
+    /// Stops work of lower priority so that the tasks fit, and keeps the room for them. False if
+    /// they do not fit even so, or too much would be lost.
     fn make_room(
         &mut self,
         pass: &mut Pass,
+        at: &Waiting,
         spec: &StepSpec,
         limits: &Limits,
         count: usize,
         most: u64,
-    ) {
+    ) -> bool {
         let (victims, tasks) = self.victims(&pass.rooms, pass.now);
         let Some(choice) = preempt::choose(&pass.rooms, &victims, spec, limits, count) else {
-            return;
+            return false;
         };
         if choice.loss > most {
-            return;
+            return false;
         }
         let need = spec.occupies();
         for &num in &choice.rooms {
@@ -393,10 +398,14 @@
             }
             if let Some(task) = tasks[victim].first() {
                 let num = tasks[victim].len();
-                let text = format!("{num} runs of {task} are stopped for work of priority 0");
+                let text = format!(
+                    "{num} runs with {task} are stopped for urgent job {}",
+                    at.job
+                );
                 self.note(Some(&task.job), text);
             }
         }
+        true
     }
 
     /// Runs of lower priority on the rooms, each with the work that a stop would lose. The
@@ -426,7 +435,11 @@
                 let Some(&at) = place.get(&open.worker) else {
                     continue;
                 };
-                if open.phase != RunPhase::Running {
+                // One whose start has not been answered yet is stopped as well as any other.
+                if !matches!(open.phase, RunPhase::Running | RunPhase::Sent) {
+                    continue;
+                }
+                if spec.lasting && !may_miss_one(job, &task) {
                     continue;
                 }
                 let loss = preempt::work(&spec.need, lost_by_stop(spec, open, now));
@@ -467,6 +480,18 @@
     }
 }
 
+/// Whether one more task of a lasting step may be kept from work.
+fn may_miss_one(job: &Job, task: &TaskId) -> bool {
+    let steps = job
+        .open
+        .get(&task.occurrence)
+        .map(|o| &o.steps[usize::from(task.step)]);
+    let at_work = |t: &TaskState| t.open.as_ref().is_some_and(|o| o.percent >= 100);
+    let away = steps.map_or(0, |s| s.tasks.iter().filter(|t| !at_work(t)).count());
+    let most = job.spec(task).map_or(0, |s| s.may_miss as usize);
+    away < most
+}
+
 /// Whether a step has tasks to start; a gang only once none of its tasks is open.
 fn is_startable(state: &StepState, spec: &StepSpec, now: Millis) -> bool {
     let waits = state.tasks.iter().any(|t| !t.done && t.open.is_none());
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -74,6 +74,14 @@
     }
 }
 
+impl Submitted {
+    /// Unix time from which an occurrence counts as waiting.
+    pub fn due(&self, occurrence: u32) -> Millis {
+        let at = self.work.schedule.map(|s| s.due(occurrence));
+        at.map_or(self.at, |at| at.max(self.at))
+    }
+}
+
 /// The record under a job's id.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum JobRecord {
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -124,6 +124,13 @@
     pub runs: u32,
 }
 
+impl Schedule {
+    /// Unix time at which an occurrence is due.
+    pub fn due(&self, occurrence: u32) -> Millis {
+        self.start + Millis(u64::from(occurrence).saturating_mul(self.interval.0))
+    }
+}
+
 /// A step of a job: tasks that are alike.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct StepSpec {
@@ -232,10 +239,20 @@
 
     /// Longest chain of estimates through the steps.
     pub fn chain(&self) -> Millis {
+        self.chain_left(|_| false)
+    }
+
+    /// Longest chain of estimates through the steps that are not done.
+    pub fn chain_left(&self, done: impl Fn(usize) -> bool) -> Millis {
         let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (num, step) in self.steps.iter().enumerate() {
             let before = step.after.iter().map(|&a| ends[usize::from(a)]).max();
-            ends.push(before.unwrap_or_default() + step.estimate);
+            let own = if done(num) {
+                Millis::ZERO
+            } else {
+                step.estimate
+            };
+            ends.push(before.unwrap_or_default() + own);
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/batch/tests/decisions.rs
+++ b/crates/batch/tests/decisions.rs
@@ -20,6 +20,7 @@
 use batch::PoolLoad;
 use batch::Promises;
 use batch::Resources;
+use batch::Schedule;
 use batch::Verdict;
 use batch::Work;
 use rand::RngExt;
@@ -370,3 +371,25 @@
         "work of a lower priority is not in its way"
     );
 }
+
+/// Counted from the job's acceptance, every occurrence but the first was late from the start.
+#[test]
+fn an_occurrence_waits_from_its_own_time() {
+    let mut given = job(1, vec![step(1, 1, SECOND)], Millis(10_000));
+    given.work.schedule = Some(Schedule {
+        start: Millis(9_000),
+        interval: Millis(4_000),
+        runs: 5,
+    });
+    assert_eq!(given.due(0), Millis(10_000), "not before it was accepted");
+    assert_eq!(given.due(3), Millis(21_000));
+}
+
+#[test]
+fn steps_that_are_done_take_no_more_time() {
+    let mut second = step(1, 1, Millis(500));
+    second.after = vec![0];
+    let work = job(1, vec![step(1, 1, SECOND), second], Millis(0)).work;
+    assert_eq!(work.chain(), Millis(1_500));
+    assert_eq!(work.chain_left(|step| step == 0), Millis(500));
+}
--- a/crates/batch/tests/faults.rs
+++ b/crates/batch/tests/faults.rs
@@ -180,6 +180,7 @@
         late: 15,
         store: 30,
         fail: 20,
+        slow: 1,
     };
     let mut site = Site::new(8, seed, faults);
     let mut ids = Vec::new();
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -36,6 +36,8 @@
     pub store: u32,
     /// A run fails.
     pub fail: u32,
+    /// Turns until the answer to a start arrives.
+    pub slow: u32,
 }
 
 pub struct Site {
@@ -53,6 +55,7 @@
     started: BTreeMap<TaskId, Millis>,
     failures: BTreeMap<(JobId, u16, RunNumber), u32>,
     late: Vec<(Millis, StartOrder)>,
+    answers: Vec<(Millis, StartOrder, StartAnswer)>,
     looks: BTreeMap<WorkerId, Millis>,
     epoch: u64,
 }
@@ -84,6 +87,7 @@
             started: BTreeMap::new(),
             failures: BTreeMap::new(),
             late: Vec::new(),
+            answers: Vec::new(),
             looks: BTreeMap::new(),
             epoch: 1,
         };
@@ -118,6 +122,7 @@
     /// A new coordinator takes over with what is stored.
     pub fn take_over(&mut self) {
         self.epoch += 1;
+        self.answers.clear();
         self.book = Book::new(Epoch(self.epoch), BOUNDS, catalog(), self.now);
         for (id, (given, progress, cancelled)) in &self.stored {
             self.book
@@ -134,6 +139,7 @@
         self.now += TURN;
         self.work();
         self.late_orders();
+        self.answer();
         self.list();
         self.look();
         self.book.tick(self.now, self.now);
@@ -225,7 +231,20 @@
             true => StartAnswer::Unknown("unanswered".into()),
             false => answer,
         };
-        self.book.start_answer(&order, answer, now);
+        let due = now + Millis(TURN.0 * u64::from(self.faults.slow));
+        self.answers.push((due, order, answer));
+        self.answer();
+    }
+
+    /// Passes on the answers that have arrived.
+    fn answer(&mut self) {
+        let now = self.now;
+        for (due, order, answer) in std::mem::take(&mut self.answers) {
+            match due <= now {
+                true => self.book.start_answer(&order, answer, now),
+                false => self.answers.push((due, order, answer)),
+            }
+        }
     }
 
     fn late_orders(&mut self) {
