Move the choice of victims out of the pass

Change: what could be stopped stands in plan/victims.rs. No change of behaviour; the tests of the crate pass.

--- /dev/null
+++ b/crates/batch/src/plan/victims.rs
@@ -0,0 +1,101 @@
+//! The work that could be stopped for urgent jobs.
+
+use base::Map;
+use base::Millis;
+use base::WorkerId;
+
+use crate::book::Book;
+use crate::job::Job;
+use crate::job::OpenRun;
+use crate::job::RunPhase;
+use crate::job::TaskState;
+use crate::place::Room;
+use crate::preempt;
+use crate::preempt::Victim;
+use crate::spec::StepSpec;
+use crate::spec::TaskId;
+
+impl Book {
+    /// Runs of lower priority on the rooms, each with the work that a stop would lose. The
+    /// members of a gang go together.
+    pub(super) fn victims(&self, rooms: &[Room], now: Millis) -> (Vec<Victim>, Vec<Vec<TaskId>>) {
+        let place: Map<&WorkerId, usize> = rooms
+            .iter()
+            .enumerate()
+            .map(|(num, r)| (&r.id, num))
+            .collect();
+        let mut victims: Vec<Victim> = Vec::new();
+        let mut tasks: Vec<Vec<TaskId>> = Vec::new();
+        for id in &self.live {
+            let Some(job) = self.jobs.get(id) else {
+                continue;
+            };
+            if job.given.priority == 0 || job.phase.is_final() {
+                continue;
+            }
+            for task in job.open_tasks() {
+                let Some(open) = self.open_run(&task) else {
+                    continue;
+                };
+                let Some(spec) = job.spec(&task) else {
+                    continue;
+                };
+                let Some(&at) = place.get(&open.worker) else {
+                    continue;
+                };
+                // One whose start has not been answered yet is stopped as well as any other.
+                if !matches!(open.phase, RunPhase::Running | RunPhase::Sent) {
+                    continue;
+                }
+                if spec.lasting && !may_miss_one(job, &task) {
+                    continue;
+                }
+                let loss = preempt::work(&spec.need, lost_by_stop(spec, open, now));
+                let same = tasks.last().and_then(|t| t.first()).filter(|first| {
+                    spec.gang
+                        && first.job == task.job
+                        && first.occurrence == task.occurrence
+                        && first.step == task.step
+                });
+                if same.is_some() {
+                    if let (Some(victim), Some(list)) = (victims.last_mut(), tasks.last_mut()) {
+                        victim.rooms.push(at);
+                        victim.loss += loss;
+                        list.push(task);
+                    }
+                    continue;
+                }
+                victims.push(Victim {
+                    rooms: vec![at],
+                    need: spec.occupies(),
+                    loss,
+                });
+                tasks.push(vec![task]);
+            }
+        }
+        (victims, tasks)
+    }
+}
+
+/// Time that a checkpointing task needs to go on after a stop.
+const RESTORE: Millis = Millis(300);
+
+/// Work time that a stop loses. A checkpointing task saves its progress when it is stopped.
+fn lost_by_stop(spec: &StepSpec, open: &OpenRun, now: Millis) -> Millis {
+    match spec.checkpoints {
+        true => RESTORE,
+        false => now.since(open.seen.unwrap_or(open.since)),
+    }
+}
+
+/// Whether one more task of a lasting step may be kept from work.
+fn may_miss_one(job: &Job, task: &TaskId) -> bool {
+    let steps = job
+        .open
+        .get(&task.occurrence)
+        .map(|o| &o.steps[usize::from(task.step)]);
+    let at_work = |t: &TaskState| t.open.as_ref().is_some_and(|o| o.percent >= 100);
+    let away = steps.map_or(0, |s| s.tasks.iter().filter(|t| !at_work(t)).count());
+    let most = job.spec(task).map_or(0, |s| s.may_miss as usize);
+    away < most
+}
