--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -76,6 +76,7 @@
     };
     shared.answers.add(&[("kind", kind), ("answer", name)], 1);
     let took = shared.now().since(began);
+    shared.took.observe(&[("kind", kind)], took);
     obs::record(
         &shared.log,
         Event::CallAnswered,
--- a/crates/bronzetack/src/batch/pump.rs
+++ b/crates/bronzetack/src/batch/pump.rs
@@ -110,6 +110,13 @@
             ("outcome", &outcome),
         ],
     );
+    let result = match &answer {
+        StartAnswer::Accepted(_) => "accepted",
+        StartAnswer::Fenced => "fenced",
+        StartAnswer::Refused(_) => "refused",
+        StartAnswer::Unknown(_) => "no-answer",
+    };
+    shared.starts.add(&[("outcome", result)], 1);
     if lead.over.get() {
         return;
     }
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -18,6 +18,7 @@
 use entry::Ready;
 use obs::Counter;
 use obs::Event;
+use obs::Histogram;
 use obs::Metrics;
 use platform::LeaseId;
 use platform::Relay;
@@ -68,6 +69,10 @@
     pub metrics: Metrics,
     /// Calls of callers by kind and answer.
     pub answers: Counter,
+    /// Time to the answer of a call, by kind.
+    pub took: Histogram,
+    /// Orders to start a run, by outcome.
+    pub starts: Counter,
     /// Failed calls to the store by kind.
     pub store_errors: Counter,
     /// The clock.
@@ -132,6 +137,8 @@
             bounds,
             log: log.new(fields),
             answers: metrics.counter("batch_answers", "Calls of callers by kind and answer"),
+            took: metrics.histogram("batch_call_ms", "Time to the answer of a call"),
+            starts: metrics.counter("batch_starts", "Orders to start a run by outcome"),
             store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
             metrics,
             clock,
--- a/crates/bronzetack/tests/batch.rs
+++ b/crates/bronzetack/tests/batch.rs
@@ -57,7 +57,7 @@
                 "vm": "{vm}", "domain": "d0",
                 "addresses": {{
                     "callers": "127.0.0.1:0", "ready": "127.0.0.1:0",
-                    "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
+                    "operators": "127.0.0.1:0",
                 }},
                 "store": {{ "address": "{}" }},
                 "bounds": {{ "max-hold": "6s", "stop": "3s", "heartbeat": "300ms" }},
--- a/crates/conf/src/batch/mod.rs
+++ b/crates/conf/src/batch/mod.rs
@@ -40,8 +40,6 @@
     pub ready: SocketAddr,
     /// Metrics.
     pub operators: SocketAddr,
-    /// Other daemons.
-    pub peers: SocketAddr,
 }
 
 /// The platform's store.
--- a/crates/conf/src/batch/wire.rs
+++ b/crates/conf/src/batch/wire.rs
@@ -41,7 +41,7 @@
     vm: Text,
     domain: Text,
     debug: Option<Spot<bool>>,
-    addresses: [Text; 4],
+    addresses: [Text; 3],
     store: [Text; 2],
     spans: [Text; 8],
     factor: Text,
@@ -54,7 +54,7 @@
         let domain = top.need("domain", NAME_REMEDY);
         let debug = top.flag("debug");
         let mut section = top.section("addresses");
-        let names = ["callers", "ready", "operators", "peers"];
+        let names = ["callers", "ready", "operators"];
         let addresses = names.map(|name| section.need(name, ADDRESS_REMEDY));
         section.close();
         let mut section = top.section("store");
@@ -106,8 +106,8 @@
 fn convert(wire: &BatchWire, found: &mut Findings) -> Option<Batch> {
     let vm = parse(&wire.vm, NAME_REMEDY, found);
     let domain = parse(&wire.domain, NAME_REMEDY, found);
-    let [callers, ready, operators, peers] =
-        [0, 1, 2, 3].map(|num| parse(&wire.addresses[num], ADDRESS_REMEDY, found));
+    let [callers, ready, operators] =
+        [0, 1, 2].map(|num| parse(&wire.addresses[num], ADDRESS_REMEDY, found));
     let address = parse(&wire.store[0], ADDRESS_REMEDY, found);
     let min_ttl = span(&wire.store[1], Millis(1_000), found);
     let bounds = bounds(wire, found);
@@ -118,7 +118,6 @@
             callers: callers?,
             ready: ready?,
             operators: operators?,
-            peers: peers?,
         },
         store: StoreSettings {
             address: address?,
--- a/crates/conf/tests/batch.rs
+++ b/crates/conf/tests/batch.rs
@@ -11,7 +11,7 @@
             "vm": "e0", "domain": "d0",
             "addresses": {{
                 "callers": "127.0.0.1:1", "ready": "127.0.0.1:2",
-                "operators": "127.0.0.1:3", "peers": "127.0.0.1:4",
+                "operators": "127.0.0.1:3",
             }},
             "store": {{ "address": "127.0.0.1:5" }},
             "bounds": {{ {bounds} }},
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -15,6 +15,7 @@
 pub use metrics::Counter;
 pub use metrics::Gauge;
 pub use metrics::GaugeSeries;
+pub use metrics::Histogram;
 pub use metrics::Metrics;
 pub use metrics::Series;
 pub use span::Span;
--- a/crates/obs/src/metrics.rs
+++ b/crates/obs/src/metrics.rs
@@ -4,8 +4,11 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use base::Millis;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::metrics::histogram::Histogram as PromHistogram;
 use prometheus_client::registry::Registry;
 
 /// Label set of every metric: names and values.
@@ -48,6 +51,30 @@
     }
 }
 
+/// Bounds of a histogram's buckets: 1 ms, doubling, to 16 s.
+const BUCKETS: (f64, f64, u16) = (1.0, 2.0, 15);
+
+type MsFamily = Family<Labels, PromHistogram, fn() -> PromHistogram>;
+
+/// A histogram of times in milliseconds with labels. Clones share the same values.
+#[derive(Clone, Debug)]
+pub struct Histogram {
+    family: MsFamily,
+}
+
+impl Histogram {
+    /// Adds an observation to the series with these labels.
+    pub fn observe(&self, labels: &[(&str, &str)], took: Millis) {
+        let series = self.family.get_or_create(&owned(labels));
+        series.observe(took.0 as f64);
+    }
+}
+
+fn histogram() -> PromHistogram {
+    let (start, factor, count) = BUCKETS;
+    PromHistogram::new(exponential_buckets(start, factor, count))
+}
+
 /// A gauge with labels. Clones share the same values.
 #[derive(Clone, Debug, Default)]
 pub struct Gauge {
@@ -106,6 +133,13 @@
         counter
     }
 
+    /// Registers a histogram of times in milliseconds.
+    pub fn histogram(&self, name: &str, help: &str) -> Histogram {
+        let family: MsFamily = Family::new_with_constructor(histogram);
+        self.lock().register(name, help, family.clone());
+        Histogram { family }
+    }
+
     /// Registers a gauge.
     pub fn gauge(&self, name: &str, help: &str) -> Gauge {
         let gauge = Gauge::default();
