Pass calls on within the caller's time, and by no older configuration

Cause: since a try waits a fifth of the caller's time (600 ms), no call was passed on: a relay had to have 700 ms left. Change: relays take what is left of nine tenths of the caller's time, 500 ms at most; own attempts end with it. A 401 of another daemon was passed on although the own write could still take effect, and a daemon answered by an older configuration than one whose answer it had passed on. Now only success settles an own attempt without an answer, a relayed call names the version that its answer must have at least, and a daemon that has passed a later version on decides nothing by an older one. Test: a_daemon_that_the_store_turns_away_passes_calls_on, failed before.

--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -21,6 +21,7 @@
 use platform::LeaseId;
 use platform::Outcome;
 use platform::Put;
+use platform::Reply;
 use platform::StoreError;
 use platform::Txn;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -50,17 +51,23 @@
 /// Other daemons tried for one call.
 const RELAYS: u32 = 2;
 
-/// Longest wait for another daemon's answer.
-const RELAY_WAIT: Millis = Millis(700);
+/// Longest wait for another daemon's answer, which the store gives within half of it.
+const RELAY_WAIT: Millis = Millis(500);
+
+/// Shortest wait for which another daemon is asked.
+const RELAY_MIN: Millis = Millis(50);
+
+/// Part of a caller's wait that is kept for the answer's way back: one in this many.
+const MARGIN: u64 = 10;
 
 /// Answers calls until the port closes.
-pub async fn run(shared: Rc<Shared>, mut calls: UnboundedReceiver<(Call, Sender<CallAnswer>)>) {
+pub async fn run(shared: Rc<Shared>, mut calls: UnboundedReceiver<(Call, Sender<Reply>)>) {
     while let Some((call, reply)) = calls.recv().await {
         actix_rt::spawn(serve(shared.clone(), call, reply));
     }
 }
 
-async fn serve(shared: Rc<Shared>, call: Call, reply: Sender<CallAnswer>) {
+async fn serve(shared: Rc<Shared>, call: Call, reply: Sender<Reply>) {
     let began = shared.now();
     let catalog = shared.facts.borrow().catalog.clone();
     let version = catalog.as_ref().map_or(0, |c| c.version);
@@ -89,7 +96,7 @@
             ("took", &took),
         ],
     );
-    if reply.send(answer).is_err() {
+    if reply.send(Reply { answer, version }).is_err() {
         obs::record(&shared.log, Event::CallerGone, &[("path", &call.path)]);
     }
 }
@@ -114,22 +121,44 @@
 /// Answers a call from the store, or through another daemon while the store does not answer
 /// this one.
 async fn answer(shared: &Rc<Shared>, catalog: &Catalog, call: &Call) -> CallAnswer {
-    let wait = Millis(call.deadline.unwrap_or(WAIT).0 / SHARES);
-    let until = shared.now() + wait;
+    let wait = call.deadline.unwrap_or(WAIT);
+    let began = shared.now();
+    let until = began + Millis(wait.0 / SHARES);
+    let last = began + wait.since(Millis(wait.0 / MARGIN));
     let lost = shared.store_lost() > Millis::ZERO;
-    if lost && call.relayed {
+    // Callers have been told of a later configuration, by this daemon or the one that asks it.
+    let outdated = catalog.version < shared.told.get().max(call.relayed.unwrap_or(0));
+    if call.relayed.is_some() && (lost || outdated) {
         return CallAnswer::Unknown(come_back(shared));
     }
-    if lost {
-        if let Some(found) = pass_on(shared, call, until).await {
+    if lost || outdated {
+        if let Some(found) = pass_on(shared, catalog, call, last).await {
             return found;
         }
     }
-    let own = answer_here(shared, catalog, call, until).await;
-    if lost || call.relayed || !matches!(own, CallAnswer::Unknown(_)) {
+    if catalog.version < shared.told.get() {
+        return CallAnswer::Unknown(come_back(shared));
+    }
+    shared.told.set(catalog.version);
+    let left = last.since(shared.now()).duration();
+    let own = actix_rt::time::timeout(left, answer_here(shared, catalog, call, until)).await;
+    let own = own.unwrap_or_else(|_| CallAnswer::Unknown(come_back(shared)));
+    if lost || call.relayed.is_some() || !matches!(own, CallAnswer::Unknown(_)) {
         return own;
     }
-    pass_on(shared, call, until).await.unwrap_or(own)
+    match pass_on(shared, catalog, call, last).await {
+        // What was sent to the store may still take effect: only success settles it.
+        Some(CallAnswer::Relayed {
+            status,
+            after,
+            body,
+        }) if status < 300 => CallAnswer::Relayed {
+            status,
+            after,
+            body,
+        },
+        Some(_) | None => own,
+    }
 }
 
 /// When a caller is asked to come back while the store does not answer: the longer it has been
@@ -139,17 +168,34 @@
 }
 
 /// Another daemon's answer; `None` if none could be reached or it cannot tell either.
-async fn pass_on(shared: &Shared, call: &Call, until: Millis) -> Option<CallAnswer> {
+async fn pass_on(
+    shared: &Shared,
+    catalog: &Catalog,
+    call: &Call,
+    last: Millis,
+) -> Option<CallAnswer> {
+    let version = catalog.version.max(shared.told.get());
     let mut peers = shared.peers.borrow().clone();
     for _ in 0..RELAYS {
-        if peers.is_empty() || shared.now() + RELAY_WAIT > until {
+        let left = last.since(shared.now());
+        if peers.is_empty() || left < RELAY_MIN {
             return None;
         }
         let num = shared.spread(Millis(peers.len() as u64 - 1)).0 as usize;
         let peer = peers.swap_remove(num);
-        match shared.relay.pass(peer, call, RELAY_WAIT).await {
-            Ok(CallAnswer::Unknown(_)) => {}
-            Ok(found) => return Some(found),
+        match shared
+            .relay
+            .pass(peer, call, version, RELAY_WAIT.min(left))
+            .await
+        {
+            Ok(Reply {
+                answer: CallAnswer::Unknown(_),
+                ..
+            }) => {}
+            Ok(reply) => {
+                shared.told.set(reply.version.max(shared.told.get()));
+                return Some(reply.answer);
+            }
             Err(error) => {
                 let fields: &[(&'static str, &dyn std::fmt::Display)] =
                     &[("path", &call.path), ("peer", &peer), ("error", &error)];
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -93,6 +93,9 @@
     pub facts: RefCell<Facts>,
     /// The leadership, while this daemon is the coordinator.
     pub lead: RefCell<Option<Rc<Lead>>>,
+    /// Latest version of the configuration that an answer of this daemon was based on, its own or
+    /// one that it passed on. Nothing is decided by an older one after it.
+    pub told: Cell<u64>,
     /// What the balancer is told.
     pub ready: Ready,
     /// The load as last read, and when.
@@ -150,6 +153,7 @@
             workers: Workers::new(ORDER_TIMEOUT),
             facts: RefCell::default(),
             lead: RefCell::default(),
+            told: Cell::new(0),
             ready: Ready::default(),
             load: RefCell::default(),
             promises: RefCell::default(),
--- a/crates/bronzetack/tests/batch.rs
+++ b/crates/bronzetack/tests/batch.rs
@@ -52,6 +52,10 @@
     }
 
     fn daemon(&self, vm: &str) -> BatchDaemon {
+        self.daemon_at(vm, &self.store)
+    }
+
+    fn daemon_at(&self, vm: &str, store: &FakeStore) -> BatchDaemon {
         let text = format!(
             r#"{{
                 "vm": "{vm}", "domain": "d0",
@@ -62,7 +66,7 @@
                 "store": {{ "address": "{}" }},
                 "bounds": {{ "max-hold": "6s", "stop": "3s", "heartbeat": "300ms" }},
             }}"#,
-            self.store.address()
+            store.address()
         );
         let settings = batch::load(&text, "test").expect("settings without findings");
         BatchDaemon::start(settings, obs::discard()).expect("free ports")
@@ -303,3 +307,35 @@
     );
     daemon.close().await;
 }
+
+/// The wait for another daemon was longer than the time given to a call, so none was ever asked.
+#[actix_rt::test]
+async fn a_daemon_that_the_store_turns_away_passes_calls_on() {
+    let site = Site::start(1, Duration::from_millis(100));
+    let door = site.store.door().expect("a free port");
+    let first = site.daemon("e0");
+    submit(&first, "/q/00000000000000c1", job(1, 1)).await;
+    let second = site.daemon_at("e1", &door);
+    submit(&second, "/q/00000000000000c2", job(1, 1)).await;
+    // The second daemon has read the first one's address by its next turn.
+    let end = Instant::now() + PATIENCE;
+    loop {
+        door.trouble(Trouble::Busy);
+        let answer = call(&second, "POST", "/q/00000000000000c3", Some(job(1, 1))).await;
+        door.trouble(Trouble::None);
+        if answer.status == StatusCode::OK {
+            break;
+        }
+        assert!(Instant::now() < end, "not passed on: {}", answer.status);
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+    }
+    wait_state(&first, "/q/00000000000000c3", "completed").await;
+    let runs = site
+        .starts()
+        .iter()
+        .filter(|t| t.starts_with("00000000000000c3"))
+        .count();
+    assert_eq!(runs, 1);
+    first.close().await;
+    second.close().await;
+}
