Let a task go back to the worker on which it failed if there is no other

Cause: found while reading the change: workers on which a task had failed were excluded for good, so a pool whose workers have all failed it once, or a gang that needs them, never ran it again. Change: they are avoided for 2 s of waiting; the waiting of a step begins anew once all its tasks have room. Test: a_task_goes_back_to_the_only_worker_after_a_failure, failed before.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -117,7 +117,7 @@
     pub tasks: Vec<TaskState>,
     /// Runs of the gang that failed.
     pub failed: Vec<RunNumber>,
-    /// When it was first seen that the step can run, by the coordinator's clock.
+    /// Since when tasks of the step wait for room, by the coordinator's clock.
     pub ready_at: Option<Millis>,
     /// Not to be tried before this time.
     pub not_before: Millis,
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -32,6 +32,9 @@
 /// Time that a step waits for room near its data, in multiples of its estimate.
 const NEAR_WAIT: u64 = 1;
 
+/// Time for which a task waits for a worker other than those on which it has failed.
+const AVOID_FOR: Millis = Millis(2_000);
+
 /// Gangs for which room is kept at a time.
 const KEPT_GANGS: usize = 2;
 
@@ -228,8 +231,14 @@
             .iter()
             .enumerate()
             .filter(|(_, t)| !t.done && t.open.is_none());
+        let avoids = waited < AVOID_FOR;
         let missing: Vec<(u16, Vec<WorkerId>)> = missing
-            .map(|(index, t)| (index as u16, t.avoid.clone()))
+            .map(|(index, t)| {
+                (
+                    index as u16,
+                    if avoids { t.avoid.clone() } else { Vec::new() },
+                )
+            })
             .collect();
         let mut on_worker = on_workers(
             &pass.rooms,
@@ -262,6 +271,7 @@
                         pass.rooms[num].free = pass.free[num];
                         self.start(at, *index, run, &pass.rooms[num].id.clone(), now);
                     }
+                    self.waits_no_more(at);
                     return;
                 }
                 missing.len()
@@ -288,6 +298,7 @@
             }
         };
         if short == 0 {
+            self.waits_no_more(at);
             return;
         }
         let avoid: Vec<WorkerId> = missing.iter().flat_map(|(_, a)| a.clone()).collect();
@@ -320,6 +331,15 @@
         }
     }
 
+    /// All tasks of a step have room; if one has to start again, its waiting begins anew.
+    fn waits_no_more(&mut self, at: &Waiting) {
+        let job = self.jobs.get_mut(&at.job);
+        let state = job.and_then(|j| j.open.get_mut(&at.occurrence));
+        if let Some(state) = state {
+            state.steps[usize::from(at.step)].ready_at = None;
+        }
+    }
+
     fn last_run(&self, at: &Waiting, index: u16) -> RunNumber {
         let state = self
             .jobs
--- a/crates/batch/tests/faults.rs
+++ b/crates/batch/tests/faults.rs
@@ -252,3 +252,24 @@
     site.run(Millis(8_000));
     assert_eq!(site.told(&id), Some(JobPhase::Completed));
 }
+
+/// A task never went back to a worker on which it had failed, also where there is no other.
+#[test]
+fn a_task_goes_back_to_the_only_worker_after_a_failure() {
+    let mut site = Site::new(1, 13, calm());
+    site.workers[0].fails = true;
+    let mut gang = step(2, 2, Millis(300));
+    gang.gang = true;
+    let ids = [
+        site.submit("a", job(1, vec![step(1, 1, Millis(300))], site.now)),
+        site.submit("b", job(1, vec![gang], site.now)),
+    ];
+    while !site.workers[0].has_failures() {
+        site.turn();
+    }
+    site.workers[0].fails = false;
+    site.run(Millis(12_000));
+    for id in ids {
+        assert!(site.is_done(&id), "{id} waits for another worker");
+    }
+}
