Let every setting of 'batch' have an effect; log entries that name no worker

Cause: found while reading the change: bounds.gang-timeout decided nothing, bounds.remote-factor neither, and a worker's entry that cannot be read was passed over without a line. Change: the first is gone; a step waits near its data for half of what running away from it would cost, which is the same wait as before at a factor of 3; event 700 names the key of such an entry.

--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -9,8 +9,6 @@
     pub max_hold: Millis,
     /// Longest time that a worker takes to stop a task.
     pub stop_grace: Millis,
-    /// Time that a member of a gang waits for the others.
-    pub gang_timeout: Millis,
     /// Time in which a job of the highest priority within its guarantee begins.
     pub reclaim: Millis,
     /// Time in which a configuration is in force everywhere.
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -29,9 +29,6 @@
 
 mod victims;
 
-/// Time that a step waits for room near its data, in multiples of its estimate.
-const NEAR_WAIT: u64 = 1;
-
 /// Time for which a task waits for a worker other than those on which it has failed.
 const AVOID_FOR: Millis = Millis(2_000);
 
@@ -249,7 +246,7 @@
             pool: &pool,
             avoid: &[],
             on_worker: &[],
-            remote: spec.data_rack.is_none() || waited.0 > spec.estimate.0 * NEAR_WAIT,
+            remote: spec.data_rack.is_none() || waited > self.near_wait(&spec),
             rack: None,
             lasts: self.expected(job, at.step),
             // A checkpointing task loses next to nothing when an urgent one takes its place.
@@ -331,6 +328,11 @@
         }
     }
 
+    /// Time that a step waits for room near its data: half of what running away from it costs.
+    fn near_wait(&self, spec: &StepSpec) -> Millis {
+        Millis(spec.estimate.0 * self.bounds.remote_factor.saturating_sub(1) / 2)
+    }
+
     /// All tasks of a step have room; if one has to start again, its waiting begins anew.
     fn waits_no_more(&mut self, at: &Waiting) {
         let job = self.jobs.get_mut(&at.job);
--- a/crates/batch/tests/kit/mod.rs
+++ b/crates/batch/tests/kit/mod.rs
@@ -18,10 +18,12 @@
 use batch::Submitted;
 use batch::Tenant;
 
+/// Time that a member of a gang waits for the others.
+pub const GANG_TIMEOUT: Millis = Millis(3_000);
+
 pub const BOUNDS: Bounds = Bounds {
     max_hold: Millis(6_000),
     stop_grace: Millis(400),
-    gang_timeout: Millis(3_000),
     reclaim: Millis(2_900),
     config_apply: Millis(2_000),
     heartbeat: Millis(1_500),
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -22,6 +22,7 @@
 use super::worker::FakeWorker;
 use super::worker::Running;
 use super::BOUNDS;
+use super::GANG_TIMEOUT;
 
 /// Chances of faults, in thousandths for each order or answer.
 #[derive(Clone, Copy, Default)]
@@ -344,7 +345,7 @@
                 let kind = match () {
                     () if worker.lapsed(now) => EndKind::Lapsed,
                     () if run.stopping.is_some_and(|at| at <= now) => EndKind::Stopped,
-                    () if !whole && now.since(run.started) > BOUNDS.gang_timeout => EndKind::Alone,
+                    () if !whole && now.since(run.started) > GANG_TIMEOUT => EndKind::Alone,
                     () if worker.hangs || !whole => continue,
                     () if run.fails && now.since(run.started).0 > run.work.0 / 2 => EndKind::Failed,
                     () if now.since(run.started) > run.work => EndKind::Done,
--- a/crates/bronzetack/src/batch/lead.rs
+++ b/crates/bronzetack/src/batch/lead.rs
@@ -417,17 +417,23 @@
                     take_job(shared, &mut book, &item, &mut Map::default(), now);
                 }
                 Some(Asked::Cancel(id)) => book.cancel(&id, now),
-                None => take_worker(&mut book, &item.key, item.value.as_deref(), now),
+                None => take_worker(shared, &mut book, &item.key, item.value.as_deref(), now),
             },
-            Change::Removed { key, .. } => take_worker(&mut book, &key, None, now),
+            Change::Removed { key, .. } => take_worker(shared, &mut book, &key, None, now),
         }
     }
 }
 
-fn take_worker(book: &mut Book, key: &str, value: Option<&[u8]>, now: Millis) {
+fn take_worker(shared: &Shared, book: &mut Book, key: &str, value: Option<&[u8]>, now: Millis) {
     match decode(key, value) {
         Fact::Worker(_, Some(view)) => book.see_worker(*view),
-        Fact::Worker(id, None) => book.miss_worker(&id, now),
+        Fact::Worker(id, None) => {
+            if value.is_some() {
+                // Another writer's entry names no worker to use.
+                obs::record(&shared.log, Event::InputRefused, &[("key", &key)]);
+            }
+            book.miss_worker(&id, now);
+        }
         _ => {}
     }
 }
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -118,7 +118,6 @@
         let bounds = Bounds {
             max_hold: site.max_hold,
             stop_grace: site.stop_grace,
-            gang_timeout: site.gang_timeout,
             reclaim: site.reclaim,
             config_apply: site.config_apply,
             heartbeat: site.heartbeat,
--- a/crates/conf/src/batch/mod.rs
+++ b/crates/conf/src/batch/mod.rs
@@ -58,8 +58,6 @@
     pub max_hold: Millis,
     /// Longest time that a worker takes to stop a task.
     pub stop_grace: Millis,
-    /// Time that a member of a gang waits for the others.
-    pub gang_timeout: Millis,
     /// Time in which a job of the highest priority within its guarantee begins.
     pub reclaim: Millis,
     /// Time in which a configuration is in force everywhere.
--- a/crates/conf/src/batch/wire.rs
+++ b/crates/conf/src/batch/wire.rs
@@ -22,7 +22,6 @@
 const DEFAULTS: SiteBounds = SiteBounds {
     max_hold: Millis(6_000),
     stop_grace: Millis(1_000),
-    gang_timeout: Millis(3_000),
     reclaim: Millis(3_000),
     config_apply: Millis(2_000),
     stop: Millis(6_000),
@@ -43,7 +42,7 @@
     debug: Option<Spot<bool>>,
     addresses: [Text; 3],
     store: [Text; 2],
-    spans: [Text; 8],
+    spans: [Text; 7],
     factor: Text,
 }
 
@@ -67,7 +66,6 @@
         let names = [
             "max-hold",
             "stop-grace",
-            "gang-timeout",
             "reclaim",
             "config-apply",
             "stop",
@@ -129,12 +127,11 @@
 }
 
 fn bounds(wire: &BatchWire, found: &mut Findings) -> SiteBounds {
-    let [hold, grace, gang, reclaim, config, stop, heartbeat, status] = &wire.spans;
+    let [hold, grace, reclaim, config, stop, heartbeat, status] = &wire.spans;
     let factor: Option<f64> = parse(&wire.factor, FACTOR_REMEDY, found);
     SiteBounds {
         max_hold: span(hold, DEFAULTS.max_hold, found),
         stop_grace: span(grace, DEFAULTS.stop_grace, found),
-        gang_timeout: span(gang, DEFAULTS.gang_timeout, found),
         reclaim: span(reclaim, DEFAULTS.reclaim, found),
         config_apply: span(config, DEFAULTS.config_apply, found),
         stop: span(stop, DEFAULTS.stop, found),
