--- a/crates/fakes/src/fault_relay.rs
+++ b/crates/fakes/src/fault_relay.rs
@@ -1,5 +1,6 @@
-//! A TCP relay whose connections can go silent, while new ones work.
+//! A TCP relay whose connections can go silent, be reset, be delayed or be cut one way.
 
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
@@ -11,20 +12,46 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
+
+use socket2::SockRef;
 
 const BUFFER: usize = 64 * 1024;
 
+/// Longest wait for bytes before a connection looks whether it has been reset.
+const READ: Duration = Duration::from_millis(20);
+
+/// Pause between two looks whether a cut has healed.
+const HEAL: Duration = Duration::from_millis(5);
+
 #[derive(Debug, Default)]
 struct Shared {
     accepted: AtomicU64,
     silent: AtomicU64,
+    reset: AtomicU64,
     bytes: AtomicU64,
     closed: AtomicBool,
+    refuses: AtomicBool,
+    /// Delay of all bytes in milliseconds.
+    delay: AtomicU64,
+    /// Whether bytes towards the target, and back, are held up.
+    cut: [AtomicBool; 2],
     streams: Mutex<Vec<TcpStream>>,
 }
 
+impl Shared {
+    fn streams(&self) -> MutexGuard<'_, Vec<TcpStream>> {
+        self.streams.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn is_reset(&self, number: u64) -> bool {
+        number < self.reset.load(Ordering::SeqCst)
+    }
+}
+
 /// A running relay in front of one address. It runs on threads of its own.
 #[derive(Debug)]
 pub struct Relay {
@@ -77,27 +104,43 @@
 
     /// Ends all present connections.
     pub fn cut(&self) {
-        let mut streams = self
-            .shared
-            .streams
-            .lock()
-            .unwrap_or_else(|e| e.into_inner());
-        for stream in streams.drain(..) {
+        for stream in self.shared.streams().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 
+    /// Resets all present connections.
+    pub fn reset(&self) {
+        self.shared.reset.store(self.accepted(), Ordering::SeqCst);
+        for stream in self.shared.streams().drain(..) {
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+
+    /// Holds up bytes towards the target, and back, until this is called again.
+    pub fn hold(&self, there: bool, back: bool) {
+        self.shared.cut[0].store(there, Ordering::SeqCst);
+        self.shared.cut[1].store(back, Ordering::SeqCst);
+    }
+
+    /// Delays all bytes.
+    pub fn delay(&self, by: Duration) {
+        let millis = by.as_millis() as u64;
+        self.shared.delay.store(millis, Ordering::SeqCst);
+    }
+
+    /// Sets whether new connections are ended at once.
+    pub fn refuse(&self, refuses: bool) {
+        self.shared.refuses.store(refuses, Ordering::SeqCst);
+    }
+
     /// Ends all connections and refuses new ones.
     pub fn close(self) {
         self.shared.closed.store(true, Ordering::SeqCst);
+        self.hold(false, false);
         let _ = TcpStream::connect(self.addr);
         let _ = self.thread.join();
-        let mut streams = self
-            .shared
-            .streams
-            .lock()
-            .unwrap_or_else(|e| e.into_inner());
-        for stream in streams.drain(..) {
+        for stream in self.shared.streams().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -111,6 +154,9 @@
         let Ok(near) = stream else {
             continue;
         };
+        if shared.refuses.load(Ordering::SeqCst) {
+            continue;
+        }
         let number = shared.accepted.fetch_add(1, Ordering::SeqCst);
         let Ok(far) = TcpStream::connect(target) else {
             continue;
@@ -125,24 +171,45 @@
     number: u64,
     shared: &Arc<Shared>,
 ) -> std::io::Result<()> {
-    near.set_nodelay(true)?;
-    far.set_nodelay(true)?;
-    let mut streams = shared.streams.lock().unwrap_or_else(|e| e.into_inner());
+    for stream in [&near, &far] {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(READ))?;
+    }
+    let mut streams = shared.streams();
     streams.push(near.try_clone()?);
     streams.push(far.try_clone()?);
     drop(streams);
     let copy = shared.clone();
     let (from, to) = (near.try_clone()?, far.try_clone()?);
-    thread::spawn(move || pump(from, to, number, &copy));
+    thread::spawn(move || pump(from, to, number, 0, &copy));
     let copy = shared.clone();
-    thread::spawn(move || pump(far, near, number, &copy));
+    thread::spawn(move || pump(far, near, number, 1, &copy));
     Ok(())
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, number: u64, shared: &Shared) {
+fn pump(mut from: TcpStream, mut to: TcpStream, number: u64, way: usize, shared: &Shared) {
     let mut buffer = vec![0; BUFFER];
     loop {
-        let len = from.read(&mut buffer).unwrap_or(0);
+        let len = match from.read(&mut buffer) {
+            Ok(len) => len,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                match shared.is_reset(number) {
+                    true => return,
+                    false => continue,
+                }
+            }
+            Err(_) => 0,
+        };
+        let delay = shared.delay.load(Ordering::SeqCst);
+        if delay > 0 {
+            thread::sleep(Duration::from_millis(delay));
+        }
+        while shared.cut[way].load(Ordering::SeqCst) && !shared.is_reset(number) {
+            thread::sleep(HEAL);
+        }
+        if shared.is_reset(number) {
+            return;
+        }
         let silent = number < shared.silent.load(Ordering::SeqCst);
         if len == 0 {
             if !silent {
