Record a refusal before a submission is turned away by the configuration

A submission was sent to the store over a link that was cut; its caller was told 504. Its key was taken back, and the next try was answered 401 by a daemon with the new configuration. The same gap was open for 404, 413 and for the 503 of a daemon without a configuration. Ruled out: the start itself (the record was an acceptance); an acceptance under an old configuration by the second daemon (it decided by the new one). A condition on the configuration's revision was weighed and does not cover a daemon that is one configuration behind. Change: what the configuration turns away is answered once a refusal is recorded under the id; 504 if that fails or an earlier try was accepted. A daemon records 20 such refusals a second at most.

--- a/crates/batch/tests/decisions.rs
+++ b/crates/batch/tests/decisions.rs
@@ -19,6 +19,7 @@
 use batch::Load;
 use batch::PoolLoad;
 use batch::Promises;
+use batch::Quota;
 use batch::Resources;
 use batch::Schedule;
 use batch::Verdict;
@@ -393,3 +394,11 @@
     assert_eq!(work.chain(), Millis(1_500));
     assert_eq!(work.chain_left(|step| step == 0), Millis(500));
 }
+
+/// Callers without a key send a thousand submissions a second; the store records few of them.
+#[test]
+fn callers_without_a_key_cannot_use_up_the_store() {
+    let mut quota = Quota::new(20);
+    let taken = (0..3_000).filter(|num| quota.take(Millis(10_000 + num)));
+    assert_eq!(taken.count(), 3 * 20);
+}
--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -73,7 +73,10 @@
     let version = catalog.as_ref().map_or(0, |c| c.version);
     let answer = match &catalog {
         Some(catalog) => answer(&shared, catalog, &call).await,
-        None => CallAnswer::Refused(COME_BACK),
+        None => {
+            let until = began + Millis(call.deadline.unwrap_or(WAIT).0 / SHARES);
+            turn_away(&shared, &call, CallAnswer::Refused(COME_BACK), until).await
+        }
     };
     let (name, detail) = describe(&answer);
     let kind = match call.kind {
@@ -141,7 +144,16 @@
     }
     shared.told.set(catalog.version);
     let left = last.since(shared.now()).duration();
-    let own = actix_rt::time::timeout(left, answer_here(shared, catalog, call, until)).await;
+    let own = async {
+        let found = answer_here(shared, catalog, call, until).await;
+        match found {
+            CallAnswer::Forbidden | CallAnswer::NoQueue | CallAnswer::TooLarge => {
+                turn_away(shared, call, found, until).await
+            }
+            found => found,
+        }
+    };
+    let own = actix_rt::time::timeout(left, own).await;
     let own = own.unwrap_or_else(|_| CallAnswer::Unknown(come_back(shared)));
     if lost || call.relayed.is_some() || !matches!(own, CallAnswer::Unknown(_)) {
         return own;
@@ -259,6 +271,24 @@
     }
 }
 
+/// Turns a call away by the configuration. An earlier try of the same submission may have come
+/// under another configuration and may still be stored late, so a refusal is recorded first.
+async fn turn_away(shared: &Shared, call: &Call, answer: CallAnswer, until: Millis) -> CallAnswer {
+    let id = call.path.rsplit('/').next().and_then(platform::job_id);
+    let Some(id) = id.filter(|_| call.kind == CallKind::Submit) else {
+        return answer;
+    };
+    if !shared.refused.borrow_mut().take(shared.now()) {
+        return CallAnswer::Unknown(come_back(shared));
+    }
+    let record = JobRecord::Refused(shared.clock.wall());
+    match submit(shared, &id, record, answer, until).await {
+        // It runs, but this caller may not be told so.
+        CallAnswer::Accepted => CallAnswer::Unknown(come_back(shared)),
+        answer => answer,
+    }
+}
+
 async fn waiting(shared: &Rc<Shared>, queue: &Queue) -> CallAnswer {
     if let Some(lead) = shared.leading() {
         let counts = lead.book.borrow().waiting();
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -14,6 +14,7 @@
 use batch::Derived;
 use batch::Load;
 use batch::Promises;
+use batch::Quota;
 use conf::batch::Batch;
 use entry::Ready;
 use obs::Counter;
@@ -42,6 +43,11 @@
 /// Time-out of an order to a worker, which answers within a few milliseconds.
 const ORDER_TIMEOUT: Millis = Millis(500);
 
+/// Refusals a second that a daemon records for callers whom the configuration turns away. Well
+/// above the tries of callers whose key or queue has just been taken back, and well below what
+/// the store takes from all daemons.
+const REFUSED: u32 = 20;
+
 /// What is known of the operators' documents.
 #[derive(Default)]
 pub struct Facts {
@@ -102,6 +108,8 @@
     pub load: RefCell<(Load, Millis)>,
     /// Callers that have been asked to come back.
     pub promises: RefCell<Promises>,
+    /// Bound on the refusals that are recorded for callers whom the configuration turns away.
+    pub refused: RefCell<Quota>,
     /// Lease of the refusals, and when it was asked for.
     pub refusals: Cell<Option<(LeaseId, Millis)>>,
     /// Whether a planned stop has begun.
@@ -156,6 +164,7 @@
             ready: Ready::default(),
             load: RefCell::default(),
             promises: RefCell::default(),
+            refused: RefCell::new(Quota::new(REFUSED)),
             refusals: Cell::new(None),
             stopping: Cell::new(false),
             store_lost: Cell::new(None),
