Acknowledge ends only to a worker whose life is known

The worker had crashed and started again under its id. The coordinator still waited for the look at the earlier life, placed a task, and the new life ran it: an order names no life. The next look acknowledged ends up to a number of the earlier life; the new life, which counts anew, forgot the end of that task unseen, and the task ran again. Ruled out: the record (it held no end), a second coordinator (one epoch throughout). Change: an entry that tells of a newer life, or a clock in the answer to a start that has gone back, makes the worker unknown until it has answered a look; a look at a worker that is unknown or silent acknowledges nothing. Test: an_end_in_a_life_that_is_not_known_yet_is_not_lost (entry at once, entry late); both failed before.

--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -226,7 +226,8 @@
         match self.workers.get_mut(&view.id) {
             Some(worker) => {
                 worker.missing = None;
-                if worker.view.address != view.address {
+                let reborn = view.born.is_some_and(|born| born > worker.born);
+                if worker.view.address != view.address || reborn {
                     worker.known = false;
                 }
                 worker.view = view;
--- a/crates/batch/src/book/orders.rs
+++ b/crates/batch/src/book/orders.rs
@@ -225,14 +225,16 @@
             false => None,
         };
         let worker = self.workers.get(id)?;
-        let wait = match answering {
-            true => self.times.look,
-            false => Millis::ZERO,
+        // A worker that has not just answered may be in another life, which counts its ends anew
+        // and would forget those that nobody has seen.
+        let (stored, wait) = match answering {
+            true => (worker.stored_end, self.times.look),
+            false => (0, Millis::ZERO),
         };
         Some(LookOrder {
             address: worker.view.address,
             deadline,
-            stored: worker.stored_end,
+            stored,
             wait,
             epoch: self.epoch,
         })
@@ -251,14 +253,18 @@
             return;
         }
         match answer {
-            StartAnswer::Accepted(clock) => self.accepted(&order.task, clock, now),
+            StartAnswer::Accepted(clock) => self.accepted(order, clock, now),
             StartAnswer::Fenced => self.fenced = true,
             StartAnswer::Refused(why) => self.refused(order, &why, now),
             StartAnswer::Unknown(why) => self.unanswered(order, &why, now),
         }
     }
 
-    fn accepted(&mut self, task: &TaskId, clock: u64, now: Millis) {
+    fn accepted(&mut self, order: &StartOrder, clock: u64, now: Millis) {
+        let task = &order.task;
+        if let Some(worker) = self.workers.get_mut(&order.worker) {
+            worker.known &= !worker.has_restarted(clock, now);
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
--- a/crates/batch/src/book/report.rs
+++ b/crates/batch/src/book/report.rs
@@ -38,7 +38,7 @@
         if worker.known && worker.born > born {
             return;
         }
-        if worker.born != born || !worker.known {
+        if worker.born != born || worker.clock.is_none() {
             self.new_life(id, born, &report, now);
         }
         let hold = stretched(self.times.hold);
@@ -73,7 +73,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let again = worker.known;
+        let again = worker.clock.is_some();
         worker.born = born;
         worker.clock = None;
         worker.seen_end = 0;
--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -38,6 +38,10 @@
     pub watch: Millis,
 }
 
+/// Time-out of an order to a worker, which answers within a few milliseconds. A reading of its
+/// clock in the answer is at most as old.
+pub const ORDER_TIMEOUT: Millis = Millis(500);
+
 /// Longest lock lease: a crashed coordinator is replaced after this time.
 const LOCK_MAX: Millis = Millis(1_500);
 
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -34,6 +34,7 @@
 pub use book::StopOrder;
 pub use bounds::Bounds;
 pub use bounds::Derived;
+pub use bounds::ORDER_TIMEOUT;
 pub use catalog::Catalog;
 pub use catalog::CatalogLimits;
 pub use catalog::Found;
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -8,6 +8,8 @@
 use base::ServiceId;
 use base::WorkerId;
 
+use crate::bounds::stretched;
+use crate::bounds::ORDER_TIMEOUT;
 use crate::spec::Resources;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
@@ -174,6 +176,16 @@
         self.clock.map(|(clock, at)| clock + now.since(at).0)
     }
 
+    /// Whether a reading of its clock that has just arrived shows that it has started again. An
+    /// order carries no life, so the next one may carry out what was meant for this one.
+    pub fn has_restarted(&self, clock: u64, now: Millis) -> bool {
+        let reading = self.clock.map(|(clock, at)| (clock, now.since(at)));
+        reading.is_some_and(|(before, span)| {
+            let late = stretched(span).0 - span.0;
+            clock + late + ORDER_TIMEOUT.0 < before + span.0
+        })
+    }
+
     /// How far other workers are preferred to it; 0 for not at all.
     pub fn slowness(&self) -> u32 {
         u32::from(self.failures >= DOUBTFUL)
--- a/crates/batch/tests/faults.rs
+++ b/crates/batch/tests/faults.rs
@@ -273,3 +273,22 @@
         assert!(site.is_done(&id), "{id} waits for another worker");
     }
 }
+
+/// A task ran in a worker's next life before the coordinator knew of that life. The next look
+/// acknowledged ends up to a number of the earlier life, the worker forgot the new end unseen, and
+/// the task ran again.
+#[parameterized(listed_at_once = { 0 }, listed_late = { 400 })]
+fn an_end_in_a_life_that_is_not_known_yet_is_not_lost(lag: u64) {
+    for turns in 0..20 {
+        let mut site = Site::new(1, 7, calm());
+        site.workers[0].lag = Millis(lag);
+        let first = site.submit("a", job(1, vec![step(8, 1, Millis(50))], site.now));
+        site.run(Millis(500 + 10 * turns));
+        assert!(site.is_done(&first));
+        let now = site.now;
+        site.workers[0].restart(now);
+        let second = site.submit("b", job(1, vec![step(2, 1, Millis(20))], now));
+        site.run(SECOND);
+        assert!(site.is_done(&second));
+    }
+}
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -101,9 +101,10 @@
     }
 
     fn list(&mut self) {
-        let listed = self.workers.iter().filter(|w| w.listed);
+        let now = self.now;
+        let listed = self.workers.iter_mut().filter(|w| w.listed);
         self.book
-            .set_workers(listed.map(FakeWorker::view).collect(), self.now);
+            .set_workers(listed.map(|w| w.view(now)).collect(), now);
     }
 
     pub fn submit(&mut self, name: &str, given: Submitted) -> JobId {
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -42,6 +42,10 @@
     pub rack: String,
     pub capacity: Resources,
     pub born: Millis,
+    /// Time after its start until its entry tells of this life.
+    pub lag: Millis,
+    /// Start of the life that its entry tells of.
+    told: Millis,
     pub up: bool,
     /// Whether orders and looks reach it.
     pub reached: bool,
@@ -75,6 +79,8 @@
                 accels: 8,
             },
             born: now,
+            lag: Millis::ZERO,
+            told: now,
             up: true,
             reached: true,
             listed: true,
@@ -91,10 +97,14 @@
         }
     }
 
-    pub fn view(&self) -> WorkerView {
+    /// What its entry says.
+    pub fn view(&mut self, now: Millis) -> WorkerView {
+        if now.since(self.born) >= self.lag {
+            self.told = self.born;
+        }
         WorkerView {
             id: self.id.clone(),
-            born: Some(self.born.0),
+            born: Some(self.told.0),
             address: "127.0.0.1:1".parse().expect("an address"),
             domain: self.domain.clone(),
             pool: super::pool(),
@@ -111,6 +121,8 @@
         self.id = old.id;
         self.domain = old.domain;
         self.rack = old.rack;
+        self.lag = old.lag;
+        self.told = old.told;
     }
 
     fn clock(&self, now: Millis) -> Millis {
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -15,6 +15,7 @@
 use batch::Load;
 use batch::Promises;
 use batch::Quota;
+use batch::ORDER_TIMEOUT;
 use conf::batch::Batch;
 use entry::Ready;
 use obs::Counter;
@@ -40,9 +41,6 @@
 /// is slow; a lost answer is noticed in time for a second attempt.
 const QUICK_TIMEOUT: Millis = Millis(450);
 
-/// Time-out of an order to a worker, which answers within a few milliseconds.
-const ORDER_TIMEOUT: Millis = Millis(500);
-
 /// Refusals a second that a daemon records for callers whom the configuration turns away. Well
 /// above the tries of callers whose key or queue has just been taken back, and well below what
 /// the store takes from all daemons.
