Let only SIGINT cut a planned stop short; be ready with the first reading

Two SIGTERM came, and the second one cut the stop short and with it answers that were due: what stops VMs may well repeat its signal, and has SIGKILL for haste. Seen beside it: a daemon was ready only when its first watch returned, 1 s after it had the configuration. Change: during the stop of 'batch' a further SIGTERM changes nothing, SIGINT ends it at once; the readiness is decided after the first reading too. 'serve' is unchanged.

--- a/crates/bronzetack/src/batch/views.rs
+++ b/crates/bronzetack/src/batch/views.rs
@@ -33,6 +33,7 @@
                 shared.heard_store(Ok(()));
                 let revision = listing.revision;
                 take_all(&shared, listing, sent);
+                ready(&shared);
                 follow(&shared, revision).await;
             }
             Err(error) => shared.heard_store(Err(&error)),
--- a/crates/bronzetack/src/cmd/batch.rs
+++ b/crates/bronzetack/src/cmd/batch.rs
@@ -19,8 +19,9 @@
 use crate::error::START;
 
 const USAGE: &str = "\
-Runs a daemon of a whole site's scheduler. SIGTERM begins a planned stop, a second one ends
-the daemon at once. SIGHUP reads the settings file again. Logs go to standard output.
+Runs a daemon of a whole site's scheduler. SIGTERM and SIGINT begin a planned stop. A further
+SIGTERM changes nothing, a further SIGINT ends the daemon at once. SIGHUP reads the settings file
+again. Logs go to standard output.
 
 Usage:
     bronzetack batch --settings <file>
@@ -67,8 +68,8 @@
     }
     let again = log.clone();
     actix_rt::spawn(async move {
-        terminate.recv().await;
-        obs::emit(&again, Event::StopForced, "second signal");
+        interrupt.recv().await;
+        obs::emit(&again, Event::StopForced, "SIGINT during the stop");
         exit(i32::from(START));
     });
     daemon.close().await;
