--- a/crates/bronzetack/src/batch/lead.rs
+++ b/crates/bronzetack/src/batch/lead.rs
@@ -332,15 +332,9 @@
             book.cancel(&id, now);
         }
     }
-    let views =
-        workers
-            .items
-            .iter()
-            .filter_map(|item| match decode(&item.key, item.value.as_deref()) {
-                Fact::Worker(_, view) => view.map(|v| *v),
-                _ => None,
-            });
-    book.set_workers(views.collect(), now);
+    for item in &workers.items {
+        take_worker(shared, &mut book, &item.key, item.value.as_deref(), now);
+    }
     Ok((asked.revision, workers.revision))
 }
 
@@ -426,11 +420,12 @@
 
 fn take_worker(shared: &Shared, book: &mut Book, key: &str, value: Option<&[u8]>, now: Millis) {
     match decode(key, value) {
-        Fact::Worker(_, Some(view)) => book.see_worker(*view),
-        Fact::Worker(id, None) => {
+        Fact::Worker(_, Ok(view)) => book.see_worker(*view),
+        Fact::Worker(id, Err(why)) => {
             if value.is_some() {
-                // Another writer's entry names no worker to use.
-                obs::record(&shared.log, Event::InputRefused, &[("key", &key)]);
+                let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                    &[("key", &key), ("error", &why)];
+                obs::record(&shared.log, Event::InputRefused, fields);
             }
             book.miss_worker(&id, now);
         }
--- a/crates/bronzetack/src/batch/views.rs
+++ b/crates/bronzetack/src/batch/views.rs
@@ -107,7 +107,7 @@
     };
     let removed = matches!(change, Change::Removed { .. });
     match decode(key, value) {
-        Fact::Catalog(Some(catalog)) => {
+        Fact::Catalog(Ok(catalog)) => {
             let mut facts = shared.facts.borrow_mut();
             let held = facts.catalog.as_ref().map_or(0, |c| c.version);
             if catalog.version > held {
@@ -119,8 +119,10 @@
                 facts.catalog = Some(Rc::new(*catalog));
             }
         }
-        Fact::Catalog(None) => {
-            obs::record(&shared.log, Event::InputRefused, &[("key", key)]);
+        Fact::Catalog(Err(why)) => {
+            let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                &[("key", key), ("error", &why)];
+            obs::record(&shared.log, Event::InputRefused, fields);
         }
         Fact::DomainOut(domain) => {
             let event = if removed {
