Ask an adviser which workers may run the steps of a queue with advice

A queue may leave to an adviser which workers run its steps; starts without its ticket are rejected, so every job of such a queue waited for ever. Change: batch::Advice decides, without I/O, which workers are asked about for which step, and which tickets count; plan and preemption choose among the workers with tickets; steps that are about to be ready are asked about ahead. The daemon makes one call at a time. A queue with advice is refused at once where the settings name no adviser. Weighed: asking about all workers in one call.

--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -11,6 +11,9 @@
 use base::Set;
 use base::WorkerId;
 
+use crate::advice::Advice;
+use crate::advice::AdviceOrder;
+use crate::advice::Advised;
 use crate::bounds::stretched;
 use crate::bounds::Bounds;
 use crate::bounds::Derived;
@@ -66,6 +69,8 @@
     pub(crate) fenced: bool,
     /// Seen duration of each queue's tasks against their estimates, in percent.
     pub(crate) ratios: Map<String, u32>,
+    /// What an adviser has said of steps and workers.
+    pub(crate) advice: Advice,
     /// What has been seen of jobs of the highest priority.
     pub(crate) urgent: Urgent,
     /// When runs inherited on workers that never answer have ended for sure.
@@ -90,6 +95,7 @@
             notes: Vec::new(),
             fenced: false,
             ratios: Map::default(),
+            advice: Advice::default(),
             urgent: Urgent::default(),
             inherited_end: now + times.tail + stretched(times.hold),
         }
@@ -193,6 +199,32 @@
         self.note(Some(id), format!("job ended: {phase:?}"));
     }
 
+    /// The next call to the adviser, if one is due and none is under way.
+    pub fn next_advice(&mut self, now: Millis) -> Option<AdviceOrder> {
+        self.advice.next(now)
+    }
+
+    /// Takes the answer to a call to the adviser that was sent at `sent`.
+    pub fn advised(&mut self, order: &AdviceOrder, answer: Advised, sent: Millis, now: Millis) {
+        let text = match &answer {
+            Advised::Good(good, _) => {
+                let (good, all) = (good.len(), order.workers.len());
+                format!(
+                    "step {} may use {good} of {all} workers asked for",
+                    order.step
+                )
+            }
+            Advised::Failed(why) => format!("no advice on step {}: {why}", order.step),
+        };
+        // An adviser that is away is noted once, not for each call in vain.
+        if !(self.advice.is_failing() && matches!(answer, Advised::Failed(_))) {
+            self.note(Some(&order.step.job), text);
+        }
+        let workers = &self.workers;
+        let born = |id: &WorkerId| workers.get(id).map_or(0, |w| w.born);
+        self.advice.answer(order, answer, (sent, now), born);
+    }
+
     /// Forgets jobs whose state need not be known any longer and returns them.
     pub fn expire(&mut self, now: Millis) -> Vec<JobId> {
         let keep = Millis(self.bounds.status.0 * 2);
--- a/crates/batch/src/book/orders.rs
+++ b/crates/batch/src/book/orders.rs
@@ -45,6 +45,8 @@
     pub spec: String,
     /// Saved progress to go on from, empty if there is none.
     pub saved: String,
+    /// The adviser's word for this step on this worker, empty where none is needed.
+    pub ticket: String,
     /// End of the lease on the worker's clock.
     pub deadline: u64,
     /// Fence.
@@ -106,6 +108,8 @@
     Accepted(u64),
     /// The worker has seen a later coordinator.
     Fenced,
+    /// It does not run and will not: the ticket does not hold.
+    NoTicket,
     /// It does not run and will not; why.
     Refused(String),
     /// No answer: it may run, also later.
@@ -255,6 +259,12 @@
         match answer {
             StartAnswer::Accepted(clock) => self.accepted(order, clock, now),
             StartAnswer::Fenced => self.fenced = true,
+            StartAnswer::NoTicket => {
+                let step = order.task.step_id();
+                self.advice.drop_ticket(&step, &order.worker);
+                self.close(&order.task, now);
+                self.break_gang(&order.task, order.run);
+            }
             StartAnswer::Refused(why) => self.refused(order, &why, now),
             StartAnswer::Unknown(why) => self.unanswered(order, &why, now),
         }
--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -19,6 +19,10 @@
     pub status: Millis,
     /// How many times as long a task takes away from its data.
     pub remote_factor: u64,
+    /// Time after which a changed pace of a task is in force.
+    pub pace: Millis,
+    /// Time for which tasks that fill may keep a serving task over its target.
+    pub harm: Millis,
     /// Shortest lease that the store grants.
     pub min_ttl: Millis,
 }
--- a/crates/batch/src/catalog.rs
+++ b/crates/batch/src/catalog.rs
@@ -5,6 +5,8 @@
 use base::OrgId;
 use base::ServiceId;
 
+use crate::advice::AdviceRule;
+
 /// A queue that callers submit jobs to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Queue {
@@ -26,6 +28,8 @@
     pub latency: Millis,
     /// Whether callers need no key.
     pub public: bool,
+    /// The adviser's times, if one decides which workers run the steps.
+    pub advice: Option<AdviceRule>,
 }
 
 /// A pool of workers.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -5,6 +5,7 @@
 //! send and the records to store. Nothing here does I/O or reads a clock.
 
 mod admit;
+mod advice;
 mod book;
 mod bounds;
 mod catalog;
@@ -25,6 +26,10 @@
 pub use admit::Promises;
 pub use admit::Verdict;
 pub use admit::Work;
+pub use advice::Advice;
+pub use advice::AdviceOrder;
+pub use advice::AdviceRule;
+pub use advice::Advised;
 pub use book::Book;
 pub use book::LookOrder;
 pub use book::Note;
@@ -50,6 +55,7 @@
 pub use spec::Resources;
 pub use spec::RunNumber;
 pub use spec::Schedule;
+pub use spec::StepId;
 pub use spec::StepSpec;
 pub use spec::Submission;
 pub use spec::SubmissionError;
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -6,6 +6,7 @@
 
 use base::Millis;
 use base::ServiceId;
+use base::Set;
 use base::WorkerId;
 
 use crate::spec::Resources;
@@ -55,6 +56,8 @@
     pub lasts: Millis,
     /// Whether room that is kept for urgent jobs may be used.
     pub urgent: bool,
+    /// The workers to choose from, if not all may be used.
+    pub allowed: Option<&'a Set<WorkerId>>,
 }
 
 /// Whether a worker may run a task of the step, room aside.
@@ -71,6 +74,7 @@
         && near
         && below
         && !limits.avoid.contains(&room.id)
+        && limits.allowed.is_none_or(|a| a.contains(&room.id))
 }
 
 /// Whether the data of the step, if it names a rack, is near.
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -24,9 +24,11 @@
 use crate::reserve;
 use crate::spec::Resources;
 use crate::spec::RunNumber;
+use crate::spec::StepId;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
 
+mod ahead;
 mod victims;
 
 /// Time for which a task waits for a worker other than those on which it has failed.
@@ -62,8 +64,11 @@
 impl Book {
     /// Plans starts and stops. The starts are sent once they are recorded.
     pub fn plan(&mut self, now: Millis, wall: Millis) {
+        let live = &self.live;
+        self.advice.begin_pass(|job| live.contains(job));
         let mut waiting = self.waiting_steps(now, wall);
-        if waiting.is_empty() {
+        let coming = self.coming_steps(now);
+        if waiting.is_empty() && coming.is_empty() {
             return;
         }
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.job.cmp(&b.job)));
@@ -78,6 +83,9 @@
         for at in waiting {
             self.plan_step(&mut pass, &at);
         }
+        for (step, rule) in coming {
+            self.advise(&pass, &step, rule);
+        }
     }
 
     fn rooms(&self, now: Millis) -> Vec<Room> {
@@ -218,10 +226,17 @@
         };
         let spec = job.given.work.steps[usize::from(at.step)].clone();
         let state = &state.steps[usize::from(at.step)];
-        let pool = match self.catalog.queue(&job.given.queue) {
-            Some(queue) => queue.pool.clone(),
-            None => job.given.pool.clone(),
+        let queue = self.catalog.queue(&job.given.queue);
+        let pool = queue.map_or_else(|| job.given.pool.clone(), |q| q.pool.clone());
+        let rule = queue.and_then(|q| q.advice);
+        let step_id = StepId {
+            job: at.job.clone(),
+            occurrence: at.occurrence,
+            step: at.step,
         };
+        let workers = &self.workers;
+        let born = |id: &WorkerId| workers.get(id).map_or(0, |w| w.born);
+        let allowed = rule.map(|_| self.advice.allowed(&step_id, now, born));
         let waited = now.since(state.ready_at.unwrap_or(now));
         let missing = state
             .tasks
@@ -251,6 +266,7 @@
             lasts: self.expected(job, at.step),
             // A checkpointing task loses next to nothing when an urgent one takes its place.
             urgent: urgent || spec.checkpoints,
+            allowed: allowed.as_ref(),
         };
         let short = match spec.gang {
             true => {
@@ -304,6 +320,10 @@
             on_worker: &on_worker,
             ..limits
         };
+        if let Some(rule) = rule {
+            self.advice
+                .want(&step_id, rule, &pass.rooms, (&spec, &limits), short);
+        }
         if urgent {
             let worth = preempt::work(&spec.need, limits.lasts) * short as u64;
             let most = self.most_loss(waited, at.guaranteed, worth);
@@ -375,6 +395,7 @@
         worker.open.insert(task.clone(), run);
         self.planned.push(StartOrder {
             saved: state.saved.clone(),
+            ticket: self.advice.ticket(&task.step_id(), id),
             run,
             worker: id.clone(),
             born: worker.born,
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -64,6 +64,39 @@
     }
 }
 
+impl TaskId {
+    /// The step that it belongs to.
+    pub fn step_id(&self) -> StepId {
+        StepId {
+            job: self.job.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
+/// A step of an occurrence of a job.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// The occurrence, from 0.
+    pub occurrence: u32,
+    /// The step, from 0.
+    pub step: u16,
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let StepId {
+            job,
+            occurrence,
+            step,
+        } = self;
+        write!(f, "{job}.{occurrence}.{step}")
+    }
+}
+
 /// What a task occupies on a worker, or what a worker offers.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Resources {
--- a/crates/batch/tests/decisions.rs
+++ b/crates/batch/tests/decisions.rs
@@ -30,45 +30,12 @@
 
 use kit::job;
 use kit::pool;
+use kit::rooms::limits;
+use kit::rooms::rooms;
+use kit::rooms::WHOLE;
 use kit::step;
 
 const SECOND: Millis = Millis(1_000);
-const WHOLE: Resources = Resources {
-    cpu: 32_000,
-    memory: 64_000,
-    accels: 8,
-};
-
-/// Empty workers, four a rack.
-fn rooms(count: usize) -> Vec<Room> {
-    let room = |num: usize| Room {
-        id: format!("w{num:02}").parse().expect("a worker id"),
-        pool: pool(),
-        labels: Vec::new(),
-        rack: Some(format!("r{}", num / 4)),
-        capacity: WHOLE,
-        free: WHOLE,
-        coming: Resources::default(),
-        running: Vec::new(),
-        kept: None,
-        urgent_only: false,
-        slowness: 0,
-    };
-    (0..count).map(room).collect()
-}
-
-fn limits(pool: &base::ServiceId, on_worker: &'static [u32]) -> Limits<'static> {
-    Limits {
-        pool: Box::leak(Box::new(pool.clone())),
-        avoid: &[],
-        on_worker,
-        remote: true,
-        rack: None,
-        lasts: SECOND,
-        urgent: false,
-    }
-}
-
 fn use_up(room: &mut Room, accels: u64, left: Millis) {
     let used = Resources {
         cpu: 2_000,
@@ -304,6 +271,7 @@
     }
     let limits = Limits {
         urgent: true,
+        allowed: None,
         ..other
     };
     assert!(best_fit(&all, &free, &step(1, 8, SECOND), &limits).is_some());
--- a/crates/batch/tests/kit/mod.rs
+++ b/crates/batch/tests/kit/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod rooms;
 pub mod site;
 pub mod worker;
 
@@ -29,6 +30,8 @@
     heartbeat: Millis(1_500),
     status: Millis(120_000),
     remote_factor: 3,
+    pace: Millis(100),
+    harm: Millis(4_000),
     min_ttl: Millis(1_000),
 };
 
@@ -44,6 +47,7 @@
         stretch: 3.0,
         latency: Millis(1_000),
         public: false,
+        advice: None,
     }
 }
 
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -16,6 +16,7 @@
 use slog::Logger;
 use tokio::sync::mpsc;
 
+mod advice;
 mod calls;
 mod commit;
 mod keys;
--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -253,6 +253,11 @@
         CallKind::Look => look(shared, &id, until).await,
         CallKind::Submit if call.body.len() as u64 > catalog.limits.body => CallAnswer::TooLarge,
         CallKind::Submit => match platform::submission(&call.body) {
+            Ok(_) if queue.advice.is_some() && shared.adviser.is_none() => {
+                let record = JobRecord::Refused(shared.clock.wall());
+                let answer = CallAnswer::Refused(COME_BACK_MAX);
+                submit(shared, &id, record, answer, until).await
+            }
             Ok(work) => {
                 let given = Submitted::new(queue, org, shared.clock.wall(), work);
                 match load::verdict(shared, &given) {
--- a/crates/bronzetack/src/batch/lead.rs
+++ b/crates/bronzetack/src/batch/lead.rs
@@ -31,6 +31,7 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
+use crate::batch::advice;
 use crate::batch::keys;
 use crate::batch::keys::Asked;
 use crate::batch::looks;
@@ -77,6 +78,8 @@
     pub revisions: RefCell<Map<JobId, Revision>>,
     /// Wakes the planner.
     pub wake: Notify,
+    /// Tells that a pass is over.
+    pub planned: Notify,
     /// Tells that records have been stored.
     pub stored: Notify,
     /// Tells that a worker has been listed.
@@ -234,6 +237,7 @@
         book: RefCell::new(Book::new(epoch, shared.bounds, catalog.clone(), now)),
         revisions: RefCell::default(),
         wake: Notify::new(),
+        planned: Notify::new(),
         stored: Notify::new(),
         listed: Notify::new(),
     });
@@ -287,6 +291,7 @@
         revisions.0,
     ));
     actix_rt::spawn(follow(shared.clone(), lead.clone(), WORKERS, revisions.1));
+    actix_rt::spawn(advice::run(shared.clone(), lead.clone()));
     actix_rt::spawn(looks::run(shared.clone(), lead.clone()));
     actix_rt::spawn(pump::publish(shared.clone(), lead.clone()));
     actix_rt::spawn(pump::stops(shared.clone(), lead.clone()));
--- a/crates/bronzetack/src/batch/pump.rs
+++ b/crates/bronzetack/src/batch/pump.rs
@@ -51,6 +51,7 @@
             }
             book.take_pending()
         };
+        lead.planned.notify_one();
         log_notes(&shared, &mut lead.book.borrow_mut());
         if pending.is_empty() {
             let starts = lead.book.borrow_mut().stored(pending, shared.now());
@@ -97,6 +98,7 @@
     let outcome = match &answer {
         StartAnswer::Accepted(_) => "accepted",
         StartAnswer::Fenced => "fenced",
+        StartAnswer::NoTicket => "its ticket does not hold",
         StartAnswer::Refused(why) | StartAnswer::Unknown(why) => why,
     };
     obs::record(
@@ -113,7 +115,7 @@
     let result = match &answer {
         StartAnswer::Accepted(_) => "accepted",
         StartAnswer::Fenced => "fenced",
-        StartAnswer::Refused(_) => "refused",
+        StartAnswer::NoTicket | StartAnswer::Refused(_) => "refused",
         StartAnswer::Unknown(_) => "no-answer",
     };
     shared.starts.add(&[("outcome", result)], 1);
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -22,6 +22,7 @@
 use obs::Event;
 use obs::Histogram;
 use obs::Metrics;
+use platform::Adviser;
 use platform::LeaseId;
 use platform::Relay;
 use platform::Store;
@@ -93,6 +94,8 @@
     pub peers: RefCell<Vec<SocketAddr>>,
     /// The workers.
     pub workers: Workers,
+    /// Who decides which workers may run the steps of some queues.
+    pub adviser: Option<Adviser>,
     /// The operators' documents.
     pub facts: RefCell<Facts>,
     /// The leadership, while this daemon is the coordinator.
@@ -129,6 +132,8 @@
             heartbeat: site.heartbeat,
             status: site.status,
             remote_factor: site.remote_factor,
+            pace: site.pace,
+            harm: site.harm,
             min_ttl: settings.store.min_ttl,
         };
         let clock = Clock::System;
@@ -156,6 +161,7 @@
             relay: Relay::default(),
             peers: RefCell::default(),
             workers: Workers::new(ORDER_TIMEOUT),
+            adviser: settings.adviser.map(Adviser::new),
             facts: RefCell::default(),
             lead: RefCell::default(),
             told: Cell::new(0),
--- a/crates/conf/src/batch/mod.rs
+++ b/crates/conf/src/batch/mod.rs
@@ -25,6 +25,10 @@
     pub addresses: Addresses,
     /// The platform's store.
     pub store: StoreSettings,
+    /// Who decides which workers may run the steps of some queues, if there is such a service.
+    pub adviser: Option<SocketAddr>,
+    /// The service that takes orders for machines.
+    pub machines: MachineSettings,
     /// Bounds of the deployment.
     pub bounds: SiteBounds,
     /// Whether debug events are written.
@@ -51,6 +55,17 @@
     pub min_ttl: Millis,
 }
 
+/// The service that lists machines and takes orders for them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MachineSettings {
+    /// Where it is, if there is one.
+    pub address: Option<SocketAddr>,
+    /// Orders a second that it takes from all daemons together.
+    pub orders: f64,
+    /// Readings of the list a second that it serves to all daemons together.
+    pub reads: f64,
+}
+
 /// Bounds of the deployment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SiteBounds {
@@ -68,6 +83,12 @@
     pub heartbeat: Millis,
     /// Time for which the state of an ended job stays known.
     pub status: Millis,
+    /// Time after which a changed pace of a task is in force.
+    pub pace: Millis,
+    /// Time for which tasks that fill may keep a serving task over its target.
+    pub harm: Millis,
+    /// Time that a machine is down for its upkeep.
+    pub upkeep: Millis,
     /// How many times as long a task takes away from its data.
     pub remote_factor: u64,
 }
--- a/crates/conf/src/batch/wire.rs
+++ b/crates/conf/src/batch/wire.rs
@@ -8,6 +8,7 @@
 
 use crate::batch::Addresses;
 use crate::batch::Batch;
+use crate::batch::MachineSettings;
 use crate::batch::SiteBounds;
 use crate::batch::StoreSettings;
 use crate::source::Section;
@@ -16,6 +17,7 @@
 const ADDRESS_REMEDY: &str = "write an IP number and a port, such as \"127.0.0.1:7001\"";
 const NAME_REMEDY: &str = "use 1 to 128 letters, digits or '-_.~:/'";
 const SPAN_REMEDY: &str = "write a time, such as \"400ms\" or \"6s\"";
+const RATE_REMEDY: &str = "write calls a second, such as \"60\"";
 const FACTOR_REMEDY: &str = "write a number, such as \"3\"";
 
 /// Times without which the scheduler still keeps its own promises.
@@ -27,9 +29,15 @@
     stop: Millis(6_000),
     heartbeat: Millis(1_500),
     status: Millis(120_000),
+    pace: Millis(100),
+    harm: Millis(4_000),
+    upkeep: Millis(2_000),
     remote_factor: 3,
 };
 
+/// Calls a second to the service of machines when the file does not say: few enough for any.
+const MACHINE_CALLS: f64 = 1.0;
+
 /// Bounds on every time of the file, in milliseconds.
 const SPANS: (u64, u64) = (50, 3_600_000);
 
@@ -42,7 +50,9 @@
     debug: Option<Spot<bool>>,
     addresses: [Text; 3],
     store: [Text; 2],
-    spans: [Text; 7],
+    adviser: Text,
+    machines: [Text; 3],
+    spans: [Text; 10],
     factor: Text,
 }
 
@@ -62,6 +72,10 @@
             section.text("min-ttl"),
         ];
         section.close();
+        let adviser = given(top.text("adviser"));
+        let mut section = top.section("machines");
+        let machines = ["address", "orders", "reads"].map(|name| given(section.text(name)));
+        section.close();
         let mut section = top.section("bounds");
         let names = [
             "max-hold",
@@ -71,6 +85,9 @@
             "stop",
             "heartbeat",
             "status",
+            "pace",
+            "harm",
+            "upkeep",
         ];
         let spans = names.map(|name| section.text(name));
         let factor = section.text("remote-factor");
@@ -82,6 +99,8 @@
             debug,
             addresses,
             store,
+            adviser,
+            machines,
             spans,
             factor,
         }
@@ -109,6 +128,13 @@
     let address = parse(&wire.store[0], ADDRESS_REMEDY, found);
     let min_ttl = span(&wire.store[1], Millis(1_000), found);
     let bounds = bounds(wire, found);
+    let adviser = parse(&wire.adviser, ADDRESS_REMEDY, found);
+    let [place, orders, reads] = &wire.machines;
+    let machines = MachineSettings {
+        address: parse(place, ADDRESS_REMEDY, found),
+        orders: rate(orders, found),
+        reads: rate(reads, found),
+    };
     Some(Batch {
         vm: vm?,
         domain: domain?,
@@ -121,13 +147,15 @@
             address: address?,
             min_ttl,
         },
+        adviser,
+        machines,
         bounds,
         debug: wire.debug.as_ref().is_some_and(|d| d.value),
     })
 }
 
 fn bounds(wire: &BatchWire, found: &mut Findings) -> SiteBounds {
-    let [hold, grace, reclaim, config, stop, heartbeat, status] = &wire.spans;
+    let [hold, grace, reclaim, config, stop, heartbeat, status, pace, harm, upkeep] = &wire.spans;
     let factor: Option<f64> = parse(&wire.factor, FACTOR_REMEDY, found);
     SiteBounds {
         max_hold: span(hold, DEFAULTS.max_hold, found),
@@ -137,10 +165,24 @@
         stop: span(stop, DEFAULTS.stop, found),
         heartbeat: span(heartbeat, DEFAULTS.heartbeat, found),
         status: span(status, DEFAULTS.status, found),
+        pace: span(pace, DEFAULTS.pace, found),
+        harm: span(harm, DEFAULTS.harm, found),
+        upkeep: span(upkeep, DEFAULTS.upkeep, found),
         remote_factor: factor.map_or(DEFAULTS.remote_factor, |f| f.ceil() as u64),
     }
 }
 
+/// What stands in the file; an empty text stands for nothing, as templates leave it.
+fn given(text: Text) -> Text {
+    text.filter(|spot| !spot.value.is_empty())
+}
+
+/// Calls a second; of all daemons together.
+fn rate(text: &Text, found: &mut Findings) -> f64 {
+    let rate: Option<f64> = parse(text, RATE_REMEDY, found);
+    rate.filter(|r| *r > 0.0).unwrap_or(MACHINE_CALLS)
+}
+
 fn parse<T>(text: &Text, remedy: &str, found: &mut Findings) -> Option<T>
 where
     T: FromStr,
--- a/crates/conf/tests/batch.rs
+++ b/crates/conf/tests/batch.rs
@@ -48,3 +48,16 @@
     let found = load("{ \"vm\": \"e 0\", \"addresses\": {} }", "f").expect_err("findings");
     assert!(found.len() >= 6, "{found}");
 }
+
+#[parameterized(
+    none = { "", false },
+    empty = { r#""adviser": "", "machines": { "address": "", "reads": "" },"#, false },
+    given = { r#""adviser": "127.0.0.1:8", "machines": { "address": "127.0.0.1:9" },"#, true },
+)]
+fn services_that_a_deployment_may_lack_are_optional(more: &str, there: bool) {
+    let text = file("").replacen('{', &format!("{{ {more}"), 1);
+    let settings = load(&text, "f").expect("no findings");
+    assert_eq!(settings.adviser.is_some(), there);
+    assert_eq!(settings.machines.address.is_some(), there);
+    assert_eq!(settings.machines.reads, 1.0);
+}
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -250,6 +250,7 @@
             self.sleep(Millis(BEAT.0 / 3)).await;
         }
         *self.over.borrow_mut() = true;
+        self.close().await;
         let mut log = self.log.borrow().clone();
         log.calls = load.calls;
         log.unsettled = load.unsettled;
@@ -257,6 +258,21 @@
         log
     }
 
+    /// Ends the stand-ins and the relays.
+    async fn close(&self) {
+        let daemons: Vec<DaemonPlace> = self.daemons.borrow_mut().drain(..).collect();
+        for place in daemons {
+            place.callers.close();
+            place.relay.close();
+            place.door.close().await;
+        }
+        let workers: Vec<WorkerPlace> = self.workers.borrow_mut().drain(..).collect();
+        for place in workers {
+            place.relay.close();
+            place.worker.close().await;
+        }
+    }
+
     /// Removes settings and logs.
     pub fn clean(&self) -> Result<(), SoakError> {
         let dir = &self.plan.dir;
