Pace tasks that fill while a serving task beside them is over its target

Tasks that fill were placed beside tasks that serve and never paced, so a serving task could stay over its target by their doing for as long as they worked. Change: batch::pace decides a worker's share without I/O: halved while a target is exceeded, zero after a third of the bound, growing while it holds. Orders are sent again until taken; a successor orders anew what it cannot know. Tasks that fill go where most processor time is left, and do not count as standing still.

--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -31,6 +31,7 @@
 
 mod load;
 mod orders;
+mod pace;
 mod report;
 mod stall;
 
@@ -39,6 +40,7 @@
 pub use orders::StartAnswer;
 pub use orders::StartOrder;
 pub use orders::StopOrder;
+pub use pace::PaceOrder;
 
 /// Time for which an entry that is missing from the list may come back.
 const MISSING: Millis = Millis(2_000);
--- a/crates/batch/src/book/orders.rs
+++ b/crates/batch/src/book/orders.rs
@@ -232,6 +232,7 @@
         // A worker that has not just answered may be in another life, which counts its ends anew
         // and would forget those that nobody has seen.
         let (stored, wait) = match answering {
+            true if self.is_shared(id) => (worker.stored_end, self.times.shared),
             true => (worker.stored_end, self.times.look),
             false => (0, Millis::ZERO),
         };
--- a/crates/batch/src/book/report.rs
+++ b/crates/batch/src/book/report.rs
@@ -9,6 +9,7 @@
 use crate::bounds::stretched;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
+use crate::pace::Pace;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
 use crate::worker::EndKind;
@@ -65,6 +66,7 @@
         if !more {
             self.close_missing(id, &report, now);
         }
+        self.see_tails(id, &report, now);
     }
 
     /// The worker answers for the first time in this life: what an earlier life was seen to
@@ -79,6 +81,7 @@
         worker.seen_end = 0;
         worker.stored_end = 0;
         worker.failures = 0;
+        worker.pace = Pace::default();
         let tasks: Vec<TaskId> = worker.open.keys().cloned().collect();
         if again {
             self.note(
--- a/crates/batch/src/book/stall.rs
+++ b/crates/batch/src/book/stall.rs
@@ -36,12 +36,13 @@
         };
         let Some(spec) = job.spec(task) else { return };
         let limit = STALL_MIN.max(Millis(self.expected(job, task.step).0 / STALL_SHARE));
-        let lasting = spec.lasting;
+        let (lasting, fills) = (spec.lasting, spec.fills);
         let Some(worker) = self.workers.get_mut(&id) else {
             return;
         };
         let looked = worker.known && !worker.silent && worker.heard > moved;
-        if lasting || !looked || worker.heard.since(moved) <= limit {
+        // A task that fills stands still while others use the worker, or while it is held.
+        if lasting || fills || !looked || worker.heard.since(moved) <= limit {
             return;
         }
         worker.failures += 1;
--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -38,6 +38,8 @@
     pub tail: Millis,
     /// Longest wait of one look at a worker.
     pub look: Millis,
+    /// The same, where tasks that fill may disturb others.
+    pub shared: Millis,
     /// Longest wait of one watch of the store; with its time-out a view is at most twice as old.
     pub watch: Millis,
 }
@@ -56,6 +58,10 @@
 /// Longest wait of one look at a worker; an unreachable worker is noticed after it.
 const LOOK_MAX: Millis = Millis(1_000);
 
+/// Looks within the bound on the harm of tasks that fill: enough to halve their share until they
+/// are held.
+const SHARED_LOOKS: u64 = 16;
+
 impl Bounds {
     /// The times that follow.
     pub fn derive(&self) -> Derived {
@@ -65,6 +71,7 @@
             // Tasks outlive an outage of the store of this length.
             tail: self.max_hold,
             look: LOOK_MAX.min(Millis(self.max_hold.0 / 4)),
+            shared: Millis(self.harm.0 / SHARED_LOOKS).min(LOOK_MAX),
             watch: Millis(self.config_apply.0 / 2).min(Millis(1_000)),
         }
     }
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -73,6 +73,11 @@
     pub moved: Millis,
     /// Work done in percent, as the worker last said.
     pub percent: u32,
+    /// Share of its time for which it works, in percent, as last ordered; `None` if an earlier
+    /// coordinator may have changed it.
+    pub pace: Option<u32>,
+    /// When an order that sets it was last sent without an answer since.
+    pub paced_at: Option<Millis>,
 }
 
 impl OpenRun {
@@ -89,6 +94,8 @@
             seen: None,
             moved: now,
             percent: 0,
+            pace: Some(100),
+            paced_at: None,
         }
     }
 }
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -37,6 +37,8 @@
     pub urgent_only: bool,
     /// How far other workers are preferred to it; 0 for not at all.
     pub slowness: u32,
+    /// Whether tasks run on it whose response times have a target.
+    pub serves: bool,
 }
 
 /// Limits on the choice beside the room.
@@ -98,7 +100,17 @@
     });
     let best = fitting.min_by_key(|(num, room)| {
         let left = room_in[*num].without(&need);
-        (!is_near(room, step), room.slowness, left.accels, left.cpu)
+        let far = !is_near(room, step);
+        match step.fills {
+            // It lives on what others leave, and disturbs those that serve.
+            true => (
+                far,
+                room.slowness,
+                u64::from(room.serves),
+                u64::MAX - left.cpu,
+            ),
+            false => (far, room.slowness, left.accels, left.cpu),
+        }
     });
     best.map(|(num, _)| num)
 }
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -94,6 +94,7 @@
             if !self.is_usable(worker, now) {
                 continue;
             }
+            let mut serves = false;
             let mut coming = Resources::default();
             let mut running = Vec::with_capacity(worker.open.len());
             for task in worker.open.keys() {
@@ -101,6 +102,8 @@
                     continue;
                 };
                 let need = self.occupied(task);
+                let spec = self.jobs.get(&task.job).and_then(|j| j.spec(task));
+                serves |= spec.is_some_and(|s| s.tail_target.is_some());
                 if open.phase == RunPhase::Stopping {
                     coming += need;
                 }
@@ -118,6 +121,7 @@
                 kept: None,
                 urgent_only: false,
                 slowness: worker.slowness(),
+                serves,
             });
         }
         rooms.sort_by(|a, b| a.id.cmp(&b.id));
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -10,6 +10,7 @@
 
 use crate::bounds::stretched;
 use crate::bounds::ORDER_TIMEOUT;
+use crate::pace::Pace;
 use crate::spec::Resources;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
@@ -81,6 +82,9 @@
     pub saved: String,
     /// Work done in percent.
     pub percent: u32,
+    /// What the worker last measured: response times in milliseconds for a task that serves,
+    /// processor time in use, in thousandths of a core, for any other.
+    pub load: Option<u64>,
 }
 
 /// A run that has ended.
@@ -144,6 +148,8 @@
     pub failures: u32,
     /// Not used before this time.
     pub not_before: Millis,
+    /// How much of their time tasks that fill may work on it.
+    pub pace: Pace,
 }
 
 /// Failures in a row that make a worker a second choice.
@@ -168,6 +174,7 @@
             strays: Vec::new(),
             failures: 0,
             not_before: Millis::ZERO,
+            pace: Pace::default(),
         }
     }
 
--- a/crates/batch/tests/kit/rooms.rs
+++ b/crates/batch/tests/kit/rooms.rs
@@ -28,6 +28,7 @@
         kept: None,
         urgent_only: false,
         slowness: 0,
+        serves: false,
     };
     (0..count).map(room).collect()
 }
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -202,6 +202,7 @@
                 true => 0,
                 false => (now.since(run.started).0 * 100 / run.work.0.max(1)).min(99) as u32,
             },
+            load: None,
         });
         Some(Report {
             born: Some(self.born.0),
--- a/crates/bronzetack/src/batch/pump.rs
+++ b/crates/bronzetack/src/batch/pump.rs
@@ -6,6 +6,7 @@
 use base::Revision;
 use batch::Book;
 use batch::Load;
+use batch::PaceOrder;
 use batch::StartAnswer;
 use batch::StartOrder;
 use batch::StopOrder;
@@ -131,13 +132,17 @@
     lead.wake.notify_one();
 }
 
-/// Sends stops, also while records wait to be stored.
+/// Sends stops and paces, also while records wait to be stored.
 pub async fn stops(shared: Rc<Shared>, lead: Rc<Lead>) {
     while !lead.over.get() {
         let orders = lead.book.borrow_mut().stops(shared.now());
         for order in orders {
             actix_rt::spawn(stop(shared.clone(), lead.clone(), order));
         }
+        let paces = lead.book.borrow_mut().paces(shared.now());
+        for order in paces {
+            actix_rt::spawn(pace(shared.clone(), lead.clone(), order));
+        }
         shared.sleep(Millis(20)).await;
     }
 }
@@ -159,6 +164,25 @@
     }
 }
 
+async fn pace(shared: Rc<Shared>, lead: Rc<Lead>, order: PaceOrder) {
+    let outcome = match shared.workers.pace(&order).await {
+        Ok(true) => {
+            lead.book.borrow_mut().paced(&order);
+            "accepted".to_string()
+        }
+        Ok(false) => "refused".to_string(),
+        Err(error) => error.to_string(),
+    };
+    let fields: &[(&'static str, &dyn std::fmt::Display)] = &[
+        ("task", &order.task),
+        ("worker", &order.worker),
+        ("percent", &order.percent),
+        ("epoch", &order.epoch),
+        ("outcome", &outcome),
+    ];
+    obs::record(&shared.log, Event::PaceOrdered, fields);
+}
+
 /// Publishes the load, and removes records that are no longer needed.
 pub async fn publish(shared: Rc<Shared>, lead: Rc<Lead>) {
     let mut told: Option<Load> = None;
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -104,6 +104,7 @@
     StopUnanswered = 643, Warn, "worker did not answer a stop";
     CallerGone = 644, Info, "caller left before its answer";
     RelayFailed = 645, Warn, "another daemon did not answer a call that was passed on";
+    PaceOrdered = 646, Info, "pace ordered";
     SettingsReloaded = 650, Info, "settings file read again";
     InputRefused = 700, Info, "malformed input refused";
 }
