Take machines down for waves of upkeep

Operators may ask that each machine of a list has its upkeep within a time, few at a time; nothing acted on it, so every wave was late in whole. Change: batch::wave decides without I/O which machines go down, which workers get no new tasks and whose work is stopped; the book tells what runs there, and keeps lasting steps within what they may miss. Orders are recorded before they are sent; one without an answer is repeated and counts as down. The daemon reads the list, sends orders under the lock's epoch, and tells the operators. Seen on the way: the count of what a lasting step misses took a run that is being stopped for one at work; it no longer does. Open: the first run of the daemon's tests on this code failed once in tasks_that_fill_are_paced_...: 50% was ordered again and again. 40 runs since, 28 of them of the whole file, have not shown it; being traced.

--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -83,6 +83,8 @@
     JobId, "job id";
     /// A kind of job, within which run times resemble each other.
     JobKind, "job kind";
+    /// A machine on which workers run, one life after the other.
+    MachineId, "machine";
     /// An organisation.
     OrgId, "organisation";
     /// A rack of workers.
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -27,6 +27,7 @@
 pub use ids::IdError;
 pub use ids::JobId;
 pub use ids::JobKind;
+pub use ids::MachineId;
 pub use ids::OrgId;
 pub use ids::RackId;
 pub use ids::RequestId;
--- a/crates/batch/src/book.rs
+++ b/crates/batch/src/book.rs
@@ -26,6 +26,7 @@
 use crate::reserve::Urgent;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
+use crate::wave::Waves;
 use crate::worker::Worker;
 use crate::worker::WorkerView;
 
@@ -34,6 +35,7 @@
 mod pace;
 mod report;
 mod stall;
+mod upkeep;
 
 pub use orders::LookOrder;
 pub use orders::Pending;
@@ -73,6 +75,10 @@
     pub(crate) ratios: Map<String, u32>,
     /// What an adviser has said of steps and workers.
     pub(crate) advice: Advice,
+    /// Waves of upkeep.
+    pub(crate) waves: Waves,
+    /// Workers that get no new tasks before their upkeep.
+    pub(crate) closed: Set<WorkerId>,
     /// What has been seen of jobs of the highest priority.
     pub(crate) urgent: Urgent,
     /// When runs inherited on workers that never answer have ended for sure.
@@ -98,6 +104,8 @@
             fenced: false,
             ratios: Map::default(),
             advice: Advice::default(),
+            waves: Waves::default(),
+            closed: Set::default(),
             urgent: Urgent::default(),
             inherited_end: now + times.tail + stretched(times.hold),
         }
--- a/crates/batch/src/book/orders.rs
+++ b/crates/batch/src/book/orders.rs
@@ -429,5 +429,6 @@
             && view.state == WorkerState::Ready
             && !self.out.contains(&view.domain)
             && now >= worker.not_before
+            && !self.closed.contains(&view.id)
     }
 }
--- /dev/null
+++ b/crates/batch/src/book/upkeep.rs
@@ -0,0 +1,101 @@
+//! Upkeep of the machines on which workers run.
+
+use base::Millis;
+use base::WorkerId;
+
+use super::Book;
+use crate::job::RunPhase;
+use crate::plan::lost_by_stop;
+use crate::plan::may_miss_one;
+use crate::preempt;
+use crate::spec::TaskId;
+use crate::wave::Busy;
+use crate::wave::UpkeepAnswer;
+use crate::wave::UpkeepOrder;
+use crate::wave::Wave;
+use crate::wave::Waves;
+
+impl Book {
+    /// The waves of upkeep.
+    pub fn waves(&mut self) -> &mut Waves {
+        &mut self.waves
+    }
+
+    /// Takes over the waves that operators ask for, each with when it was first seen.
+    pub fn set_waves<'a>(&mut self, asked: impl Iterator<Item = &'a (Wave, Millis)>) {
+        self.waves.set_all(asked);
+    }
+
+    /// Decides about the machines of the waves: closes workers and stops work as needed, and
+    /// returns the orders to send once they are recorded. `takes` is how long an upkeep is.
+    pub fn plan_upkeep(&mut self, takes: Millis, now: Millis) -> Vec<UpkeepOrder> {
+        let mut waves = std::mem::take(&mut self.waves);
+        let plan = waves.plan(self.epoch, now, takes, |id| self.busy(id, now));
+        self.waves = waves;
+        self.closed = plan.close;
+        for id in plan.clear {
+            self.clear_worker(&id);
+        }
+        plan.orders
+    }
+
+    /// Takes the answer to an order.
+    pub fn upkeep_answer(&mut self, order: &UpkeepOrder, answer: &UpkeepAnswer, now: Millis) {
+        self.waves.answer(order, answer, now);
+        self.fenced |= *answer == UpkeepAnswer::Fenced;
+    }
+
+    fn busy(&self, id: &WorkerId, now: Millis) -> Busy {
+        let mut busy = Busy::default();
+        let Some(worker) = self.workers.get(id) else {
+            return busy;
+        };
+        for task in worker.open.keys() {
+            let Some(open) = self.open_run(task) else {
+                continue;
+            };
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let Some(spec) = job.spec(task) else { continue };
+            let left = match spec.lasting {
+                true => Millis::MAX,
+                false => self.time_left(task, open, now),
+            };
+            busy.left = busy.left.max(left).max(Millis(1));
+            busy.loss += preempt::work(&spec.need, lost_by_stop(spec, open, now));
+            busy.is_held |= spec.lasting && !may_miss_one(job, task);
+        }
+        busy
+    }
+
+    /// Stops what runs on a worker, but no more of a lasting step than it may miss.
+    fn clear_worker(&mut self, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let tasks: Vec<TaskId> = worker.open.keys().cloned().collect();
+        let mut stopped = 0;
+        for task in tasks {
+            let Some(job) = self.jobs.get(&task.job) else {
+                continue;
+            };
+            let lasting = job.spec(&task).is_some_and(|s| s.lasting);
+            let running = self.open_run(&task).map(|o| (o.phase, o.run));
+            let Some((RunPhase::Running, run)) = running else {
+                continue;
+            };
+            if !lasting || may_miss_one(job, &task) {
+                self.stop(&task);
+                self.break_gang(&task, run);
+                stopped += 1;
+            }
+        }
+        if stopped > 0 {
+            self.note(
+                None,
+                format!("{stopped} runs on {id} are stopped for its upkeep"),
+            );
+        }
+    }
+}
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -19,6 +19,7 @@
 mod record;
 pub mod reserve;
 mod spec;
+pub mod wave;
 mod worker;
 
 pub use admit::admit;
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -31,6 +31,9 @@
 mod ahead;
 mod victims;
 
+pub(crate) use victims::lost_by_stop;
+pub(crate) use victims::may_miss_one;
+
 /// Time for which a task waits for a worker other than those on which it has failed.
 const AVOID_FOR: Millis = Millis(2_000);
 
@@ -129,7 +132,7 @@
     }
 
     /// Expected time until a run ends.
-    fn time_left(&self, task: &TaskId, open: &OpenRun, now: Millis) -> Millis {
+    pub(crate) fn time_left(&self, task: &TaskId, open: &OpenRun, now: Millis) -> Millis {
         if open.phase == RunPhase::Stopping {
             return self.bounds.stop_grace;
         }
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -81,7 +81,7 @@
 const RESTORE: Millis = Millis(300);
 
 /// Work time that a stop loses. A checkpointing task saves its progress when it is stopped.
-fn lost_by_stop(spec: &StepSpec, open: &OpenRun, now: Millis) -> Millis {
+pub(crate) fn lost_by_stop(spec: &StepSpec, open: &OpenRun, now: Millis) -> Millis {
     match spec.checkpoints {
         true => RESTORE,
         false => now.since(open.seen.unwrap_or(open.since)),
@@ -89,12 +89,15 @@
 }
 
 /// Whether one more task of a lasting step may be kept from work.
-fn may_miss_one(job: &Job, task: &TaskId) -> bool {
+pub(crate) fn may_miss_one(job: &Job, task: &TaskId) -> bool {
     let steps = job
         .open
         .get(&task.occurrence)
         .map(|o| &o.steps[usize::from(task.step)]);
-    let at_work = |t: &TaskState| t.open.as_ref().is_some_and(|o| o.percent >= 100);
+    let at_work = |t: &TaskState| {
+        let open = t.open.as_ref().filter(|o| o.phase == RunPhase::Running);
+        open.is_some_and(|o| o.percent >= 100)
+    };
     let away = steps.map_or(0, |s| s.tasks.iter().filter(|t| !at_work(t)).count());
     let most = job.spec(task).map_or(0, |s| s.may_miss as usize);
     away < most
--- /dev/null
+++ b/crates/batch/tests/wave.rs
@@ -0,0 +1,229 @@
+//! Waves of upkeep on a full site: in time, within their cap, and with little work thrown away.
+
+use base::Epoch;
+use base::MachineId;
+use base::Millis;
+use base::WorkerId;
+use batch::wave::choose;
+use batch::wave::Busy;
+use batch::wave::Choice;
+use batch::wave::MachineState;
+use batch::wave::MachineView;
+use batch::wave::UpkeepAnswer;
+use batch::wave::Wave;
+use batch::wave::Waves;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+const SECOND: Millis = Millis(1_000);
+
+/// Time that an upkeep takes.
+const TAKES: Millis = Millis(2_000);
+
+const CAP: usize = 3;
+
+/// A machine of a full site: a task of two to eleven seconds after the other, unless it is closed.
+#[derive(Clone, Default)]
+struct Machine {
+    begun: u64,
+    ends: u64,
+    down_until: u64,
+    is_done: bool,
+    is_closed: bool,
+}
+
+/// Work thrown away, and the time at which the last machine went down, both in seconds.
+#[derive(Debug)]
+struct Outcome {
+    lost: u64,
+    took: u64,
+}
+
+/// A wave over 24 machines that are always busy.
+fn play(span: u64, mut policy: impl FnMut(&[Busy], usize, Millis) -> Choice) -> Outcome {
+    let mut rng = Pcg64::seed_from_u64(5);
+    let mut machines = vec![Machine::default(); 24];
+    let mut lost = 0;
+    for now in (0..400_000).step_by(100) {
+        for machine in &mut machines {
+            let idle = machine.ends <= now && machine.down_until <= now;
+            if idle && (!machine.is_closed || machine.is_done) {
+                machine.begun = now;
+                machine.ends = now + rng.random_range(2_000..11_000);
+            }
+        }
+        let down = machines.iter().filter(|m| m.down_until > now).count();
+        let waiting: Vec<usize> = (0..24).filter(|&num| !machines[num].is_done).collect();
+        if waiting.is_empty() {
+            return Outcome {
+                lost: lost / 1_000,
+                took: now / 1_000,
+            };
+        }
+        let busy = waiting.iter().map(|&num| Busy {
+            left: Millis(machines[num].ends.saturating_sub(now)),
+            loss: now.saturating_sub(machines[num].begun),
+            is_held: false,
+        });
+        let busy: Vec<Busy> = busy.collect();
+        let left = Millis(span).since(Millis(now));
+        let choice = policy(&busy, CAP.saturating_sub(down), left);
+        for &num in &waiting {
+            machines[num].is_closed = false;
+        }
+        for num in choice.close {
+            machines[waiting[num]].is_closed = true;
+        }
+        for num in choice.clear {
+            let machine = &mut machines[waiting[num]];
+            lost += now
+                .saturating_sub(machine.begun)
+                .min(machine.ends - machine.begun);
+            machine.ends = now;
+        }
+        for num in choice.down {
+            let machine = &mut machines[waiting[num]];
+            assert!(machine.ends <= now, "its work goes on");
+            machine.is_done = true;
+            machine.down_until = now + TAKES.0;
+            machine.ends = machine.down_until;
+        }
+    }
+    Outcome {
+        lost: lost / 1_000,
+        took: u64::MAX,
+    }
+}
+
+/// Takes the machines in the order of the list, whatever runs there.
+fn in_order(busy: &[Busy], free: usize, _: Millis) -> Choice {
+    let first: Vec<usize> = (0..busy.len().min(free)).collect();
+    let (down, clear) = first
+        .into_iter()
+        .partition(|&num| busy[num].left == Millis::ZERO);
+    Choice {
+        down,
+        close: Vec::clone(&clear),
+        clear,
+    }
+}
+
+#[test]
+fn a_wave_waits_for_work_to_end_while_it_has_the_time() {
+    let span = 90_000;
+    let chosen = play(span, |busy, free, left| {
+        choose(busy, free, CAP, left, TAKES)
+    });
+    let taken = play(span, in_order);
+    assert!(taken.lost > 60, "the site is busy: {taken:?}");
+    assert!(chosen.lost * 4 < taken.lost, "{chosen:?} against {taken:?}");
+    assert!(chosen.took * 1_000 <= span, "{chosen:?}");
+}
+
+#[test]
+fn a_wave_with_little_time_stops_work_and_is_in_time() {
+    let span = 28_000;
+    let chosen = play(span, |busy, free, left| {
+        choose(busy, free, CAP, left, TAKES)
+    });
+    assert!(chosen.took * 1_000 <= span, "{chosen:?}");
+}
+
+fn machine(num: usize) -> MachineId {
+    format!("m{num}").parse().expect("a machine")
+}
+
+fn worker(num: usize) -> WorkerId {
+    format!("w{num}").parse().expect("a worker id")
+}
+
+fn list(up: impl Fn(usize) -> bool) -> Vec<MachineView> {
+    let view = |num| MachineView {
+        id: machine(num),
+        state: match up(num) {
+            true => MachineState::Up,
+            false => MachineState::Upkeep,
+        },
+        worker: Some(worker(num)),
+    };
+    (0..4).map(view).collect()
+}
+
+fn waves() -> Waves {
+    let mut waves = Waves::default();
+    ask(&mut waves);
+    waves
+}
+
+fn ask(waves: &mut Waves) {
+    let wave = Wave {
+        number: 1,
+        machines: (0..5).map(machine).collect(),
+        span: Millis(60_000),
+        cap: 1,
+    };
+    waves.set(wave, SECOND);
+}
+
+fn ordered(waves: &mut Waves, now: u64) -> Vec<batch::wave::UpkeepOrder> {
+    let idle = |_: &WorkerId| Busy::default();
+    waves.plan(Epoch(7), Millis(now), TAKES, idle).orders
+}
+
+/// An order without an answer may still be carried out: its machine counts as down, and it is
+/// ordered again before any other.
+#[test]
+fn the_cap_holds_while_an_order_has_no_answer() {
+    let mut waves = waves();
+    assert_eq!(ordered(&mut waves, 1_000), [], "no list yet");
+    waves.set_machines(list(|_| true), Millis(1_000));
+    let first = ordered(&mut waves, 1_100);
+    assert_eq!(first.len(), 1);
+    waves.answer(
+        &first[0],
+        &UpkeepAnswer::Unknown("timed out".into()),
+        Millis(1_600),
+    );
+    waves.set_machines(list(|_| true), Millis(1_700));
+    assert_eq!(ordered(&mut waves, 1_700), [], "not so soon");
+    assert_eq!(ordered(&mut waves, 2_200), first);
+    waves.answer(&first[0], &UpkeepAnswer::Begun, Millis(2_300));
+    assert_eq!(ordered(&mut waves, 2_300), [], "it is down");
+    waves.set_machines(list(|num| num != 0), Millis(2_400));
+    assert_eq!(ordered(&mut waves, 2_400), [], "it is still down");
+    waves.set_machines(list(|_| true), Millis(5_000));
+    let second = ordered(&mut waves, 5_100);
+    assert_eq!(second[0].machine, machine(1));
+}
+
+/// A successor goes on with what was recorded, and first repeats the order that may be open.
+#[test]
+fn a_successor_orders_no_machine_beyond_the_cap() {
+    let mut first = waves();
+    first.set_machines(list(|_| true), Millis(1_000));
+    let order = ordered(&mut first, 1_100);
+    let (number, record) = first.unrecorded().remove(0);
+    assert!(record.open.contains(&machine(0)));
+    let mut second = Waves::default();
+    second.restore(number, record);
+    ask(&mut second);
+    second.set_machines(list(|_| true), Millis(9_100));
+    assert_eq!(ordered(&mut second, 9_200), order);
+}
+
+#[test]
+fn a_wave_is_over_once_all_that_stay_have_had_theirs() {
+    let mut waves = waves();
+    for num in 0..4 {
+        let at = 1_000 + 5_000 * num as u64;
+        waves.set_machines(list(|_| true), Millis(at));
+        let orders = ordered(&mut waves, at + 100);
+        assert_eq!(orders[0].machine, machine(num));
+        assert!(waves.unrecorded().iter().all(|(_, r)| !r.is_over));
+        waves.answer(&orders[0], &UpkeepAnswer::Begun, Millis(at + 200));
+    }
+    // The fifth machine is listed nowhere.
+    assert!(waves.unrecorded()[0].1.is_over);
+    assert!(!waves.is_active());
+}
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -26,6 +26,7 @@
 mod peers;
 mod pump;
 mod shared;
+mod upkeep;
 mod views;
 
 use shared::Shared;
--- a/crates/bronzetack/src/batch/keys.rs
+++ b/crates/bronzetack/src/batch/keys.rs
@@ -17,6 +17,9 @@
 /// Prefix of what the coordinator has recorded.
 pub const RUNS: &str = "bronzetack/runs/";
 
+/// Prefix of the coordinator's records of waves of upkeep.
+pub const WAVES: &str = "bronzetack/wave/";
+
 const JOB: &str = "/job";
 const CANCEL: &str = "/cancel";
 
@@ -58,3 +61,13 @@
 pub fn run_of(key: &str) -> Option<JobId> {
     key.strip_prefix(RUNS)?.parse().ok()
 }
+
+/// Key of the coordinator's record of a wave of upkeep.
+pub fn wave(number: u64) -> String {
+    format!("{WAVES}{number}")
+}
+
+/// The wave whose record a key under [`WAVES`] holds.
+pub fn wave_of(key: &str) -> Option<u64> {
+    key.strip_prefix(WAVES)?.parse().ok()
+}
--- a/crates/bronzetack/src/batch/lead.rs
+++ b/crates/bronzetack/src/batch/lead.rs
@@ -37,6 +37,7 @@
 use crate::batch::looks;
 use crate::batch::pump;
 use crate::batch::shared::Shared;
+use crate::batch::upkeep;
 use crate::batch::views;
 
 /// Renewals of the lock's lease within its length.
@@ -295,6 +296,7 @@
     actix_rt::spawn(looks::run(shared.clone(), lead.clone()));
     actix_rt::spawn(pump::publish(shared.clone(), lead.clone()));
     actix_rt::spawn(pump::stops(shared.clone(), lead.clone()));
+    actix_rt::spawn(upkeep::run(shared.clone(), lead.clone()));
     obs::record(
         &shared.log,
         Event::TakeoverDone,
@@ -308,8 +310,12 @@
     let workers = shared.store.list(WORKERS).await?;
     let runs = shared.store.list(keys::RUNS).await?;
     let asked = shared.store.list(keys::ASKED).await?;
+    let waves = upkeep::recorded(shared).await?;
     let now = shared.now();
     let mut book = lead.book.borrow_mut();
+    for (number, record) in waves {
+        book.waves().restore(number, record);
+    }
     let mut recorded: Map<JobId, Progress> = Map::default();
     for item in runs.items {
         let Some(id) = keys::run_of(&item.key) else {
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -7,8 +7,10 @@
 
 use base::Clock;
 use base::DomainId;
+use base::Map;
 use base::Millis;
 use base::Set;
+use batch::wave::Wave;
 use batch::Bounds;
 use batch::Catalog;
 use batch::Derived;
@@ -24,6 +26,7 @@
 use obs::Metrics;
 use platform::Adviser;
 use platform::LeaseId;
+use platform::Machines;
 use platform::Relay;
 use platform::Store;
 use platform::StoreError;
@@ -54,6 +57,8 @@
     pub catalog: Option<Rc<Catalog>>,
     /// Failure domains whose workers get nothing.
     pub out: Set<DomainId>,
+    /// Waves of upkeep, and when each was first seen.
+    pub waves: Map<u64, (Wave, Millis)>,
     /// When the store last confirmed that nothing is missing.
     pub fresh: Millis,
 }
@@ -96,6 +101,8 @@
     pub workers: Workers,
     /// Who decides which workers may run the steps of some queues.
     pub adviser: Option<Adviser>,
+    /// The service of machines.
+    pub machines: Option<Machines>,
     /// The operators' documents.
     pub facts: RefCell<Facts>,
     /// The leadership, while this daemon is the coordinator.
@@ -162,6 +169,10 @@
             peers: RefCell::default(),
             workers: Workers::new(ORDER_TIMEOUT),
             adviser: settings.adviser.map(Adviser::new),
+            machines: settings
+                .machines
+                .address
+                .map(|address| Machines::new(address, settings.vm.to_string(), ORDER_TIMEOUT)),
             facts: RefCell::default(),
             lead: RefCell::default(),
             told: Cell::new(0),
--- a/crates/bronzetack/src/batch/views.rs
+++ b/crates/bronzetack/src/batch/views.rs
@@ -92,7 +92,15 @@
 }
 
 fn take_all(shared: &Rc<Shared>, listing: Listing, sent: Millis) {
-    shared.facts.borrow_mut().out.clear();
+    let listed = |number: &u64| {
+        let key = format!("/{number}");
+        listing.items.iter().any(|item| item.key.ends_with(&key))
+    };
+    {
+        let mut facts = shared.facts.borrow_mut();
+        facts.out.clear();
+        facts.waves.retain(|number, _| listed(number));
+    }
     for item in listing.items {
         take(shared, &Change::Put(item));
     }
@@ -137,6 +145,27 @@
                 false => facts.out.insert(domain),
             };
         }
+        Fact::Wave(number, Ok(wave)) => {
+            let now = shared.now();
+            let fields: &[(&'static str, &dyn std::fmt::Display)] = &[
+                ("wave", &number),
+                ("machines", &wave.machines.len()),
+                ("cap", &wave.cap),
+                ("span", &wave.span),
+            ];
+            obs::record(&shared.log, Event::WaveAsked, fields);
+            let mut facts = shared.facts.borrow_mut();
+            let seen = facts.waves.get(&number).map_or(now, |(_, seen)| *seen);
+            facts.waves.insert(number, (wave, seen));
+        }
+        Fact::Wave(number, Err(why)) => {
+            if !removed {
+                let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                    &[("key", key), ("error", &why)];
+                obs::record(&shared.log, Event::InputRefused, fields);
+            }
+            shared.facts.borrow_mut().waves.remove(&number);
+        }
         Fact::Other | Fact::Worker(..) => {}
     }
     tell_book(shared);
@@ -151,5 +180,6 @@
         book.configure(catalog.as_ref().clone());
     }
     book.set_out(facts.out.clone());
+    book.set_waves(facts.waves.values());
     lead.wake.notify_one();
 }
--- a/crates/conf/src/batch/mod.rs
+++ b/crates/conf/src/batch/mod.rs
@@ -89,6 +89,8 @@
     pub harm: Millis,
     /// Time that a machine is down for its upkeep.
     pub upkeep: Millis,
+    /// Time between orders of two coordinators for one machine.
+    pub handover: Millis,
     /// How many times as long a task takes away from its data.
     pub remote_factor: u64,
 }
--- a/crates/conf/src/batch/wire.rs
+++ b/crates/conf/src/batch/wire.rs
@@ -32,6 +32,7 @@
     pace: Millis(100),
     harm: Millis(4_000),
     upkeep: Millis(2_000),
+    handover: Millis(3_000),
     remote_factor: 3,
 };
 
@@ -52,7 +53,7 @@
     store: [Text; 2],
     adviser: Text,
     machines: [Text; 3],
-    spans: [Text; 10],
+    spans: [Text; 11],
     factor: Text,
 }
 
@@ -88,6 +89,7 @@
             "pace",
             "harm",
             "upkeep",
+            "handover",
         ];
         let spans = names.map(|name| section.text(name));
         let factor = section.text("remote-factor");
@@ -155,7 +157,8 @@
 }
 
 fn bounds(wire: &BatchWire, found: &mut Findings) -> SiteBounds {
-    let [hold, grace, reclaim, config, stop, heartbeat, status, pace, harm, upkeep] = &wire.spans;
+    let [hold, grace, reclaim, config, stop, heartbeat, status, pace, harm, upkeep, handover] =
+        &wire.spans;
     let factor: Option<f64> = parse(&wire.factor, FACTOR_REMEDY, found);
     SiteBounds {
         max_hold: span(hold, DEFAULTS.max_hold, found),
@@ -168,6 +171,7 @@
         pace: span(pace, DEFAULTS.pace, found),
         harm: span(harm, DEFAULTS.harm, found),
         upkeep: span(upkeep, DEFAULTS.upkeep, found),
+        handover: span(handover, DEFAULTS.handover, found),
         remote_factor: factor.map_or(DEFAULTS.remote_factor, |f| f.ceil() as u64),
     }
 }
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -105,6 +105,9 @@
     CallerGone = 644, Info, "caller left before its answer";
     RelayFailed = 645, Warn, "another daemon did not answer a call that was passed on";
     PaceOrdered = 646, Info, "pace ordered";
+    WaveAsked = 647, Info, "wave of upkeep asked for";
+    UpkeepOrdered = 648, Info, "upkeep of a machine ordered";
+    UpkeepHeld = 649, Warn, "upkeep is held up";
     SettingsReloaded = 650, Info, "settings file read again";
     InputRefused = 700, Info, "malformed input refused";
 }
