Ask the adviser about a worker once while its answer holds

Looking at who was asked about instead of counting showed a fault in each run: a pass during a call did not know the answer and wanted the same workers again, and they were asked about twice. Change: the answer to a call drops what was wanted for its step meanwhile; the next pass decides anew.

--- a/crates/batch/src/advice.rs
+++ b/crates/batch/src/advice.rs
@@ -264,6 +264,8 @@
         born: impl Fn(&WorkerId) -> u64,
     ) {
         self.going = false;
+        // What a pass wanted for this step meanwhile did not know the answer.
+        self.wanted.retain(|w| w.step != order.step);
         self.failing = matches!(answer, Advised::Failed(_));
         let Advised::Good(good, valid) = answer else {
             self.not_before = now + PAUSE;
--- a/crates/batch/tests/advice.rs
+++ b/crates/batch/tests/advice.rs
@@ -105,3 +105,20 @@
     advice.drop_ticket(&at, &id);
     assert_eq!(advice.ticket(&at, &id), "");
 }
+
+/// A pass during a call wanted the same workers again, and they were asked about twice.
+#[test]
+fn what_is_wanted_during_a_call_is_dropped_by_its_answer() {
+    let mut advice = Advice::default();
+    let all = rooms(4);
+    let spec = step(1, 8, Millis(1_000));
+    let at = step_id(0);
+    let limits = limits(&pool(), &[0; 40]);
+    advice.want(&at, advice_rule(), &all, (&spec, &limits), 1);
+    let order = advice.next(Millis(1_000)).expect("a call");
+    advice.begin_pass(|_| true);
+    advice.want(&at, advice_rule(), &all, (&spec, &limits), 1);
+    let times = (Millis(1_000), Millis(1_150));
+    advice.answer(&order, Advised::Good(Vec::new(), None), times, |_| 7);
+    assert_eq!(advice.next(Millis(1_200)), None);
+}
