Give the workers of a wave's last machines tasks again

Ruled out: the tickets (asked for and held), the budget of calls. The soak asks for waves and sends jobs with advice; cap and end of waves are checked, and a larger site has more jobs and faults in the same time.

--- a/crates/batch/src/book/upkeep.rs
+++ b/crates/batch/src/book/upkeep.rs
@@ -39,6 +39,11 @@
         plan.orders
     }
 
+    /// No wave is under way: all workers get tasks again.
+    pub fn reopen_workers(&mut self) {
+        self.closed.clear();
+    }
+
     /// Takes the answer to an order.
     pub fn upkeep_answer(&mut self, order: &UpkeepOrder, answer: &UpkeepAnswer, now: Millis) {
         self.waves.answer(order, answer, now);
--- a/crates/bronzetack/src/batch/upkeep.rs
+++ b/crates/bronzetack/src/batch/upkeep.rs
@@ -31,7 +31,9 @@
     let mut pages = 1;
     let mut failing = false;
     while !lead.over.get() {
-        if lead.book.borrow_mut().waves().is_active() {
+        if !lead.book.borrow_mut().waves().is_active() {
+            lead.book.borrow_mut().reopen_workers();
+        } else {
             match &shared.machines {
                 Some(machines) => match pass(&shared, &lead, machines, since).await {
                     Ok(read) => {
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -57,6 +57,7 @@
     workers(log, &mut add);
     answers(log, &mut add);
     processes(log, &mut add);
+    waves(log, &mut add);
     found.sort();
     found.dedup();
     found
@@ -381,6 +382,20 @@
         .any(|runs| runs.len() as u32 >= log.attempts)
 }
 
+fn waves(log: &Log, add: &mut Add<'_>) {
+    for wave in &log.waves {
+        if wave.most > wave.cap {
+            add(
+                "limit",
+                format!("{} machines of wave {} were down", wave.most, wave.number),
+            );
+        }
+        if !wave.is_over {
+            add("late", format!("wave {} is not over", wave.number));
+        }
+    }
+}
+
 fn processes(log: &Log, add: &mut Add<'_>) {
     for exit in &log.exits {
         if let Some(why) = &exit.wrong {
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -51,6 +51,10 @@
     pub operators: SocketAddr,
     /// The store.
     pub store: SocketAddr,
+    /// The adviser.
+    pub adviser: SocketAddr,
+    /// The service of machines.
+    pub machines: SocketAddr,
 }
 
 /// A process.
@@ -245,14 +249,20 @@
         ready,
         operators,
         store,
+        adviser,
+        machines,
     } = addresses;
     let domain = number % 2;
     format!(
         r#"{{
   "vm": "e{number}", "domain": "d{domain}",
   "addresses": {{ "callers": "{callers}", "ready": "{ready}", "operators": "{operators}" }},
-  "store": {{ "address": "{store}" }},
-  "bounds": {{ "max-hold": "6s", "stop": "{}ms", "heartbeat": "300ms", "stop-grace": "400ms" }},
+  "store": {{ "address": "{store}" }}, "adviser": "{adviser}",
+  "machines": {{ "address": "{machines}", "orders": "60", "reads": "60" }},
+  "bounds": {{
+    "max-hold": "6s", "stop": "{}ms", "heartbeat": "300ms", "stop-grace": "400ms",
+    "upkeep": "300ms", "handover": "500ms",
+  }},
 }}
 "#,
         STOP.0
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,7 +12,7 @@
 
 use crate::site::Site;
 
-/// Time between two faults, in milliseconds.
+/// Time between two faults, in milliseconds, for a site of the usual size.
 const GAP: std::ops::Range<u64> = 200..1_400;
 
 /// How long a fault lasts, in milliseconds: from a hiccup to beyond the coordinator's lock and the
@@ -28,7 +28,8 @@
     let mut version = 1;
     let mut going = Vec::new();
     loop {
-        site.sleep(Millis(rng.random_range(GAP))).await;
+        site.sleep(Millis(rng.random_range(GAP) / site.scale()))
+            .await;
         let now = site.now();
         if now >= end {
             break;
@@ -52,7 +53,7 @@
 }
 
 /// Number of kinds that [`Fault::cause`] knows.
-const KINDS: u32 = 26;
+const KINDS: u32 = 27;
 
 struct Fault {
     site: Rc<Site>,
@@ -103,6 +104,7 @@
             22 => self.hang().await,
             23 => self.habits().await,
             24 => self.replace().await,
+            25 => self.upkeep(version),
             _ => self.operate(version).await,
         }
     }
@@ -345,6 +347,19 @@
         self.set_listed(true);
     }
 
+    /// The operators ask for upkeep of some machines.
+    fn upkeep(&self, number: u64) {
+        let all = self.site.workers.borrow().len();
+        let machines = (self.worker..all).take(3).map(|num| format!("m{num}"));
+        let machines: Vec<String> = machines.collect();
+        let span = Duration::from_secs(6);
+        let cap = 1 + self.strength as usize % 2;
+        let what = format!("upkeep of {machines:?}, {cap} at a time");
+        self.begin(true, Millis::from_secs(span.as_secs()), what);
+        self.site.waves.borrow_mut().push((number, cap));
+        self.site.store.ask_wave(number, &machines, span, cap);
+    }
+
     /// The operators change the configuration, or take a failure domain out for a while.
     async fn operate(&self, version: u64) {
         if self.strength < 600 {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,6 +19,7 @@
 pub use log::Asked;
 pub use log::Call;
 pub use log::Log;
+pub use log::Upkeep;
 pub use log::Window;
 
 use std::path::Path;
@@ -36,6 +37,9 @@
 /// platform on the end of all work, and the time after which a disruption counts as over.
 const SETTLE: Millis = Millis(17_000);
 
+/// Daemons of a site of the usual size.
+const DAEMONS: usize = 4;
+
 /// What to run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -59,7 +63,7 @@
         Plan {
             seed,
             program,
-            daemons: 4,
+            daemons: DAEMONS,
             workers: 6,
             span: Millis::from_secs(12),
             dir: logs.join(format!("soak-{}-{seed}", std::process::id())),
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -21,7 +21,13 @@
 use crate::log::Log;
 use crate::site::Site;
 
-/// Time between two jobs, in milliseconds.
+/// The queues.
+const QUEUES: [&str; 4] = ["q0", "q1", "q2", ADVISED];
+
+/// The queue whose steps an adviser decides about.
+const ADVISED: &str = "qa";
+
+/// Time between two jobs, in milliseconds, for a site of the usual size.
 const GAP: std::ops::Range<u64> = 40..220;
 
 /// Time between two questions for a job's state, in milliseconds.
@@ -42,7 +48,7 @@
     let beat = actix_rt::spawn(site.clone().beat());
     let mut rng = Pcg64::seed_from_u64(seed ^ 0x10ad);
     let seen = Rc::new(RefCell::new(Log::default()));
-    let callers: [FakeCaller; 3] = ["q0", "q1", "q2"].map(FakeCaller::new);
+    let callers = QUEUES.map(FakeCaller::new);
     let mut drives = Vec::new();
     let mut number = 0_u64;
     while site.now() < end {
@@ -50,18 +56,20 @@
         let id: JobId = id.parse().expect("sixteen digits");
         number += 1;
         let work = job(&mut rng);
-        site.register(&id, &work);
+        let queue = rng.random_range(0..QUEUES.len());
+        site.register(&id, &work, QUEUES[queue] == ADVISED);
         let drive = Drive {
             site: site.clone(),
             seen: seen.clone(),
-            caller: callers[rng.random_range(0..callers.len())].clone(),
+            caller: callers[queue].clone(),
             rng: Pcg64::seed_from_u64(rng.random()),
             id,
             work,
             last,
         };
         drives.push(actix_rt::spawn(drive.run()));
-        site.sleep(Millis(rng.random_range(GAP))).await;
+        site.sleep(Millis(rng.random_range(GAP) / site.scale()))
+            .await;
     }
     for drive in drives {
         drive.await.expect("a caller has panicked");
--- a/crates/soak/src/log.rs
+++ b/crates/soak/src/log.rs
@@ -53,6 +53,19 @@
     pub what: String,
 }
 
+/// A wave of upkeep, as the service of machines saw it.
+#[derive(Clone, Debug)]
+pub struct Upkeep {
+    /// Its number.
+    pub number: u64,
+    /// Most machines that were to be down at a time.
+    pub cap: usize,
+    /// Most that were.
+    pub most: usize,
+    /// Whether operators were told that it is over.
+    pub is_over: bool,
+}
+
 /// All that was seen in a run.
 #[derive(Clone, Debug, Default)]
 pub struct Log {
@@ -70,6 +83,8 @@
     pub boots: Vec<(usize, Millis)>,
     /// Processes that have ended.
     pub exits: Vec<Exit>,
+    /// Waves of upkeep.
+    pub waves: Vec<Upkeep>,
     /// Jobs whose callers still wanted an end when the run was over.
     pub unsettled: BTreeSet<JobId>,
 }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -11,7 +11,9 @@
 
 use base::Millis;
 use fakes::fault_relay::Relay;
+use platform_fakes::FakeAdviser;
 use platform_fakes::FakeFloor;
+use platform_fakes::FakeMachines;
 use platform_fakes::FakeStore;
 use platform_fakes::FakeWorker;
 
@@ -19,6 +21,7 @@
 use crate::daemon::Daemon;
 use crate::error::SoakError;
 use crate::log::Log;
+use crate::log::Upkeep;
 use crate::log::Window;
 use crate::Plan;
 use crate::Report;
@@ -75,6 +78,12 @@
     /// Whether the store takes the workers' entries.
     pub lists: RefCell<bool>,
     floor: FakeFloor,
+    /// Who decides which workers may run advised jobs.
+    adviser: FakeAdviser,
+    /// The machines of the workers.
+    machines: FakeMachines,
+    /// Waves of upkeep that were asked for, with their cap.
+    pub waves: RefCell<Vec<(u64, usize)>>,
     /// Workers.
     pub workers: RefCell<Vec<WorkerPlace>>,
     /// Daemons.
@@ -96,8 +105,17 @@
         let store = FakeStore::start().map_err(io_error("the store"))?;
         store.configure(1);
         let floor = FakeFloor::start(plan.seed);
+        let mut workers = Vec::new();
+        for num in 0..plan.workers {
+            let (id, domain) = (format!("w{num}"), format!("d{}", num % 2));
+            let worker = floor.worker(&id, &domain).map_err(io_error(&id))?;
+            workers.push(worker);
+        }
         let site = Site {
             plan: plan.clone(),
+            adviser: FakeAdviser::start().map_err(io_error("the adviser"))?,
+            machines: FakeMachines::start(&workers).map_err(io_error("the machines"))?,
+            waves: RefCell::default(),
             store,
             lists: RefCell::new(true),
             floor,
@@ -109,9 +127,7 @@
             }),
             over: RefCell::new(false),
         };
-        for num in 0..plan.workers {
-            let (id, domain) = (format!("w{num}"), format!("d{}", num % 2));
-            let worker = site.floor.worker(&id, &domain).map_err(io_error(&id))?;
+        for worker in workers {
             let relay = Relay::start(worker.address());
             site.workers.borrow_mut().push(WorkerPlace {
                 worker,
@@ -140,6 +156,8 @@
             ready: free(),
             operators: free(),
             store: relay.addr(),
+            adviser: self.adviser.address(),
+            machines: self.machines.address(),
         };
         Ok(DaemonPlace {
             daemon: Daemon::new(num, &self.plan.dir, &addresses)?,
@@ -180,9 +198,14 @@
         self.plan.daemons
     }
 
+    /// How many times the usual size the site is, at least 1.
+    pub fn scale(&self) -> u64 {
+        (self.plan.daemons / crate::DAEMONS).max(1) as u64
+    }
+
     /// Makes a job known to the workers and to the log.
-    pub fn register(&self, id: &base::JobId, work: &batch::Submission) {
-        self.floor.register(id, work);
+    pub fn register(&self, id: &base::JobId, work: &batch::Submission, advised: bool) {
+        self.floor.register(id, work, advised);
         self.log.borrow_mut().jobs.insert(id.clone(), work.clone());
     }
 
@@ -250,11 +273,20 @@
             self.sleep(Millis(BEAT.0 / 3)).await;
         }
         *self.over.borrow_mut() = true;
+        let asked = self.waves.borrow().clone();
+        let waves = asked.into_iter().map(|(number, cap)| Upkeep {
+            number,
+            cap,
+            most: self.machines.seen(number).1,
+            is_over: self.store.is_wave_over(number),
+        });
+        let waves = waves.collect();
         self.close().await;
         let mut log = self.log.borrow().clone();
         log.calls = load.calls;
         log.unsettled = load.unsettled;
         log.facts = self.floor.tape();
+        log.waves = waves;
         log
     }
 
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -18,6 +18,7 @@
 use soak::Call;
 use soak::Exit;
 use soak::Log;
+use soak::Upkeep;
 use soak::Window;
 use std::time::Duration;
 use yare::parameterized;
@@ -223,6 +224,23 @@
     });
 }
 
+fn wave(most: usize, is_over: bool) -> Upkeep {
+    Upkeep {
+        number: 3,
+        cap: 2,
+        most,
+        is_over,
+    }
+}
+
+fn too_many_down(log: &mut Log) {
+    log.waves.push(wave(3, true));
+}
+
+fn wave_without_end(log: &mut Log) {
+    log.waves.push(wave(2, false));
+}
+
 #[parameterized(
     twice = { twice_at_once, "twice" },
     again = { twice_after_its_end, "twice" },
@@ -243,6 +261,8 @@
     status = { strange_answer, "answer" },
     broken = { no_answer, "dropped" },
     process = { ended_by_itself, "process" },
+    upkeep = { too_many_down, "limit" },
+    wave = { wave_without_end, "late" },
 )]
 fn a_broken_promise_is_found(spoil: fn(&mut Log), promise: &str) {
     let mut log = clean();
