Let no soak process outlive its run; take a lock back from an earlier process only once

Change: a soak's processes are killed when their owner is dropped, also by a panic, and when the soak is told to end; a lock that names the own VM is taken without waiting only at the first reading after the start. The soak finds the coordinator by the lock's holder; it had looked for text in a binary value and so killed any daemon.

--- a/crates/bronzetack/src/batch/lead.rs
+++ b/crates/bronzetack/src/batch/lead.rs
@@ -123,10 +123,12 @@
     let listing = shared.store.list(keys::LOCK).await?;
     shared.heard_store(Ok(()));
     let held = listing.items.into_iter().find(|i| i.key == keys::LOCK);
+    let is_first = !shared.campaigned.get();
     let free_at = match held {
         None => Revision(0),
-        Some(item) if is_own(shared, &item) => item.revision,
+        Some(item) if is_own(shared, &item, is_first) => item.revision,
         Some(item) => {
+            shared.campaigned.set(true);
             if !wait_free(shared, item.revision, listing.revision).await? {
                 return Ok(());
             }
@@ -136,6 +138,7 @@
     if shared.facts.borrow().catalog.is_none() || shared.stopping.get() {
         return Ok(());
     }
+    shared.campaigned.set(true);
     shared.sleep(shared.spread(SPREAD)).await;
     let asked = shared.now();
     let lease = shared.store.lease(shared.times.lock).await?;
@@ -154,10 +157,15 @@
     lead(shared, lock, lease, asked, &catalog).await
 }
 
-/// Whether the lock was left by an earlier process on this VM.
-fn is_own(shared: &Shared, item: &Item) -> bool {
+/// Whether the lock was left by this process, or by an earlier one on this VM: that one is found
+/// at the first reading. One that takes the lock later lives, and two with the same VM in their
+/// settings would take it from each other for ever.
+fn is_own(shared: &Shared, item: &Item, is_first: bool) -> bool {
     let holder = item.value.as_deref().and_then(read_holder);
-    holder.is_some_and(|h| h.vm == shared.settings.vm.as_str())
+    holder.is_some_and(|h| {
+        let same_vm = h.vm == shared.settings.vm.as_str();
+        h.instance == shared.instance || is_first && same_vm
+    })
 }
 
 fn read_holder(value: &[u8]) -> Option<Holder> {
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -120,6 +120,8 @@
     pub refused: RefCell<Quota>,
     /// Lease of the refusals, and when it was asked for.
     pub refusals: Cell<Option<(LeaseId, Millis)>>,
+    /// Whether this process has read the lock before.
+    pub campaigned: Cell<bool>,
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
     /// Since when the store has not answered.
@@ -181,6 +183,7 @@
             promises: RefCell::default(),
             refused: RefCell::new(Quota::new(REFUSED)),
             refusals: Cell::new(None),
+            campaigned: Cell::new(false),
             stopping: Cell::new(false),
             store_lost: Cell::new(None),
             rng: RefCell::new(Pcg64::seed_from_u64(seed)),
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -1,5 +1,6 @@
 //! A daemon as a process of its own: started, signalled, and read from outside.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::io;
 use std::io::BufRead;
@@ -13,6 +14,8 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::thread;
 use std::thread::JoinHandle;
 
@@ -57,10 +60,25 @@
     pub machines: SocketAddr,
 }
 
+/// Processes that are running, so that none outlives the soak.
+static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+fn running() -> MutexGuard<'static, BTreeSet<u32>> {
+    RUNNING.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Kills all processes that this program has started and that still run.
+pub fn kill_all() {
+    for id in std::mem::take(&mut *running()) {
+        // One that has ended by itself needs no signal.
+        let _ = kill(Pid::from_raw(id as i32), Signal::SIGKILL);
+    }
+}
+
 /// A process.
 struct Process {
     child: Child,
-    reader: JoinHandle<Lines>,
+    reader: Option<JoinHandle<Lines>>,
     /// When a planned stop was asked for.
     stopping: Option<Millis>,
     /// Whether it has been killed.
@@ -71,6 +89,16 @@
     rested: Millis,
 }
 
+/// A process that outlives its run would join whatever site gets its addresses next, so it ends
+/// with its owner also when the run panics.
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        running().remove(&self.child.id());
+    }
+}
+
 /// What a process has logged.
 #[derive(Default)]
 struct Lines {
@@ -123,6 +151,7 @@
             .stdout(Stdio::piped())
             .stderr(Stdio::inherit())
             .spawn()?;
+        running().insert(child.id());
         let out = child.stdout.take();
         let out = out.ok_or_else(|| io::Error::other("the process has no output"))?;
         let file = fs::File::options()
@@ -131,7 +160,7 @@
             .open(&self.log)?;
         self.process = Some(Process {
             child,
-            reader: thread::spawn(move || read(out, file)),
+            reader: Some(thread::spawn(move || read(out, file))),
             stopping: None,
             killed: false,
             paused: false,
@@ -207,7 +236,8 @@
             None => Some(format!("not gone {STOP} after SIGTERM")),
             Some(status) => wrong_end(status, &process),
         };
-        let lines = process.reader.join().unwrap_or_default();
+        let reader = process.reader.take().map(JoinHandle::join);
+        let lines = reader.and_then(Result::ok).unwrap_or_default();
         let broken = lines.broken.map(|l| format!("a line is not JSON: {l}"));
         Some(Exit {
             daemon: self.number,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,6 +9,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
+use serde::Deserialize;
 
 use crate::site::Site;
 
@@ -55,6 +56,12 @@
 /// Number of kinds that [`Fault::cause`] knows.
 const KINDS: u32 = 27;
 
+/// What the coordinator's lock says of its holder.
+#[derive(Deserialize)]
+struct Holder {
+    vm: String,
+}
+
 struct Fault {
     site: Rc<Site>,
     daemon: usize,
@@ -116,11 +123,9 @@
 
     /// The daemon that holds the coordinator's lock, or any.
     fn leader(&self) -> usize {
-        let holder = self.site.store.text("bronzetack/lock");
-        let named = |num: &usize| {
-            let vm = format!("\"e{num}\"");
-            holder.as_ref().is_some_and(|h| h.contains(&vm))
-        };
+        let lock = self.site.store.value("bronzetack/lock");
+        let holder: Option<Holder> = lock.and_then(|l| ciborium::from_reader(&*l).ok());
+        let named = |num: &usize| holder.as_ref().is_some_and(|h| h.vm == format!("e{num}"));
         (0..self.site.size()).find(named).unwrap_or(self.daemon)
     }
 
