--- a/crates/bronzetack/src/batch/looks.rs
+++ b/crates/bronzetack/src/batch/looks.rs
@@ -100,7 +100,12 @@
 async fn wait_stored(shared: &Shared, lead: &Lead) {
     let stored = lead.stored.notified();
     let waited = actix_rt::time::timeout(STORE_WAIT.duration(), stored).await;
-    if waited.is_err() {
-        obs::record(&shared.log, Event::StoreSlow, &[("waited", &STORE_WAIT)]);
+    if waited.is_ok() {
+        return;
+    }
+    if let Some(held) = shared.slow_lines.pass(shared.now()) {
+        let fields: &[(&'static str, &dyn std::fmt::Display)] =
+            &[("waited", &STORE_WAIT), ("more", &held)];
+        obs::record(&shared.log, Event::StoreSlow, fields);
     }
 }
--- a/crates/bronzetack/src/batch/pump.rs
+++ b/crates/bronzetack/src/batch/pump.rs
@@ -154,10 +154,14 @@
         }
         Ok(_) => {}
         Err(error) => {
+            let Some(held) = shared.stop_lines.pass(shared.now()) else {
+                return;
+            };
             let fields: &[(&'static str, &dyn std::fmt::Display)] = &[
                 ("task", &order.task),
                 ("worker", &order.worker),
                 ("error", &error),
+                ("more", &held),
             ];
             obs::record(&shared.log, Event::StopUnanswered, fields);
         }
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -22,6 +22,7 @@
 use entry::Ready;
 use obs::Counter;
 use obs::Event;
+use obs::Gather;
 use obs::Histogram;
 use obs::Metrics;
 use platform::Adviser;
@@ -75,6 +76,10 @@
     pub instance: String,
     /// The log.
     pub log: Logger,
+    /// Lines that tell of records that the store did not take in time.
+    pub slow_lines: Gather,
+    /// Lines that tell of stops without an answer.
+    pub stop_lines: Gather,
     /// The metrics.
     pub metrics: Metrics,
     /// Calls of callers by kind and answer.
@@ -162,6 +167,8 @@
             took: metrics.histogram("batch_call_ms", "Time to the answer of a call"),
             starts: metrics.counter("batch_starts", "Orders to start a run by outcome"),
             store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
+            slow_lines: Gather::default(),
+            stop_lines: Gather::default(),
             metrics,
             clock,
             quick: store.with_timeout(QUICK_TIMEOUT),
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -1,12 +1,14 @@
 //! Numbered log events, metrics and trace spans.
 
 mod event;
+mod gather;
 mod log;
 mod metrics;
 mod span;
 
 pub use event::Event;
 pub use event::Level;
+pub use gather::Gather;
 pub use log::discard;
 pub use log::emit;
 pub use log::record;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -95,6 +95,9 @@
     let faults = actix_rt::spawn(faults::run(site.clone(), plan.seed, end));
     let load = load::run(site.clone(), plan.seed, end, end + SETTLE).await;
     faults.await.map_err(|e| SoakError::Task(e.to_string()))?;
+    while site.is_upkeep_due() && site.now() < end + SETTLE {
+        site.sleep(site::BEAT).await;
+    }
     let log = site.finish(load).await;
     let findings = check(&log);
     let report = Report {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -263,6 +263,14 @@
         }
     }
 
+    /// Whether a wave of upkeep is not over.
+    pub fn is_upkeep_due(&self) -> bool {
+        let waves = self.waves.borrow();
+        waves
+            .iter()
+            .any(|(number, _)| !self.store.is_wave_over(*number))
+    }
+
     /// Ends all processes, as planned, and returns what was seen.
     pub async fn finish(&self, load: Log) -> Log {
         let now = self.now();
