--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -232,12 +232,12 @@
             let _ = process.child.kill();
             let _ = process.child.wait();
         }
+        let reader = process.reader.take().map(JoinHandle::join);
+        let lines = reader.and_then(Result::ok).unwrap_or_default();
         let wrong = match status {
             None => Some(format!("not gone {STOP} after SIGTERM")),
-            Some(status) => wrong_end(status, &process),
+            Some(status) => wrong_end(status, &process, &lines),
         };
-        let reader = process.reader.take().map(JoinHandle::join);
-        let lines = reader.and_then(Result::ok).unwrap_or_default();
         let broken = lines.broken.map(|l| format!("a line is not JSON: {l}"));
         Some(Exit {
             daemon: self.number,
@@ -248,10 +248,12 @@
     }
 }
 
-fn wrong_end(status: ExitStatus, process: &Process) -> Option<String> {
+fn wrong_end(status: ExitStatus, process: &Process, lines: &Lines) -> Option<String> {
     match (process.killed, process.stopping, status.code()) {
         (true, _, _) => None,
         (false, Some(_), Some(0)) => None,
+        // It had not begun to listen, so there was nothing to stop as planned.
+        (false, Some(_), None) if lines.count == 0 => None,
         (false, Some(_), _) => Some(format!("a planned stop ended with {status}")),
         (false, None, _) => Some(format!("ended by itself with {status}")),
     }
