Let the random model restart workers before their entries tell so, hang and fail

Cause: the model listed each new life at once and had no worker that hangs or fails all, so the fault of 'Acknowledge ends only to a worker whose life is known' could not come up in it. Change: entries lag by up to 1.5 s, tasks take from 20 ms, workers hang and fail.

--- a/crates/batch/tests/faults.rs
+++ b/crates/batch/tests/faults.rs
@@ -167,7 +167,7 @@
 }
 
 /// Everything at once: lost, unanswered and late orders, lost writes, failing runs, workers that
-/// vanish and restart, coordinators that are replaced. The observer of the site checks that
+/// vanish, restart before their entry tells so, hang or fail all, coordinators that are replaced. The observer of the site checks that
 /// nothing runs twice, over capacity, out of order or beyond its attempts.
 #[parameterized(
     seed_1 = { 1 }, seed_2 = { 2 }, seed_3 = { 3 }, seed_4 = { 4 }, seed_5 = { 5 },
@@ -183,6 +183,9 @@
         slow: 1,
     };
     let mut site = Site::new(8, seed, faults);
+    for num in 0..8 {
+        site.workers[num].lag = Millis(site.rng.random_range(0..1_500));
+    }
     let mut ids = Vec::new();
     for turn in 0..6_000 {
         if turn % 40 == 0 && turn < 4_000 {
@@ -190,7 +193,7 @@
             let mut spec = step(
                 site.rng.random_range(1..6),
                 1 << site.rng.random_range(0..4),
-                Millis(site.rng.random_range(200..3_000)),
+                Millis(site.rng.random_range(20..3_000)),
             );
             spec.gang = gang;
             spec.one_rack = gang && site.rng.random_range(0..2) == 0;
@@ -206,10 +209,14 @@
         if turn % 70 == 35 {
             let num = site.rng.random_range(0..8);
             let now = site.now;
-            match site.rng.random_range(0..3) {
-                0 => site.workers[num].restart(now),
-                1 => site.workers[num].reached = false,
-                _ => site.workers.iter_mut().for_each(|w| w.reached = true),
+            match site.rng.random_range(0..6) {
+                0 | 1 => site.workers[num].restart(now),
+                2 => site.workers[num].reached = false,
+                3 => site.workers[num].hangs = true,
+                4 => site.workers[num].fails = true,
+                _ => site.workers.iter_mut().for_each(|w| {
+                    (w.reached, w.hangs, w.fails) = (true, false, false);
+                }),
             }
         }
         if turn % 500 == 499 {
@@ -218,7 +225,9 @@
         site.turn();
     }
     site.faults = calm();
-    site.workers.iter_mut().for_each(|w| w.reached = true);
+    site.workers.iter_mut().for_each(|w| {
+        (w.reached, w.hangs, w.fails) = (true, false, false);
+    });
     site.run(Millis(60_000));
     for id in ids {
         let told = site.told(&id);
