Blame a job that fails everywhere, not the workers

Change: a worker counts the jobs that failed on it since one was done, each once; a job that has failed on two workers and never had a task done is taken for hopeless, and what it had counted is taken back.

--- a/crates/batch/src/book/report.rs
+++ b/crates/batch/src/book/report.rs
@@ -20,14 +20,14 @@
 /// Ends that a worker lists at a time; with as many there may be more.
 const ENDS_LISTED: usize = 500;
 
-/// Failures in a row, of different jobs, after which a worker is left alone for a while.
-const FAILURES: u32 = 2;
+/// Jobs that fail in a row after which a worker is left alone for a while.
+const FAILURES: usize = 2;
 
 /// First pause of a worker that failed tasks in a row; it doubles with each further failure.
 const FAILING_PAUSE: Millis = Millis(3_000);
 
 /// Most doublings of the pause.
-const DOUBLINGS: u32 = 4;
+const DOUBLINGS: usize = 4;
 
 impl Book {
     /// Takes a worker's report. `sent` is when the look at it was sent.
@@ -80,7 +80,7 @@
         worker.clock = None;
         worker.seen_end = 0;
         worker.stored_end = 0;
-        worker.failures = 0;
+        worker.failed.clear();
         worker.pace = Pace::default();
         let tasks: Vec<TaskId> = worker.open.keys().cloned().collect();
         if again {
@@ -121,16 +121,8 @@
             return;
         }
         worker.seen_end = end.number;
-        match end.kind {
-            EndKind::Done => worker.failures = 0,
-            EndKind::Failed => {
-                worker.failures += 1;
-                if worker.failures >= FAILURES {
-                    let doublings = (worker.failures - FAILURES).min(DOUBLINGS);
-                    worker.not_before = now + Millis(FAILING_PAUSE.0 << doublings);
-                }
-            }
-            EndKind::Alone | EndKind::Broken | EndKind::Lapsed | EndKind::Stopped => {}
+        if end.kind == EndKind::Done {
+            worker.failed.clear();
         }
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return;
@@ -180,11 +172,39 @@
                 note_failure(&mut task.failed, end.run);
             }
             task.avoid.push(id.clone());
+            self.blame(id, &end.task.job, now);
         }
         self.dirty.insert(end.task.job.clone());
         self.after_end(id, end, now);
     }
 
+    /// Takes a failure for the worker's fault, or for the job's own if it fails elsewhere too.
+    /// Otherwise a few jobs that can never be done would take every worker out of use.
+    fn blame(&mut self, id: &WorkerId, job_id: &JobId, now: Millis) {
+        let Some(job) = self.jobs.get_mut(job_id) else {
+            return;
+        };
+        if !job.failed_on.contains(id) {
+            job.failed_on.push(id.clone());
+        }
+        if job.is_suspect() {
+            for other in job.failed_on.clone() {
+                if let Some(worker) = self.workers.get_mut(&other) {
+                    worker.failed.retain(|failed| failed != job_id);
+                }
+            }
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let jobs = worker.note_failed(job_id);
+        if jobs >= FAILURES {
+            let doublings = (jobs - FAILURES).min(DOUBLINGS);
+            worker.not_before = now + Millis(FAILING_PAUSE.0 << doublings);
+        }
+    }
+
     /// Frees the run, and ends its job if the end decides that.
     fn after_end(&mut self, id: &WorkerId, end: &EndRow, now: Millis) {
         let id_of = &end.task.job;
--- a/crates/batch/src/book/stall.rs
+++ b/crates/batch/src/book/stall.rs
@@ -45,7 +45,7 @@
         if lasting || fills || !looked || worker.heard.since(moved) <= limit {
             return;
         }
-        worker.failures += 1;
+        worker.note_failed(&task.job);
         worker.not_before = worker.not_before.max(now + PAUSE);
         let text = format!("run {run} of {task} stands still on {id}; it is stopped");
         self.note(Some(&task.job), text);
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -200,8 +200,13 @@
     pub next: u32,
     /// When it ended, by the coordinator's clock.
     pub ended: Option<Millis>,
+    /// Workers on which a task of it has failed, each once.
+    pub failed_on: Vec<WorkerId>,
 }
 
+/// Workers on which a job has to fail before the fault is taken for its own.
+const SUSPECT: usize = 2;
+
 impl Job {
     /// A job of which nothing has run.
     pub fn new(id: JobId, given: Submitted, now: Millis) -> Job {
@@ -219,6 +224,7 @@
             open,
             next,
             ended: None,
+            failed_on: Vec::new(),
         }
     }
 
@@ -271,6 +277,14 @@
         self.given.work.steps.get(usize::from(id.step))
     }
 
+    /// Whether its own fault is likelier than that of the workers on which it fails: several of
+    /// them, and no task of it was ever done.
+    pub fn is_suspect(&self) -> bool {
+        let tasks = self.open.values().flat_map(|o| &o.steps);
+        let mut tasks = tasks.flat_map(|s| &s.tasks);
+        self.failed_on.len() >= SUSPECT && !tasks.any(|t| t.done)
+    }
+
     /// Removes ended occurrences; whether the job is thereby completed.
     pub fn settle(&mut self) -> bool {
         let ended = |o: &Occurrence| o.is_done() && !o.steps.iter().any(StepState::is_open);
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::DomainId;
+use base::JobId;
 use base::Map;
 use base::Millis;
 use base::ServiceId;
@@ -144,16 +145,16 @@
     pub open: Map<TaskId, RunNumber>,
     /// Runs that it lists and that are not wanted.
     pub strays: Vec<(TaskId, RunNumber)>,
-    /// Failures of tasks in a row.
-    pub failures: u32,
+    /// Jobs of which a task has failed here since one was done, each once.
+    pub failed: Vec<JobId>,
     /// Not used before this time.
     pub not_before: Millis,
     /// How much of their time tasks that fill may work on it.
     pub pace: Pace,
 }
 
-/// Failures in a row that make a worker a second choice.
-const DOUBTFUL: u32 = 1;
+/// Jobs that have failed in a row and make a worker a second choice.
+const DOUBTFUL: usize = 1;
 
 impl Worker {
     /// A worker that has not answered yet.
@@ -172,7 +173,7 @@
             used: Resources::default(),
             open: Map::default(),
             strays: Vec::new(),
-            failures: 0,
+            failed: Vec::new(),
             not_before: Millis::ZERO,
             pace: Pace::default(),
         }
@@ -195,7 +196,15 @@
 
     /// How far other workers are preferred to it; 0 for not at all.
     pub fn slowness(&self) -> u32 {
-        u32::from(self.failures >= DOUBTFUL)
+        u32::from(self.failed.len() >= DOUBTFUL)
+    }
+
+    /// Counts a job of which a task has failed here; returns how many there are.
+    pub fn note_failed(&mut self, job: &JobId) -> usize {
+        if !self.failed.contains(job) {
+            self.failed.push(job.clone());
+        }
+        self.failed.len()
     }
 
     /// Room for more tasks.
