Write a wave's record under the condition of its last revision

Its upkeep had begun, and that had been told; then an earlier write, which had got no answer while the store was late by 1.5 s, was carried out, since its only condition was the lock, and told 'running' again. Ruled out: the order (begun, line 648), a second coordinator (one epoch). Change: the record's revision is a condition too, as for jobs; a conflict on it alone is read and the record written anew.

--- a/crates/bronzetack/src/batch/lead.rs
+++ b/crates/bronzetack/src/batch/lead.rs
@@ -77,6 +77,8 @@
     pub book: RefCell<Book>,
     /// Revisions of the records that this coordinator writes.
     pub revisions: RefCell<Map<JobId, Revision>>,
+    /// Revisions of the records of waves.
+    pub waves: RefCell<Map<u64, Revision>>,
     /// Wakes the planner.
     pub wake: Notify,
     /// Tells that a pass is over.
@@ -245,6 +247,7 @@
         over: Cell::new(false),
         book: RefCell::new(Book::new(epoch, shared.bounds, catalog.clone(), now)),
         revisions: RefCell::default(),
+        waves: RefCell::default(),
         wake: Notify::new(),
         planned: Notify::new(),
         stored: Notify::new(),
@@ -318,7 +321,7 @@
     let workers = shared.store.list(WORKERS).await?;
     let runs = shared.store.list(keys::RUNS).await?;
     let asked = shared.store.list(keys::ASKED).await?;
-    let waves = upkeep::recorded(shared).await?;
+    let waves = upkeep::recorded(shared, lead).await?;
     let now = shared.now();
     let mut book = lead.book.borrow_mut();
     for (number, record) in waves {
--- a/crates/bronzetack/src/batch/upkeep.rs
+++ b/crates/bronzetack/src/batch/upkeep.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use base::Millis;
+use base::Revision;
 use batch::wave::UpkeepAnswer;
 use batch::wave::UpkeepOrder;
 use batch::wave::WaveRecord;
@@ -129,16 +130,35 @@
             value,
             lease: Default::default(),
         };
+        let key = keys::wave(number);
+        let known = lead
+            .waves
+            .borrow()
+            .get(&number)
+            .copied()
+            .unwrap_or_default();
+        // The record's revision keeps an attempt without an answer from undoing a later one.
         let txn = Txn {
-            conditions: vec![(keys::LOCK.to_string(), lead.lock)],
-            puts: vec![put(keys::wave(number), value), put(status, told)],
+            conditions: vec![(keys::LOCK.to_string(), lead.lock), (key.clone(), known)],
+            puts: vec![put(key.clone(), value), put(status, told)],
             removes: Vec::new(),
         };
         match shared.store.commit(&txn).await? {
-            Outcome::Done(_) => lead.book.borrow_mut().waves().recorded(number, record),
-            Outcome::Conflict(_) => {
-                lead.end();
-                return Err(StoreError::Protocol("the lock is lost".to_string()));
+            Outcome::Done(revision) => {
+                lead.waves.borrow_mut().insert(number, revision);
+                lead.book.borrow_mut().waves().recorded(number, record);
+            }
+            Outcome::Conflict(items) => {
+                let held = items.iter().find(|i| i.key == keys::LOCK);
+                if held.is_none_or(|i| i.revision != lead.lock) {
+                    lead.end();
+                    return Err(StoreError::Protocol("the lock is lost".to_string()));
+                }
+                let item = items.iter().find(|i| i.key == key);
+                let revision = item.map_or(Revision(0), |i| i.revision);
+                lead.waves.borrow_mut().insert(number, revision);
+                let text = "an earlier attempt was carried out; it is written anew".to_string();
+                return Err(StoreError::Unknown(text));
             }
             Outcome::LeaseEnded => {
                 let text = "a lease that was not named".to_string();
@@ -150,14 +170,17 @@
 }
 
 /// Reads what an earlier coordinator has recorded.
-pub async fn recorded(shared: &Shared) -> Result<Vec<(u64, WaveRecord)>, StoreError> {
+pub async fn recorded(shared: &Shared, lead: &Lead) -> Result<Vec<(u64, WaveRecord)>, StoreError> {
     let listing = shared.store.list(keys::WAVES).await?;
     let mut found = Vec::new();
     for item in listing.items {
         let number = keys::wave_of(&item.key);
         let record = item.value.as_deref().map(ciborium::from_reader);
         match (number, record) {
-            (Some(number), Some(Ok(record))) => found.push((number, record)),
+            (Some(number), Some(Ok(record))) => {
+                lead.waves.borrow_mut().insert(number, item.revision);
+                found.push((number, record));
+            }
             _ => obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]),
         }
     }
