--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -23,6 +23,8 @@
 use nix::sys::signal::kill;
 use nix::sys::signal::Signal;
 use nix::unistd::Pid;
+use tokio::signal::unix::signal;
+use tokio::signal::unix::SignalKind;
 
 /// Time in which a planned stop ends, as the settings say.
 pub const STOP: Millis = Millis(6_000);
@@ -68,13 +70,36 @@
 }
 
 /// Kills all processes that this program has started and that still run.
-pub fn kill_all() {
+fn kill_all() {
     for id in std::mem::take(&mut *running()) {
         // One that has ended by itself needs no signal.
         let _ = kill(Pid::from_raw(id as i32), Signal::SIGKILL);
     }
 }
 
+/// From now on the daemons end with this program when a signal tells it to end.
+pub fn end_on_signal() {
+    thread::spawn(|| match wait_for_signal() {
+        Ok(()) => {
+            kill_all();
+            std::process::exit(1);
+        }
+        Err(error) => eprintln!("signals are not handled: {error}"),
+    });
+}
+
+fn wait_for_signal() -> io::Result<()> {
+    actix_rt::System::new().block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    })
+}
+
 /// A process.
 struct Process {
     child: Child,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,8 +7,6 @@
 use soak::Plan;
 use soak::Report;
 use soak::SoakError;
-use tokio::signal::unix::signal;
-use tokio::signal::unix::SignalKind;
 
 mod args {
     #![allow(missing_docs)]
@@ -45,7 +43,7 @@
         Ok(args) => args,
         Err(error) => error.exit(),
     };
-    std::thread::spawn(end_on_signal);
+    soak::end_on_signal();
     let first = args.seed.unwrap_or(1);
     let seeds: Vec<u64> = (first..first + args.seeds.unwrap_or(1)).collect();
     let mut bad = 0;
@@ -75,26 +73,6 @@
     }
 }
 
-/// Ends the daemons with this program when it is told to end.
-fn end_on_signal() {
-    let ended = actix_rt::System::new().block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        std::io::Result::Ok(())
-    });
-    match ended {
-        Ok(()) => {
-            soak::kill_all();
-            std::process::exit(1);
-        }
-        Err(error) => eprintln!("signals are not handled: {error}"),
-    }
-}
-
 fn plan(args: &args::Soak, seed: u64) -> Plan {
     let logs = args.logs.clone().unwrap_or_else(std::env::temp_dir);
     let program = args.program.clone().unwrap_or_else(beside);
