Name no site in remedies and help; report a soak's log that cannot be read

Cause: read-through of the change. Two remedies and four examples of usage named a failure domain of one users' site. If the thread that reads a daemon's log panicked, the soak took the log for empty, and would now have excused a stop by the signal. A discarded result in the relay had no reason. Change: 'north-1' in their place; a log that cannot be read is a finding; the reason is given.

--- a/crates/conf/src/node/wire.rs
+++ b/crates/conf/src/node/wire.rs
@@ -23,13 +23,13 @@
 use crate::source::Spot;
 
 const ADDRESS_REMEDY: &str = "write an IP number and a port, such as \"127.0.0.1:7001\"";
-const DOMAIN_REMEDY: &str = "write the VM's failure domain, such as \"tvm-north\"";
+const DOMAIN_REMEDY: &str = "write the VM's failure domain, such as \"north-1\"";
 const ENDPOINT_REMEDY: &str = "write an address such as \"http://127.0.0.1:2379\"";
 const VM_REMEDY: &str = "use 1 to 128 letters, digits or '-_.~:/', or leave it out";
 
 /// Default of `platform.calls`, calls a second.
 const CALLS: u64 = 20;
-const DOMAINS_REMEDY: &str = "write the names of all failure domains, such as \"tvm-north\"";
+const DOMAINS_REMEDY: &str = "write the names of all failure domains, such as \"north-1\"";
 
 /// Most gateways and seed peers that a file may list.
 const MAX_LIST: usize = 64;
--- a/crates/fakes/src/fault_relay.rs
+++ b/crates/fakes/src/fault_relay.rs
@@ -113,6 +113,7 @@
     pub fn reset(&self) {
         self.shared.reset.store(self.accepted(), Ordering::SeqCst);
         for stream in self.shared.streams().drain(..) {
+            // One that has been closed meanwhile needs no reset.
             let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
         }
     }
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -257,8 +257,11 @@
             let _ = process.child.kill();
             let _ = process.child.wait();
         }
-        let reader = process.reader.take().map(JoinHandle::join);
-        let lines = reader.and_then(Result::ok).unwrap_or_default();
+        let lines = process.reader.take()?.join();
+        let lines = lines.unwrap_or_else(|_| Lines {
+            count: 0,
+            broken: Some("its output could not be read".to_string()),
+        });
         let wrong = match status {
             None => Some(format!("not gone {STOP} after SIGTERM")),
             Some(status) => wrong_end(status, &process, &lines),
@@ -278,7 +281,7 @@
         (true, _, _) => None,
         (false, Some(_), Some(0)) => None,
         // It had not begun to listen, so there was nothing to stop as planned.
-        (false, Some(_), None) if lines.count == 0 => None,
+        (false, Some(_), None) if lines.count == 0 && lines.broken.is_none() => None,
         (false, Some(_), _) => Some(format!("a planned stop ended with {status}")),
         (false, None, _) => Some(format!("ended by itself with {status}")),
     }
--- a/crates/tackctl/src/cmd/domain.rs
+++ b/crates/tackctl/src/cmd/domain.rs
@@ -27,7 +27,7 @@
 The reply names the daemons that have the change in force and those not heard from.
 
 Example:
-    tackctl domain out tvm-north --at 127.0.0.1:7002";
+    tackctl domain out north-1 --at 127.0.0.1:7002";
 
 xflags::xflags! {
     cmd args {
--- a/crates/tackctl/src/cmd/settings.rs
+++ b/crates/tackctl/src/cmd/settings.rs
@@ -37,7 +37,7 @@
     --op ID             Repeats the operation with this id; it takes effect once
 
 Example:
-    tackctl settings set on-out finish --place org=ledger,domain=tvm-north";
+    tackctl settings set on-out finish --place org=ledger,domain=north-1";
 
 xflags::xflags! {
     cmd args {
--- a/crates/tackctl/src/cmd/shape.rs
+++ b/crates/tackctl/src/cmd/shape.rs
@@ -38,7 +38,7 @@
     --op ID         Repeats the operation with this id; it takes effect once
 
 Example:
-    tackctl shape add ledger tvm-north --tasks 4 --accels 8 --spread rack --count 2";
+    tackctl shape add ledger north-1 --tasks 4 --accels 8 --spread rack --count 2";
 
 xflags::xflags! {
     cmd args {
--- a/crates/tackctl/src/cmd/worker.rs
+++ b/crates/tackctl/src/cmd/worker.rs
@@ -21,7 +21,7 @@
 Usage: tackctl worker list [--domain DOMAIN]
 
 Example:
-    tackctl worker list --domain tvm-north";
+    tackctl worker list --domain north-1";
 
 xflags::xflags! {
     cmd args {
