Read settings and tell serving tasks in one place

Cause: read-through of the change. 'batch' and 'serve' each had the lines that read a settings file, and what a serving task is stood in three places, once without asking whether it lasts. Change: cmd::read and StepSpec::serving_target. Behaviour differs only for a step with a target that does not last, which the platform does not have. Run: cargo test -p batch passed, clippy clean.

--- a/crates/batch/src/book/pace.rs
+++ b/crates/batch/src/book/pace.rs
@@ -39,7 +39,7 @@
     pub(crate) fn see_tails(&mut self, id: &WorkerId, report: &Report, now: Millis) {
         let serving = report.running.iter().filter_map(|row| {
             let spec = self.jobs.get(&row.task.job)?.spec(&row.task)?;
-            let target = spec.tail_target.filter(|_| spec.lasting)?;
+            let target = spec.serving_target()?;
             Some(Tail {
                 seen: row.load?,
                 target: target.0,
@@ -74,7 +74,7 @@
             let job = self.jobs.get(&task.job);
             if let Some(spec) = job.and_then(|j| j.spec(task)) {
                 fills |= spec.fills;
-                serves |= spec.lasting && spec.tail_target.is_some();
+                serves |= spec.serving_target().is_some();
             }
         }
         fills && serves
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -106,7 +106,7 @@
                 };
                 let need = self.occupied(task);
                 let spec = self.jobs.get(&task.job).and_then(|j| j.spec(task));
-                serves |= spec.is_some_and(|s| s.tail_target.is_some());
+                serves |= spec.is_some_and(|s| s.serving_target().is_some());
                 if open.phase == RunPhase::Stopping {
                     coming += need;
                 }
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -202,6 +202,11 @@
 }
 
 impl StepSpec {
+    /// Bound on the response times of a task that serves; `None` if it does not serve.
+    pub fn serving_target(&self) -> Option<Millis> {
+        self.tail_target.filter(|_| self.lasting)
+    }
+
     /// What a task takes of a worker's capacity.
     pub fn occupies(&self) -> Resources {
         let cpu = if self.fills { 0 } else { self.need.cpu };
--- a/crates/bronzetack/src/cmd.rs
+++ b/crates/bronzetack/src/cmd.rs
@@ -28,10 +28,16 @@
     args.iter().any(|arg| arg == "-h" || arg == "--help")
 }
 
-/// Reads and checks a settings file.
-fn load(path: &Path) -> Result<Node, CliError> {
+/// Reads a settings file: its text, and the name that findings show.
+fn read(path: &Path) -> Result<(String, String), CliError> {
     let name = path.display().to_string();
     let text = fs::read_to_string(path).map_err(|e| CliError::Read(name.clone(), e))?;
+    Ok((text, name))
+}
+
+/// Reads and checks the settings file of `serve`.
+fn load(path: &Path) -> Result<Node, CliError> {
+    let (text, name) = read(path)?;
     Ok(node::load(&text, &name)?)
 }
 
--- a/crates/bronzetack/src/cmd/batch.rs
+++ b/crates/bronzetack/src/cmd/batch.rs
@@ -1,7 +1,6 @@
 //! `bronzetack batch`: runs a daemon of a whole site's scheduler.
 
 use std::ffi::OsString;
-use std::fs;
 use std::path::Path;
 use std::process::exit;
 
@@ -12,6 +11,7 @@
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 
+use super::read;
 use super::say;
 use super::wants_help;
 use super::SettingsArg;
@@ -45,8 +45,7 @@
 
 /// Reads the settings of a daemon of a whole site's scheduler.
 pub fn load(path: &Path) -> Result<Batch, CliError> {
-    let name = path.display().to_string();
-    let text = fs::read_to_string(path).map_err(|e| CliError::Read(name.clone(), e))?;
+    let (text, name) = read(path)?;
     Ok(batch::load(&text, &name)?)
 }
 
