Ask for a job's pool, adviser and tickets in one place

Cause: read-through of the change. The planner looked up the pool, the adviser's times and the tickets of a step in two files with the same lines. Change: three small functions in plan/ahead.rs. No change of behaviour. Run: cargo test -p batch passed, clippy clean.

--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -233,17 +233,14 @@
         };
         let spec = job.given.work.steps[usize::from(at.step)].clone();
         let state = &state.steps[usize::from(at.step)];
-        let queue = self.catalog.queue(&job.given.queue);
-        let pool = queue.map_or_else(|| job.given.pool.clone(), |q| q.pool.clone());
-        let rule = queue.and_then(|q| q.advice);
+        let pool = self.pool_of(job);
+        let rule = self.advice_rule(job);
         let step_id = StepId {
             job: at.job.clone(),
             occurrence: at.occurrence,
             step: at.step,
         };
-        let workers = &self.workers;
-        let born = |id: &WorkerId| workers.get(id).map_or(0, |w| w.born);
-        let allowed = rule.map(|_| self.advice.allowed(&step_id, now, born));
+        let allowed = rule.map(|_| self.allowed(&step_id, now));
         let waited = now.since(state.ready_at.unwrap_or(now));
         let missing = state
             .tasks
--- a/crates/batch/src/plan/ahead.rs
+++ b/crates/batch/src/plan/ahead.rs
@@ -1,6 +1,8 @@
 //! Steps that wait for earlier ones and need an adviser's word: it is asked for ahead.
 
 use base::Millis;
+use base::ServiceId;
+use base::Set;
 use base::WorkerId;
 
 use super::Pass;
@@ -14,6 +16,23 @@
 use crate::spec::TaskId;
 
 impl Book {
+    /// The pool that runs a job now.
+    pub(super) fn pool_of(&self, job: &Job) -> ServiceId {
+        let queue = self.catalog.queue(&job.given.queue);
+        queue.map_or(&job.given.pool, |q| &q.pool).clone()
+    }
+
+    /// The adviser's times for a job, if one decides about it.
+    pub(super) fn advice_rule(&self, job: &Job) -> Option<AdviceRule> {
+        self.catalog.queue(&job.given.queue)?.advice
+    }
+
+    /// Workers with a ticket for a step.
+    pub(super) fn allowed(&self, step: &StepId, now: Millis) -> Set<WorkerId> {
+        let born = |id: &WorkerId| self.workers.get(id).map_or(0, |w| w.born);
+        self.advice.allowed(step, now, born)
+    }
+
     /// Steps whose earlier steps end within the time that the adviser takes.
     pub(super) fn coming_steps(&self, now: Millis) -> Vec<(StepId, AdviceRule)> {
         if self.catalog.queues.iter().all(|q| q.advice.is_none()) {
@@ -21,8 +40,7 @@
         }
         let mut found = Vec::new();
         for job in self.live.iter().filter_map(|id| self.jobs.get(id)) {
-            let queue = self.catalog.queue(&job.given.queue);
-            let Some(rule) = queue.and_then(|q| q.advice) else {
+            let Some(rule) = self.advice_rule(job) else {
                 continue;
             };
             if job.phase.is_final() {
@@ -78,17 +96,14 @@
             return;
         };
         let spec = &job.given.work.steps[usize::from(step.step)];
-        let queue = self.catalog.queue(&job.given.queue);
-        let pool = queue.map_or(&job.given.pool, |q| &q.pool);
-        let workers = &self.workers;
-        let born = |id: &WorkerId| workers.get(id).map_or(0, |w| w.born);
-        let allowed = self.advice.allowed(step, pass.now, born);
+        let pool = self.pool_of(job);
+        let allowed = self.allowed(step, pass.now);
         if !allowed.is_empty() {
             return;
         }
         let none = vec![0; pass.rooms.len()];
         let limits = Limits {
-            pool,
+            pool: &pool,
             avoid: &[],
             on_worker: &none,
             remote: true,
