--- /dev/null
+++ b/crates/batch/examples/load/args.rs
@@ -0,0 +1,23 @@
+//! Arguments of the emulator.
+
+#![allow(missing_docs)]
+
+xflags::xflags! {
+    /// Emulates a site and prints one line of JSON for each seed and one with the means.
+    cmd load {
+        /// Number of workers; 1100 if not given.
+        optional --workers workers: usize
+        /// First seed; 1 if not given.
+        optional --seed seed: u64
+        /// Number of seeds; 4 if not given.
+        optional --seeds seeds: u64
+        /// Factor of the burst of urgent jobs from second 5 to 11; 2.6 if not given.
+        optional --burst burst: f64
+        /// Factor of the burst of small tasks from second 9 to 13; 2.6 if not given.
+        optional --small small: f64
+        /// Number of workers that run at a quarter of their speed; 0 if not given.
+        optional --slow slow: usize
+        /// Prints the worth by windows of two seconds.
+        optional --windows
+    }
+}
--- /dev/null
+++ b/crates/batch/examples/load/world.rs
@@ -0,0 +1,334 @@
+//! The emulated site: workers that run tasks in simulated time, driven by the real scheduler.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use base::Epoch;
+use base::JobId;
+use base::Map;
+use base::Millis;
+use base::WorkerId;
+use batch::ActiveRun;
+use batch::Bounds;
+use batch::Catalog;
+use batch::EndKind;
+use batch::EndedRun;
+use batch::Load;
+use batch::Report;
+use batch::Resources;
+use batch::RunNumber;
+use batch::Scheduler;
+use batch::StartRequest;
+use batch::StartResponse;
+use batch::StopRequest;
+use batch::Submitted;
+use batch::TaskId;
+use batch::WorkerEntry;
+use batch::WorkerState;
+
+/// Simulated time between two turns.
+pub const TURN: Millis = Millis(20);
+
+/// Time between two polls of a worker on which no run ends.
+const POLL_INTERVAL: Millis = Millis(1_000);
+
+/// Time between two publications of the load.
+const LOAD_INTERVAL: Millis = Millis(500);
+
+const WORKERS_PER_RACK: usize = 8;
+
+/// Cores that one accelerator counts as when work is summed.
+const ACCEL_CORES: u64 = 8;
+
+const WHOLE: Resources = Resources {
+    cpu: 32_000,
+    memory: 128_000,
+    accels: 8,
+};
+
+pub const BOUNDS: Bounds = Bounds {
+    max_hold: Millis(10_000),
+    stop_grace: Millis(200),
+    reclaim: Millis(2_700),
+    config_apply: Millis(4_000),
+    heartbeat: Millis(1_500),
+    status: Millis(120_000),
+    remote_factor: 3,
+    pace: Millis(100),
+    harm: Millis(5_000),
+    min_ttl: Millis(1_000),
+};
+
+/// What only the emulator knows about a job.
+#[derive(Clone, Copy, Debug)]
+pub struct Truth {
+    /// Work of each task on a worker of normal speed.
+    pub work: Millis,
+    /// Whether every run fails.
+    pub hopeless: bool,
+}
+
+struct Run {
+    run: RunNumber,
+    started: Millis,
+    left: f64,
+    ends_at: Option<Millis>,
+}
+
+struct EmulatedWorker {
+    entry: WorkerEntry,
+    speed: f64,
+    runs: BTreeMap<TaskId, Run>,
+    ended: Vec<EndedRun>,
+    ends: u64,
+    polled: Millis,
+}
+
+/// Sums over a run of the emulator.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Totals {
+    pub starts: u64,
+    pub stopped: u64,
+    pub failed: u64,
+    /// Core-seconds of work that was stopped and not saved.
+    pub wasted: f64,
+    pub passes: u64,
+    pub pass_time: Duration,
+    pub pass_max: Duration,
+    pub stop_time: Duration,
+}
+
+pub struct World {
+    pub now: Millis,
+    pub scheduler: Scheduler,
+    pub load: Load,
+    pub load_at: Millis,
+    pub totals: Totals,
+    /// Jobs that have ended, with the time of it.
+    pub done: Map<JobId, Millis>,
+    workers: Vec<EmulatedWorker>,
+    index: Map<WorkerId, usize>,
+    truths: Map<JobId, (Submitted, Truth)>,
+}
+
+impl World {
+    pub fn new(workers: usize, slow: usize, catalog: Catalog) -> World {
+        let now = Millis(1_000_000);
+        let mut world = World {
+            now,
+            scheduler: Scheduler::new(Epoch(1), BOUNDS, catalog, now),
+            load: Load::default(),
+            load_at: now,
+            totals: Totals::default(),
+            done: Map::default(),
+            workers: Vec::new(),
+            index: Map::default(),
+            truths: Map::default(),
+        };
+        for num in 0..workers {
+            let entry = entry(num);
+            world.index.insert(entry.id.clone(), num);
+            world.scheduler.update_worker(entry.clone());
+            world.workers.push(EmulatedWorker {
+                entry,
+                speed: if num % 7 == 0 && num / 7 < slow {
+                    0.25
+                } else {
+                    1.0
+                },
+                runs: BTreeMap::new(),
+                ended: Vec::new(),
+                ends: 0,
+                polled: Millis::ZERO,
+            });
+            world.poll(num);
+        }
+        world
+    }
+
+    pub fn submit(&mut self, id: JobId, submitted: Submitted, truth: Truth) {
+        self.truths.insert(id.clone(), (submitted.clone(), truth));
+        self.scheduler.add(id, submitted, None, self.now);
+    }
+
+    /// Advances the site by one turn, with one planning pass.
+    pub fn turn(&mut self) {
+        self.now += TURN;
+        self.advance_runs();
+        for num in 0..self.workers.len() {
+            let worker = &self.workers[num];
+            if !worker.ended.is_empty() || self.now.since(worker.polled) >= POLL_INTERVAL {
+                self.poll(num);
+            }
+        }
+        let begun = Instant::now();
+        self.scheduler.tick(self.now, self.now);
+        self.scheduler.plan(self.now, self.now);
+        let took = begun.elapsed();
+        self.totals.passes += 1;
+        self.totals.pass_time += took;
+        self.totals.pass_max = self.totals.pass_max.max(took);
+        let pending = self.scheduler.take_pending();
+        for start in self.scheduler.records_stored(pending, self.now) {
+            self.start(&start);
+        }
+        let begun = Instant::now();
+        let stops = self.scheduler.stop_requests(self.now);
+        self.totals.stop_time += begun.elapsed();
+        for stop in stops {
+            self.stop(&stop);
+        }
+        for entry in self.scheduler.take_log() {
+            if let Some(job) = entry
+                .job
+                .filter(|_| entry.text.starts_with("job ended: Completed"))
+            {
+                self.done.insert(job, self.now);
+            }
+        }
+        if self.now.since(self.load_at) >= LOAD_INTERVAL {
+            self.load = self.scheduler.load();
+            self.load_at = self.now;
+        }
+    }
+
+    fn start(&mut self, request: &StartRequest) {
+        let Some((submitted, truth)) = self.truths.get(&request.task.job) else {
+            return;
+        };
+        let step = &submitted.work.steps[usize::from(request.task.step)];
+        let saved: f64 = request.saved.parse().unwrap_or(0.0);
+        let left = truth.work.0 as f64 * (1.0 - saved);
+        debug_assert!(step.count > 0);
+        self.totals.starts += 1;
+        let now = self.now;
+        let worker = &mut self.workers[self.index[&request.worker]];
+        worker.runs.insert(
+            request.task.clone(),
+            Run {
+                run: request.run,
+                started: now,
+                left,
+                ends_at: None,
+            },
+        );
+        let clock = now.0;
+        self.scheduler
+            .start_response(request, StartResponse::Accepted(clock), now);
+    }
+
+    fn stop(&mut self, request: &StopRequest) {
+        let at = self.now + Millis(BOUNDS.stop_grace.0 / 2);
+        let worker = &mut self.workers[self.index[&request.worker]];
+        if let Some(run) = worker.runs.get_mut(&request.task) {
+            run.ends_at.get_or_insert(at);
+        }
+        self.scheduler.stop_accepted(request, self.now.0);
+    }
+
+    fn advance_runs(&mut self) {
+        let mut speeds: Map<(JobId, RunNumber), f64> = Map::default();
+        for worker in &self.workers {
+            for (task, run) in &worker.runs {
+                let speed = speeds
+                    .entry((task.job.clone(), run.run))
+                    .or_insert(worker.speed);
+                *speed = speed.min(worker.speed);
+            }
+        }
+        let now = self.now;
+        for num in 0..self.workers.len() {
+            let worker = &mut self.workers[num];
+            let own = worker.speed;
+            let mut ended = Vec::new();
+            for (task, run) in &mut worker.runs {
+                let Some((submitted, truth)) = self.truths.get(&task.job) else {
+                    continue;
+                };
+                let spec = &submitted.work.steps[usize::from(task.step)];
+                let speed = match spec.gang {
+                    true => speeds[&(task.job.clone(), run.run)],
+                    false => own,
+                };
+                run.left -= TURN.0 as f64 * speed;
+                let kind = match () {
+                    () if run.ends_at.is_some_and(|at| now >= at) => EndKind::Stopped,
+                    () if run.ends_at.is_some() => continue,
+                    () if run.left > 0.0 => continue,
+                    () if truth.hopeless => EndKind::Failed,
+                    () => EndKind::Done,
+                };
+                ended.push((task.clone(), kind));
+            }
+            for (task, kind) in ended {
+                let run = worker.runs.remove(&task).expect("listed above");
+                let (submitted, truth) = &self.truths[&task.job];
+                let spec = &submitted.work.steps[usize::from(task.step)];
+                let cores = (spec.need.cpu / 1000 + ACCEL_CORES * spec.need.accels) as f64;
+                let share = 1.0 - run.left.max(0.0) / truth.work.0 as f64;
+                let saved = match spec.checkpoints && kind == EndKind::Stopped {
+                    true => format!("{share:.4}"),
+                    false => String::new(),
+                };
+                match kind {
+                    EndKind::Stopped => {
+                        self.totals.stopped += 1;
+                        if !spec.checkpoints {
+                            self.totals.wasted += now.since(run.started).0 as f64 / 1000.0 * cores;
+                        }
+                    }
+                    EndKind::Failed => self.totals.failed += 1,
+                    _ => {}
+                }
+                worker.ends += 1;
+                worker.ended.push(EndedRun {
+                    number: worker.ends,
+                    task,
+                    run: run.run,
+                    kind,
+                    saved,
+                });
+            }
+        }
+    }
+
+    fn poll(&mut self, num: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[num];
+        worker.polled = now;
+        let running = worker.runs.iter().map(|(task, run)| {
+            let total = self.truths[&task.job].1.work.0 as f64;
+            ActiveRun {
+                task: task.clone(),
+                run: run.run,
+                saved: String::new(),
+                percent: (100.0 * (1.0 - run.left / total)).clamp(0.0, 100.0) as u32,
+                load: None,
+            }
+        });
+        let report = Report {
+            born: Some(1),
+            clock: now.0,
+            running: running.collect(),
+            ended: std::mem::take(&mut worker.ended),
+        };
+        let id = worker.entry.id.clone();
+        self.scheduler.report(&id, report, now, now);
+    }
+}
+
+fn entry(num: usize) -> WorkerEntry {
+    let rack = num / WORKERS_PER_RACK;
+    WorkerEntry {
+        id: format!("w{num:05}").parse().expect("a worker id"),
+        born: Some(1),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: format!("d{}", rack % 6).parse().expect("a domain"),
+        pool: "pool".parse().expect("a pool"),
+        state: WorkerState::Ready,
+        capacity: WHOLE,
+        labels: vec!["a".to_string(), format!("r{rack}")],
+        cold: Millis::ZERO,
+    }
+}
--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -41,6 +41,8 @@
     pub poll_wait: Millis,
     /// Longest wait of one poll of a worker on which best-effort tasks may disturb serving ones.
     pub shared_wait: Millis,
+    /// Time for which changes of workers' entries are gathered between two watch calls.
+    pub gather_time: Millis,
     /// Longest wait of one watch call to the store. Together with the call's time-out, the watched
     /// state is at most twice as old.
     pub watch_wait: Millis,
@@ -61,6 +63,9 @@
 /// Longest wait of one poll. An unreachable worker is noticed after this time.
 const MAX_POLL_WAIT: Millis = Millis(1_000);
 
+/// Most watch calls on the workers' entries within one heartbeat, the period of their writes.
+const WATCHES_PER_HEARTBEAT: u64 = 6;
+
 /// Polls within [`Bounds::harm`]: enough to halve the share of best-effort tasks until they are
 /// suspended.
 const SHARED_POLLS: u64 = 16;
@@ -75,6 +80,7 @@
             offline_renewal: self.max_hold,
             poll_wait: MAX_POLL_WAIT.min(Millis(self.max_hold.0 / 4)),
             shared_wait: Millis(self.harm.0 / SHARED_POLLS).min(MAX_POLL_WAIT),
+            gather_time: Millis(self.heartbeat.0 / WATCHES_PER_HEARTBEAT),
             watch_wait: Millis(self.config_apply.0 / 2).min(Millis(1_000)),
         }
     }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -8,6 +8,7 @@
 mod admit;
 mod advice;
 mod bounds;
+pub mod candidacy;
 mod catalog;
 mod job;
 pub mod place;
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -4,6 +4,9 @@
 //! spread over all workers leave no room for large ones, so placement is best-fit: each task goes
 //! to the worker on which it leaves the least free.
 
+use std::sync::Arc;
+
+use base::Map;
 use base::Millis;
 use base::ServiceId;
 use base::Set;
@@ -20,9 +23,9 @@
     /// The pool that it is in.
     pub pool: ServiceId,
     /// Labels that a step can ask for.
-    pub labels: Vec<String>,
+    pub labels: Arc<[String]>,
     /// The rack that it is in, if known.
-    pub rack: Option<String>,
+    pub rack: Option<Arc<str>>,
     /// Total resources of the worker.
     pub capacity: Resources,
     /// Resources that no run occupies.
@@ -65,6 +68,15 @@
 
 /// Whether a worker meets the step's constraints, its free resources aside.
 pub fn is_eligible(candidate: &Candidate, num: usize, step: &StepSpec, limits: &Limits) -> bool {
+    candidate.pool == *limits.pool && is_eligible_in_pool(candidate, num, step, limits)
+}
+
+fn is_eligible_in_pool(
+    candidate: &Candidate,
+    num: usize,
+    step: &StepSpec,
+    limits: &Limits,
+) -> bool {
     let labelled = step
         .label
         .as_ref()
@@ -76,8 +88,7 @@
     let below = step
         .per_worker
         .is_none_or(|most| limits.on_worker[num] < most);
-    candidate.pool == *limits.pool
-        && labelled
+    labelled
         && in_rack
         && near
         && below
@@ -91,23 +102,61 @@
     rack.is_none_or(|r| candidate.rack.as_deref() == Some(r))
 }
 
+/// Workers on which a step may be placed, by index, whatever they have free.
+pub fn eligible(candidates: &[Candidate], step: &StepSpec, limits: &Limits) -> Vec<usize> {
+    let all = candidates.iter().enumerate();
+    all.filter(|(num, candidate)| is_eligible(candidate, *num, step, limits))
+        .map(|(num, _)| num)
+        .collect()
+}
+
+/// [`eligible`] among the workers of the step's pool.
+pub(crate) fn eligible_among(
+    pool: &[usize],
+    candidates: &[Candidate],
+    step: &StepSpec,
+    limits: &Limits,
+) -> Vec<usize> {
+    let all = pool.iter().copied();
+    all.filter(|&num| is_eligible_in_pool(&candidates[num], num, step, limits))
+        .collect()
+}
+
 /// The worker on which a task leaves the least free, or `None` if it fits on none.
 pub fn best_fit(
     candidates: &[Candidate],
     available: &[Resources],
     step: &StepSpec,
     limits: &Limits,
+) -> Option<usize> {
+    let among = eligible(candidates, step, limits);
+    best_among(&among, candidates, available, step, limits)
+}
+
+/// [`best_fit`] among workers that are eligible apart from `avoid` and the number of the step's tasks
+/// on each.
+pub(crate) fn best_among(
+    among: &[usize],
+    candidates: &[Candidate],
+    available: &[Resources],
+    step: &StepSpec,
+    limits: &Limits,
 ) -> Option<usize> {
     let need = step.occupies();
-    let fitting = candidates.iter().enumerate().filter(|(num, candidate)| {
+    let most = step.per_worker.unwrap_or(u32::MAX);
+    let fitting = among.iter().filter(|&&num| {
+        let candidate = &candidates[num];
         let open = candidate
             .reserved_until
             .is_none_or(|until| limits.duration <= until)
             && (limits.urgent || !candidate.urgent_only);
-        open && available[*num].fits(&need) && is_eligible(candidate, *num, step, limits)
+        open && available[num].fits(&need)
+            && limits.on_worker[num] < most
+            && !limits.avoid.contains(&candidate.id)
     });
-    let best = fitting.min_by_key(|(num, candidate)| {
-        let left = available[*num].saturating_sub(&need);
+    let best = fitting.min_by_key(|&&num| {
+        let candidate = &candidates[num];
+        let left = available[num].saturating_sub(&need);
         let far = !is_near(candidate, step);
         match step.fills {
             // A best-effort task uses idle processor time and disturbs serving tasks, so it goes
@@ -121,7 +170,7 @@
             false => (far, candidate.penalty, left.accels, left.cpu),
         }
     });
-    best.map(|(num, _)| num)
+    best.copied()
 }
 
 /// Workers for `count` more tasks, all or none. Deducts what they occupy from `available`.
@@ -131,8 +180,25 @@
     step: &StepSpec,
     limits: &Limits,
     count: usize,
+) -> Option<Vec<usize>> {
+    let among = eligible(candidates, step, limits);
+    place_among(&among, candidates, available, step, limits, count)
+}
+
+/// [`place_all`] among eligible workers.
+fn place_among(
+    among: &[usize],
+    candidates: &[Candidate],
+    available: &mut [Resources],
+    step: &StepSpec,
+    limits: &Limits,
+    count: usize,
 ) -> Option<Vec<usize>> {
     let need = step.occupies();
+    let room = among.iter().map(|&num| need.count_fitting(&available[num]));
+    if room.fold(0, u64::saturating_add) < count as u64 {
+        return None;
+    }
     let mut on_worker = limits.on_worker.to_vec();
     let mut chosen = Vec::with_capacity(count);
     for _ in 0..count {
@@ -140,7 +206,7 @@
             on_worker: &on_worker,
             ..*limits
         };
-        let Some(num) = best_fit(candidates, available, step, &limits) else {
+        let Some(num) = best_among(among, candidates, available, step, &limits) else {
             for num in chosen {
                 let free: &mut Resources = &mut available[num];
                 *free += need;
@@ -163,64 +229,59 @@
     limits: &Limits,
     count: usize,
 ) -> Option<Vec<usize>> {
-    let racks = racks(candidates, available, step, limits, count);
-    for rack in racks {
-        let limits = Limits {
-            rack: rack.as_deref(),
-            ..*limits
-        };
-        if let Some(chosen) = place_all(candidates, available, step, &limits, count) {
-            return Some(chosen);
-        }
-    }
-    None
+    let among = eligible(candidates, step, limits);
+    place_gang_among(&among, candidates, available, step, limits, count)
+}
+
+/// [`place_gang`] among eligible workers.
+pub(crate) fn place_gang_among(
+    among: &[usize],
+    candidates: &[Candidate],
+    available: &mut [Resources],
+    step: &StepSpec,
+    limits: &Limits,
+    count: usize,
+) -> Option<Vec<usize>> {
+    let racks = racks(among, candidates, available, step, limits, count);
+    racks
+        .iter()
+        .find_map(|rack| place_among(rack, candidates, available, step, limits, count))
 }
 
-/// The racks that could hold a gang, those with the least free first. The result is a single `None`
-/// (any rack) for a gang that does not ask for one rack or is larger than every rack.
+/// The groups of eligible workers that could hold a gang: its racks, those with the least free
+/// first, or all workers together for a gang that does not ask for one rack or is larger than every
+/// rack.
 pub fn racks(
+    among: &[usize],
     candidates: &[Candidate],
     available: &[Resources],
     step: &StepSpec,
     limits: &Limits,
     count: usize,
-) -> Vec<Option<String>> {
+) -> Vec<Vec<usize>> {
     if !step.one_rack || limits.rack.is_some() {
-        return vec![limits.rack.map(str::to_string)];
+        return vec![among.to_vec()];
     }
     let need = step.occupies();
-    let most = u64::from(step.per_worker.unwrap_or(u32::MAX));
-    let mut found: Vec<(u64, u64, &str)> = Vec::new();
-    for (num, candidate) in candidates.iter().enumerate() {
+    let most = u64::from(step.per_worker.unwrap_or(u32::MAX)).min(count as u64);
+    let mut found: Map<&str, (u64, u64, Vec<usize>)> = Map::default();
+    for &num in among {
+        let candidate = &candidates[num];
         let Some(rack) = candidate.rack.as_deref() else {
             continue;
         };
-        if !is_eligible(candidate, num, step, limits) {
-            continue;
-        }
-        let fits_now = need
-            .count_fitting(&available[num])
-            .min(most)
-            .min(count as u64);
-        let fits_empty = need
-            .count_fitting(&candidate.capacity)
-            .min(most)
-            .min(count as u64);
-        match found.iter_mut().find(|(_, _, name)| *name == rack) {
-            Some(sums) => {
-                sums.0 += fits_now;
-                sums.1 += fits_empty;
-            }
-            None => found.push((fits_now, fits_empty, rack)),
-        }
+        let sums = found.entry(rack).or_default();
+        sums.0 += need.count_fitting(&available[num]).min(most);
+        sums.1 += need.count_fitting(&candidate.capacity).min(most);
+        sums.2.push(num);
     }
-    found.retain(|(_, fits_empty, _)| *fits_empty >= count as u64);
-    if found.is_empty() {
-        return vec![None];
+    let fitting = found.into_iter().filter(|(_, sums)| sums.1 >= count as u64);
+    let mut fitting: Vec<(u64, u64, &str, Vec<usize>)> = fitting
+        .map(|(rack, (now, empty, workers))| (now, empty, rack, workers))
+        .collect();
+    if fitting.is_empty() {
+        return vec![among.to_vec()];
     }
-    found.sort();
-    found
-        .into_iter()
-        .map(|(_, _, rack)| Some(rack.to_string()))
-        .collect()
+    fitting.sort();
+    fitting.into_iter().map(|(.., workers)| workers).collect()
 }
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -10,10 +10,10 @@
 
 use crate::job::Job;
 use crate::job::OpenRun;
-use crate::job::RunPhase;
 use crate::job::StepState;
-use crate::place::best_fit;
-use crate::place::place_gang;
+use crate::place::best_among;
+use crate::place::eligible_among;
+use crate::place::place_gang_among;
 use crate::place::Candidate;
 use crate::place::Limits;
 use crate::preempt;
@@ -23,15 +23,19 @@
 use crate::reserve;
 use crate::scheduler::Scheduler;
 use crate::scheduler::StartRequest;
-use crate::spec::Resources;
 use crate::spec::RunNumber;
 use crate::spec::StepId;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
 
+mod candidates;
+mod pass;
 mod prefetch;
 mod victims;
 
+use pass::Failure;
+use pass::Pass;
+
 pub(crate) use victims::can_spare_one;
 pub(crate) use victims::lost_by_stopping;
 
@@ -41,12 +45,13 @@
 /// Most gangs that resources are reserved for at a time.
 const MAX_RESERVED_GANGS: usize = 2;
 
+/// Most attempts at preemption in one pass that find no choice. Those that follow need a similar
+/// amount and would find none either, and each looks at all workers.
+const MAX_FUTILE: usize = 12;
+
 /// Time that a gang waits before resources are reserved for it.
 const RESERVE_AFTER: Millis = Millis(500);
 
-/// Time to notice the end of a stopped task and start its successor, beside the grace period.
-const TURNAROUND: Millis = Millis(700);
-
 /// A step with tasks that could start.
 struct WaitingStep {
     job: JobId,
@@ -56,15 +61,6 @@
     guaranteed: bool,
 }
 
-/// State of one planning pass.
-struct Pass {
-    candidates: Vec<Candidate>,
-    /// Free resources that may be used, by the index in `candidates`.
-    free: Vec<Resources>,
-    reserved: usize,
-    now: Millis,
-}
-
 impl Scheduler {
     /// Plans starts and stops. The start requests are sent once they are recorded.
     pub fn plan(&mut self, now: Millis, wall: Millis) {
@@ -78,12 +74,7 @@
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.job.cmp(&b.job)));
         let mut candidates = self.candidates(now);
         reserve::reserve_urgent(&mut candidates, self.urgent.accels(now));
-        let mut pass = Pass {
-            free: candidates.iter().map(|c| c.free).collect(),
-            candidates,
-            reserved: 0,
-            now,
-        };
+        let mut pass = Pass::new(candidates, now);
         for at in waiting {
             self.plan_step(&mut pass, &at);
         }
@@ -92,80 +83,6 @@
         }
     }
 
-    fn candidates(&self, now: Millis) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
-        for (id, worker) in &self.workers {
-            if !self.is_usable(worker, now) {
-                continue;
-            }
-            let mut has_serving = false;
-            let mut releasing = Resources::default();
-            let mut running = Vec::with_capacity(worker.open.len());
-            for task in worker.open.keys() {
-                let Some(open) = self.open_run(task) else {
-                    continue;
-                };
-                let need = self.occupied(task);
-                let spec = self.jobs.get(&task.job).and_then(|j| j.spec(task));
-                has_serving |= spec.is_some_and(|s| s.serving_target().is_some());
-                if open.phase == RunPhase::Stopping {
-                    releasing += need;
-                }
-                running.push((self.time_left(task, open, now), need));
-            }
-            candidates.push(Candidate {
-                id: id.clone(),
-                pool: worker.entry.pool.clone(),
-                labels: worker.entry.labels.clone(),
-                rack: worker.entry.rack().map(str::to_string),
-                capacity: worker.entry.capacity,
-                free: worker.free(),
-                releasing,
-                running,
-                reserved_until: None,
-                urgent_only: false,
-                penalty: worker.penalty(),
-                has_serving,
-            });
-        }
-        candidates.sort_by(|a, b| a.id.cmp(&b.id));
-        candidates
-    }
-
-    /// Expected remaining time of a run.
-    pub(crate) fn time_left(&self, task: &TaskId, open: &OpenRun, now: Millis) -> Millis {
-        if open.phase == RunPhase::Stopping {
-            return self.bounds.stop_grace;
-        }
-        let ran = now.since(open.seen_at.unwrap_or(open.planned_at));
-        let job = self.jobs.get(&task.job);
-        let expected = job.map_or(Millis::ZERO, |j| self.expected(j, task.step));
-        if open.percent >= 10 {
-            let all = ran.0 * 100 / u64::from(open.percent);
-            return Millis(all).since(ran);
-        }
-        expected.since(ran)
-    }
-
-    fn occupied(&self, task: &TaskId) -> Resources {
-        let job = self.jobs.get(&task.job);
-        job.and_then(|j| j.spec(task))
-            .map(StepSpec::occupies)
-            .unwrap_or_default()
-    }
-
-    /// Expected duration of a step's tasks: the estimate, corrected by the measured ratio of its
-    /// queue.
-    pub(crate) fn expected(&self, job: &Job, step: u16) -> Millis {
-        let estimate = job.submitted.work.steps[usize::from(step)].estimate;
-        let percent = self
-            .ratios
-            .get(&job.submitted.queue)
-            .copied()
-            .unwrap_or(100);
-        Millis(estimate.0 * u64::from(percent) / 100)
-    }
-
     /// Jobs of priority 0 that are covered by their organisation's guarantee. The jobs accepted
     /// first are covered first.
     fn guaranteed(&self) -> Set<JobId> {
@@ -292,19 +209,57 @@
             urgent: urgent || spec.checkpoints,
             allowed: allowed.as_ref(),
         };
+        let pool_workers = pass.pools.get(&pool).map_or(&[][..], Vec::as_slice);
+        let among = match spec.gang {
+            true => eligible_among(
+                pool_workers,
+                &pass.candidates,
+                &spec,
+                &Limits {
+                    avoid: &missing
+                        .iter()
+                        .flat_map(|(_, a)| a.clone())
+                        .collect::<Vec<_>>(),
+                    on_worker: &on_worker,
+                    ..limits
+                },
+            ),
+            false => eligible_among(
+                pool_workers,
+                &pass.candidates,
+                &spec,
+                &Limits {
+                    on_worker: &on_worker,
+                    ..limits
+                },
+            ),
+        };
+        let plain = spec.label.is_none()
+            && spec.data_rack.is_none()
+            && spec.per_worker.is_none()
+            && allowed.is_none();
+        let attempt = Failure {
+            pool: pool.clone(),
+            need: spec.occupies(),
+            count: if spec.gang { missing.len() } else { 1 },
+            duration: limits.duration,
+            one_rack: spec.gang && spec.one_rack,
+            urgent: limits.urgent,
+        };
+        let futile = plain && pass.failures.iter().any(|f| f.covers(&attempt));
         let unplaced = match spec.gang {
+            _ if futile => missing.len(),
             true => {
-                let avoid: Vec<WorkerId> = missing.iter().flat_map(|(_, a)| a.clone()).collect();
+                let run = state.last_run().next();
                 let limits = Limits {
-                    avoid: &avoid,
                     on_worker: &on_worker,
                     ..limits
                 };
-                let run = state.last_run().next();
                 let Pass {
                     candidates, free, ..
                 } = pass;
-                let found = place_gang(candidates, free, &spec, &limits, missing.len());
+                let count = missing.len();
+                let found = place_gang_among(&among, candidates, free, &spec, &limits, count);
                 if let Some(chosen) = found {
                     for ((index, _), num) in missing.iter().zip(chosen) {
                         pass.candidates[num].free = pass.free[num];
@@ -317,13 +272,20 @@
             }
             false => {
                 let mut unplaced = 0;
+                let mut is_full = false;
                 for (index, avoid) in &missing {
                     let limits = Limits {
                         avoid,
                         on_worker: &on_worker,
                         ..limits
                     };
-                    let Some(num) = best_fit(&pass.candidates, &pass.free, &spec, &limits) else {
+                    let found = match is_full {
+                        true => None,
+                        false => best_among(&among, &pass.candidates, &pass.free, &spec, &limits),
+                    };
+                    let Some(num) = found else {
+                        // The other tasks need the same, so they fit nowhere either.
+                        is_full |= avoid.is_empty();
                         unplaced += 1;
                         continue;
                     };
@@ -341,42 +303,40 @@
             return;
         }
         let avoid: Vec<WorkerId> = missing.iter().flat_map(|(_, a)| a.clone()).collect();
+        if plain && avoid.is_empty() && !futile {
+            pass.failures.push(attempt);
+        }
         let limits = Limits {
             avoid: &avoid,
             on_worker: &on_worker,
             ..limits
         };
+        let among: Vec<usize> = match spec.gang {
+            true => among,
+            false => eligible_among(&among, &pass.candidates, &spec, &limits),
+        };
         if let Some(rule) = rule {
             self.advice
                 .enqueue(&step_id, rule, &pass.candidates, (&spec, &limits), unplaced);
         }
-        if urgent && at.rank.may_preempt() {
+        if urgent && at.rank.may_preempt() && pass.futile < MAX_FUTILE {
             let worth = preempt::work(&spec.need, limits.duration) * unplaced as u64;
             let most = self.max_loss(waited, at.guaranteed, worth);
-            if self.preempt_for(pass, at, &spec, &limits, unplaced, most) {
+            if self.preempt_for(pass, at, &among, (&spec, &limits), unplaced, most) {
                 return;
             }
+            pass.futile += 1;
         }
         let starved = waited >= RESERVE_AFTER && !at.rank.is_expired();
         if spec.gang && starved && pass.reserved < MAX_RESERVED_GANGS {
-            reserve::reserve_gang(&mut pass.candidates, &spec, &limits, unplaced);
+            if pass.reserved == 0 {
+                self.add_running(&mut pass.candidates, now);
+            }
+            reserve::reserve_among(&among, &mut pass.candidates, &spec, &limits, unplaced);
             pass.reserved += 1;
         }
     }
 
-    /// Most work, in core-milliseconds, that may be lost to start a waiting step of priority 0.
-    fn max_loss(&self, waited: Millis, guaranteed: bool, worth: u64) -> u64 {
-        let last = self
-            .bounds
-            .reclaim
-            .since(self.bounds.stop_grace + TURNAROUND);
-        match waited {
-            _ if guaranteed && waited >= Millis(last.0 / 2) => u64::MAX,
-            _ if guaranteed => worth * 2,
-            _ => worth,
-        }
-    }
-
     /// Time that a step waits for the rack of its data: half of what running elsewhere costs.
     fn locality_wait(&self, spec: &StepSpec) -> Millis {
         Millis(spec.estimate.0 * self.bounds.remote_factor.saturating_sub(1) / 2)
@@ -411,7 +371,9 @@
             step: at.step,
             index,
         };
-        let need = job.spec(&task).map(StepSpec::occupies).unwrap_or_default();
+        let Some(step) = job.spec(&task).cloned() else {
+            return;
+        };
         let spec = job.submitted.work.spec.clone();
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -421,8 +383,7 @@
         };
         state.run = run;
         state.open = Some(OpenRun::planned(run, id.clone(), worker.born, now));
-        worker.used += need;
-        worker.open.insert(task.clone(), run);
+        worker.add_run(task.clone(), run, &step);
         self.planned.push(StartRequest {
             saved: state.saved.clone(),
             ticket: self.advice.ticket(&task.step_id(), id),
@@ -438,48 +399,6 @@
         });
         self.dirty.insert(at.job.clone());
     }
-
-    /// Preempts work of lower priority for the tasks of a step, and reserves the freed resources
-    /// for them. Returns false if the tasks would still not fit, or if too much work would be lost.
-    fn preempt_for(
-        &mut self,
-        pass: &mut Pass,
-        at: &WaitingStep,
-        spec: &StepSpec,
-        limits: &Limits,
-        count: usize,
-        most: u64,
-    ) -> bool {
-        let (victims, tasks) = self.victims(&pass.candidates, pass.now);
-        let Some(choice) = preempt::choose(&pass.candidates, &victims, spec, limits, count) else {
-            return false;
-        };
-        if choice.loss > most {
-            return false;
-        }
-        let need = spec.occupies();
-        for &num in &choice.workers {
-            let candidate = &mut pass.candidates[num];
-            let rest = need.saturating_sub(&candidate.free);
-            candidate.free -= need;
-            candidate.releasing -= rest;
-            pass.free[num] = candidate.free;
-        }
-        for victim in choice.victims {
-            for task in &tasks[victim] {
-                self.stop_run(task);
-            }
-            if let Some(task) = tasks[victim].first() {
-                let num = tasks[victim].len();
-                let text = format!(
-                    "stopping {num} runs, one of {task}, for urgent job {}",
-                    at.job
-                );
-                self.log(Some(&task.job), text);
-            }
-        }
-        true
-    }
 }
 
 /// Whether a step has tasks to start. A gang does so only once none of its tasks has an open run.
--- /dev/null
+++ b/crates/batch/src/plan/pass.rs
@@ -0,0 +1,75 @@
+//! State of one planning pass.
+
+use base::Map;
+use base::Millis;
+use base::ServiceId;
+
+use crate::place::Candidate;
+use crate::preempt::VictimIndex;
+use crate::spec::Resources;
+use crate::spec::TaskId;
+
+/// A placement that failed in a pass. Until the next pass nothing becomes free, so whatever needs at
+/// least as much under the same constraints fails too.
+pub(super) struct Failure {
+    pub(super) pool: ServiceId,
+    pub(super) need: Resources,
+    pub(super) count: usize,
+    pub(super) duration: Millis,
+    pub(super) one_rack: bool,
+    pub(super) urgent: bool,
+}
+
+impl Failure {
+    /// Whether the other placement fails because this one did.
+    pub(super) fn covers(&self, other: &Failure) -> bool {
+        self.pool == other.pool
+            && other.need.fits(&self.need)
+            && self.count <= other.count
+            && self.duration <= other.duration
+            && (!self.one_rack || other.one_rack)
+            && (self.urgent || !other.urgent)
+    }
+}
+
+/// State of one planning pass.
+pub(super) struct Pass {
+    pub(super) candidates: Vec<Candidate>,
+    /// Indices of the candidates of each pool.
+    pub(super) pools: Map<ServiceId, Vec<usize>>,
+    /// Failed placements of steps without constraints of their own.
+    pub(super) failures: Vec<Failure>,
+    /// Free resources that may be used, by the index in `candidates`.
+    pub(super) free: Vec<Resources>,
+    pub(super) reserved: usize,
+    /// Runs that could be stopped, and the tasks of each; `None` until they are needed.
+    pub(super) victims: Option<(VictimIndex, Vec<Vec<TaskId>>)>,
+    /// Attempts at preemption that found no choice.
+    pub(super) futile: usize,
+    pub(super) now: Millis,
+}
+
+impl Pass {
+    /// Begins a pass over these workers.
+    pub(super) fn new(candidates: Vec<Candidate>, now: Millis) -> Pass {
+        let mut pools: Map<ServiceId, Vec<usize>> = Map::default();
+        for (num, candidate) in candidates.iter().enumerate() {
+            match pools.get_mut(&candidate.pool) {
+                Some(list) => list.push(num),
+                None => {
+                    pools.insert(candidate.pool.clone(), vec![num]);
+                }
+            }
+        }
+        Pass {
+            free: candidates.iter().map(|c| c.free).collect(),
+            candidates,
+            pools,
+            failures: Vec::new(),
+            reserved: 0,
+            victims: None,
+            futile: 0,
+            now,
+        }
+    }
+}
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -9,12 +9,19 @@
 use crate::job::RunPhase;
 use crate::job::TaskState;
 use crate::place::Candidate;
+use crate::place::Limits;
+use crate::plan::Pass;
+use crate::plan::WaitingStep;
 use crate::preempt;
 use crate::preempt::Victim;
+use crate::preempt::VictimIndex;
 use crate::scheduler::Scheduler;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
 
+/// Time to notice the end of a stopped task and start its successor, beside the grace period.
+const TURNAROUND: Millis = Millis(700);
+
 impl Scheduler {
     /// Runs of lower priority on the workers, each with the work that stopping it would lose, and
     /// the tasks of each. All members of a gang form one victim.
@@ -80,6 +87,66 @@
         }
         (victims, tasks)
     }
+
+    /// Most work, in core-milliseconds, that may be lost to start a waiting step of priority 0.
+    pub(super) fn max_loss(&self, waited: Millis, guaranteed: bool, worth: u64) -> u64 {
+        let last = self
+            .bounds
+            .reclaim
+            .since(self.bounds.stop_grace + TURNAROUND);
+        match waited {
+            _ if guaranteed && waited >= Millis(last.0 / 2) => u64::MAX,
+            _ if guaranteed => worth * 2,
+            _ => worth,
+        }
+    }
+
+    /// Preempts work of lower priority for the tasks of a step, and reserves the freed resources
+    /// for them. Returns false if the tasks would still not fit, or if too much work would be lost.
+    pub(super) fn preempt_for(
+        &mut self,
+        pass: &mut Pass,
+        at: &WaitingStep,
+        among: &[usize],
+        (spec, limits): (&StepSpec, &Limits),
+        count: usize,
+        most: u64,
+    ) -> bool {
+        let (index, tasks) = pass.victims.get_or_insert_with(|| {
+            let (victims, tasks) = self.victims(&pass.candidates, pass.now);
+            (VictimIndex::new(victims, pass.candidates.len()), tasks)
+        });
+        let found = preempt::choose_among(among, &pass.candidates, index, spec, limits, count);
+        let Some(choice) = found else {
+            return false;
+        };
+        if choice.loss > most {
+            return false;
+        }
+        let need = spec.occupies();
+        for &num in &choice.workers {
+            let candidate = &mut pass.candidates[num];
+            let rest = need.saturating_sub(&candidate.free);
+            candidate.free -= need;
+            candidate.releasing -= rest;
+            pass.free[num] = candidate.free;
+        }
+        for victim in choice.victims {
+            index.take(victim);
+            for task in &tasks[victim] {
+                self.stop_run(task);
+            }
+            if let Some(task) = tasks[victim].first() {
+                let num = tasks[victim].len();
+                let text = format!(
+                    "stopping {num} runs, one of {task}, for urgent job {}",
+                    at.job
+                );
+                self.log(Some(&task.job), text);
+            }
+        }
+        true
+    }
 }
 
 /// Time that a checkpointing task needs to resume after it was stopped.
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -6,7 +6,7 @@
 
 use base::Millis;
 
-use crate::place::is_eligible;
+use crate::place::eligible;
 use crate::place::racks;
 use crate::place::Candidate;
 use crate::place::Limits;
@@ -43,52 +43,83 @@
     (need.cpu / 1000 + ACCEL_CORES * need.accels) * span.0
 }
 
+/// The runs that could be stopped, by worker.
+#[derive(Clone, Debug, Default)]
+pub struct VictimIndex {
+    victims: Vec<Victim>,
+    /// Indices of the victims on each worker, those that lose the least per accelerator first.
+    by_worker: Vec<Vec<usize>>,
+    taken: Vec<bool>,
+}
+
+impl VictimIndex {
+    /// Indexes victims on a number of workers.
+    pub fn new(victims: Vec<Victim>, workers: usize) -> VictimIndex {
+        let mut by_worker: Vec<Vec<usize>> = vec![Vec::new(); workers];
+        for (num, victim) in victims.iter().enumerate() {
+            for &worker in &victim.workers {
+                if by_worker[worker].last() != Some(&num) {
+                    by_worker[worker].push(num);
+                }
+            }
+        }
+        for list in &mut by_worker {
+            list.sort_by_key(|&v| (victims[v].loss / victims[v].need.accels.max(1), v));
+            list.dedup();
+        }
+        VictimIndex {
+            taken: vec![false; victims.len()],
+            victims,
+            by_worker,
+        }
+    }
+
+    /// Excludes a victim from later choices, because it is being stopped.
+    pub fn take(&mut self, victim: usize) {
+        self.taken[victim] = true;
+    }
+}
+
 /// The choice that loses the least work for `count` tasks. A gang is placed whole or not at all; of
 /// any other step as many tasks as possible are placed.
 pub fn choose(
     candidates: &[Candidate],
-    victims: &[Victim],
+    index: &VictimIndex,
     step: &StepSpec,
     limits: &Limits,
     count: usize,
 ) -> Option<Choice> {
-    let available: Vec<Resources> = candidates.iter().map(with_releasing).collect();
-    let mut by_worker: Vec<Vec<usize>> = vec![Vec::new(); candidates.len()];
-    for (num, victim) in victims.iter().enumerate() {
-        let mut last = None;
-        for &candidate in &victim.workers {
-            if last != Some(candidate) && !by_worker[candidate].contains(&num) {
-                by_worker[candidate].push(num);
-            }
-            last = Some(candidate);
-        }
-    }
-    for list in &mut by_worker {
-        list.sort_by_key(|&v| victims[v].loss / victims[v].need.accels.max(1));
-    }
+    let among = eligible(candidates, step, limits);
+    choose_among(&among, candidates, index, step, limits, count)
+}
+
+/// [`choose`] among eligible workers.
+pub(crate) fn choose_among(
+    among: &[usize],
+    candidates: &[Candidate],
+    index: &VictimIndex,
+    step: &StepSpec,
+    limits: &Limits,
+    count: usize,
+) -> Option<Choice> {
+    let mut available: Vec<Resources> = candidates.iter().map(with_releasing).collect();
     let racks = match step.gang {
-        true => racks(candidates, &available, step, limits, count),
-        false => vec![None],
+        true => racks(among, candidates, &available, step, limits, count),
+        false => vec![among.to_vec()],
     };
     let mut best: Option<Choice> = None;
+    let mut changes: Vec<(usize, Resources)> = Vec::new();
     for rack in racks {
-        let limits = Limits {
-            rack: rack.as_deref(),
-            ..*limits
+        let most = best.as_ref().map_or(u64::MAX, |b| b.loss);
+        let room = Room {
+            available: &mut available,
+            changes: &mut changes,
         };
-        let found = in_rack(
-            candidates,
-            victims,
-            &by_worker,
-            available.clone(),
-            step,
-            &limits,
-            count,
-        );
-        let Some(found) = found else { continue };
-        if best.as_ref().is_none_or(|b| found.loss < b.loss) {
-            best = Some(found);
+        let found = in_rack(&rack, index, room, step, limits, (count, most));
+        while let Some((num, before)) = changes.pop() {
+            available[num] = before;
         }
+        best = found.or(best);
     }
     best
 }
@@ -99,51 +130,80 @@
     sum
 }
 
+/// What placing one task on a worker takes: the work lost, the accelerators left free, and the
+/// victims.
+type Offer = (u64, u64, Vec<usize>);
+
+/// Resources of all workers during a choice, and the earlier values of those that it has changed.
+struct Room<'a> {
+    available: &'a mut [Resources],
+    changes: &'a mut Vec<(usize, Resources)>,
+}
+
+impl Room<'_> {
+    fn change(&mut self, num: usize, update: impl FnOnce(&mut Resources)) {
+        self.changes.push((num, self.available[num]));
+        update(&mut self.available[num]);
+    }
+}
+
+/// The choice for `count` tasks on these workers, if it loses less than `most`.
 fn in_rack(
-    candidates: &[Candidate],
-    victims: &[Victim],
-    by_worker: &[Vec<usize>],
-    mut available: Vec<Resources>,
+    among: &[usize],
+    index: &VictimIndex,
+    mut room: Room<'_>,
     step: &StepSpec,
     limits: &Limits,
-    count: usize,
+    (count, most): (usize, u64),
 ) -> Option<Choice> {
     let need = step.occupies();
-    let mut on_worker = limits.on_worker.to_vec();
+    let per_worker = step.per_worker.unwrap_or(u32::MAX);
+    let offer = |available: &[Resources], taken: &[usize], num: usize| -> Option<Offer> {
+        let (loss, chosen) = cheapest(&available[num], &need, index, taken, num)?;
+        let left = available[num].saturating_sub(&need).accels;
+        Some((loss, left, chosen))
+    };
     let mut choice = Choice::default();
-    for _ in 0..count {
-        let mut best: Option<(u64, u64, usize, Vec<usize>)> = None;
-        for (num, candidate) in candidates.iter().enumerate() {
-            let limits = Limits {
-                on_worker: &on_worker,
-                ..*limits
-            };
-            if !is_eligible(candidate, num, step, &limits) {
-                continue;
-            }
-            let list = &by_worker[num];
-            let found = cheapest(&available[num], &need, victims, list, &choice.victims, num);
-            let Some((loss, chosen)) = found else {
-                continue;
-            };
-            let left = available[num].saturating_sub(&need).accels;
-            if best.as_ref().is_none_or(|b| (loss, left) < (b.0, b.1)) {
-                best = Some((loss, left, num, chosen));
-            }
-        }
-        let Some((loss, _, num, chosen)) = best else {
+    let mut touched: Vec<usize> = Vec::new();
+    let mut placed: Vec<u32> = among.iter().map(|&num| limits.on_worker[num]).collect();
+    let mut offers: Vec<Option<Offer>> = among
+        .iter()
+        .map(|&num| offer(room.available, &choice.victims, num))
+        .collect();
+    while choice.workers.len() < count {
+        let open = offers
+            .iter()
+            .enumerate()
+            .filter(|(at, _)| placed[*at] < per_worker);
+        let open = open.filter_map(|(at, found)| Some((found.as_ref()?, at)));
+        let Some((_, at)) = open.min_by_key(|((loss, left, _), at)| (*loss, *left, *at)) else {
             break;
         };
+        let Some((loss, _, chosen)) = offers[at].take() else {
+            break;
+        };
+        let num = among[at];
         choice.loss += loss;
+        if choice.loss >= most {
+            return None;
+        }
+        touched.clear();
         for victim in chosen {
-            for &at in &victims[victim].workers {
-                available[at] += victims[victim].need;
+            for &worker in &index.victims[victim].workers {
+                room.change(worker, |r| *r += index.victims[victim].need);
+                touched.push(worker);
             }
             choice.victims.push(victim);
         }
-        available[num] -= need;
-        on_worker[num] += 1;
+        room.change(num, |r| *r -= need);
+        touched.push(num);
+        placed[at] += 1;
         choice.workers.push(num);
+        for (at, &num) in among.iter().enumerate() {
+            if touched.contains(&num) {
+                offers[at] = offer(room.available, &choice.victims, num);
+            }
+        }
     }
     let whole = choice.workers.len() == count;
     (whole || !step.gang && !choice.workers.is_empty()).then_some(choice)
@@ -154,8 +214,7 @@
 fn cheapest(
     have: &Resources,
     need: &Resources,
-    victims: &[Victim],
-    here: &[usize],
+    index: &VictimIndex,
     taken: &[usize],
     num: usize,
 ) -> Option<(u64, Vec<usize>)> {
@@ -165,16 +224,16 @@
     let mut sum = *have;
     let mut loss = 0;
     let mut chosen = Vec::new();
-    for &index in here {
-        if taken.contains(&index) {
+    for &at in &index.by_worker[num] {
+        if index.taken[at] || taken.contains(&at) {
             continue;
         }
-        let victim = &victims[index];
-        for _ in victim.workers.iter().filter(|&&at| at == num) {
+        let victim = &index.victims[at];
+        for _ in victim.workers.iter().filter(|&&worker| worker == num) {
             sum += victim.need;
         }
         loss += victim.loss;
-        chosen.push(index);
+        chosen.push(at);
         if sum.fits(need) {
             return Some((loss, chosen));
         }
--- a/crates/batch/src/reserve.rs
+++ b/crates/batch/src/reserve.rs
@@ -5,9 +5,12 @@
 //! the gang that is next in the ranking; tasks that end before its expected start may still use
 //! them.
 
+use std::sync::Arc;
+
+use base::Map;
 use base::Millis;
 
-use crate::place::is_eligible;
+use crate::place::eligible;
 use crate::place::racks;
 use crate::place::Candidate;
 use crate::place::Limits;
@@ -21,16 +24,24 @@
     step: &StepSpec,
     limits: &Limits,
     count: usize,
+) -> Option<Millis> {
+    let among = eligible(candidates, step, limits);
+    reserve_among(&among, candidates, step, limits, count)
+}
+
+/// [`reserve_gang`] among eligible workers.
+pub(crate) fn reserve_among(
+    among: &[usize],
+    candidates: &mut [Candidate],
+    step: &StepSpec,
+    limits: &Limits,
+    count: usize,
 ) -> Option<Millis> {
     let free: Vec<Resources> = candidates.iter().map(|c| c.free).collect();
-    let racks = racks(candidates, &free, step, limits, count);
-    let earliest = racks.iter().filter_map(|rack| {
-        let limits = Limits {
-            rack: rack.as_deref(),
-            ..*limits
-        };
-        earliest_start(candidates, step, &limits, count)
-    });
+    let racks = racks(among, candidates, &free, step, limits, count);
+    let earliest = racks
+        .iter()
+        .filter_map(|rack| earliest_start(rack, candidates, step, count));
     let (start, chosen) = earliest.min_by_key(|(start, _)| *start)?;
     for num in chosen {
         candidates[num].reserved_until = Some(start);
@@ -40,17 +51,18 @@
 
 /// The earliest expected start of a gang, and the workers that it would use.
 fn earliest_start(
+    among: &[usize],
     candidates: &[Candidate],
     step: &StepSpec,
-    limits: &Limits,
     count: usize,
 ) -> Option<(Millis, Vec<usize>)> {
     let need = step.occupies();
     let most = u64::from(step.per_worker.unwrap_or(u32::MAX));
     // For each task of the gang that fits: the time from which it does, and its worker.
     let mut slots: Vec<(Millis, usize)> = Vec::new();
-    for (num, candidate) in candidates.iter().enumerate() {
-        if candidate.reserved_until.is_some() || !is_eligible(candidate, num, step, limits) {
+    for &num in among {
+        let candidate = &candidates[num];
+        if candidate.reserved_until.is_some() {
             continue;
         }
         let mut ends = candidate.running.clone();
@@ -132,27 +144,28 @@
     if accels == 0 {
         return;
     }
-    let mut racks: Vec<(u64, Option<String>)> = Vec::new();
-    for candidate in candidates.iter() {
-        match racks.iter_mut().find(|(_, rack)| *rack == candidate.rack) {
-            Some((sum, _)) => *sum += candidate.free.accels,
-            None => racks.push((candidate.free.accels, candidate.rack.clone())),
+    let mut racks: Map<Option<Arc<str>>, (u64, Vec<usize>)> = Map::default();
+    for (num, candidate) in candidates.iter().enumerate() {
+        if candidate.free.accels > 0 {
+            let rack = racks.entry(candidate.rack.clone()).or_default();
+            rack.0 += candidate.free.accels;
+            rack.1.push(num);
         }
     }
-    racks.sort_by(|a, b| b.cmp(a));
+    let mut racks: Vec<(u64, Option<Arc<str>>, Vec<usize>)> = racks
+        .into_iter()
+        .map(|(rack, (sum, workers))| (sum, rack, workers))
+        .collect();
+    racks.sort_by(|a, b| (b.0, &b.1).cmp(&(a.0, &a.1)));
     let mut left = accels;
-    for (_, rack) in racks {
-        let in_rack = candidates
-            .iter_mut()
-            .filter(|c| c.rack == rack && c.free.accels > 0);
-        let mut in_rack: Vec<&mut Candidate> = in_rack.collect();
-        in_rack.sort_by_key(|c| std::cmp::Reverse(c.free.accels));
-        for candidate in in_rack {
+    for (_, _, mut workers) in racks {
+        workers.sort_by_key(|&num| std::cmp::Reverse(candidates[num].free.accels));
+        for num in workers {
             if left == 0 {
                 return;
             }
-            candidate.urgent_only = true;
-            left = left.saturating_sub(candidate.free.accels);
+            candidates[num].urgent_only = true;
+            left = left.saturating_sub(candidates[num].free.accels);
         }
     }
 }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -47,6 +47,9 @@
 /// Time after which a worker that is missing from the list can be removed.
 const MISSING_GRACE: Millis = Millis(2_000);
 
+/// Time between two checks of all open runs for expired leases and stalls.
+const CHECK_INTERVAL: Millis = Millis(50);
+
 /// An entry for the operators' log.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LogEntry {
@@ -68,6 +71,10 @@
     /// Jobs that have not ended, or of which a run may still be active.
     pub(crate) live: BTreeSet<JobId>,
     pub(crate) workers: Map<WorkerId, Worker>,
+    /// Tasks whose open run is being stopped.
+    pub(crate) stopping: BTreeSet<TaskId>,
+    /// When open runs were last checked for expired leases and stalls.
+    pub(crate) checked_at: Millis,
     /// Jobs with changes that are not stored yet.
     pub(crate) dirty: BTreeSet<JobId>,
     /// Starts whose jobs have to be stored before they are sent.
@@ -103,6 +110,8 @@
             jobs: Map::default(),
             live: BTreeSet::new(),
             workers: Map::default(),
+            stopping: BTreeSet::new(),
+            checked_at: Millis::ZERO,
             dirty: BTreeSet::new(),
             planned: Vec::new(),
             log_entries: Vec::new(),
@@ -169,13 +178,14 @@
             );
         }
         for task in job.open_tasks() {
-            let spec = job.spec(&task).map(|s| s.occupies()).unwrap_or_default();
+            let Some(spec) = job.spec(&task).cloned() else {
+                continue;
+            };
             let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_ref()) else {
                 continue;
             };
             if let Some(worker) = self.workers.get_mut(&open.worker) {
-                worker.used += spec;
-                worker.open.insert(task.clone(), open.run);
+                worker.add_run(task.clone(), open.run, &spec);
             }
         }
         if job.phase.is_final() {
@@ -277,9 +287,14 @@
             seen.insert(entry.id.clone());
             self.update_worker(entry);
         }
+        self.mark_unlisted(&seen, now);
+    }
+
+    /// Records that the entries of all workers but these have disappeared.
+    pub fn mark_unlisted(&mut self, listed: &Set<WorkerId>, now: Millis) {
         for (id, worker) in &mut self.workers {
-            if !seen.contains(id) && worker.missing_since.is_none() {
-                worker.missing_since = Some(now);
+            if !listed.contains(id) {
+                worker.missing_since.get_or_insert(now);
             }
         }
     }
@@ -293,7 +308,7 @@
                 if worker.entry.address != entry.address || restarted {
                     worker.has_answered = false;
                 }
-                worker.entry = entry;
+                worker.set_entry(entry);
             }
             None => {
                 let id = entry.id.clone();
@@ -312,11 +327,16 @@
                 continue;
             };
             for task in job.open_tasks() {
-                let need = job.spec(&task).map(|s| s.occupies()).unwrap_or_default();
+                let Some(spec) = job.spec(&task).cloned() else {
+                    continue;
+                };
                 let open = job.task_mut(&task).and_then(|t| t.open.as_ref());
                 if let Some(open) = open.filter(|o| o.worker == *id) {
-                    worker.used += need;
-                    worker.open.insert(task, open.run);
+                    let stopping = open.phase == RunPhase::Stopping;
+                    worker.add_run(task.clone(), open.run, &spec);
+                    if stopping {
+                        worker.release_run(&task, &spec);
+                    }
                 }
             }
         }
@@ -335,9 +355,23 @@
         all.map(|(id, w)| (id.clone(), w.entry.address)).collect()
     }
 
+    /// Failure domains of the workers to poll, one entry for each worker.
+    pub fn worker_domains(&self) -> impl Iterator<Item = &DomainId> {
+        self.workers.values().map(|w| &w.entry.domain)
+    }
+
+    /// Failure domain of a worker; `None` if it is not known.
+    pub fn domain_of(&self, id: &WorkerId) -> Option<DomainId> {
+        self.workers.get(id).map(|w| w.entry.domain.clone())
+    }
+
     /// Applies changes caused by the passing of time: occurrences that fall due, expired leases,
     /// stalled runs, and workers that have been missing too long.
     pub fn tick(&mut self, now: Millis, wall: Millis) {
+        let check_runs = now.since(self.checked_at) >= CHECK_INTERVAL;
+        if check_runs {
+            self.checked_at = now;
+        }
         let live: Vec<JobId> = self.live.iter().cloned().collect();
         for id in &live {
             let Some(job) = self.jobs.get_mut(id) else {
@@ -346,6 +380,9 @@
             if job.open_due(wall) {
                 self.dirty.insert(id.clone());
             }
+            if !check_runs {
+                continue;
+            }
             for task in job.open_tasks() {
                 self.close_if_lapsed(&task, now);
                 self.stop_if_stalled(&task, now);
@@ -398,15 +435,16 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
-        let need = job.spec(task).map(|s| s.occupies()).unwrap_or_default();
+        let Some(spec) = job.spec(task).cloned() else {
+            return;
+        };
         let Some(open) = job.task_mut(task).and_then(|t| t.open.take()) else {
             return;
         };
         if let Some(worker) = self.workers.get_mut(&open.worker) {
-            if worker.open.remove(task).is_some() {
-                worker.used -= need;
-            }
+            worker.remove_run(task, &spec, open.phase == RunPhase::Stopping);
         }
+        self.stopping.remove(task);
         self.dirty.insert(task.job.clone());
         self.end_if_done(&task.job, now);
     }
@@ -430,6 +468,9 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        let Some(spec) = job.spec(task).cloned() else {
+            return;
+        };
         let Some(open) = job.task_mut(task).and_then(|t| t.open.as_mut()) else {
             return;
         };
@@ -437,6 +478,10 @@
             open.phase = RunPhase::Stopping;
             open.absent_after = None;
             open.stop_sent = None;
+            if let Some(worker) = self.workers.get_mut(&open.worker) {
+                worker.release_run(task, &spec);
+            }
+            self.stopping.insert(task.clone());
         }
     }
 
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -367,32 +367,28 @@
     pub fn stop_requests(&mut self, now: Millis) -> Vec<StopRequest> {
         let mut out = Vec::new();
         let epoch = self.epoch;
-        for id in &self.live {
-            let Some(job) = self.jobs.get_mut(id) else {
+        for task in &self.stopping {
+            let job = self.jobs.get_mut(&task.job);
+            let open = job
+                .and_then(|j| j.task_mut(task))
+                .and_then(|t| t.open.as_mut());
+            let Some(open) = open.filter(|o| o.phase == RunPhase::Stopping) else {
                 continue;
             };
-            for task in job.open_tasks() {
-                let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_mut()) else {
-                    continue;
-                };
-                let is_due = open
-                    .stop_sent
-                    .is_none_or(|at| now.since(at) >= STOP_REPEAT_AFTER);
-                let Some(worker) = self.workers.get(&open.worker) else {
-                    continue;
-                };
-                if open.phase != RunPhase::Stopping || !is_due {
-                    continue;
-                }
-                open.stop_sent = Some(now);
-                out.push(StopRequest {
-                    task: task.clone(),
-                    run: open.run,
-                    worker: open.worker.clone(),
-                    address: worker.entry.address,
-                    epoch,
-                });
-            }
+            let is_due = open
+                .stop_sent
+                .is_none_or(|at| now.since(at) >= STOP_REPEAT_AFTER);
+            let Some(worker) = self.workers.get(&open.worker).filter(|_| is_due) else {
+                continue;
+            };
+            open.stop_sent = Some(now);
+            out.push(StopRequest {
+                task: task.clone(),
+                run: open.run,
+                worker: open.worker.clone(),
+                address: worker.entry.address,
+                epoch,
+            });
         }
         for (id, worker) in &mut self.workers {
             let address = worker.entry.address;
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -1,6 +1,7 @@
 //! State of a worker, and what it reports.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use base::DomainId;
 use base::JobId;
@@ -13,6 +14,7 @@
 use crate::bounds::REQUEST_TIMEOUT;
 use crate::spec::Resources;
 use crate::spec::RunNumber;
+use crate::spec::StepSpec;
 use crate::spec::TaskId;
 use crate::throttle::Throttle;
 
@@ -139,8 +141,16 @@
     pub stored_end: u64,
     /// Latest time at which the worker's lease can expire.
     pub lease_end: Millis,
+    /// Labels of the entry, shared with the planner's view of the worker.
+    pub labels: Arc<[String]>,
+    /// Rack of the entry, shared like the labels.
+    pub rack: Option<Arc<str>>,
     /// Resources that the open runs occupy.
     pub used: Resources,
+    /// The part of `used` that is occupied by runs being stopped.
+    pub releasing: Resources,
+    /// Number of open runs of serving tasks.
+    pub serving: usize,
     /// Open runs.
     pub open: Map<TaskId, RunNumber>,
     /// Runs that the worker reports but that are not wanted there; they are to be stopped.
@@ -160,6 +170,8 @@
     /// A worker that has not answered yet.
     pub fn new(entry: WorkerEntry) -> Worker {
         Worker {
+            labels: entry.labels.as_slice().into(),
+            rack: entry.rack().map(Arc::from),
             entry,
             missing_since: None,
             born: 0,
@@ -171,6 +183,8 @@
             stored_end: 0,
             lease_end: Millis::ZERO,
             used: Resources::default(),
+            releasing: Resources::default(),
+            serving: 0,
             open: Map::default(),
             stray_runs: Vec::new(),
             failed_jobs: Vec::new(),
@@ -179,6 +193,41 @@
         }
     }
 
+    /// Replaces the entry.
+    pub fn set_entry(&mut self, entry: WorkerEntry) {
+        if entry.labels != self.entry.labels {
+            self.labels = entry.labels.as_slice().into();
+            self.rack = entry.rack().map(Arc::from);
+        }
+        self.entry = entry;
+    }
+
+    /// Records an open run of a task with this specification.
+    pub fn add_run(&mut self, task: TaskId, run: RunNumber, spec: &StepSpec) {
+        if self.open.insert(task, run).is_none() {
+            self.used += spec.occupies();
+            self.serving += usize::from(spec.serving_target().is_some());
+        }
+    }
+
+    /// Removes an open run, which was being stopped or not.
+    pub fn remove_run(&mut self, task: &TaskId, spec: &StepSpec, stopping: bool) {
+        if self.open.remove(task).is_some() {
+            self.used -= spec.occupies();
+            self.serving -= usize::from(spec.serving_target().is_some());
+            if stopping {
+                self.releasing -= spec.occupies();
+            }
+        }
+    }
+
+    /// Records that an open run is being stopped.
+    pub fn release_run(&mut self, task: &TaskId, spec: &StepSpec) {
+        if self.open.contains_key(task) {
+            self.releasing += spec.occupies();
+        }
+    }
+
     /// Estimated current reading of the worker's clock, at least; `None` before its first response.
     pub fn clock_at(&self, now: Millis) -> Option<u64> {
         self.clock.map(|(clock, at)| clock + now.since(at).0)
--- a/crates/batch/tests/decisions.rs
+++ b/crates/batch/tests/decisions.rs
@@ -13,6 +13,7 @@
 use batch::place::Limits;
 use batch::preempt::choose;
 use batch::preempt::Victim;
+use batch::preempt::VictimIndex;
 use batch::rank::rank;
 use batch::rank::RankInput;
 use batch::reserve;
@@ -187,7 +188,8 @@
     let mut gang = step(2, 8, SECOND);
     gang.gang = true;
     gang.one_rack = true;
-    let choice = choose(&all, &victims, &gang, &limits, 2).expect("a choice");
+    let index = VictimIndex::new(victims.clone(), all.len());
+    let choice = choose(&all, &index, &gang, &limits, 2).expect("a choice");
     assert_eq!(choice.victims.len(), 2);
     let racks: Vec<_> = choice.workers.iter().map(|&n| n / 4).collect();
     assert_eq!(racks[0], racks[1]);
@@ -204,7 +206,7 @@
     };
     all[4].releasing = releasing;
     all[5].releasing = releasing;
-    let again = choose(&all, &victims, &gang, &limits, 2).expect("a choice");
+    let again = choose(&all, &index, &gang, &limits, 2).expect("a choice");
     assert_eq!(
         (again.loss, again.victims.len()),
         (0, 0),
--- a/crates/batch/tests/kit/candidates.rs
+++ b/crates/batch/tests/kit/candidates.rs
@@ -19,8 +19,8 @@
     let candidate = |num: usize| Candidate {
         id: format!("w{num:02}").parse().expect("a worker id"),
         pool: pool(),
-        labels: Vec::new(),
-        rack: Some(format!("r{}", num / 4)),
+        labels: Vec::new().into(),
+        rack: Some(format!("r{}", num / 4).into()),
         capacity: WHOLE,
         free: WHOLE,
         releasing: Resources::default(),
