Let strong VMs coordinate, and delegates carry calls to workers

Cause: on the large site VMs of 0.12 of a core took the lock 17 times in 25 s, and one process held a connection to each of 1,100 workers while 146 idled.

Change: - A candidate defers by the capacity that the settings give its VM, at most 0.9 s, so that it still takes the lock when no stronger one does. A coordinator hands over when its event loop runs late or when a VM with half as much again is listed. The lease is renewed on a thread of its own. - From 500 workers on, calls to workers go through delegates over links: 64 workers each, in the worker's own failure domain, the strongest VMs first. A delegate decides nothing; the epoch fences what it carries, and calls that are over a second old are not carried out. - After the store has discarded history only the watched prefix is read again; workers that left meanwhile are marked missing. Records are written six transactions at a time.

--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -18,14 +18,19 @@
 
 mod advice;
 mod calls;
+mod carrier;
 mod commit;
+mod delegates;
 mod dispatch;
 mod documents;
+mod election;
+mod keeper;
 mod keys;
 mod leadership;
 mod load;
 mod peers;
 mod poll;
+mod restore;
 mod shared;
 mod upkeep;
 
@@ -71,8 +76,9 @@
             app.route(METRICS_PATH, web::get().to(answer));
         };
         let operators = listen("operators", &[addresses.operators], CLOSE_TIMEOUT, routes)?;
+        carrier::listen(&shared)?;
         actix_rt::spawn(documents::run(shared.clone()));
-        actix_rt::spawn(leadership::run(shared.clone()));
+        actix_rt::spawn(election::run(shared.clone()));
         actix_rt::spawn(calls::run(shared.clone(), received));
         actix_rt::spawn(peers::run(shared.clone()));
         obs::record(
@@ -95,6 +101,11 @@
         self.shared.callers.get()
     }
 
+    /// The metrics in the text format of their HTTP endpoint.
+    pub fn metrics(&self) -> Result<String, std::fmt::Error> {
+        self.shared.metrics.text()
+    }
+
     /// Logs whether the settings file, which has been read again, has changed. Changes take effect
     /// at the next start.
     pub fn reload(&self, settings: &BatchConfig) {
@@ -114,6 +125,7 @@
         shared.ready.close();
         shared.stopping.set(true);
         leadership::resign(&shared).await;
+        carrier::announce_stop(&shared);
         let grace = shared
             .settings
             .bounds
@@ -122,6 +134,10 @@
         actix_rt::time::sleep(DRAIN_TIME.min(grace).duration()).await;
         self.server.close().await;
         self.operators.close().await;
+        let links = shared.links.borrow_mut().take();
+        if let Some(links) = links {
+            links.close().await;
+        }
         obs::record(&shared.log, Event::DaemonStopped, &[]);
     }
 }
--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -1,5 +1,6 @@
 //! Serves callers: submissions, cancellations and look-ups.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use base::JobId;
@@ -192,7 +193,7 @@
     answer_by: Millis,
 ) -> Option<CallAnswer> {
     let version = catalog.version.max(shared.seen_version.get());
-    let mut peers = shared.peers.borrow().clone();
+    let mut peers: Vec<SocketAddr> = shared.peers.borrow().iter().map(|p| p.callers).collect();
     for _ in 0..RELAY_ATTEMPTS {
         let left = answer_by.since(shared.now());
         if peers.is_empty() || left < RELAY_TIME_MIN {
--- a/crates/bronzetack/src/batch/commit.rs
+++ b/crates/bronzetack/src/batch/commit.rs
@@ -4,6 +4,8 @@
 use base::Revision;
 use batch::PendingWrite;
 use batch::Progress;
+use futures_util::stream;
+use futures_util::StreamExt;
 use platform::Put;
 use platform::StoreError;
 use platform::Txn;
@@ -17,20 +19,28 @@
 /// condition and a write, and one entry is the condition on the lock.
 const MAX_RECORDS: usize = 15;
 
+/// Most transactions in flight at a time. One after the other, a thousand records would take as long
+/// as the state that they are based on stays valid.
+const PARALLEL: usize = 6;
+
 /// Stores all records of `pending`. Returns false if not all were stored and they must be queued
 /// again.
 pub async fn store(shared: &Shared, lead: &Leadership, pending: &PendingWrite) -> bool {
-    for part in pending.records.chunks(MAX_RECORDS) {
-        match store_part(shared, lead, part).await {
+    let parts = pending.records.chunks(MAX_RECORDS);
+    let results = stream::iter(parts.map(|part| store_part(shared, lead, part)));
+    let mut results = results.buffer_unordered(PARALLEL);
+    let mut all = true;
+    while let Some(result) = results.next().await {
+        match result {
             Ok(true) => shared.record_store_result(Ok(())),
-            Ok(false) => return false,
+            Ok(false) => all = false,
             Err(error) => {
                 shared.record_store_result(Err(&error));
-                return false;
+                all = false;
             }
         }
     }
-    true
+    all
 }
 
 async fn store_part(
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -17,6 +17,7 @@
 use platform::TxnOutcome;
 
 use crate::batch::commit;
+use crate::batch::delegates;
 use crate::batch::keys;
 use crate::batch::leadership::Leadership;
 use crate::batch::shared::Shared;
@@ -25,6 +26,10 @@
 /// Delay before a planning pass, so that one pass handles changes that arrive together.
 const COALESCE_DELAY: Millis = Millis(4);
 
+/// The delay is at least this multiple of the duration of the last pass, up to a maximum.
+const PAUSE_FACTOR: u64 = 2;
+const COALESCE_DELAY_MAX: Millis = Millis(60);
+
 /// Longest wait for a change before the next planning pass.
 const PASS_INTERVAL_MAX: Millis = Millis(100);
 
@@ -40,19 +45,24 @@
 /// Runs planning passes until the leadership ends: plans, stores the records, and then sends the
 /// start requests that depend on them.
 pub async fn run(shared: Rc<Shared>, lead: Rc<Leadership>) {
+    let mut pass_time = Millis::ZERO;
     while !lead.ended.get() {
         let woken = lead.wake.notified();
         // A pass is also due after a time-out.
         let _ = actix_rt::time::timeout(PASS_INTERVAL_MAX.duration(), woken).await;
-        shared.sleep(COALESCE_DELAY).await;
+        // Planning gets at most a part of the processor time, as other work waits meanwhile.
+        let pause = COALESCE_DELAY.max(Millis(pass_time.0 * PAUSE_FACTOR));
+        shared.sleep(pause.min(COALESCE_DELAY_MAX)).await;
         let pending = {
             let mut scheduler = lead.scheduler.borrow_mut();
             let now = shared.now();
             scheduler.tick(now, shared.clock.wall());
-            if documents_current(&shared, now) {
+            if is_current(&shared, &lead, now) {
                 scheduler.plan(now, shared.clock.wall());
             }
-            scheduler.take_pending()
+            let pending = scheduler.take_pending();
+            pass_time = shared.now().since(now);
+            pending
         };
         lead.pass_done.notify_one();
         log_decisions(&shared, &mut lead.scheduler.borrow_mut());
@@ -85,10 +95,19 @@
     }
 }
 
-/// Whether the operators' documents were confirmed recently enough to start tasks.
-fn documents_current(shared: &Shared, now: Millis) -> bool {
-    let age = now.since(shared.documents.borrow().confirmed);
-    age <= shared.times.watch_wait + shared.times.watch_wait + STORE_TIMEOUT
+/// Whether all that starts depend on was confirmed recently enough: the operators' documents, the
+/// workers' entries and the callers' cancellations.
+fn is_current(shared: &Shared, lead: &Leadership, now: Millis) -> bool {
+    let (workers, requests) = lead.confirmed.get();
+    let oldest = shared
+        .documents
+        .borrow()
+        .confirmed
+        .min(workers)
+        .min(requests);
+    let gathering = shared.times.gather_time;
+    now.since(oldest)
+        <= shared.times.watch_wait + shared.times.watch_wait + STORE_TIMEOUT + gathering
 }
 
 fn log_decisions(shared: &Shared, scheduler: &mut Scheduler) {
@@ -103,7 +122,7 @@
 }
 
 async fn start(shared: Rc<Shared>, lead: Rc<Leadership>, request: StartRequest) {
-    let response = shared.workers.start(&request).await;
+    let response = delegates::start(&shared, &lead, &request).await;
     let outcome = match &response {
         StartResponse::Accepted(_) => "accepted",
         StartResponse::Fenced => "fenced",
@@ -157,7 +176,7 @@
 }
 
 async fn stop(shared: Rc<Shared>, lead: Rc<Leadership>, request: StopRequest) {
-    match shared.workers.stop(&request).await {
+    match delegates::stop(&shared, &lead, &request).await {
         Ok(Some(clock)) if !lead.ended.get() => {
             lead.scheduler.borrow_mut().stop_accepted(&request, clock);
         }
@@ -178,7 +197,7 @@
 }
 
 async fn throttle(shared: Rc<Shared>, lead: Rc<Leadership>, request: ThrottleRequest) {
-    let outcome = match shared.workers.throttle(&request).await {
+    let outcome = match delegates::throttle(&shared, &lead, &request).await {
         Ok(true) => {
             lead.scheduler.borrow_mut().throttle_accepted(&request);
             "accepted".to_string()
--- a/crates/bronzetack/src/batch/keys.rs
+++ b/crates/bronzetack/src/batch/keys.rs
@@ -8,8 +8,8 @@
 /// The load of the site as the coordinator publishes it.
 pub const LOAD: &str = "bronzetack/load";
 
-/// Prefix of the addresses at which daemons answer callers, one key for each daemon.
-pub const PEERS: &str = "bronzetack/peers/";
+/// Prefix of what daemons publish about themselves, one key for each daemon.
+pub const PEERS: &str = "bronzetack/daemons/";
 
 /// Prefix of callers' requests: submissions and cancellations.
 pub const REQUESTS: &str = "bronzetack/asked/";
--- a/crates/bronzetack/src/batch/peers.rs
+++ b/crates/bronzetack/src/batch/peers.rs
@@ -1,15 +1,22 @@
-//! Discovery of the other daemons: each stores the address at which it answers callers, and reads
-//! the addresses of the others.
+//! Discovery of the other daemons: each stores its addresses and the capacity of its VM, and reads
+//! those of the others.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use base::DomainId;
 use base::Millis;
+use base::VmId;
+use batch::candidacy::Capacity;
+use link::Links;
+use obs::Event;
 use platform::LeaseId;
 use platform::Put;
 use platform::StoreError;
 use platform::Txn;
 use platform::TxnOutcome;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::batch::keys;
 use crate::batch::shared::Shared;
@@ -24,7 +31,22 @@
 /// Delay after a failed call to the store; also the largest random delay added to each pause.
 const RETRY_DELAY: Millis = Millis(500);
 
-/// Keeps this daemon's address in the store and the others' addresses current until a planned stop.
+/// What a daemon publishes about itself.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Peer {
+    /// Id of its VM.
+    pub vm: VmId,
+    /// Failure domain of its VM.
+    pub domain: DomainId,
+    /// Address at which it answers callers.
+    pub callers: SocketAddr,
+    /// Address at which it accepts links, if it passes calls to workers on.
+    pub links: Option<SocketAddr>,
+    /// Resources of its VM.
+    pub capacity: Capacity,
+}
+
+/// Keeps this daemon's entry in the store and the list of the others current until a planned stop.
 pub async fn run(shared: Rc<Shared>) {
     let mut lease = None;
     while !shared.stopping.get() {
@@ -47,9 +69,12 @@
     }
     if lease.is_none() {
         let granted = shared.store.grant_lease(ADDRESS_LEASE).await?;
+        let mut value = Vec::new();
+        ciborium::into_writer(&own_entry(shared), &mut value)
+            .map_err(|e| StoreError::Protocol(e.to_string()))?;
         let put = Put {
             key: format!("{}{}", keys::PEERS, shared.instance),
-            value: shared.callers.get().to_string().into_bytes(),
+            value,
             lease: granted,
         };
         let txn = Txn {
@@ -60,12 +85,29 @@
             *lease = Some(granted);
         }
     }
-    let listing = shared.store.list(keys::PEERS).await?;
+    let listing = shared.store.list_stale(keys::PEERS).await?;
     let own = shared.callers.get();
-    let addresses = listing.items.iter().filter_map(|item| {
-        let text = std::str::from_utf8(item.value.as_deref()?).ok()?;
-        text.parse::<SocketAddr>().ok().filter(|a| *a != own)
-    });
-    *shared.peers.borrow_mut() = addresses.collect();
+    let mut peers = Vec::with_capacity(listing.items.len());
+    for item in &listing.items {
+        let entry: Option<Result<Peer, _>> = item.value.as_deref().map(ciborium::from_reader);
+        match entry {
+            Some(Ok(peer)) if peer.callers != own => peers.push(peer),
+            Some(Ok(_)) => {}
+            Some(Err(_)) | None => {
+                obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]);
+            }
+        }
+    }
+    *shared.peers.borrow_mut() = peers;
     Ok(())
 }
+
+fn own_entry(shared: &Shared) -> Peer {
+    Peer {
+        vm: shared.settings.vm.clone(),
+        domain: shared.settings.domain.clone(),
+        callers: shared.callers.get(),
+        links: shared.links.borrow().as_ref().map(Links::addr),
+        capacity: shared.capacity,
+    }
+}
--- a/crates/bronzetack/src/batch/poll.rs
+++ b/crates/bronzetack/src/batch/poll.rs
@@ -10,6 +10,7 @@
 use obs::Event;
 use platform::PollResponse;
 
+use crate::batch::delegates;
 use crate::batch::leadership::Leadership;
 use crate::batch::shared::Shared;
 
@@ -54,10 +55,10 @@
     let mut failing = false;
     while !lead.ended.get() {
         let sent = shared.now();
-        let renew = sent <= lead.valid_until.get() + shared.times.offline_renewal;
+        let renew = sent <= lead.lease_status.valid_until() + shared.times.offline_renewal;
         let request = lead.scheduler.borrow_mut().poll(&id, renew, sent);
         let Some(request) = request else { break };
-        let response = shared.workers.poll(&id, &request).await;
+        let response = delegates::poll(&shared, &lead, &id, &request).await;
         if lead.ended.get() {
             break;
         }
--- /dev/null
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -0,0 +1,230 @@
+//! Reads the stored records at a take-over, and follows their changes during a leadership.
+
+use std::rc::Rc;
+
+use base::JobId;
+use base::Map;
+use base::Millis;
+use base::Revision;
+use base::Set;
+use base::WorkerId;
+use batch::JobRecord;
+use batch::Progress;
+use batch::Scheduler;
+use obs::Event;
+use platform::decode_entry;
+use platform::Change;
+use platform::Item;
+use platform::StoreEntry;
+use platform::StoreError;
+use platform::WORKER_PREFIX;
+
+use crate::batch::keys;
+use crate::batch::keys::RequestKey;
+use crate::batch::leadership::Leadership;
+use crate::batch::shared::Shared;
+use crate::batch::upkeep;
+
+/// Delay after a failed call to the store.
+const RETRY_DELAY: Millis = Millis(150);
+
+/// Reads all records. Returns the revisions from which to watch callers' requests and workers.
+pub async fn restore(
+    shared: &Shared,
+    lead: &Leadership,
+) -> Result<(Revision, Revision), StoreError> {
+    let workers = shared.store.list(WORKER_PREFIX).await?;
+    let runs = shared.store.list(keys::RUNS).await?;
+    let requests = shared.store.list(keys::REQUESTS).await?;
+    let waves = upkeep::read_records(shared, lead).await?;
+    let now = shared.now();
+    let mut scheduler = lead.scheduler.borrow_mut();
+    for (number, record) in waves {
+        scheduler.waves().restore(number, record);
+    }
+    let mut records: Map<JobId, Progress> = Map::default();
+    for item in runs.items {
+        let Some(id) = keys::parse_run(&item.key) else {
+            continue;
+        };
+        lead.run_revisions
+            .borrow_mut()
+            .insert(id.clone(), item.revision);
+        match item.value.as_deref().map(Progress::decode) {
+            Some(Ok(progress)) => {
+                records.insert(id, progress);
+            }
+            _ => obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]),
+        }
+    }
+    let (jobs, cancels): (Vec<Item>, Vec<Item>) = requests
+        .items
+        .into_iter()
+        .partition(|i| matches!(keys::parse_request(&i.key), Some(RequestKey::Job(_))));
+    for item in jobs {
+        apply_job(shared, &mut scheduler, &item, &mut records, now);
+    }
+    for item in cancels {
+        if let Some(RequestKey::Cancel(id)) = keys::parse_request(&item.key) {
+            scheduler.cancel(&id, now);
+        }
+    }
+    for item in &workers.items {
+        apply_worker(
+            shared,
+            &mut scheduler,
+            &item.key,
+            item.value.as_deref(),
+            now,
+        );
+    }
+    Ok((requests.revision, workers.revision))
+}
+
+fn apply_job(
+    shared: &Shared,
+    scheduler: &mut Scheduler,
+    item: &Item,
+    records: &mut Map<JobId, Progress>,
+    now: Millis,
+) {
+    let Some(RequestKey::Job(id)) = keys::parse_request(&item.key) else {
+        return;
+    };
+    match item.value.as_deref().map(JobRecord::decode) {
+        Some(Ok(JobRecord::Accepted(submitted))) => {
+            let progress = records.remove(&id);
+            scheduler.add(id, *submitted, progress, now);
+        }
+        Some(Ok(JobRecord::Refused(_))) => {}
+        Some(Err(_)) | None => {
+            obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]);
+        }
+    }
+}
+
+/// Watches a prefix and applies its changes until the leadership ends.
+pub async fn watch_prefix(
+    shared: Rc<Shared>,
+    lead: Rc<Leadership>,
+    prefix: &'static str,
+    mut after: Revision,
+) {
+    lead.confirm(prefix, shared.now());
+    while !lead.ended.get() {
+        let sent = shared.now();
+        match shared
+            .store
+            .watch(prefix, after, shared.times.watch_wait)
+            .await
+        {
+            Ok(watched) => {
+                shared.record_store_result(Ok(()));
+                lead.confirm(prefix, sent);
+                after = watched.revision.max(after);
+                if !watched.changes.is_empty() && !lead.ended.get() {
+                    apply_changes(&shared, &lead, watched.changes);
+                    lead.wake.notify_one();
+                    lead.workers_changed.notify_one();
+                }
+                if prefix == WORKER_PREFIX {
+                    // Each return of the watch costs a call to the store, so the changes of
+                    // several workers, which all write once a heartbeat, are collected first.
+                    shared.sleep(shared.times.gather_time).await;
+                }
+            }
+            Err(StoreError::Compacted) => {
+                obs::record(&shared.log, Event::WatchCompacted, &[("prefix", &prefix)]);
+                match read_again(&shared, &lead, prefix).await {
+                    Ok(revision) => {
+                        after = revision;
+                        lead.wake.notify_one();
+                        lead.workers_changed.notify_one();
+                    }
+                    Err(error) => {
+                        shared.record_store_result(Err(&error));
+                        shared.sleep(RETRY_DELAY).await;
+                    }
+                }
+            }
+            Err(error) => {
+                shared.record_store_result(Err(&error));
+                shared
+                    .sleep(RETRY_DELAY + shared.random_up_to(RETRY_DELAY))
+                    .await;
+            }
+        }
+    }
+}
+
+/// Reads all keys under a watched prefix after the store has discarded changes. Records of progress
+/// are not read again, because only the coordinator writes them.
+async fn read_again(
+    shared: &Shared,
+    lead: &Leadership,
+    prefix: &'static str,
+) -> Result<Revision, StoreError> {
+    let sent = shared.now();
+    let listing = shared.store.list(prefix).await?;
+    lead.confirm(prefix, sent);
+    let now = shared.now();
+    let mut scheduler = lead.scheduler.borrow_mut();
+    if prefix == WORKER_PREFIX {
+        let listed: Set<WorkerId> = listing
+            .items
+            .iter()
+            .filter_map(|item| match decode_entry(&item.key, None) {
+                StoreEntry::Worker(id, _) => Some(id),
+                _ => None,
+            })
+            .collect();
+        scheduler.mark_unlisted(&listed, now);
+    }
+    let changes = listing.items.into_iter().map(Change::Put);
+    for change in changes {
+        apply_change(shared, &mut scheduler, change, now);
+    }
+    Ok(listing.revision)
+}
+
+fn apply_changes(shared: &Shared, lead: &Leadership, changes: Vec<Change>) {
+    let now = shared.now();
+    let mut scheduler = lead.scheduler.borrow_mut();
+    for change in changes {
+        apply_change(shared, &mut scheduler, change, now);
+    }
+}
+
+fn apply_change(shared: &Shared, scheduler: &mut Scheduler, change: Change, now: Millis) {
+    match change {
+        Change::Put(item) => match keys::parse_request(&item.key) {
+            Some(RequestKey::Job(_)) => {
+                apply_job(shared, scheduler, &item, &mut Map::default(), now);
+            }
+            Some(RequestKey::Cancel(id)) => scheduler.cancel(&id, now),
+            None => apply_worker(shared, scheduler, &item.key, item.value.as_deref(), now),
+        },
+        Change::Removed { key, .. } => apply_worker(shared, scheduler, &key, None, now),
+    }
+}
+
+fn apply_worker(
+    shared: &Shared,
+    scheduler: &mut Scheduler,
+    key: &str,
+    value: Option<&[u8]>,
+    now: Millis,
+) {
+    match decode_entry(key, value) {
+        StoreEntry::Worker(_, Ok(view)) => scheduler.update_worker(*view),
+        StoreEntry::Worker(id, Err(why)) => {
+            if value.is_some() {
+                let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                    &[("key", &key), ("error", &why)];
+                obs::record(&shared.log, Event::InputRefused, fields);
+            }
+            scheduler.mark_missing(&id, now);
+        }
+        _ => {}
+    }
+}
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -10,6 +10,9 @@
 use base::Map;
 use base::Millis;
 use base::Set;
+use base::VmId;
+use batch::candidacy::Capacity;
+use batch::candidacy::Handover;
 use batch::wave::Wave;
 use batch::Bounds;
 use batch::Catalog;
@@ -19,7 +22,11 @@
 use batch::RateLimit;
 use batch::REQUEST_TIMEOUT;
 use conf::batch::BatchConfig;
+use delegate::AgeFilter;
+use delegate::Assignment;
+use delegate::Sizing;
 use entry::Ready;
+use link::Links;
 use obs::Counter;
 use obs::Event;
 use obs::Histogram;
@@ -37,6 +44,7 @@
 use slog::Logger;
 
 use crate::batch::leadership::Leadership;
+use crate::batch::peers::Peer;
 
 /// Time-out of a call to the store, which answers within a few milliseconds, or within a quarter of
 /// a second while it is slow.
@@ -101,10 +109,28 @@
     pub relay: Relay,
     /// Address at which this daemon answers callers.
     pub callers: Cell<SocketAddr>,
-    /// Addresses at which other daemons answer callers.
-    pub peers: RefCell<Vec<SocketAddr>>,
+    /// The other daemons, as last read.
+    pub peers: RefCell<Vec<Peer>>,
+    /// Resources of this VM.
+    pub capacity: Capacity,
+    /// Observations from which hand-overs of the lock are decided.
+    pub handover: RefCell<Handover>,
     /// Client of the workers.
     pub workers: Workers,
+    /// Links to other daemons, if the settings name a port for them.
+    pub links: RefCell<Option<Links>>,
+    /// Choice of the delegates while this daemon is the coordinator.
+    pub assignment: RefCell<Assignment>,
+    /// Ages of the calls that this daemon carries out, by the VM of their coordinator.
+    pub call_ages: RefCell<Map<VmId, AgeFilter>>,
+    /// Number of calls that this daemon is carrying out for a coordinator.
+    pub carried: Cell<usize>,
+    /// Counts calls that this daemon has carried out for a coordinator.
+    pub carried_calls: Counter,
+    /// Counts calls of a coordinator that were not carried out.
+    pub refused_calls: Counter,
+    /// Counts responses of workers that could not be returned because the link had ended.
+    pub lost_replies: Counter,
     /// Client of the adviser, which decides for some queues which workers may run a step.
     pub adviser: Option<Adviser>,
     /// Client of the machine service, which lists machines and starts their upkeep.
@@ -171,14 +197,38 @@
             store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
             slow_log: LogLimiter::default(),
             stop_log: LogLimiter::default(),
-            metrics,
             clock,
             caller_store: store.with_timeout(CALLER_STORE_TIMEOUT),
             store,
             callers: Cell::new(settings.addresses.callers),
             relay: Relay::default(),
             peers: RefCell::default(),
+            capacity: Capacity {
+                cores: settings.resources.cores,
+                memory: settings.resources.memory,
+                bandwidth: settings.resources.bandwidth,
+            },
+            handover: RefCell::default(),
             workers: Workers::new(REQUEST_TIMEOUT),
+            links: RefCell::default(),
+            assignment: RefCell::new(Assignment::new(Sizing {
+                min_workers: settings.delegates.min_workers,
+                workers_each: settings.delegates.workers_each,
+            })),
+            call_ages: RefCell::default(),
+            carried: Cell::new(0),
+            carried_calls: metrics.counter(
+                "batch_carried_calls",
+                "Calls to workers carried out for a coordinator",
+            ),
+            refused_calls: metrics.counter(
+                "batch_refused_calls",
+                "Calls of a coordinator not carried out",
+            ),
+            lost_replies: metrics.counter(
+                "batch_lost_replies",
+                "Responses of workers that were not returned",
+            ),
             adviser: settings.adviser.map(Adviser::new),
             machines: settings
                 .machines
@@ -191,6 +241,7 @@
             load: RefCell::default(),
             promised: RefCell::default(),
             refusal_limit: RefCell::new(RateLimit::new(REFUSALS_PER_SECOND)),
+            metrics,
             refusal_lease: Cell::new(None),
             campaigned: Cell::new(false),
             stopping: Cell::new(false),
--- a/crates/bronzetack/src/batch/upkeep.rs
+++ b/crates/bronzetack/src/batch/upkeep.rs
@@ -93,7 +93,7 @@
     for request in requests {
         // Fencing protects only where the epoch is checked, so nothing is sent if the lock could
         // expire before the call ends.
-        if lead.ended.get() || shared.now() + machines.timeout() > lead.valid_until.get() {
+        if lead.ended.get() || shared.now() + machines.timeout() > lead.lease_status.valid_until() {
             break;
         }
         let response = machines.upkeep(&request).await;
--- a/crates/conf/src/batch/mod.rs
+++ b/crates/conf/src/batch/mod.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use base::Bytes;
 use base::DomainId;
 use base::Findings;
 use base::Millis;
@@ -32,10 +33,34 @@
     pub machines: MachineSettings,
     /// Time limits and factors of the deployment.
     pub bounds: SiteBounds,
+    /// Resources of the VM that the daemon may use.
+    pub resources: VmResources,
+    /// When and how many delegates a coordinator uses.
+    pub delegates: DelegateSettings,
     /// Whether events of level debug are logged.
     pub debug: bool,
 }
 
+/// When and how many delegates a coordinator uses, daemons that carry its calls to workers out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DelegateSettings {
+    /// Number of workers from which delegates are used.
+    pub min_workers: usize,
+    /// Number of workers for each delegate.
+    pub workers_each: usize,
+}
+
+/// Resources of the VM that the daemon may use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct VmResources {
+    /// Processor cores, as a fraction.
+    pub cores: f64,
+    /// Memory of the process.
+    pub memory: Bytes,
+    /// Bandwidth of the network link in Mbit/s.
+    pub bandwidth: f64,
+}
+
 /// Listen addresses of the daemon.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Addresses {
@@ -45,6 +70,8 @@
     pub ready: SocketAddr,
     /// Metrics endpoint for operators.
     pub operators: SocketAddr,
+    /// Links of other daemons; without it, this daemon passes no calls to workers on for others.
+    pub links: Option<SocketAddr>,
 }
 
 /// Connection to the platform's store.
--- a/crates/conf/src/batch/raw.rs
+++ b/crates/conf/src/batch/raw.rs
@@ -3,14 +3,17 @@
 use std::fmt::Display;
 use std::str::FromStr;
 
+use base::Bytes;
 use base::Findings;
 use base::Millis;
 
 use crate::batch::Addresses;
 use crate::batch::BatchConfig;
+use crate::batch::DelegateSettings;
 use crate::batch::MachineSettings;
 use crate::batch::SiteBounds;
 use crate::batch::StoreSettings;
+use crate::batch::VmResources;
 use crate::source::Located;
 use crate::source::Section;
 
@@ -18,6 +21,10 @@
 const NAME_REMEDY: &str = "use 1 to 128 letters, digits or '-_.~:/'";
 const DURATION_REMEDY: &str = "write a time, such as \"400ms\" or \"6s\"";
 const RATE_REMEDY: &str = "write calls a second, such as \"60\"";
+const CORES_REMEDY: &str = "write a number of cores above 0, such as \"0.25\"";
+const MEMORY_REMEDY: &str = "write a number of megabytes above 0, such as \"256\"";
+const BANDWIDTH_REMEDY: &str = "write a number of Mbit/s above 0, such as \"100\"";
+const COUNT_REMEDY: &str = "write a number of workers from 1, such as \"500\"";
 const FACTOR_REMEDY: &str = "write a number, such as \"3\"";
 
 /// Defaults with which the scheduler's guarantees hold even if the file gives no bounds.
@@ -36,6 +43,21 @@
     remote_factor: 3,
 };
 
+/// Resources of a VM whose settings do not give them.
+const DEFAULT_RESOURCES: VmResources = VmResources {
+    cores: 1.0,
+    memory: Bytes(1_000 * BYTES_PER_MB),
+    bandwidth: 1_000.0,
+};
+
+/// Delegates of a site whose settings do not size them.
+const DEFAULT_DELEGATES: DelegateSettings = DelegateSettings {
+    min_workers: 500,
+    workers_each: 64,
+};
+
+const BYTES_PER_MB: u64 = 1_000_000;
+
 /// Default rate of each kind of call to the machine service; low enough for any deployment.
 const DEFAULT_MACHINE_CALLS_PER_SEC: f64 = 1.0;
 
@@ -50,9 +72,12 @@
     domain: OptionalText,
     debug: Option<Located<bool>>,
     addresses: [OptionalText; 3],
+    links: OptionalText,
     store: [OptionalText; 2],
     adviser: OptionalText,
     machines: [OptionalText; 3],
+    resources: [OptionalText; 3],
+    delegates: [OptionalText; 2],
     durations: [OptionalText; 11],
     factor: OptionalText,
 }
@@ -66,6 +91,7 @@
         let mut section = root.section("addresses");
         let names = ["callers", "ready", "operators"];
         let addresses = names.map(|name| section.required_text(name, ADDRESS_REMEDY));
+        let links = non_empty(section.text("links"));
         section.finish();
         let mut section = root.section("store");
         let store = [
@@ -77,6 +103,13 @@
         let mut section = root.section("machines");
         let machines = ["address", "orders", "reads"].map(|name| non_empty(section.text(name)));
         section.finish();
+        let mut section = root.section("resources");
+        let names = ["cores", "memory", "bandwidth"];
+        let resources = names.map(|name| non_empty(section.text(name)));
+        section.finish();
+        let mut section = root.section("delegates");
+        let delegates = ["min-workers", "workers-each"].map(|name| section.text(name));
+        section.finish();
         let mut section = root.section("bounds");
         let names = [
             "max-hold",
@@ -100,9 +133,12 @@
             domain,
             debug,
             addresses,
+            links,
             store,
             adviser,
             machines,
+            resources,
+            delegates,
             durations,
             factor,
         }
@@ -127,9 +163,16 @@
     let domain = parse(&raw.domain, NAME_REMEDY, findings);
     let [callers, ready, operators] =
         [0, 1, 2].map(|num| parse(&raw.addresses[num], ADDRESS_REMEDY, findings));
+    let links = parse(&raw.links, ADDRESS_REMEDY, findings);
     let address = parse(&raw.store[0], ADDRESS_REMEDY, findings);
     let min_ttl = duration(&raw.store[1], Millis(1_000), findings);
     let bounds = bounds(raw, findings);
+    let resources = resources(&raw.resources, findings);
+    let [min_workers, workers_each] = &raw.delegates;
+    let delegates = DelegateSettings {
+        min_workers: count(min_workers, findings).unwrap_or(DEFAULT_DELEGATES.min_workers),
+        workers_each: count(workers_each, findings).unwrap_or(DEFAULT_DELEGATES.workers_each),
+    };
     let adviser = parse(&raw.adviser, ADDRESS_REMEDY, findings);
     let [endpoint, orders, reads] = &raw.machines;
     let machines = MachineSettings {
@@ -144,6 +187,7 @@
             callers: callers?,
             ready: ready?,
             operators: operators?,
+            links,
         },
         store: StoreSettings {
             address: address?,
@@ -152,6 +196,8 @@
         adviser,
         machines,
         bounds,
+        resources,
+        delegates,
         debug: raw.debug.as_ref().is_some_and(|d| d.value),
     })
 }
@@ -176,6 +222,42 @@
     }
 }
 
+fn resources(fields: &[OptionalText; 3], findings: &mut Findings) -> VmResources {
+    let [cores, memory, bandwidth] = fields;
+    let megabytes = amount(memory, MEMORY_REMEDY, findings);
+    VmResources {
+        cores: amount(cores, CORES_REMEDY, findings).unwrap_or(DEFAULT_RESOURCES.cores),
+        memory: megabytes.map_or(DEFAULT_RESOURCES.memory, |num| {
+            Bytes((num * BYTES_PER_MB as f64) as u64)
+        }),
+        bandwidth: amount(bandwidth, BANDWIDTH_REMEDY, findings)
+            .unwrap_or(DEFAULT_RESOURCES.bandwidth),
+    }
+}
+
+/// A finite amount above zero; any other number is a finding.
+fn amount(text: &OptionalText, remedy: &str, findings: &mut Findings) -> Option<f64> {
+    let field = text.as_ref()?;
+    let num: f64 = field.parse(findings, remedy)?;
+    if num.is_finite() && num > 0.0 {
+        return Some(num);
+    }
+    let problem = format!("{num} is out of range");
+    findings.add(field.location.as_str(), problem, remedy);
+    None
+}
+
+/// A number of workers from 1; zero is a finding.
+fn count(text: &OptionalText, findings: &mut Findings) -> Option<usize> {
+    let field = text.as_ref()?;
+    let num: usize = field.parse(findings, COUNT_REMEDY)?;
+    if num == 0 {
+        findings.add(field.location.as_str(), "0 is out of range", COUNT_REMEDY);
+        return None;
+    }
+    Some(num)
+}
+
 /// Treats an empty string as absent, because templates leave unset fields empty.
 fn non_empty(text: OptionalText) -> OptionalText {
     text.filter(|field| !field.value.is_empty())
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -85,6 +85,8 @@
     CoordinatorLost = 601, Warn, "daemon is no longer coordinator";
     TakeoverDone = 602, Info, "coordinator take-over finished; state of the workers was read";
     WorkerSilent = 604, Warn, "worker does not answer the coordinator";
+    HandoverBegun = 605, Info, "coordinator hands over to another daemon";
+    DelegateSuspended = 606, Warn, "delegate does not answer the coordinator in time";
     GangStarted = 610, Info, "gang is running";
     GangAborted = 611, Warn, "gang start aborted; all tasks released";
     GangEnded = 612, Info, "gang ended";
