Prefer workers that have proved themselves after early failures, and take over faster

Change: three workers and three jobs with failures within 400 ms of the start raise an alarm. While it is on, workers on which a run has since survived 200 ms are preferred, failing ones pause at once, and a job that has failed before waits up to 0.4 s, or 1.5 s before its last attempt, for proven ones. Workers are read before the jobs, the other records side by side, and the links come up meanwhile; the lock's lease is 1.2 s. A submission during an outage of the store that the other daemons see too waits for its end for half of the caller's time.

--- a/crates/batch/examples/load/world.rs
+++ b/crates/batch/examples/load/world.rs
@@ -36,6 +36,14 @@
 /// Time between two publications of the load.
 const LOAD_INTERVAL: Millis = Millis(500);
 
+/// Time at which the emulation begins.
+const WORLD_START: Millis = Millis(1_000_000);
+
+/// Time in milliseconds from the start in which faulty workers fail what they start, and how long
+/// after the start a run fails.
+const FAULT: std::ops::Range<u64> = 1_500..8_000;
+const FAILURE_DELAY: Millis = Millis(40);
+
 const WORKERS_PER_RACK: usize = 8;
 
 /// Cores that one accelerator counts as when work is summed.
@@ -74,11 +82,14 @@
     started: Millis,
     left: f64,
     ends_at: Option<Millis>,
+    fails: bool,
 }
 
 struct EmulatedWorker {
     entry: WorkerEntry,
     speed: f64,
+    /// Whether it fails all that it starts while such a fault lasts.
+    fails: bool,
     runs: BTreeMap<TaskId, Run>,
     ended: Vec<EndedRun>,
     ends: u64,
@@ -113,8 +124,8 @@
 }
 
 impl World {
-    pub fn new(workers: usize, slow: usize, catalog: Catalog) -> World {
-        let now = Millis(1_000_000);
+    pub fn new(workers: usize, slow: usize, failing: usize, catalog: Catalog) -> World {
+        let now = WORLD_START;
         let mut world = World {
             now,
             scheduler: Scheduler::new(Epoch(1), BOUNDS, catalog, now),
@@ -132,6 +143,7 @@
             world.scheduler.update_worker(entry.clone());
             world.workers.push(EmulatedWorker {
                 entry,
+                fails: num % 5 == 0 && num / 5 < failing,
                 speed: if num % 7 == 0 && num / 7 < slow {
                     0.25
                 } else {
@@ -211,6 +223,7 @@
                 started: now,
                 left,
                 ends_at: None,
+                fails: worker.fails && FAULT.contains(&now.since(WORLD_START).0),
             },
         );
         let clock = now.0;
@@ -255,6 +268,7 @@
                 let kind = match () {
                     () if run.ends_at.is_some_and(|at| now >= at) => EndKind::Stopped,
                     () if run.ends_at.is_some() => continue,
+                    () if run.fails && now.since(run.started) >= FAILURE_DELAY => EndKind::Failed,
                     () if run.left > 0.0 => continue,
                     () if truth.hopeless => EndKind::Failed,
                     () => EndKind::Done,
--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -53,8 +53,8 @@
 pub const REQUEST_TIMEOUT: Millis = Millis(500);
 
 /// Longest lease on the lock, unless the store's minimum is longer. A crashed coordinator is
-/// replaced after this time.
-const MAX_LOCK_LEASE: Millis = Millis(1_500);
+/// replaced after this time. It leaves time for a renewal at a slow store after one was lost.
+const MAX_LOCK_LEASE: Millis = Millis(1_200);
 
 /// Longest worker lease. It outlasts a change of coordinator (expiry of the lock, election and a
 /// read of the store). The tasks of a lost worker start elsewhere once it has expired.
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -242,10 +242,24 @@
     limits: &Limits,
     count: usize,
 ) -> Option<Vec<usize>> {
-    let racks = racks(among, candidates, available, step, limits, count);
-    racks
+    let lowest = among.iter().map(|&num| candidates[num].penalty).min()?;
+    let preferred: Vec<usize> = among
         .iter()
-        .find_map(|rack| place_among(rack, candidates, available, step, limits, count))
+        .copied()
+        .filter(|&num| candidates[num].penalty == lowest)
+        .collect();
+    // A single member on a worker that fails breaks the whole gang, so a rack of preferred workers
+    // comes before a fuller one.
+    let groups = match preferred.len() < among.len() {
+        true => vec![preferred, among.to_vec()],
+        false => vec![preferred],
+    };
+    groups.iter().find_map(|group| {
+        let racks = racks(group, candidates, available, step, limits, count);
+        racks
+            .iter()
+            .find_map(|rack| place_among(rack, candidates, available, step, limits, count))
+    })
 }
 
 /// The groups of eligible workers that could hold a gang: its racks, those with the least free
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -8,6 +8,7 @@
 use base::Set;
 use base::WorkerId;
 
+use crate::health::waits_for_proof;
 use crate::job::Job;
 use crate::job::OpenRun;
 use crate::job::StepState;
@@ -27,6 +28,7 @@
 use crate::spec::StepId;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
+use crate::worker::UNPROVED_PENALTY;
 
 mod candidates;
 mod pass;
@@ -234,9 +236,28 @@
                 },
             ),
         };
+        // A job that has failed goes to proven workers only, for a while.
+        let failures = state.failed.len();
+        let failures = failures.max(
+            state
+                .tasks
+                .iter()
+                .map(|t| t.failed.len())
+                .max()
+                .unwrap_or(0),
+        );
+        let careful = waits_for_proof(failures, job.submitted.attempts, waited);
+        let among: Vec<usize> = match careful {
+            true => among
+                .into_iter()
+                .filter(|&num| pass.candidates[num].penalty < UNPROVED_PENALTY)
+                .collect(),
+            false => among,
+        };
         let plain = spec.label.is_none()
             && spec.data_rack.is_none()
             && spec.per_worker.is_none()
+            && !careful
             && allowed.is_none();
         let attempt = Failure {
             pool: pool.clone(),
--- a/crates/batch/src/plan/candidates.rs
+++ b/crates/batch/src/plan/candidates.rs
@@ -13,8 +13,9 @@
 
 impl Scheduler {
     /// The usable workers, ordered by id.
-    pub(super) fn candidates(&self, now: Millis) -> Vec<Candidate> {
-        let mut candidates = Vec::new();
+    pub(super) fn candidates(&mut self, now: Millis) -> Vec<Candidate> {
+        let alarm = self.early_failures.alarm(now);
+        let mut candidates = Vec::with_capacity(self.workers.len());
         for (id, worker) in &self.workers {
             if !self.is_usable(worker, now) {
                 continue;
@@ -30,7 +31,7 @@
                 running: Vec::new(),
                 reserved_until: None,
                 urgent_only: false,
-                penalty: worker.penalty(),
+                penalty: worker.penalty(alarm),
                 has_serving: worker.serving > 0,
             });
         }
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -115,7 +115,14 @@
             available: &mut available,
             changes: &mut changes,
         };
-        let found = in_rack(&rack, index, room, step, limits, (count, most));
+        let found = in_rack(
+            (&rack, candidates),
+            index,
+            room,
+            step,
+            limits,
+            (count, most),
+        );
         while let Some((num, before)) = changes.pop() {
             available[num] = before;
         }
@@ -130,9 +137,9 @@
     sum
 }
 
-/// What placing one task on a worker takes: the work lost, the accelerators left free, and the
-/// victims.
-type Offer = (u64, u64, Vec<usize>);
+/// What placing one task on a worker takes: the worker's penalty, the work lost, the accelerators left
+/// free, and the victims.
+type Offer = (u32, u64, u64, Vec<usize>);
 
 /// Resources of all workers during a choice, and the earlier values of those that it has changed.
 struct Room<'a> {
@@ -149,7 +156,7 @@
 
 /// The choice for `count` tasks on these workers, if it loses less than `most`.
 fn in_rack(
-    among: &[usize],
+    (among, candidates): (&[usize], &[Candidate]),
     index: &VictimIndex,
     mut room: Room<'_>,
     step: &StepSpec,
@@ -161,7 +168,7 @@
     let offer = |available: &[Resources], taken: &[usize], num: usize| -> Option<Offer> {
         let (loss, chosen) = cheapest(&available[num], &need, index, taken, num)?;
         let left = available[num].saturating_sub(&need).accels;
-        Some((loss, left, chosen))
+        Some((candidates[num].penalty, loss, left, chosen))
     };
     let mut choice = Choice::default();
     let mut touched: Vec<usize> = Vec::new();
@@ -176,10 +183,12 @@
             .enumerate()
             .filter(|(at, _)| placed[*at] < per_worker);
         let open = open.filter_map(|(at, found)| Some((found.as_ref()?, at)));
-        let Some((_, at)) = open.min_by_key(|((loss, left, _), at)| (*loss, *left, *at)) else {
+        let Some((_, at)) =
+            open.min_by_key(|((penalty, loss, left, _), at)| (*penalty, *loss, *left, *at))
+        else {
             break;
         };
-        let Some((loss, _, chosen)) = offers[at].take() else {
+        let Some((_, loss, _, chosen)) = offers[at].take() else {
             break;
         };
         let num = among[at];
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -18,6 +18,7 @@
 use crate::bounds::Bounds;
 use crate::bounds::DerivedBounds;
 use crate::catalog::Catalog;
+use crate::health::EarlyFailures;
 use crate::job::Job;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
@@ -35,6 +36,7 @@
 mod requests;
 mod stall;
 mod throttle;
+mod time;
 mod upkeep;
 
 pub use requests::PendingWrite;
@@ -44,12 +46,6 @@
 pub use requests::StopRequest;
 pub use throttle::ThrottleRequest;
 
-/// Time after which a worker that is missing from the list can be removed.
-const MISSING_GRACE: Millis = Millis(2_000);
-
-/// Time between two checks of all open runs for expired leases and stalls.
-const CHECK_INTERVAL: Millis = Millis(50);
-
 /// An entry for the operators' log.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LogEntry {
@@ -90,6 +86,8 @@
     pub(crate) waves: Waves,
     /// Workers that get no new tasks because their upkeep is near.
     pub(crate) cordoned: Set<WorkerId>,
+    /// Recent early failures of runs.
+    pub(crate) early_failures: EarlyFailures,
     /// Recent arrivals of jobs of priority 0.
     pub(crate) urgent: UrgentArrivals,
     /// Time by which runs started under an earlier coordinator have ended on workers that never
@@ -120,6 +118,7 @@
             advice: Advice::default(),
             waves: Waves::default(),
             cordoned: Set::default(),
+            early_failures: EarlyFailures::default(),
             urgent: UrgentArrivals::default(),
             inherited_end: now + times.offline_renewal + with_clock_drift(times.worker_lease),
         }
@@ -365,61 +364,6 @@
         self.workers.get(id).map(|w| w.entry.domain.clone())
     }
 
-    /// Applies changes caused by the passing of time: occurrences that fall due, expired leases,
-    /// stalled runs, and workers that have been missing too long.
-    pub fn tick(&mut self, now: Millis, wall: Millis) {
-        let check_runs = now.since(self.checked_at) >= CHECK_INTERVAL;
-        if check_runs {
-            self.checked_at = now;
-        }
-        let live: Vec<JobId> = self.live.iter().cloned().collect();
-        for id in &live {
-            let Some(job) = self.jobs.get_mut(id) else {
-                continue;
-            };
-            if job.open_due(wall) {
-                self.dirty.insert(id.clone());
-            }
-            if !check_runs {
-                continue;
-            }
-            for task in job.open_tasks() {
-                self.close_if_lapsed(&task, now);
-                self.stop_if_stalled(&task, now);
-            }
-        }
-        let is_expired = |w: &Worker| {
-            let missing = w
-                .missing_since
-                .is_some_and(|at| now.since(at) > MISSING_GRACE);
-            missing && w.open.is_empty() && now.since(w.last_answer) > MISSING_GRACE
-        };
-        self.workers.retain(|_, w| !is_expired(w));
-    }
-
-    /// Closes a run if its worker's lease has expired without a report on it.
-    fn close_if_lapsed(&mut self, task: &TaskId, now: Millis) {
-        let Some(open) = self.open_run(task) else {
-            return;
-        };
-        if open.phase == RunPhase::Planned {
-            return;
-        }
-        let (run, worker) = (open.run, open.worker.clone());
-        let end = match self.workers.get(&worker) {
-            Some(worker) => worker.lease_end,
-            None => self.inherited_end,
-        };
-        if now <= end {
-            return;
-        }
-        self.log(
-            Some(&task.job),
-            format!("run {run} of {task} closed: the lease of {worker} has expired"),
-        );
-        self.close_run(task, now);
-    }
-
     pub(crate) fn open_run(&self, task: &TaskId) -> Option<&crate::job::OpenRun> {
         let job = self.jobs.get(&task.job)?;
         let step = job
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -173,7 +173,8 @@
                 note_failure(&mut task.failed, end.run);
             }
             task.avoid.push(id.clone());
-            self.attribute_failure(id, &end.task.job, now);
+            let age = started.map_or(Millis::MAX, |at| now.since(at));
+            self.attribute_failure(id, &end.task.job, age, now);
         }
         self.dirty.insert(end.task.job.clone());
         self.after_end(id, end, now);
@@ -181,7 +182,7 @@
 
     /// Attributes a failure to the worker, or to the job itself if it has failed on several
     /// workers. Otherwise a few jobs that can never succeed would get every worker paused.
-    fn attribute_failure(&mut self, id: &WorkerId, job_id: &JobId, now: Millis) {
+    fn attribute_failure(&mut self, id: &WorkerId, job_id: &JobId, age: Millis, now: Millis) {
         let Some(job) = self.jobs.get_mut(job_id) else {
             return;
         };
@@ -196,10 +197,14 @@
             }
             return;
         }
+        let alarming = self.early_failures.record(id, job_id, age, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
         let jobs = worker.add_failed_job(job_id);
+        if alarming {
+            worker.not_before = worker.not_before.max(now + FIRST_PAUSE);
+        }
         if jobs >= FAILURES_BEFORE_PAUSE {
             let doublings = (jobs - FAILURES_BEFORE_PAUSE).min(MAX_DOUBLINGS);
             worker.not_before = now + Millis(FIRST_PAUSE.0 << doublings);
--- /dev/null
+++ b/crates/batch/src/scheduler/time.rs
@@ -0,0 +1,89 @@
+//! Changes caused by the passing of time.
+
+use base::JobId;
+use base::Millis;
+
+use super::Scheduler;
+use crate::health::SURVIVED;
+use crate::job::RunPhase;
+use crate::spec::TaskId;
+use crate::worker::Worker;
+
+/// Time after which a worker that is missing from the list can be removed.
+const MISSING_GRACE: Millis = Millis(2_000);
+
+/// Time between two checks of all open runs for expired leases and stalls.
+const CHECK_INTERVAL: Millis = Millis(50);
+
+impl Scheduler {
+    /// Applies changes caused by the passing of time: occurrences that fall due, expired leases,
+    /// stalled runs, and workers that have been missing too long.
+    pub fn tick(&mut self, now: Millis, wall: Millis) {
+        let check_runs = now.since(self.checked_at) >= CHECK_INTERVAL;
+        if check_runs {
+            self.checked_at = now;
+        }
+        let live: Vec<JobId> = self.live.iter().cloned().collect();
+        for id in &live {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            if job.open_due(wall) {
+                self.dirty.insert(id.clone());
+            }
+            if !check_runs {
+                continue;
+            }
+            for task in job.open_tasks() {
+                self.close_if_lapsed(&task, now);
+                self.stop_if_stalled(&task, now);
+                self.note_survival(&task, now);
+            }
+        }
+        let is_expired = |w: &Worker| {
+            let missing = w
+                .missing_since
+                .is_some_and(|at| now.since(at) > MISSING_GRACE);
+            missing && w.open.is_empty() && now.since(w.last_answer) > MISSING_GRACE
+        };
+        self.workers.retain(|_, w| !is_expired(w));
+    }
+
+    /// Notes that a run that is active has survived its start on its worker.
+    fn note_survival(&mut self, task: &TaskId, now: Millis) {
+        let Some(open) = self.open_run(task) else {
+            return;
+        };
+        let started = open.seen_at.filter(|at| now.since(*at) >= SURVIVED);
+        let Some(started) = started.filter(|_| open.phase == RunPhase::Running) else {
+            return;
+        };
+        let worker = open.worker.clone();
+        if let Some(worker) = self.workers.get_mut(&worker) {
+            worker.proved_at = worker.proved_at.max(started);
+        }
+    }
+
+    /// Closes a run if its worker's lease has expired without a report on it.
+    fn close_if_lapsed(&mut self, task: &TaskId, now: Millis) {
+        let Some(open) = self.open_run(task) else {
+            return;
+        };
+        if open.phase == RunPhase::Planned {
+            return;
+        }
+        let (run, worker) = (open.run, open.worker.clone());
+        let end = match self.workers.get(&worker) {
+            Some(worker) => worker.lease_end,
+            None => self.inherited_end,
+        };
+        if now <= end {
+            return;
+        }
+        self.log(
+            Some(&task.job),
+            format!("run {run} of {task} closed: the lease of {worker} has expired"),
+        );
+        self.close_run(task, now);
+    }
+}
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -157,12 +157,20 @@
     pub stray_runs: Vec<(TaskId, RunNumber)>,
     /// Jobs of which a task has failed here since the last success, without duplicates.
     pub failed_jobs: Vec<JobId>,
+    /// Start of the latest run that is known to have survived its start.
+    pub proved_at: Millis,
     /// No task is placed here before this time.
     pub not_before: Millis,
     /// Processor share of the best-effort tasks on it.
     pub throttle: Throttle,
 }
 
+/// Penalty of a worker that has not proved itself since the alarm.
+pub const UNPROVED_PENALTY: u32 = 1;
+
+/// Penalty of a worker on which jobs have failed.
+pub const FAILED_PENALTY: u32 = 2;
+
 /// Number of jobs that must have failed in a row before other workers are preferred.
 const MIN_PENALTY_JOBS: usize = 1;
 
@@ -188,6 +196,7 @@
             open: Map::default(),
             stray_runs: Vec::new(),
             failed_jobs: Vec::new(),
+            proved_at: Millis::ZERO,
             not_before: Millis::ZERO,
             throttle: Throttle::default(),
         }
@@ -244,9 +253,12 @@
         })
     }
 
-    /// Penalty in the choice between workers; those with a lower one are preferred.
-    pub fn penalty(&self) -> u32 {
-        u32::from(self.failed_jobs.len() >= MIN_PENALTY_JOBS)
+    /// Penalty in the choice between workers; those with a lower one are preferred. `alarm` is the
+    /// time from which a worker must have proved itself, if there is one.
+    pub fn penalty(&self, alarm: Option<Millis>) -> u32 {
+        let unproved = alarm.is_some_and(|since| self.proved_at < since);
+        let failed = self.failed_jobs.len() >= MIN_PENALTY_JOBS;
+        u32::from(unproved) * UNPROVED_PENALTY + u32::from(failed) * FAILED_PENALTY
     }
 
     /// Records that a task of the job has failed here. Returns the number of jobs that have.
--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -42,6 +42,11 @@
 /// retries at another daemon, so one attempt must not use up the whole deadline.
 const STORE_DIVISOR: u64 = 5;
 
+/// A submission during an outage of the store waits for its end for the caller's deadline divided by
+/// this, and checks at this interval.
+const OUTAGE_DIVISOR: u64 = 2;
+const OUTAGE_CHECK_INTERVAL: Millis = Millis(25);
+
 /// Delay between two attempts at the store.
 const STORE_RETRY_DELAY: Millis = Millis(80);
 
@@ -145,6 +150,13 @@
             return found;
         }
     }
+    let mut until = until;
+    if store_down && call.relayed.is_none() && call.kind == CallKind::Submit {
+        // The other daemons do not reach the store either. A caller that is sent away would use its
+        // attempts up before the store is back.
+        wait_for_store(shared, started + Millis(wait.0 / OUTAGE_DIVISOR)).await;
+        until = shared.now() + Millis(wait.0 / STORE_DIVISOR);
+    }
     if catalog.version < shared.seen_version.get() {
         return CallAnswer::Unknown(retry_after(shared));
     }
@@ -179,6 +191,13 @@
     }
 }
 
+/// Waits until the store answers this daemon again, at most until `until`.
+async fn wait_for_store(shared: &Shared, until: Millis) {
+    while shared.store_outage() > Millis::ZERO && shared.now() < until {
+        shared.sleep(OUTAGE_CHECK_INTERVAL).await;
+    }
+}
+
 /// Time after which a caller is asked to retry while the store does not answer. It grows with the
 /// outage, since a long outage is likely to last and callers retry only a few times.
 fn retry_after(shared: &Shared) -> Millis {
--- a/crates/bronzetack/src/batch/delegates.rs
+++ b/crates/bronzetack/src/batch/delegates.rs
@@ -48,7 +48,10 @@
 const PING_TIMEOUT: Millis = Millis(400);
 
 /// Longest wait for links to delegates at a take-over, and the time between two looks at them.
-const LINK_WAIT: (Millis, Millis) = (Millis(700), Millis(20));
+const LINK_WAIT: (Millis, Millis) = (Millis(300), Millis(20));
+
+/// The wait ends once less than one delegate in this many is without a link.
+const MISSING_DIVISOR: usize = 6;
 
 /// Chooses delegates and checks them until the leadership ends.
 pub async fn run(shared: Rc<Shared>, lead: Rc<Leadership>) {
@@ -70,17 +73,21 @@
     usable.map(|d| d.vm.clone()).collect()
 }
 
-/// Chooses the first delegates of a leadership and waits a short time for their links.
-pub async fn prepare(shared: &Shared, lead: &Leadership) {
-    choose(shared, lead);
+/// Waits a short time for links to most of the delegates. Some may be on VMs that are gone but still
+/// listed.
+pub async fn wait_for_links(shared: &Shared, lead: &Leadership) {
     let until = shared.now() + LINK_WAIT.0;
-    while shared.assignment.borrow().missing() > 0 && shared.now() < until && !lead.ended.get() {
+    let missing = || {
+        let assignment = shared.assignment.borrow();
+        assignment.missing() * MISSING_DIVISOR > assignment.wanted().len()
+    };
+    while missing() && shared.now() < until && !lead.ended.get() {
         shared.sleep(LINK_WAIT.1).await;
     }
 }
 
 /// Chooses the delegates for the workers that are listed now.
-fn choose(shared: &Shared, lead: &Leadership) {
+pub fn choose(shared: &Shared, lead: &Leadership) {
     let links = shared.links.borrow();
     let Some(links) = links.as_ref() else { return };
     let mut workers: BTreeMap<DomainId, usize> = BTreeMap::new();
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::future::Future;
 use std::rc::Rc;
 
 use base::Epoch;
@@ -27,7 +28,8 @@
 use crate::batch::keeper::LeaseStatus;
 use crate::batch::keys;
 use crate::batch::poll;
-use crate::batch::restore::restore;
+use crate::batch::restore::read_records;
+use crate::batch::restore::read_workers;
 use crate::batch::restore::watch_prefix;
 use crate::batch::shared::Shared;
 use crate::batch::upkeep;
@@ -169,32 +171,46 @@
     }
 }
 
-/// Restores the state from the store, starts the tasks of the leadership, and plans until it ends.
-async fn coordinate(shared: Rc<Shared>, lead: Rc<Leadership>) {
-    let revisions = loop {
-        if lead.ended.get() {
-            return;
-        }
-        match restore(&shared, &lead).await {
-            Ok(revisions) => break revisions,
+/// Repeats a read of the store until it succeeds; `None` if the leadership ends before.
+async fn until_done<F, R>(shared: &Shared, lead: &Leadership, read: F) -> Option<Revision>
+where
+    F: Fn() -> R,
+    R: Future<Output = Result<Revision, StoreError>>,
+{
+    while !lead.ended.get() {
+        match read().await {
+            Ok(revision) => return Some(revision),
             Err(error) => shared.record_store_result(Err(&error)),
         }
         shared.sleep(RETRY_DELAY).await;
+    }
+    None
+}
+
+/// Restores the state from the store, starts the tasks of the leadership, and plans until it ends.
+async fn coordinate(shared: Rc<Shared>, lead: Rc<Leadership>) {
+    let Some(workers) = until_done(&shared, &lead, || read_workers(&shared, &lead)).await else {
+        return;
+    };
+    // The links to the delegates come up while the records are read.
+    delegates::choose(&shared, &lead);
+    let Some(requests) = until_done(&shared, &lead, || read_records(&shared, &lead)).await else {
+        return;
     };
     documents::update_scheduler(&shared);
-    delegates::prepare(&shared, &lead).await;
+    delegates::wait_for_links(&shared, &lead).await;
     actix_rt::spawn(delegates::run(shared.clone(), lead.clone()));
     actix_rt::spawn(watch_prefix(
         shared.clone(),
         lead.clone(),
         keys::REQUESTS,
-        revisions.0,
+        requests,
     ));
     actix_rt::spawn(watch_prefix(
         shared.clone(),
         lead.clone(),
         WORKER_PREFIX,
-        revisions.1,
+        workers,
     ));
     actix_rt::spawn(advice::run(shared.clone(), lead.clone()));
     actix_rt::spawn(poll::run(shared.clone(), lead.clone()));
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -28,15 +28,26 @@
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Millis = Millis(150);
 
-/// Reads all records. Returns the revisions from which to watch callers' requests and workers.
-pub async fn restore(
-    shared: &Shared,
-    lead: &Leadership,
-) -> Result<(Revision, Revision), StoreError> {
+/// Reads the workers' entries. Returns the revision from which to watch them.
+pub async fn read_workers(shared: &Shared, lead: &Leadership) -> Result<Revision, StoreError> {
     let workers = shared.store.list(WORKER_PREFIX).await?;
-    let runs = shared.store.list(keys::RUNS).await?;
-    let requests = shared.store.list(keys::REQUESTS).await?;
-    let waves = upkeep::read_records(shared, lead).await?;
+    let now = shared.now();
+    let mut scheduler = lead.scheduler.borrow_mut();
+    for item in &workers.items {
+        let value = item.value.as_deref();
+        apply_worker(shared, &mut scheduler, &item.key, value, now);
+    }
+    Ok(workers.revision)
+}
+
+/// Reads all other records, after the workers' entries, so that each run is assigned to its worker
+/// as it is read. Returns the revision from which to watch callers' requests.
+pub async fn read_records(shared: &Shared, lead: &Leadership) -> Result<Revision, StoreError> {
+    let (runs, requests, waves) = tokio::try_join!(
+        shared.store.list(keys::RUNS),
+        shared.store.list(keys::REQUESTS),
+        upkeep::read_records(shared, lead),
+    )?;
     let now = shared.now();
     let mut scheduler = lead.scheduler.borrow_mut();
     for (number, record) in waves {
@@ -69,16 +80,7 @@
             scheduler.cancel(&id, now);
         }
     }
-    for item in &workers.items {
-        apply_worker(
-            shared,
-            &mut scheduler,
-            &item.key,
-            item.value.as_deref(),
-            now,
-        );
-    }
-    Ok((requests.revision, workers.revision))
+    Ok(requests.revision)
 }
 
 fn apply_job(
