--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -131,19 +131,22 @@
             candidate.releasing -= rest;
             pass.free[num] = candidate.free;
         }
+        // One line for all runs that are stopped for the job: thousands are in a burst.
+        let mut stopped = Vec::new();
         for victim in choice.victims {
             index.take(victim);
             for task in &tasks[victim] {
                 self.stop_run(task);
+                stopped.push(task.to_string());
             }
-            if let Some(task) = tasks[victim].first() {
-                let num = tasks[victim].len();
-                let text = format!(
-                    "stopping {num} runs, one of {task}, for urgent job {}",
-                    at.job
-                );
-                self.log(Some(&task.job), text);
-            }
+        }
+        if !stopped.is_empty() {
+            let num = stopped.len();
+            let text = format!(
+                "stopping {num} runs for this urgent job: {}",
+                stopped.join(" ")
+            );
+            self.log(Some(&at.job), text);
         }
         true
     }
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -1,11 +1,15 @@
 //! Changes caused by the passing of time.
 
+use std::collections::BTreeMap;
+
 use base::JobId;
 use base::Millis;
+use base::WorkerId;
 
 use super::Scheduler;
 use crate::health::SURVIVED;
 use crate::job::RunPhase;
+use crate::spec::RunNumber;
 use crate::spec::TaskId;
 use crate::worker::Worker;
 
@@ -23,6 +27,7 @@
         if check_runs {
             self.checked_at = now;
         }
+        let mut lapsed: BTreeMap<WorkerId, Vec<String>> = BTreeMap::new();
         let live: Vec<JobId> = self.live.iter().cloned().collect();
         for id in &live {
             let Some(job) = self.jobs.get_mut(id) else {
@@ -35,11 +40,19 @@
                 continue;
             }
             for task in job.open_tasks() {
-                self.close_if_lapsed(&task, now);
+                if let Some((run, worker)) = self.close_if_lapsed(&task, now) {
+                    let runs = lapsed.entry(worker).or_default();
+                    runs.push(format!("{task} run {run}"));
+                }
                 self.stop_if_stalled(&task, now);
                 self.note_survival(&task, now);
             }
         }
+        for (worker, runs) in lapsed {
+            let (num, list) = (runs.len(), runs.join(", "));
+            let text = format!("the lease of {worker} has expired; closed {num} runs: {list}");
+            self.log(None, text);
+        }
         let is_expired = |w: &Worker| {
             let missing = w
                 .missing_since
@@ -64,13 +77,12 @@
         }
     }
 
-    /// Closes a run if its worker's lease has expired without a report on it.
-    fn close_if_lapsed(&mut self, task: &TaskId, now: Millis) {
-        let Some(open) = self.open_run(task) else {
-            return;
-        };
+    /// Closes a run if its worker's lease has expired without a report on it. Returns the run that
+    /// it has closed, and its worker.
+    fn close_if_lapsed(&mut self, task: &TaskId, now: Millis) -> Option<(RunNumber, WorkerId)> {
+        let open = self.open_run(task)?;
         if open.phase == RunPhase::Planned {
-            return;
+            return None;
         }
         let (run, worker) = (open.run, open.worker.clone());
         let end = match self.workers.get(&worker) {
@@ -78,12 +90,9 @@
             None => self.inherited_end,
         };
         if now <= end {
-            return;
+            return None;
         }
-        self.log(
-            Some(&task.job),
-            format!("run {run} of {task} closed: the lease of {worker} has expired"),
-        );
         self.close_run(task, now);
+        Some((run, worker))
     }
 }
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -54,6 +54,9 @@
     pub ready: SocketAddr,
     /// Listens for operators, who read metrics here.
     pub operators: SocketAddr,
+    /// Listens for links of other daemons; `None` on sites whose coordinator calls all workers
+    /// itself.
+    pub links: Option<SocketAddr>,
     /// Connects to the store.
     pub store: SocketAddr,
     /// Connects to the adviser.
@@ -316,15 +319,32 @@
         callers,
         ready,
         operators,
+        links,
         store,
         adviser,
         machines,
     } = addresses;
     let domain = number % 2;
+    let links = links.map_or_else(String::new, |links| {
+        // One VM in three is strong, so that hand-overs to it are part of the run.
+        let cores = if number % 3 == 0 { "0.5" } else { "0.12" };
+        format!(
+            r#""resources": {{ "cores": "{cores}" }},
+  "delegates": {{ "min-workers": "1", "workers-each": "2" }},
+  "addresses": {{ "callers": "{callers}", "ready": "{ready}", "operators": "{operators}",
+    "links": "{links}" }},"#
+        )
+    });
+    let listens = match links.is_empty() {
+        true => format!(
+            r#""addresses": {{ "callers": "{callers}", "ready": "{ready}", "operators": "{operators}" }},"#
+        ),
+        false => links,
+    };
     format!(
         r#"{{
   "vm": "e{number}", "domain": "d{domain}",
-  "addresses": {{ "callers": "{callers}", "ready": "{ready}", "operators": "{operators}" }},
+  {listens}
   "store": {{ "address": "{store}" }}, "adviser": "{adviser}",
   "machines": {{ "address": "{machines}", "orders": "60", "reads": "60" }},
   "bounds": {{
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -45,6 +45,11 @@
 /// Offset of the port that was tried last.
 static LAST_PORT: Mutex<u32> = Mutex::new(0);
 
+/// Whether the daemons of a site with this seed call workers through delegates.
+fn uses_delegates(seed: u64) -> bool {
+    seed % 2 == 0
+}
+
 /// A worker, which keeps its id over restarts.
 pub struct WorkerHandle {
     /// The fake worker.
@@ -158,6 +163,7 @@
             callers: free_address(),
             ready: free_address(),
             operators: free_address(),
+            links: uses_delegates(self.plan.seed).then(free_address),
             store: store_relay.addr(),
             adviser: self.adviser.address(),
             machines: self.machines.address(),
