--- a/crates/batch/src/rate_limit.rs
+++ b/crates/batch/src/rate_limit.rs
@@ -3,35 +3,44 @@
 //! Load pattern: callers without a valid key send more submissions than the store can record, and
 //! the store refuses the submissions of all other callers too.
 
+use std::collections::VecDeque;
+
 use base::Millis;
 
-/// A limit on events per second, counted in whole seconds of the clock.
-#[derive(Clone, Copy, Debug)]
+/// Span in which the limit holds.
+const SPAN: Millis = Millis(1_000);
+
+/// A limit on events in any span of a second.
+#[derive(Clone, Debug)]
 pub struct RateLimit {
-    limit: u32,
-    current_second: u64,
-    used: u32,
+    limit: usize,
+    /// Times of the latest allowed events, at most `limit` of them.
+    allowed: VecDeque<Millis>,
 }
 
 impl RateLimit {
     /// Allows `limit` events per second.
-    pub fn new(limit: u32) -> RateLimit {
+    pub fn new(limit: usize) -> RateLimit {
         RateLimit {
             limit,
-            current_second: 0,
-            used: 0,
+            allowed: VecDeque::new(),
         }
     }
 
-    /// Counts one event, if the limit for this second is not used up. Returns whether it was
-    /// allowed.
+    /// Counts one event, if fewer than the limit were allowed in the last second. Returns whether it
+    /// was allowed.
     pub fn allow(&mut self, now: Millis) -> bool {
-        let current_second = now.0 / 1_000;
-        if current_second != self.current_second {
-            (self.current_second, self.used) = (current_second, 0);
+        while self
+            .allowed
+            .front()
+            .is_some_and(|at| now.since(*at) >= SPAN)
+        {
+            self.allowed.pop_front();
+        }
+        let allowed = self.allowed.len() < self.limit;
+        if allowed {
+            self.allowed.push_back(now);
         }
-        let allowed = self.used < self.limit;
-        self.used += u32::from(allowed);
         allowed
     }
 }
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -207,7 +207,8 @@
         }
         if jobs >= FAILURES_BEFORE_PAUSE {
             let doublings = (jobs - FAILURES_BEFORE_PAUSE).min(MAX_DOUBLINGS);
-            worker.not_before = now + Millis(FIRST_PAUSE.0 << doublings);
+            let until = now + Millis(FIRST_PAUSE.0 << doublings);
+            worker.not_before = worker.not_before.max(until);
         }
     }
 
--- a/crates/batch/tests/decisions.rs
+++ b/crates/batch/tests/decisions.rs
@@ -395,6 +395,20 @@
     assert_eq!(taken.count(), 3 * 20);
 }
 
+/// Failure: the limit was counted in whole seconds of the clock, so twice as many passed around the
+/// end of a second.
+#[test]
+fn the_rate_limit_holds_in_every_span_of_a_second() {
+    let mut limit = RateLimit::new(20);
+    let taken: Vec<u64> = (10_900..12_500)
+        .filter(|at| limit.allow(Millis(*at)))
+        .collect();
+    for from in 10_900..11_500 {
+        let within = taken.iter().filter(|at| (from..from + 1_000).contains(*at));
+        assert!(within.count() <= 20, "from {from}");
+    }
+}
+
 /// Guards against a large urgent gang missing its time limit: small urgent gangs with a shorter
 /// objective kept taking the resources that were being freed for it.
 #[test]
--- a/crates/bronzetack/src/batch/documents.rs
+++ b/crates/bronzetack/src/batch/documents.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use base::Millis;
+use base::Set;
 use obs::Event;
 use platform::decode_entry;
 use platform::Change;
@@ -101,14 +102,18 @@
 }
 
 fn apply_listing(shared: &Rc<Shared>, listing: Listing, sent: Millis) {
-    let listed = |number: &u64| {
-        let key = format!("/{number}");
-        listing.items.iter().any(|item| item.key.ends_with(&key))
-    };
+    let numbers = listing
+        .items
+        .iter()
+        .filter_map(|item| match decode_entry(&item.key, None) {
+            StoreEntry::Wave(number, _) => Some(number),
+            _ => None,
+        });
+    let listed: Set<u64> = numbers.collect();
     {
         let mut documents = shared.documents.borrow_mut();
         documents.excluded.clear();
-        documents.waves.retain(|number, _| listed(number));
+        documents.waves.retain(|number, _| listed.contains(number));
     }
     for item in listing.items {
         apply_change(shared, &Change::Put(item));
--- a/crates/bronzetack/src/batch/load.rs
+++ b/crates/bronzetack/src/batch/load.rs
@@ -58,12 +58,14 @@
     let now = shared.now();
     let cached = shared.load.borrow();
     let age = now.since(cached.1);
-    if age > LOAD_MAX_AGE && shared.store_outage() == Millis::ZERO {
+    let outdated = age > LOAD_MAX_AGE && shared.store_outage() == Millis::ZERO;
+    if outdated && !shared.reading_load.replace(true) {
         let shared = shared.clone();
         actix_rt::spawn(async move {
             if let Err(error) = read(&shared).await {
                 shared.record_store_result(Err(&error));
             }
+            shared.reading_load.set(false);
         });
     }
     let daemons = shared.peers.borrow().len() as u64 + 1;
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -57,7 +57,7 @@
 /// Largest number of refusals a second that a daemon records for calls that the configuration
 /// rejects. It is well above the rate of callers whose key or queue was just withdrawn, and well
 /// below the rate that the store takes from all daemons.
-const REFUSALS_PER_SECOND: u32 = 20;
+const REFUSALS_PER_SECOND: usize = 20;
 
 /// The operators' documents as last read from the store.
 #[derive(Default)]
@@ -146,6 +146,8 @@
     pub ready: Ready,
     /// The published load as last read, and the time of the read.
     pub load: RefCell<(Load, Millis)>,
+    /// Whether the published load is being read in the background.
+    pub reading_load: Cell<bool>,
     /// Capacity promised to callers that were asked to retry later.
     pub promised: RefCell<PromisedCapacity>,
     /// Rate limit on refusals recorded for calls that the configuration rejects.
@@ -239,6 +241,7 @@
             seen_version: Cell::new(0),
             ready: Ready::default(),
             load: RefCell::default(),
+            reading_load: Cell::new(false),
             promised: RefCell::default(),
             refusal_limit: RefCell::new(RateLimit::new(REFUSALS_PER_SECOND)),
             metrics,
