Repeat a start that a worker does not answer, under the same run number

Change: a start is repeated once, after 200 ms and for 400 ms more, by whoever calls the worker; a refusal after a lost answer counts as not known, since the first call may still be carried out. A stop without an answer is repeated after 250 ms instead of 500, an accepted one after a second.

--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -19,8 +19,9 @@
 /// Age from which a planned start is cancelled, because the state that it was based on is outdated.
 const MAX_PLAN_AGE: Millis = Millis(1_500);
 
-/// Time after which a stop request without effect is repeated.
-const STOP_REPEAT_AFTER: Millis = Millis(500);
+/// Time after which a stop request without effect is repeated: one that was accepted, and one without
+/// an answer.
+const STOP_REPEAT_AFTER: (Millis, Millis) = (Millis(1_000), Millis(250));
 
 /// Pause before a step is retried after a start was refused or not answered.
 const STEP_PAUSE: Millis = Millis(100);
@@ -375,9 +376,14 @@
             let Some(open) = open.filter(|o| o.phase == RunPhase::Stopping) else {
                 continue;
             };
+            // A stop that the worker has accepted takes some time; one without an answer may be lost.
+            let repeat_after = match open.absent_after {
+                Some(_) => STOP_REPEAT_AFTER.0,
+                None => STOP_REPEAT_AFTER.1,
+            };
             let is_due = open
                 .stop_sent
-                .is_none_or(|at| now.since(at) >= STOP_REPEAT_AFTER);
+                .is_none_or(|at| now.since(at) >= repeat_after);
             let Some(worker) = self.workers.get(&open.worker).filter(|_| is_due) else {
                 continue;
             };
--- a/crates/bronzetack/src/batch/carrier.rs
+++ b/crates/bronzetack/src/batch/carrier.rs
@@ -6,6 +6,7 @@
 use base::VmId;
 use batch::StartResponse;
 use bytes::Bytes;
+use delegate::start_with_retry;
 use delegate::Call;
 use delegate::Envelope;
 use delegate::Response;
@@ -166,7 +167,10 @@
             Ok(PollResponse::Report(report)) => Response::Report(report),
             Err(error) => failed(error),
         },
-        Call::Start(request) => Response::Started(shared.workers.start(&request).await),
+        Call::Start(request) => {
+            let attempt = |timeout| shared.workers.start(&request, timeout);
+            Response::Started(start_with_retry(attempt).await)
+        }
         Call::Stop(request) => {
             let stopped = shared.workers.stop(&request).await;
             stopped.map_or_else(failed, Response::Stopped)
--- a/crates/bronzetack/src/batch/delegates.rs
+++ b/crates/bronzetack/src/batch/delegates.rs
@@ -15,11 +15,13 @@
 use batch::ThrottleRequest;
 use batch::REQUEST_TIMEOUT;
 use bytes::Bytes;
+use delegate::start_with_retry;
 use delegate::Call;
 use delegate::Delegate;
 use delegate::Envelope;
 use delegate::Response;
 use delegate::Route;
+use delegate::START_TIMEOUT;
 use link::CallError as LinkCallError;
 use link::Topic;
 use obs::Event;
@@ -127,8 +129,8 @@
 /// Starts a run. Without a valid response the result is `Unknown`: the run may have started.
 pub async fn start(shared: &Shared, lead: &Leadership, request: &StartRequest) -> StartResponse {
     let call = || Call::Start(Box::new(request.clone()));
-    match carry(shared, lead, &request.worker, call, REQUEST_TIMEOUT).await {
-        Ok(None) => shared.workers.start(request).await,
+    match carry(shared, lead, &request.worker, call, START_TIMEOUT).await {
+        Ok(None) => start_with_retry(|timeout| shared.workers.start(request, timeout)).await,
         Ok(Some(Response::Started(response))) => response,
         Ok(Some(_)) => StartResponse::Unknown(UNEXPECTED.to_string()),
         Err(why) => StartResponse::Unknown(why),
--- a/crates/delegate/src/lib.rs
+++ b/crates/delegate/src/lib.rs
@@ -14,6 +14,7 @@
 mod age;
 mod assignment;
 mod message;
+mod retry;
 
 pub use age::AgeFilter;
 pub use age::MAX_AGE;
@@ -25,3 +26,5 @@
 pub use message::Envelope;
 pub use message::MessageError;
 pub use message::Response;
+pub use retry::start_with_retry;
+pub use retry::START_TIMEOUT;
