--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -122,7 +122,11 @@
 }
 
 async fn start(shared: Rc<Shared>, lead: Rc<Leadership>, request: StartRequest) {
-    let response = delegates::start(&shared, &lead, &request).await;
+    // By its own clock the daemon may no longer hold the lock, so another may be coordinator.
+    let response = match shared.now() <= lead.lease_status.valid_until() {
+        true => delegates::start(&shared, &lead, &request).await,
+        false => StartResponse::Refused("the lock may have expired".to_string()),
+    };
     let outcome = match &response {
         StartResponse::Accepted(_) => "accepted",
         StartResponse::Fenced => "fenced",
