Let no hopeless gang keep others from preemption

Cause, found by reading: a pass gave up preemption after twelve attempts that found no choice. Gangs within a guarantee come first, so twelve that can never be helped, such as those whose label no worker has, would have kept all later ones from starting within their bound.

Change: an attempt is left out only if one that needed no more and might have cost as much found no choice. Also, the freshness of a watch counts from the read before it, not from its own start.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -150,6 +150,12 @@
         self.tasks.iter().any(|t| t.open.is_some())
     }
 
+    /// Number of failed runs of the gang, or the most of any task.
+    pub fn failures(&self) -> usize {
+        let most = self.tasks.iter().map(|t| t.failed.len()).max();
+        self.failed.len().max(most.unwrap_or_default())
+    }
+
     /// The highest run number of any task.
     pub fn last_run(&self) -> RunNumber {
         let runs = self.tasks.iter().map(|t| t.run);
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -47,10 +47,6 @@
 /// Most gangs that resources are reserved for at a time.
 const MAX_RESERVED_GANGS: usize = 2;
 
-/// Most attempts at preemption in one pass that find no choice. Those that follow need a similar
-/// amount and would find none either, and each looks at all workers.
-const MAX_FUTILE: usize = 12;
-
 /// Time that a gang waits before resources are reserved for it.
 const RESERVE_AFTER: Millis = Millis(500);
 
@@ -212,40 +208,19 @@
             allowed: allowed.as_ref(),
         };
         let pool_workers = pass.pools.get(&pool).map_or(&[][..], Vec::as_slice);
-        let among = match spec.gang {
-            true => eligible_among(
-                pool_workers,
-                &pass.candidates,
-                &spec,
-                &Limits {
-                    avoid: &missing
-                        .iter()
-                        .flat_map(|(_, a)| a.clone())
-                        .collect::<Vec<_>>(),
-                    on_worker: &on_worker,
-                    ..limits
-                },
-            ),
-            false => eligible_among(
-                pool_workers,
-                &pass.candidates,
-                &spec,
-                &Limits {
-                    on_worker: &on_worker,
-                    ..limits
-                },
-            ),
+        // A gang avoids the workers of all its failed tasks; other tasks avoid their own below.
+        let gang_avoid: Vec<WorkerId> = match spec.gang {
+            true => missing.iter().flat_map(|(_, a)| a.clone()).collect(),
+            false => Vec::new(),
         };
+        let step_limits = Limits {
+            avoid: &gang_avoid,
+            on_worker: &on_worker,
+            ..limits
+        };
+        let among = eligible_among(pool_workers, &pass.candidates, &spec, &step_limits);
         // A job that has failed goes to proven workers only, for a while.
-        let failures = state.failed.len();
-        let failures = failures.max(
-            state
-                .tasks
-                .iter()
-                .map(|t| t.failed.len())
-                .max()
-                .unwrap_or(0),
-        );
+        let failures = state.failures();
         let careful = waits_for_proof(failures, job.submitted.attempts, waited);
         let among: Vec<usize> = match careful {
             true => among
@@ -324,8 +299,9 @@
             return;
         }
         let avoid: Vec<WorkerId> = missing.iter().flat_map(|(_, a)| a.clone()).collect();
-        if plain && avoid.is_empty() && !futile {
-            pass.failures.push(attempt);
+        let plain = plain && avoid.is_empty();
+        if plain && !futile {
+            pass.failures.push(attempt.clone());
         }
         let limits = Limits {
             avoid: &avoid,
@@ -340,13 +316,23 @@
             self.advice
                 .enqueue(&step_id, rule, &pass.candidates, (&spec, &limits), unplaced);
         }
-        if urgent && at.rank.may_preempt() && pass.futile < MAX_FUTILE {
+        if urgent && at.rank.may_preempt() {
             let worth = preempt::work(&spec.need, limits.duration) * unplaced as u64;
             let most = self.max_loss(waited, at.guaranteed, worth);
-            if self.preempt_for(pass, at, &among, (&spec, &limits), unplaced, most) {
+            // A gang that needs as much as one that could not be helped, and may cost no more, cannot
+            // be helped either.
+            let known = plain && spec.gang;
+            let hopeless = known
+                && pass
+                    .unaffordable
+                    .iter()
+                    .any(|(f, m)| f.covers(&attempt) && most <= *m);
+            if !hopeless && self.preempt_for(pass, at, &among, (&spec, &limits), unplaced, most) {
                 return;
             }
-            pass.futile += 1;
+            if known && !hopeless {
+                pass.unaffordable.push((attempt, most));
+            }
         }
         let starved = waited >= RESERVE_AFTER && !at.rank.is_expired();
         if spec.gang && starved && pass.reserved < MAX_RESERVED_GANGS {
--- a/crates/batch/src/plan/pass.rs
+++ b/crates/batch/src/plan/pass.rs
@@ -11,6 +11,7 @@
 
 /// A placement that failed in a pass. Until the next pass nothing becomes free, so whatever needs at
 /// least as much under the same constraints fails too.
+#[derive(Clone, Debug)]
 pub(super) struct Failure {
     pub(super) pool: ServiceId,
     pub(super) need: Resources,
@@ -44,8 +45,9 @@
     pub(super) reserved: usize,
     /// Runs that could be stopped, and the tasks of each; `None` until they are needed.
     pub(super) victims: Option<(VictimIndex, Vec<Vec<TaskId>>)>,
-    /// Attempts at preemption that found no choice.
-    pub(super) futile: usize,
+    /// Gangs for which preemption found no choice, and the most work that might have been lost for
+    /// each.
+    pub(super) unaffordable: Vec<(Failure, u64)>,
     pub(super) now: Millis,
 }
 
@@ -68,7 +70,7 @@
             failures: Vec::new(),
             reserved: 0,
             victims: None,
-            futile: 0,
+            unaffordable: Vec::new(),
             now,
         }
     }
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -236,9 +236,7 @@
         let Some(step) = job.step_mut(task) else {
             return;
         };
-        let failures = step.tasks.iter().map(|t| t.failed.len()).max();
-        let most = step.failed.len().max(failures.unwrap_or_default());
-        let spent = most >= attempts as usize;
+        let spent = step.failures() >= attempts as usize;
         if spent && !lasting && !step.is_done() && !job.phase.is_final() {
             self.end_job(id, JobPhase::Failed, now);
         }
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -112,7 +112,6 @@
     prefix: &'static str,
     mut after: Revision,
 ) {
-    lead.confirm(prefix, shared.now());
     while !lead.ended.get() {
         let sent = shared.now();
         match shared
