Hand ends that were seen and not recorded on to the next coordinator

The coordinator had seen these ends, could not record them, and lost the lock. Its successor waited 15 s for the leases of workers that were gone and ran the tasks again, and the next steps of their jobs waited for that (LOST).

Change: a coordinator that has lost the lock stores the ends that it has not recorded under a lease of a minute, without the lock, as they are facts. The next one finds them at its take-over or by its watch on the callers' requests and applies them to the runs that it has inherited. Event 607 counts them.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -54,6 +54,7 @@
 pub use scheduler::PendingWrite;
 pub use scheduler::PollRequest;
 pub use scheduler::Scheduler;
+pub use scheduler::SeenEnd;
 pub use scheduler::StartRequest;
 pub use scheduler::StartResponse;
 pub use scheduler::StopRequest;
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -41,6 +41,7 @@
 
 pub use requests::PendingWrite;
 pub use requests::PollRequest;
+pub use requests::SeenEnd;
 pub use requests::StartRequest;
 pub use requests::StartResponse;
 pub use requests::StopRequest;
@@ -67,6 +68,8 @@
     /// Jobs that have not ended, or of which a run may still be active.
     pub(crate) live: BTreeSet<JobId>,
     pub(crate) workers: Map<WorkerId, Worker>,
+    /// Ends of runs whose effect is not stored yet.
+    pub(crate) unstored: Vec<SeenEnd>,
     /// Tasks whose open run is being stopped.
     pub(crate) stopping: BTreeSet<TaskId>,
     /// When open runs were last checked for expired leases and stalls.
@@ -108,6 +111,7 @@
             jobs: Map::default(),
             live: BTreeSet::new(),
             workers: Map::default(),
+            unstored: Vec::new(),
             stopping: BTreeSet::new(),
             checked_at: Millis::ZERO,
             dirty: BTreeSet::new(),
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -6,6 +6,7 @@
 use base::WorkerId;
 
 use super::Scheduler;
+use super::SeenEnd;
 use crate::bounds::with_clock_drift;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
@@ -122,8 +123,25 @@
             return;
         }
         worker.reported_end = end.number;
-        if end.kind == EndKind::Done {
-            worker.failed_jobs.clear();
+        self.unstored.push(SeenEnd {
+            worker: id.clone(),
+            end: end.clone(),
+        });
+        self.apply_effect(id, end, now);
+    }
+
+    /// Applies ends that an earlier coordinator has seen and could not record.
+    pub fn apply_seen(&mut self, seen: &[SeenEnd], now: Millis) {
+        for SeenEnd { worker, end } in seen {
+            self.apply_effect(worker, end, now);
+        }
+    }
+
+    fn apply_effect(&mut self, id: &WorkerId, end: &EndedRun, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            if end.kind == EndKind::Done {
+                worker.failed_jobs.clear();
+            }
         }
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
             return;
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -6,6 +6,8 @@
 use base::JobId;
 use base::Millis;
 use base::WorkerId;
+use serde::Deserialize;
+use serde::Serialize;
 
 use super::Scheduler;
 use crate::bounds::with_clock_drift;
@@ -14,6 +16,7 @@
 use crate::record::Progress;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
+use crate::worker::EndedRun;
 use crate::worker::WorkerState;
 
 /// Age from which a planned start is cancelled, because the state that it was based on is outdated.
@@ -86,6 +89,15 @@
     pub epoch: Epoch,
 }
 
+/// An end of a run that a worker has listed.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct SeenEnd {
+    /// Id of the worker.
+    pub worker: WorkerId,
+    /// The end.
+    pub end: EndedRun,
+}
+
 /// Records to store, and the start requests that may be sent once they are.
 #[derive(Clone, Debug, Default)]
 pub struct PendingWrite {
@@ -93,6 +105,7 @@
     pub records: Vec<(JobId, Progress)>,
     starts: Vec<StartRequest>,
     ends: Vec<(WorkerId, u64, u64)>,
+    seen: Vec<SeenEnd>,
 }
 
 impl PendingWrite {
@@ -138,6 +151,7 @@
             records,
             starts: std::mem::take(&mut self.planned),
             ends,
+            seen: std::mem::take(&mut self.unstored),
         }
     }
 
@@ -146,6 +160,12 @@
         self.dirty
             .extend(pending.records.into_iter().map(|(id, _)| id));
         self.planned.splice(0..0, pending.starts);
+        self.unstored.splice(0..0, pending.seen);
+    }
+
+    /// Takes the ends whose effect is not stored, for the next coordinator.
+    pub fn take_unstored(&mut self) -> Vec<SeenEnd> {
+        std::mem::take(&mut self.unstored)
     }
 
     /// Processes a successful write. Returns the start requests that may now be sent.
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -9,6 +9,8 @@
 use base::Millis;
 use base::ServiceId;
 use base::WorkerId;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::bounds::with_clock_drift;
 use crate::bounds::REQUEST_TIMEOUT;
@@ -58,7 +60,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum EndKind {
     /// The other members of its gang did not start in time.
     Alone,
@@ -91,7 +93,7 @@
 }
 
 /// A run that has ended on a worker.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EndedRun {
     /// Sequence number of the end within the worker's incarnation.
     pub number: u64,
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -24,6 +24,7 @@
 mod dispatch;
 mod documents;
 mod election;
+mod ends;
 mod keeper;
 mod keys;
 mod leadership;
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -75,15 +75,19 @@
             continue;
         }
         let done = commit::store(&shared, &lead, &pending).await;
-        if lead.ended.get() {
-            return;
-        }
         if !done {
+            // Also when the leadership has ended: what is not recorded is handed on.
             lead.scheduler.borrow_mut().requeue(pending);
+            if lead.ended.get() {
+                return;
+            }
             shared.sleep(RETRY_DELAY).await;
             lead.wake.notify_one();
             continue;
         }
+        if lead.ended.get() {
+            return;
+        }
         let starts = lead
             .scheduler
             .borrow_mut()
--- a/crates/bronzetack/src/batch/keys.rs
+++ b/crates/bronzetack/src/batch/keys.rs
@@ -11,7 +11,8 @@
 /// Prefix of what daemons publish about themselves, one key for each daemon.
 pub const PEERS: &str = "bronzetack/daemons/";
 
-/// Prefix of callers' requests: submissions and cancellations.
+/// Prefix of callers' requests: submissions and cancellations. Ends that a former coordinator hands
+/// on are there, too.
 pub const REQUESTS: &str = "bronzetack/asked/";
 
 /// Prefix of the coordinator's records of jobs.
@@ -22,12 +23,15 @@
 
 const JOB: &str = "/job";
 const CANCEL: &str = "/cancel";
+const ENDS: &str = "/ends";
 
 /// A key under [`REQUESTS`], parsed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RequestKey {
     /// Key of the cancellation of this job.
     Cancel(JobId),
+    /// Key of the ends that a former coordinator has seen and not recorded.
+    Ends,
     /// Key of the submission of this job, or of its refusal.
     Job(JobId),
 }
@@ -47,12 +51,21 @@
     format!("{RUNS}{id}")
 }
 
+/// Key of the ends that a coordinator of this instance has seen and not recorded. It is under
+/// [`REQUESTS`], so that the next coordinator's watch on that prefix shows it.
+pub fn ends(instance: &str) -> String {
+    format!("{REQUESTS}{instance}{ENDS}")
+}
+
 /// Parses a key under [`REQUESTS`]; `None` if it is of another form.
 pub fn parse_request(key: &str) -> Option<RequestKey> {
     let rest = key.strip_prefix(REQUESTS)?;
     if let Some(id) = rest.strip_suffix(JOB) {
         return Some(RequestKey::Job(id.parse().ok()?));
     }
+    if rest.ends_with(ENDS) {
+        return Some(RequestKey::Ends);
+    }
     let id = rest.strip_suffix(CANCEL)?;
     Some(RequestKey::Cancel(id.parse().ok()?))
 }
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -24,6 +24,7 @@
 use crate::batch::delegates;
 use crate::batch::dispatch;
 use crate::batch::documents;
+use crate::batch::ends;
 use crate::batch::keeper::LeaseKeeper;
 use crate::batch::keeper::LeaseStatus;
 use crate::batch::keys;
@@ -222,5 +223,6 @@
         Event::TakeoverDone,
         &[("epoch", &lead.scheduler.borrow().epoch())],
     );
-    dispatch::run(shared, lead).await;
+    dispatch::run(shared.clone(), lead.clone()).await;
+    ends::hand_on(&shared, &lead).await;
 }
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -11,6 +11,7 @@
 use batch::JobRecord;
 use batch::Progress;
 use batch::Scheduler;
+use batch::SeenEnd;
 use obs::Event;
 use platform::decode_entry;
 use platform::Change;
@@ -76,8 +77,10 @@
         apply_job(shared, &mut scheduler, &item, &mut records, now);
     }
     for item in cancels {
-        if let Some(RequestKey::Cancel(id)) = keys::parse_request(&item.key) {
-            scheduler.cancel(&id, now);
+        match keys::parse_request(&item.key) {
+            Some(RequestKey::Cancel(id)) => scheduler.cancel(&id, now),
+            Some(RequestKey::Ends) => apply_ends(shared, &mut scheduler, &item, now),
+            Some(RequestKey::Job(_)) | None => {}
         }
     }
     Ok(requests.revision)
@@ -203,12 +206,24 @@
                 apply_job(shared, scheduler, &item, &mut Map::default(), now);
             }
             Some(RequestKey::Cancel(id)) => scheduler.cancel(&id, now),
+            Some(RequestKey::Ends) => apply_ends(shared, scheduler, &item, now),
             None => apply_worker(shared, scheduler, &item.key, item.value.as_deref(), now),
         },
         Change::Removed { key, .. } => apply_worker(shared, scheduler, &key, None, now),
     }
 }
 
+/// Applies the ends that a former coordinator has seen and could not record.
+fn apply_ends(shared: &Shared, scheduler: &mut Scheduler, item: &Item, now: Millis) {
+    let seen: Option<Result<Vec<SeenEnd>, _>> = item.value.as_deref().map(ciborium::from_reader);
+    match seen {
+        Some(Ok(seen)) => scheduler.apply_seen(&seen, now),
+        Some(Err(_)) | None => {
+            obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]);
+        }
+    }
+}
+
 fn apply_worker(
     shared: &Shared,
     scheduler: &mut Scheduler,
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -87,6 +87,7 @@
     WorkerSilent = 604, Warn, "worker does not answer the coordinator";
     HandoverBegun = 605, Info, "coordinator hands over to another daemon";
     DelegateSuspended = 606, Warn, "delegate does not answer the coordinator in time";
+    EndsHandedOn = 607, Info, "ends of runs handed on to the next coordinator";
     GangStarted = 610, Info, "gang is running";
     GangAborted = 611, Warn, "gang start aborted; all tasks released";
     GangEnded = 612, Info, "gang ended";
