--- a/crates/bronzetack/src/batch/ends.rs
+++ b/crates/bronzetack/src/batch/ends.rs
@@ -19,6 +19,10 @@
 /// Length of the lease to which the ends are bound. The next coordinator reads them within seconds.
 const ENDS_LEASE: Millis = Millis(60_000);
 
+/// Most ends under one key. An end takes about a hundred bytes, and the store takes values of up to a
+/// megabyte.
+const ENDS_PER_KEY: usize = 4_000;
+
 /// Time for which storing the ends is tried, and the delay between two attempts.
 const STORE_TIME: Millis = Millis(20_000);
 const RETRY_DELAY: Millis = Millis(200);
@@ -30,31 +34,29 @@
         return;
     }
     let until = shared.now() + STORE_TIME;
-    while shared.now() < until {
-        match store(shared, &seen).await {
-            Ok(()) => {
-                let fields: &[(&'static str, &dyn std::fmt::Display)] = &[("ends", &seen.len())];
-                obs::record(&shared.log, Event::EndsHandedOn, fields);
+    for (num, part) in seen.chunks(ENDS_PER_KEY).enumerate() {
+        while let Err(error) = store(shared, num, part).await {
+            shared.record_store_result(Err(&error));
+            if shared.now() >= until {
+                let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                    &[("ends", &part.len()), ("error", &error)];
+                obs::record(&shared.log, Event::StoreSlow, fields);
                 return;
             }
-            Err(error) => shared.record_store_result(Err(&error)),
+            shared.sleep(RETRY_DELAY).await;
         }
-        shared.sleep(RETRY_DELAY).await;
     }
-    let fields: &[(&'static str, &dyn std::fmt::Display)] = &[
-        ("ends", &seen.len()),
-        ("error", &"the store did not answer in time"),
-    ];
-    obs::record(&shared.log, Event::StoreSlow, fields);
+    let fields: &[(&'static str, &dyn std::fmt::Display)] = &[("ends", &seen.len())];
+    obs::record(&shared.log, Event::EndsHandedOn, fields);
 }
 
-async fn store(shared: &Shared, seen: &[SeenEnd]) -> Result<(), StoreError> {
+async fn store(shared: &Shared, num: usize, seen: &[SeenEnd]) -> Result<(), StoreError> {
     let mut value = Vec::new();
     ciborium::into_writer(seen, &mut value).map_err(|e| StoreError::Protocol(e.to_string()))?;
     let lease = shared.store.grant_lease(ENDS_LEASE).await?;
     let txn = Txn {
         puts: vec![Put {
-            key: keys::ends(&shared.instance),
+            key: keys::ends(&shared.instance, num),
             value,
             lease,
         }],
--- a/crates/bronzetack/src/batch/keys.rs
+++ b/crates/bronzetack/src/batch/keys.rs
@@ -51,10 +51,10 @@
     format!("{RUNS}{id}")
 }
 
-/// Key of the ends that a coordinator of this instance has seen and not recorded. It is under
+/// Key of a part of the ends that a coordinator of this instance has seen and not recorded. It is under
 /// [`REQUESTS`], so that the next coordinator's watch on that prefix shows it.
-pub fn ends(instance: &str) -> String {
-    format!("{REQUESTS}{instance}{ENDS}")
+pub fn ends(instance: &str, part: usize) -> String {
+    format!("{REQUESTS}{instance}/{part}{ENDS}")
 }
 
 /// Parses a key under [`REQUESTS`]; `None` if it is of another form.
