--- a/crates/batch/tests/kit/mod.rs
+++ b/crates/batch/tests/kit/mod.rs
@@ -56,7 +56,7 @@
     "pool".parse().expect("a service id")
 }
 
-/// Queues of the priorities 0 to 2, one pool, and one organisation with a guarantee.
+/// Queues of the priorities 0 to 2, one pool, and two organisations with a guarantee.
 pub fn catalog() -> Catalog {
     Catalog::new(
         1,
@@ -65,15 +65,19 @@
             name: pool(),
             checks_capacity: false,
         }],
-        vec![Org {
-            name: "board".parse().expect("an organisation"),
-            keys: vec!["key".to_string()],
-            guarantee: 16,
-        }],
+        ["board", "clinic"].map(org).to_vec(),
         CatalogLimits { body: 1 << 18 },
     )
 }
 
+fn org(name: &str) -> Org {
+    Org {
+        name: name.parse().expect("an organisation"),
+        keys: vec![format!("key-{name}")],
+        guarantee: 16,
+    }
+}
+
 /// A step of `count` tasks with `accels` accelerators each and an estimate of `lasts`.
 pub fn step(count: u32, accels: u64, lasts: Millis) -> StepSpec {
     StepSpec {
@@ -90,11 +94,16 @@
 
 /// A job of these steps, accepted at `at` on the queue of this priority.
 pub fn job(priority: u32, steps: Vec<StepSpec>, at: Millis) -> Submitted {
+    job_of("board", priority, steps, at)
+}
+
+/// As [`job`], of this organisation.
+pub fn job_of(org: &str, priority: u32, steps: Vec<StepSpec>, at: Millis) -> Submitted {
     let work = Submission {
         spec: "spec".to_string(),
         steps,
         schedule: None,
     };
-    let org = "board".parse().expect("an organisation");
+    let org = org.parse().expect("an organisation");
     Submitted::new(&queue(priority), Some(org), at, work)
 }
