--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -29,6 +29,7 @@
 mod keys;
 mod leadership;
 mod load;
+mod local;
 mod peers;
 mod poll;
 mod restore;
