Decide calls only by a configuration that is known to be current

Seen by callers: a job accepted by a revoked key and 404 for a new route, by a VM that had not read a change acknowledged more than config-apply before.

Cause: a daemon decided by whatever configuration it held. Readiness went, but that only keeps new connections away, and a store that answers other calls made the daemon take itself for up to date.

Change: a call is decided only if the read that confirmed the configuration was sent at most config-apply before the call came. A change that it does not include was then not yet due. Else the call goes to another daemon, one with a faster link first, or waits shortly for a newer read, or is answered as unknown with a time to come back. Readiness follows the same bound. A watch waits 0.3 of the bound, as the state is up to twice as old as its wait.

--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -43,8 +43,8 @@
     pub shared_wait: Millis,
     /// Time for which changes of workers' entries are gathered between two watch calls.
     pub gather_time: Millis,
-    /// Longest wait of one watch call to the store. Together with the call's time-out, the watched
-    /// state is at most twice as old.
+    /// Longest wait of one watch call to the store. What a watch returns is known to be current as of
+    /// when it was sent, so until the next one returns, the state is up to twice as old.
     pub watch_wait: Millis,
 }
 
@@ -66,6 +66,13 @@
 /// Most watch calls on the workers' entries within one heartbeat, the period of their writes.
 const WATCHES_PER_HEARTBEAT: u64 = 6;
 
+/// Wait of a watch in percent of [`Bounds::config_apply`]. Within that time there is room for two
+/// watches and for one that gets no answer.
+const WATCH_PERCENT: u64 = 30;
+
+/// Longest wait of a watch.
+const MAX_WATCH_WAIT: Millis = Millis(1_000);
+
 /// Polls within [`Bounds::harm`]: enough to halve the share of best-effort tasks until they are
 /// suspended.
 const SHARED_POLLS: u64 = 16;
@@ -81,7 +88,7 @@
             poll_wait: MAX_POLL_WAIT.min(Millis(self.max_hold.0 / 4)),
             shared_wait: Millis(self.harm.0 / SHARED_POLLS).min(MAX_POLL_WAIT),
             gather_time: Millis(self.heartbeat.0 / WATCHES_PER_HEARTBEAT),
-            watch_wait: Millis(self.config_apply.0 / 2).min(Millis(1_000)),
+            watch_wait: Millis(self.config_apply.0 * WATCH_PERCENT / 100).min(MAX_WATCH_WAIT),
         }
     }
 }
--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -14,10 +14,12 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot::Sender;
 
+use crate::batch::documents;
 use crate::batch::local::answer_locally;
 use crate::batch::local::reject;
 use crate::batch::local::retry_after;
 use crate::batch::local::RETRY_AFTER;
+use crate::batch::peers::Peer;
 use crate::batch::shared::Shared;
 
 /// Deadline of a call that does not carry one.
@@ -54,17 +56,8 @@
 
 async fn serve(shared: Rc<Shared>, call: Call, reply: Sender<Reply>) {
     let started = shared.now();
-    let catalog = shared.documents.borrow().catalog.clone();
-    let version = catalog.as_ref().map_or(0, |c| c.version);
     let age = started.since(shared.documents.borrow().confirmed);
-    let answer = match &catalog {
-        Some(catalog) => answer(&shared, catalog, &call).await,
-        None => {
-            let until =
-                started + Millis(call.deadline.unwrap_or(DEFAULT_DEADLINE).0 / STORE_DIVISOR);
-            reject(&shared, &call, CallAnswer::Refused(RETRY_AFTER), until).await
-        }
-    };
+    let (answer, version) = answer(&shared, &call).await;
     let (name, detail) = describe(&answer);
     let kind = match call.kind {
         CallKind::Cancel => "cancel",
@@ -115,37 +108,56 @@
 }
 
 /// Answers a call from the store, or relays it to another daemon while the store does not answer
-/// this one or this daemon's configuration is outdated.
-async fn answer(shared: &Rc<Shared>, catalog: &Catalog, call: &Call) -> CallAnswer {
+/// this one or its configuration may be outdated. Returns the answer and the version of the
+/// configuration that decided it.
+async fn answer(shared: &Rc<Shared>, call: &Call) -> (CallAnswer, u64) {
     let wait = call.deadline.unwrap_or(DEFAULT_DEADLINE);
     let started = shared.now();
     let until = started + Millis(wait.0 / STORE_DIVISOR);
     let answer_by = started + wait.since(Millis(wait.0 / MARGIN_DIVISOR));
+    let held = shared
+        .documents
+        .borrow()
+        .catalog
+        .as_ref()
+        .map(|c| c.version);
+    let Some(held) = held else {
+        let refused = CallAnswer::Refused(RETRY_AFTER);
+        return (reject(shared, call, refused, until).await, 0);
+    };
+    // A caller has had an answer by this version, from this daemon or the relaying one.
+    let least = || shared.seen_version.get().max(call.relayed.unwrap_or(0));
     let store_down = shared.store_outage() > Millis::ZERO;
-    // A caller has had an answer by a later configuration, from this daemon or the relaying one.
-    let outdated = catalog.version < shared.seen_version.get().max(call.relayed.unwrap_or(0));
-    if call.relayed.is_some() && (store_down || outdated) {
-        return CallAnswer::Unknown(retry_after(shared));
-    }
-    if store_down || outdated {
-        if let Some(found) = relay(shared, catalog, call, answer_by).await {
-            return found;
-        }
-    }
+    let mut catalog = documents::current_catalog(shared, started, least());
     let mut until = until;
-    if store_down && call.relayed.is_none() && call.kind == CallKind::Submit {
-        // The other daemons do not reach the store either. A caller that is sent away would use its
-        // attempts up before the store is back.
-        wait_for_store(shared, started + Millis(wait.0 / OUTAGE_DIVISOR)).await;
+    if store_down || catalog.is_none() {
+        if call.relayed.is_some() {
+            return (CallAnswer::Unknown(retry_after(shared)), held);
+        }
+        if let Some(found) = relay(shared, held, call, answer_by).await {
+            return (found, held);
+        }
+        // The other daemons do not know more. A caller that is sent away would use its attempts up
+        // before the store is back.
+        let patience = match call.kind {
+            CallKind::Submit => OUTAGE_DIVISOR,
+            CallKind::Cancel | CallKind::Query => STORE_DIVISOR,
+        };
+        let submits = call.kind == CallKind::Submit;
+        let end = started + Millis(wait.0 / patience);
+        catalog = wait_until_current(shared, submits, started, end, least).await;
         until = shared.now() + Millis(wait.0 / STORE_DIVISOR);
     }
-    if catalog.version < shared.seen_version.get() {
-        return CallAnswer::Unknown(retry_after(shared));
-    }
-    shared.seen_version.set(catalog.version);
+    let Some(catalog) = catalog else {
+        return (CallAnswer::Unknown(retry_after(shared)), held);
+    };
+    let version = catalog.version;
+    shared
+        .seen_version
+        .set(version.max(shared.seen_version.get()));
     let left = answer_by.since(shared.now()).duration();
     let local = async {
-        let found = answer_locally(shared, catalog, call, until).await;
+        let found = answer_locally(shared, &catalog, call, until).await;
         match found {
             CallAnswer::Forbidden | CallAnswer::NoQueue | CallAnswer::TooLarge => {
                 reject(shared, call, found, until).await
@@ -156,26 +168,41 @@
     let local = actix_rt::time::timeout(left, local).await;
     let local = local.unwrap_or_else(|_| CallAnswer::Unknown(retry_after(shared)));
     if store_down || call.relayed.is_some() || !matches!(local, CallAnswer::Unknown(_)) {
-        return local;
+        return (local, version);
     }
-    match relay(shared, catalog, call, answer_by).await {
+    match relay(shared, version, call, answer_by).await {
         // The write sent to the store may still take effect, so only a success is conclusive.
         Some(CallAnswer::Relayed {
             status,
             after,
             body,
-        }) if status < 300 => CallAnswer::Relayed {
-            status,
-            after,
-            body,
-        },
-        Some(_) | None => local,
+        }) if status < 300 => {
+            let relayed = CallAnswer::Relayed {
+                status,
+                after,
+                body,
+            };
+            (relayed, version)
+        }
+        Some(_) | None => (local, version),
     }
 }
 
-/// Waits until the store answers this daemon again, at most until `until`.
-async fn wait_for_store(shared: &Shared, until: Millis) {
-    while shared.store_outage() > Millis::ZERO && shared.now() < until {
+/// Waits, at most until `end`, for a configuration by which a call received at `started` may be
+/// decided, and for the store to answer this daemon if `store` is set.
+async fn wait_until_current(
+    shared: &Shared,
+    store: bool,
+    started: Millis,
+    end: Millis,
+    least: impl Fn() -> u64,
+) -> Option<Rc<Catalog>> {
+    loop {
+        let found = documents::current_catalog(shared, started, least());
+        let reached = !store || shared.store_outage() == Millis::ZERO;
+        if found.is_some() && reached || shared.now() >= end {
+            return found;
+        }
         shared.sleep(OUTAGE_CHECK_INTERVAL).await;
     }
 }
@@ -183,19 +210,23 @@
 /// Relays a call. Returns `None` if no other daemon gave a definite answer.
 async fn relay(
     shared: &Shared,
-    catalog: &Catalog,
+    version: u64,
     call: &Call,
     answer_by: Millis,
 ) -> Option<CallAnswer> {
-    let version = catalog.version.max(shared.seen_version.get());
-    let mut peers: Vec<SocketAddr> = shared.peers.borrow().iter().map(|p| p.callers).collect();
+    let version = version.max(shared.seen_version.get());
+    let (mut faster, mut others) = peers_by_bandwidth(shared);
     for _ in 0..RELAY_ATTEMPTS {
         let left = answer_by.since(shared.now());
-        if peers.is_empty() || left < RELAY_TIME_MIN {
+        let group = match faster.is_empty() {
+            true => &mut others,
+            false => &mut faster,
+        };
+        if group.is_empty() || left < RELAY_TIME_MIN {
             return None;
         }
-        let index = shared.random_up_to(Millis(peers.len() as u64 - 1)).0 as usize;
-        let peer = peers.swap_remove(index);
+        let index = shared.random_up_to(Millis(group.len() as u64 - 1)).0 as usize;
+        let peer = group.swap_remove(index);
         match shared
             .relay
             .forward(peer, call, version, RELAY_TIMEOUT.min(left))
@@ -223,3 +254,14 @@
     }
     None
 }
+
+/// Addresses of the other daemons: those with a faster link than this one, which are the first to
+/// have read a large document, and the others.
+fn peers_by_bandwidth(shared: &Shared) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let own = shared.capacity.bandwidth;
+    let peers = shared.peers.borrow();
+    let (faster, others): (Vec<&Peer>, Vec<&Peer>) =
+        peers.iter().partition(|p| p.capacity.bandwidth > own);
+    let addresses = |peers: Vec<&Peer>| peers.iter().map(|p| p.callers).collect();
+    (addresses(faster), addresses(others))
+}
--- a/crates/bronzetack/src/batch/documents.rs
+++ b/crates/bronzetack/src/batch/documents.rs
@@ -5,6 +5,7 @@
 
 use base::Millis;
 use base::Set;
+use batch::Catalog;
 use obs::Event;
 use platform::decode_entry;
 use platform::Change;
@@ -14,7 +15,6 @@
 use platform::OPERATOR_PREFIX;
 
 use crate::batch::shared::Shared;
-use crate::batch::shared::STORE_TIMEOUT;
 
 /// Delay after a failed call, and the largest random delay added to it.
 const RETRY_DELAY: Millis = Millis(150);
@@ -81,12 +81,22 @@
     }
 }
 
+/// The configuration by which a call received at `at` may be decided, if it is at least `version`.
+/// A change that is not in it was made after the last confirmation, so that callers do not rely on it
+/// before `config_apply` has passed.
+pub fn current_catalog(shared: &Shared, at: Millis, version: u64) -> Option<Rc<Catalog>> {
+    let documents = shared.documents.borrow();
+    let current = at.since(documents.confirmed) <= shared.bounds.config_apply;
+    let catalog = documents.catalog.as_ref()?;
+    (current && catalog.version >= version).then(|| catalog.clone())
+}
+
 /// Updates readiness: the daemon is ready while it has a current configuration and the store
 /// answers.
 fn update_ready(shared: &Shared) {
     let documents = shared.documents.borrow();
     let age = shared.now().since(documents.confirmed);
-    let current = age <= shared.times.watch_wait + STORE_TIMEOUT + STORE_TIMEOUT;
+    let current = age <= shared.bounds.config_apply;
     let store_up = shared.store_outage() <= OUTAGE_TOLERANCE;
     let ready = documents.catalog.is_some() && current && store_up;
     if ready != shared.ready.is_ready() && !shared.stopping.get() {
