List the operators' documents when the changes to them are large

Cause: a watch returns each version that was written since its revision. On a link that takes a second for one, those written during a transfer make the next one longer, so a daemon that has fallen behind stays behind while changes go on.

Evidence: the_last_of_many_large_configurations_is_applied_soon failed, also with transfers that are not cut short.

Change: a response of a watch on the documents that is larger than 256 KiB is not read; the documents are listed, which returns the last version only. The newest version is then in force within two transfers, whatever was written.

--- a/crates/bronzetack/src/batch/documents.rs
+++ b/crates/bronzetack/src/batch/documents.rs
@@ -26,6 +26,10 @@
 /// Wait of a watch call during an outage of the store; short, so that its end is seen soon.
 const OUTAGE_WATCH_WAIT: Millis = Millis(50);
 
+/// Largest response of a watch that is read. What changed is listed instead if it is larger: over a
+/// slow link, every version that was written during a transfer would make the next one longer.
+const MAX_WATCH_BYTES: usize = 256 << 10;
+
 /// Reads and watches the documents until the process ends.
 pub async fn run(shared: Rc<Shared>) {
     loop {
@@ -36,7 +40,9 @@
                 let revision = listing.revision;
                 apply_listing(&shared, listing, sent);
                 update_ready(&shared);
-                watch(&shared, revision).await;
+                if watch(&shared, revision).await == WatchEnd::TooLarge {
+                    continue;
+                }
             }
             Err(error) => shared.record_store_result(Err(&error)),
         }
@@ -47,8 +53,17 @@
     }
 }
 
-/// Watches for changes after `after` until the store has compacted the history that is needed.
-async fn watch(shared: &Rc<Shared>, mut after: base::Revision) {
+/// Why the documents are listed again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WatchEnd {
+    /// The store has compacted the history that is needed.
+    Compacted,
+    /// The changes are larger than what they have led to.
+    TooLarge,
+}
+
+/// Watches for changes after `after` until the documents have to be listed again.
+async fn watch(shared: &Rc<Shared>, mut after: base::Revision) -> WatchEnd {
     loop {
         let sent = shared.now();
         let wait = match shared.store_outage() > Millis::ZERO {
@@ -57,7 +72,7 @@
         };
         let watched = shared
             .caller_store
-            .watch(OPERATOR_PREFIX, after, wait)
+            .watch_within(OPERATOR_PREFIX, after, wait, MAX_WATCH_BYTES)
             .await;
         match watched {
             Ok(watched) => {
@@ -69,7 +84,8 @@
                 shared.documents.borrow_mut().confirmed = sent;
                 update_ready(shared);
             }
-            Err(StoreError::Compacted) => return,
+            Err(StoreError::Compacted) => return WatchEnd::Compacted,
+            Err(StoreError::TooLarge) => return WatchEnd::TooLarge,
             Err(error) => {
                 shared.record_store_result(Err(&error));
                 update_ready(shared);
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -300,11 +300,15 @@
                 StoreError::NotSent(_) => "not-sent",
                 StoreError::Unknown(_) => "no-answer",
                 StoreError::Compacted => "history",
+                StoreError::TooLarge => "too-large",
                 StoreError::Protocol(_) => "protocol",
             };
             self.store_errors.add(&[("kind", kind)], 1);
         }
-        let up = result.is_ok() || matches!(result, Err(StoreError::Compacted));
+        let up = matches!(
+            result,
+            Ok(()) | Err(StoreError::Compacted | StoreError::TooLarge)
+        );
         if up == self.outage_start.get().is_none() {
             return;
         }
