Count the time of a guaranteed job from its acceptance

Seen by callers: an urgent job inside its guarantee may begin later than reclaim after its acceptance.

Cause: the wait after which any work may be stopped for a guaranteed job was counted from when the coordinator first found that it could start, and again from zero after each start that was broken off. What passed before, such as a new coordinator's take-over or a watch that was answered late, was not counted.

Evidence: a_guaranteed_job_that_is_read_late_starts_in_time, with a job that is read 1.8 s after its acceptance, had no task running after 2.9 s.

Change: for a step that has not begun, the time counts from the acceptance, or from when the job was found, whichever is longer ago. Steps after the first and those that have failed wait as before.

--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -182,6 +182,7 @@
         };
         let allowed = rule.map(|_| self.allowed(&step_id, now));
         let waited = now.since(state.ready_at.unwrap_or(now));
+        let pressing = self.is_pressing(at, &spec, state, waited);
         let missing = state
             .tasks
             .iter()
@@ -323,7 +324,7 @@
         }
         if urgent && at.rank.may_preempt() {
             let worth = preempt::work(&spec.need, limits.duration) * unplaced as u64;
-            let most = self.max_loss(waited, at.guaranteed, worth);
+            let most = self.max_loss(at, pressing, worth);
             // A gang that needs as much as one that could not be helped, and may cost no more, cannot
             // be helped either.
             let known = plain && spec.gang;
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -7,6 +7,7 @@
 use crate::job::Job;
 use crate::job::OpenRun;
 use crate::job::RunPhase;
+use crate::job::StepState;
 use crate::job::TaskState;
 use crate::place::Candidate;
 use crate::place::Limits;
@@ -102,16 +103,34 @@
     }
 
     /// Most work, in core-milliseconds, that may be lost to start a waiting step of priority 0.
-    pub(super) fn max_loss(&self, waited: Millis, guaranteed: bool, worth: u64) -> u64 {
+    pub(super) fn max_loss(&self, at: &WaitingStep, pressing: bool, worth: u64) -> u64 {
+        match at.guaranteed {
+            true if pressing => u64::MAX,
+            true => worth * 2,
+            false => worth,
+        }
+    }
+
+    /// Whether a guarantee covers a step and half of the time is over in which what is in its way can
+    /// still be stopped. The time of a job that has not begun counts from its acceptance, however late
+    /// it was read and however often its start was broken off.
+    pub(super) fn is_pressing(
+        &self,
+        at: &WaitingStep,
+        spec: &StepSpec,
+        state: &StepState,
+        waited: Millis,
+    ) -> bool {
         let last = self
             .bounds
             .reclaim
             .since(self.bounds.stop_grace + TURNAROUND);
-        match waited {
-            _ if guaranteed && waited >= Millis(last.0 / 2) => u64::MAX,
-            _ if guaranteed => worth * 2,
-            _ => worth,
-        }
+        let first = spec.after.is_empty() && state.failures() == 0;
+        let waited = match first {
+            true => waited.max(at.age),
+            false => waited,
+        };
+        at.guaranteed && waited >= Millis(last.0 / 2)
     }
 
     /// Preempts work of lower priority for the tasks of a step, and reserves the freed resources
