Stop urgent work beyond the guarantees for a job inside one

Seen by callers: an urgent job inside its guarantee begins later than reclaim after its acceptance.

Cause: only work of lower priority could be stopped. In a burst, urgent jobs of one organisation fill the site beyond its guarantee; a job of another one that claims its own then waits until enough of them have ended, which takes up to the length of their tasks.

Evidence: a_guaranteed_job_displaces_urgent_work_beyond_the_guarantees_in_time had no task running after 2.9 s, with urgent work of 20 s in the way.

Change: runs of priority 0 that no guarantee covers count as victims for a guaranteed step once it is pressing, and only where nothing else makes room: their loss is weighted above any other. What a guarantee covers is never stopped, so two guarantees cannot displace each other.

--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -62,6 +62,8 @@
     pub duration: Millis,
     /// Whether resources reserved for urgent jobs may be used.
     pub urgent: bool,
+    /// Whether urgent work that no guarantee covers may be stopped.
+    pub displaces_urgent: bool,
     /// The only workers allowed; `None` allows all.
     pub allowed: Option<&'a Set<WorkerId>>,
 }
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -67,7 +67,8 @@
     pub fn plan(&mut self, now: Millis, wall: Millis) {
         let live = &self.live;
         self.advice.begin_pass(|job| live.contains(job));
-        let mut waiting = self.waiting_steps(now, wall);
+        let guaranteed = self.guaranteed();
+        let mut waiting = self.waiting_steps(&guaranteed, now, wall);
         let upcoming = self.upcoming_steps(now);
         if waiting.is_empty() && upcoming.is_empty() {
             return;
@@ -75,7 +76,7 @@
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.job.cmp(&b.job)));
         let mut candidates = self.candidates(now);
         reserve::reserve_urgent(&mut candidates, self.urgent.accels(now));
-        let mut pass = Pass::new(candidates, now);
+        let mut pass = Pass::new(candidates, guaranteed, now);
         for at in waiting {
             self.plan_step(&mut pass, &at);
         }
@@ -113,8 +114,12 @@
     }
 
     /// Steps of which tasks could start now.
-    fn waiting_steps(&mut self, now: Millis, wall: Millis) -> Vec<WaitingStep> {
-        let guaranteed = self.guaranteed();
+    fn waiting_steps(
+        &mut self,
+        guaranteed: &Set<JobId>,
+        now: Millis,
+        wall: Millis,
+    ) -> Vec<WaitingStep> {
         let mut out = Vec::new();
         for id in &self.live {
             let Some(job) = self.jobs.get_mut(id) else {
@@ -211,6 +216,7 @@
             duration: self.expected(job, at.step),
             // A checkpointing task loses almost nothing when an urgent one preempts it.
             urgent: urgent || spec.checkpoints,
+            displaces_urgent: pressing,
             allowed: allowed.as_ref(),
         };
         let pool_workers = pass.pools.get(&pool).map_or(&[][..], Vec::as_slice);
--- a/crates/batch/src/plan/pass.rs
+++ b/crates/batch/src/plan/pass.rs
@@ -1,8 +1,10 @@
 //! State of one planning pass.
 
+use base::JobId;
 use base::Map;
 use base::Millis;
 use base::ServiceId;
+use base::Set;
 
 use crate::place::Candidate;
 use crate::preempt::VictimIndex;
@@ -43,6 +45,8 @@
     /// Free resources that may be used, by the index in `candidates`.
     pub(super) free: Vec<Resources>,
     pub(super) reserved: usize,
+    /// Jobs of priority 0 that a guarantee covers.
+    pub(super) guaranteed: Set<JobId>,
     /// Runs that could be stopped, and the tasks of each; `None` until they are needed.
     pub(super) victims: Option<(VictimIndex, Vec<Vec<TaskId>>)>,
     /// Gangs for which preemption found no choice, and the most work that might have been lost for
@@ -53,7 +57,7 @@
 
 impl Pass {
     /// Begins a pass over these workers.
-    pub(super) fn new(candidates: Vec<Candidate>, now: Millis) -> Pass {
+    pub(super) fn new(candidates: Vec<Candidate>, guaranteed: Set<JobId>, now: Millis) -> Pass {
         let mut pools: Map<ServiceId, Vec<usize>> = Map::default();
         for (num, candidate) in candidates.iter().enumerate() {
             match pools.get_mut(&candidate.pool) {
@@ -69,6 +73,7 @@
             pools,
             failures: Vec::new(),
             reserved: 0,
+            guaranteed,
             victims: None,
             unaffordable: Vec::new(),
             now,
--- a/crates/batch/src/plan/prefetch.rs
+++ b/crates/batch/src/plan/prefetch.rs
@@ -111,6 +111,7 @@
             rack: None,
             duration: spec.estimate,
             urgent: job.submitted.priority == 0,
+            displaces_urgent: false,
             allowed: Some(&allowed),
         };
         let count = spec.count as usize;
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -1,7 +1,9 @@
 //! Runs that could be preempted for urgent jobs.
 
+use base::JobId;
 use base::Map;
 use base::Millis;
+use base::Set;
 use base::WorkerId;
 
 use crate::job::Job;
@@ -37,11 +39,12 @@
 const TURNAROUND: Millis = Millis(700);
 
 impl Scheduler {
-    /// Runs of lower priority on the workers, each with the work that stopping it would lose, and
-    /// the tasks of each. All members of a gang form one victim.
+    /// Runs on the workers that no guarantee covers, each with the work that stopping it would lose,
+    /// and the tasks of each. All members of a gang form one victim.
     pub(super) fn victims(
         &self,
         candidates: &[Candidate],
+        guaranteed: &Set<JobId>,
         now: Millis,
     ) -> (Vec<Victim>, Vec<Vec<TaskId>>) {
         let index_of: Map<&WorkerId, usize> = candidates
@@ -55,7 +58,7 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            if job.submitted.priority == 0 || job.phase.is_final() {
+            if guaranteed.contains(id) || job.phase.is_final() {
                 continue;
             }
             for task in job.open_tasks() {
@@ -95,6 +98,7 @@
                     workers: vec![at],
                     need: spec.occupies(),
                     loss,
+                    urgent: job.submitted.priority == 0,
                 });
                 tasks.push(vec![task]);
             }
@@ -145,7 +149,7 @@
         most: u64,
     ) -> Preemption {
         let (index, tasks) = pass.victims.get_or_insert_with(|| {
-            let (victims, tasks) = self.victims(&pass.candidates, pass.now);
+            let (victims, tasks) = self.victims(&pass.candidates, &pass.guaranteed, pass.now);
             (VictimIndex::new(victims, pass.candidates.len()), tasks)
         });
         let found = preempt::choose_among(among, &pass.candidates, index, spec, limits, count);
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -3,6 +3,10 @@
 //! Load pattern: the site is full of long work when a burst of short urgent jobs arrives. Stopped
 //! work loses its progress since its last checkpoint. So as little as possible is stopped, and
 //! nothing that loses more than the urgent work is worth, unless a guarantee requires it.
+//!
+//! Load pattern of guarantees: a burst of urgent jobs of one organisation fills the site beyond its
+//! guarantee, and another one then claims its own. Urgent work that no guarantee covers is stopped for
+//! it, but only where nothing else makes room.
 
 use base::Millis;
 
@@ -25,6 +29,21 @@
     pub need: Resources,
     /// Work that would be lost, in core-milliseconds.
     pub loss: u64,
+    /// Whether it is of the highest priority.
+    pub urgent: bool,
+}
+
+/// Added to the loss of an urgent victim, so that it is more than that of any others.
+const URGENT_LOSS: u64 = 1 << 48;
+
+impl Victim {
+    /// Loss by which victims are compared, in core-milliseconds.
+    fn weighted_loss(&self) -> u64 {
+        match self.urgent {
+            true => self.loss.saturating_add(URGENT_LOSS),
+            false => self.loss,
+        }
+    }
 }
 
 /// A set of victims, and the placement that stopping them makes possible.
@@ -64,7 +83,10 @@
             }
         }
         for list in &mut by_worker {
-            list.sort_by_key(|&v| (victims[v].loss / victims[v].need.accels.max(1), v));
+            list.sort_by_key(|&v| {
+                let victim = &victims[v];
+                (victim.urgent, victim.loss / victim.need.accels.max(1), v)
+            });
             list.dedup();
         }
         VictimIndex {
@@ -166,7 +188,8 @@
     let need = step.occupies();
     let per_worker = step.per_worker.unwrap_or(u32::MAX);
     let offer = |available: &[Resources], taken: &[usize], num: usize| -> Option<Offer> {
-        let (loss, chosen) = cheapest(&available[num], &need, index, taken, num)?;
+        let urgent = limits.displaces_urgent;
+        let (loss, chosen) = cheapest(&available[num], &need, index, (taken, urgent), num)?;
         let left = available[num].saturating_sub(&need).accels;
         Some((candidates[num].penalty, loss, left, chosen))
     };
@@ -192,7 +215,7 @@
             break;
         };
         let num = among[at];
-        choice.loss += loss;
+        choice.loss = choice.loss.saturating_add(loss);
         if choice.loss >= most {
             return None;
         }
@@ -219,12 +242,12 @@
 }
 
 /// Victims on one worker that make `need` fit into it together with `have`, cheapest first, and
-/// their loss.
+/// their loss. Those in `taken` are left out, and urgent ones unless `urgent` is set.
 fn cheapest(
     have: &Resources,
     need: &Resources,
     index: &VictimIndex,
-    taken: &[usize],
+    (taken, urgent): (&[usize], bool),
     num: usize,
 ) -> Option<(u64, Vec<usize>)> {
     if have.fits(need) {
@@ -234,14 +257,14 @@
     let mut loss = 0;
     let mut chosen = Vec::new();
     for &at in &index.by_worker[num] {
-        if index.taken[at] || taken.contains(&at) {
+        let victim = &index.victims[at];
+        if index.taken[at] || taken.contains(&at) || victim.urgent && !urgent {
             continue;
         }
-        let victim = &index.victims[at];
         for _ in victim.workers.iter().filter(|&&worker| worker == num) {
             sum += victim.need;
         }
-        loss += victim.loss;
+        loss = victim.weighted_loss().saturating_add(loss);
         chosen.push(at);
         if sum.fits(need) {
             return Some((loss, chosen));
--- a/crates/batch/tests/decisions.rs
+++ b/crates/batch/tests/decisions.rs
@@ -183,6 +183,7 @@
                 accels: 8,
             },
             loss: rng.random_range(100..10_000),
+            urgent: false,
         });
     }
     let mut gang = step(2, 8, SECOND);
--- a/crates/batch/tests/kit/candidates.rs
+++ b/crates/batch/tests/kit/candidates.rs
@@ -43,6 +43,7 @@
         rack: None,
         duration: Millis(1_000),
         urgent: false,
+        displaces_urgent: false,
         allowed: None,
     }
 }
