Start a pressing guaranteed job off its rack when no rack can be freed

Seen by callers: an urgent job inside its guarantee begins later than reclaim after its acceptance.

Cause: a gang that asks for one rack waited for a rack that could hold it as long as any rack was large enough, and a step with data waited for its rack for half of what running elsewhere costs. Work that a guarantee covers cannot be stopped, so one such task on each rack, or on the rack of the data, held the step for the length of those tasks.

Evidence: a_guaranteed_gang_starts_in_time_when_no_rack_can_hold_it and a_guaranteed_job_starts_in_time_when_the_rack_of_its_data_is_held had no task running after 2.9 s.

Change: a guaranteed step that is pressing and for which no rack can be freed, whatever is stopped, is placed without regard to racks. It runs slower, but it begins in time.

--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -78,7 +78,7 @@
         reserve::reserve_urgent(&mut candidates, self.urgent.accels(now));
         let mut pass = Pass::new(candidates, guaranteed, now);
         for at in waiting {
-            self.plan_step(&mut pass, &at);
+            self.plan_step(&mut pass, &at, true);
         }
         for (step, rule) in upcoming {
             self.request_ahead(&pass, &step, rule);
@@ -168,7 +168,9 @@
         out
     }
 
-    fn plan_step(&mut self, pass: &mut Pass, at: &WaitingStep) {
+    /// Places the tasks of a step or stops runs for them. Racks that the step asks for are kept to if
+    /// `keep_racks` is set.
+    fn plan_step(&mut self, pass: &mut Pass, at: &WaitingStep, keep_racks: bool) {
         let now = pass.now;
         let Some(job) = self.jobs.get(&at.job) else {
             return;
@@ -176,7 +178,8 @@
         let Some(state) = job.open.get(&at.occurrence) else {
             return;
         };
-        let spec = job.submitted.work.steps[usize::from(at.step)].clone();
+        let mut spec = job.submitted.work.steps[usize::from(at.step)].clone();
+        spec.one_rack &= keep_racks;
         let state = &state.steps[usize::from(at.step)];
         let pool = self.pool_of(job);
         let rule = self.advice_rule(job);
@@ -211,7 +214,7 @@
             pool: &pool,
             avoid: &[],
             on_worker: &[],
-            remote: spec.data_rack.is_none() || waited > self.locality_wait(&spec),
+            remote: spec.data_rack.is_none() || !keep_racks || waited > self.locality_wait(&spec),
             rack: None,
             duration: self.expected(job, at.step),
             // A checkpointing task loses almost nothing when an urgent one preempts it.
@@ -343,6 +346,12 @@
                 true => Preemption::NoChoice,
                 false => self.preempt_for(pass, at, &among, (&spec, &limits), unplaced, most),
             };
+            let asks_rack = spec.one_rack || spec.data_rack.is_some() && !limits.remote;
+            if attempted == Preemption::NoChoice && pressing && asks_rack {
+                // No rack can be freed in time; elsewhere the step is slower, but it begins.
+                self.plan_step(pass, at, false);
+                return;
+            }
             self.log_delay(at, &among, &attempted);
             if attempted == Preemption::Begun {
                 return;
