Displace urgent work, and leave racks, only when little time is left

Change: any work of lower priority may be lost from half of the time on, as before; urgent work is displaced, and racks are left, from three quarters on.

The tests of the bound pass.

--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -38,6 +38,7 @@
 use pass::Failure;
 use pass::Pass;
 use victims::Preemption;
+use victims::Pressure;
 
 pub(crate) use victims::can_spare_one;
 pub(crate) use victims::lost_by_stopping;
@@ -190,7 +191,7 @@
         };
         let allowed = rule.map(|_| self.allowed(&step_id, now));
         let waited = now.since(state.ready_at.unwrap_or(now));
-        let pressing = self.is_pressing(at, &spec, state, waited);
+        let pressure = self.pressure(at, &spec, state, waited);
         let missing = state
             .tasks
             .iter()
@@ -219,7 +220,7 @@
             duration: self.expected(job, at.step),
             // A checkpointing task loses almost nothing when an urgent one preempts it.
             urgent: urgent || spec.checkpoints,
-            displaces_urgent: pressing,
+            displaces_urgent: pressure == Pressure::Last,
             allowed: allowed.as_ref(),
         };
         let pool_workers = pass.pools.get(&pool).map_or(&[][..], Vec::as_slice);
@@ -333,7 +334,7 @@
         }
         if urgent && at.rank.may_preempt() {
             let worth = preempt::work(&spec.need, limits.duration) * unplaced as u64;
-            let most = self.max_loss(at, pressing, worth);
+            let most = pressure.max_loss(at.guaranteed, worth);
             // A gang that needs as much as one that could not be helped, and may cost no more, cannot
             // be helped either.
             let known = plain && spec.gang;
@@ -347,7 +348,7 @@
                 false => self.preempt_for(pass, at, &among, (&spec, &limits), unplaced, most),
             };
             let asks_rack = spec.one_rack || spec.data_rack.is_some() && !limits.remote;
-            if attempted == Preemption::NoChoice && pressing && asks_rack {
+            if attempted == Preemption::NoChoice && pressure == Pressure::Last && asks_rack {
                 // No rack can be freed in time; elsewhere the step is slower, but it begins.
                 self.plan_step(pass, at, false);
                 return;
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -35,6 +35,32 @@
     TooDear(u64, u64),
 }
 
+/// How pressing a waiting step of priority 0 is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Pressure {
+    /// No more may be lost for it than it is worth.
+    None,
+    /// A guarantee covers it, and any work of lower priority is stopped for it.
+    High,
+    /// Also urgent work that no guarantee covers is stopped for it, and it starts on any rack.
+    Last,
+}
+
+impl Pressure {
+    /// Most work, in core-milliseconds, that may be lost to start a step of this worth.
+    pub(super) fn max_loss(self, guaranteed: bool, worth: u64) -> u64 {
+        match self {
+            Pressure::High | Pressure::Last => u64::MAX,
+            Pressure::None if guaranteed => worth * 2,
+            Pressure::None => worth,
+        }
+    }
+}
+
+/// Part of the time in which work can still be stopped for a guaranteed step, in percent, after which
+/// urgent work is stopped as well. Until then short urgent work often ends by itself.
+const LAST_PERCENT: u64 = 75;
+
 /// Time to notice the end of a stopped task and start its successor, beside the grace period.
 const TURNAROUND: Millis = Millis(700);
 
@@ -106,25 +132,15 @@
         (victims, tasks)
     }
 
-    /// Most work, in core-milliseconds, that may be lost to start a waiting step of priority 0.
-    pub(super) fn max_loss(&self, at: &WaitingStep, pressing: bool, worth: u64) -> u64 {
-        match at.guaranteed {
-            true if pressing => u64::MAX,
-            true => worth * 2,
-            false => worth,
-        }
-    }
-
-    /// Whether a guarantee covers a step and half of the time is over in which what is in its way can
-    /// still be stopped. The time of a job that has not begun counts from its acceptance, however late
-    /// it was read and however often its start was broken off.
-    pub(super) fn is_pressing(
+    /// How pressing a step is. The time of a guaranteed job that has not begun counts from its
+    /// acceptance, however late it was read and however often its start was broken off.
+    pub(super) fn pressure(
         &self,
         at: &WaitingStep,
         spec: &StepSpec,
         state: &StepState,
         waited: Millis,
-    ) -> bool {
+    ) -> Pressure {
         let last = self
             .bounds
             .reclaim
@@ -134,7 +150,11 @@
             true => waited.max(at.age),
             false => waited,
         };
-        at.guaranteed && waited >= Millis(last.0 / 2)
+        match at.guaranteed {
+            true if waited >= Millis(last.0 * LAST_PERCENT / 100) => Pressure::Last,
+            true if waited >= Millis(last.0 / 2) => Pressure::High,
+            _ => Pressure::None,
+        }
     }
 
     /// Preempts work of lower priority for the tasks of a step, and reserves the freed resources
