Bound the age of the state that a start depends on by the deployment's bounds

Cause, the same as of answers by an outdated configuration, found by reading: a start was allowed while the workers' entries, the documents and the requests were up to 3.05 s old (2.3 to 2.9 s with the shorter watches), whatever the deployment asks. Nothing may start on a draining worker after 2 s there. The age was checked when a start was planned, not when it was sent, which may be 1.5 s later.

Change: the settings have bounds.drain, .evacuate and .cancel. Each kind of state has its own greatest age, its bound less the time of a start. It is checked again once the records are stored; starts that are too late are taken back without blaming their workers. The coordinator watches the workers' entries in shorter calls where the bound is short.

--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -14,6 +14,12 @@
     pub reclaim: Millis,
     /// Time after which a configuration change is in force everywhere.
     pub config_apply: Millis,
+    /// Time after which no task starts on a worker that is draining.
+    pub drain: Millis,
+    /// Time after which no task starts in a failure domain that was taken out of service.
+    pub evacuate: Millis,
+    /// Time after which no task of a cancelled job starts.
+    pub cancel: Millis,
     /// Interval at which a worker rewrites its own entry in the store.
     pub heartbeat: Millis,
     /// Time for which callers can ask for the state of an ended job.
@@ -46,12 +52,31 @@
     /// Longest wait of one watch call to the store. What a watch returns is known to be current as of
     /// when it was sent, so until the next one returns, the state is up to twice as old.
     pub watch_wait: Millis,
+    /// Longest wait of one watch call of the coordinator on the workers' entries.
+    pub worker_wait: Millis,
+    /// Greatest ages of the state on which a start depends.
+    pub start_ages: StartAges,
+}
+
+/// Greatest ages, when a start is sent, of the state on which it depends: the time since that state
+/// was known to be current.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StartAges {
+    /// Age of the operators' documents.
+    pub documents: Millis,
+    /// Age of the workers' entries.
+    pub workers: Millis,
+    /// Age of the callers' requests.
+    pub requests: Millis,
 }
 
 /// Time-out of a request to a worker, which answers within a few milliseconds. The reading of the
 /// worker's clock in a response is at most this old.
 pub const REQUEST_TIMEOUT: Millis = Millis(500);
 
+/// Time from the decision on a start until the worker has begun it, at most, with a second attempt.
+const START_TIME: Millis = Millis(600);
+
 /// Longest lease on the lock, unless the store's minimum is longer. A crashed coordinator is
 /// replaced after this time. It leaves time for a renewal at a slow store after one was lost.
 const MAX_LOCK_LEASE: Millis = Millis(1_200);
@@ -70,6 +95,13 @@
 /// watches and for one that gets no answer.
 const WATCH_PERCENT: u64 = 30;
 
+/// Wait of a watch on the workers' entries in percent of their greatest age. Twice that leaves time
+/// for the responses.
+const WAIT_PERCENT: u64 = 40;
+
+/// Shortest wait of a watch; a shorter one costs the store more calls than it gains.
+const MIN_WATCH_WAIT: Millis = Millis(200);
+
 /// Longest wait of a watch.
 const MAX_WATCH_WAIT: Millis = Millis(1_000);
 
@@ -80,6 +112,15 @@
 impl Bounds {
     /// Computes the limits that follow from these, each capped by a maximum of this crate.
     pub fn derive(&self) -> DerivedBounds {
+        let gather_time = Millis(self.heartbeat.0 / WATCHES_PER_HEARTBEAT);
+        let watch_wait = Millis(self.config_apply.0 * WATCH_PERCENT / 100).min(MAX_WATCH_WAIT);
+        let start_ages = StartAges {
+            documents: self.evacuate.since(START_TIME),
+            workers: self.drain.since(START_TIME),
+            requests: self.cancel.since(START_TIME),
+        };
+        // The entries are up to twice as old as the wait, and older by the time to gather changes.
+        let worker_wait = Millis(start_ages.workers.since(gather_time).0 * WAIT_PERCENT / 100);
         DerivedBounds {
             worker_lease: MAX_WORKER_LEASE.min(Millis(self.max_hold.0 * 9 / 10)),
             lock_lease: MAX_LOCK_LEASE.max(self.min_ttl),
@@ -87,8 +128,10 @@
             offline_renewal: self.max_hold,
             poll_wait: MAX_POLL_WAIT.min(Millis(self.max_hold.0 / 4)),
             shared_wait: Millis(self.harm.0 / SHARED_POLLS).min(MAX_POLL_WAIT),
-            gather_time: Millis(self.heartbeat.0 / WATCHES_PER_HEARTBEAT),
-            watch_wait: Millis(self.config_apply.0 * WATCH_PERCENT / 100).min(MAX_WATCH_WAIT),
+            gather_time,
+            watch_wait,
+            worker_wait: worker_wait.max(MIN_WATCH_WAIT).min(watch_wait),
+            start_ages,
         }
     }
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -37,6 +37,7 @@
 pub use advice::AdviceRule;
 pub use bounds::Bounds;
 pub use bounds::DerivedBounds;
+pub use bounds::StartAges;
 pub use bounds::REQUEST_TIMEOUT;
 pub use catalog::Catalog;
 pub use catalog::CatalogLimits;
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -201,6 +201,13 @@
         out
     }
 
+    /// Takes back start requests that have not been sent. Their tasks are planned again.
+    pub fn withdraw(&mut self, starts: Vec<StartRequest>, now: Millis) {
+        for start in starts {
+            self.cancel_start(&start, now);
+        }
+    }
+
     fn is_gang(&self, task: &TaskId) -> bool {
         let job = self.jobs.get(&task.job);
         job.and_then(|j| j.spec(task)).is_some_and(|s| s.gang)
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -22,7 +22,6 @@
 use crate::batch::keys;
 use crate::batch::leadership::Leadership;
 use crate::batch::shared::Shared;
-use crate::batch::shared::STORE_TIMEOUT;
 
 /// Delay before a planning pass, so that one pass handles changes that arrive together.
 const COALESCE_DELAY: Millis = Millis(4);
@@ -89,10 +88,19 @@
         if lead.ended.get() {
             return;
         }
-        let starts = lead
-            .scheduler
-            .borrow_mut()
-            .records_stored(pending, shared.now());
+        let now = shared.now();
+        let allowed = may_start(&shared, &lead, now);
+        let starts = {
+            let mut scheduler = lead.scheduler.borrow_mut();
+            let starts = scheduler.records_stored(pending, now);
+            match allowed {
+                true => starts,
+                false => {
+                    scheduler.withdraw(starts, now);
+                    Vec::new()
+                }
+            }
+        };
         lead.stored.notify_waiters();
         for request in starts {
             actix_rt::spawn(start(shared.clone(), lead.clone(), request));
@@ -105,10 +113,10 @@
 fn may_start(shared: &Shared, lead: &Leadership, now: Millis) -> bool {
     let (workers, requests) = lead.confirmed.get();
     let documents = shared.documents.borrow().confirmed;
-    let oldest = documents.min(workers).min(requests);
-    let gathering = shared.times.gather_time;
-    let current = now.since(oldest)
-        <= shared.times.watch_wait + shared.times.watch_wait + STORE_TIMEOUT + gathering;
+    let ages = &shared.times.start_ages;
+    let current = now.since(documents) <= ages.documents
+        && now.since(workers) <= ages.workers
+        && now.since(requests) <= ages.requests;
     match (current, lead.held_since.get()) {
         (false, None) => {
             lead.held_since.set(Some(now));
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -115,13 +115,13 @@
     prefix: &'static str,
     mut after: Revision,
 ) {
+    let wait = match prefix == WORKER_PREFIX {
+        true => shared.times.worker_wait,
+        false => shared.times.watch_wait,
+    };
     while !lead.ended.get() {
         let sent = shared.now();
-        match shared
-            .store
-            .watch(prefix, after, shared.times.watch_wait)
-            .await
-        {
+        match shared.store.watch(prefix, after, wait).await {
             Ok(watched) => {
                 shared.record_store_result(Ok(()));
                 lead.confirm(prefix, sent);
--- a/crates/conf/src/batch/mod.rs
+++ b/crates/conf/src/batch/mod.rs
@@ -105,6 +105,12 @@
     pub reclaim: Millis,
     /// Time within which a configuration change takes effect on every daemon.
     pub config_apply: Millis,
+    /// Time after which no task starts on a worker that is draining.
+    pub drain: Millis,
+    /// Time after which no task starts in a failure domain that was taken out of service.
+    pub evacuate: Millis,
+    /// Time after which no task of a cancelled job starts.
+    pub cancel: Millis,
     /// Time between the stop signal and the kill of the process.
     pub stop: Millis,
     /// Interval at which a worker refreshes its entry in the store.
--- a/crates/conf/src/batch/raw.rs
+++ b/crates/conf/src/batch/raw.rs
@@ -33,6 +33,9 @@
     stop_grace: Millis(1_000),
     reclaim: Millis(3_000),
     config_apply: Millis(2_000),
+    drain: Millis(2_000),
+    evacuate: Millis(5_000),
+    cancel: Millis(3_000),
     stop: Millis(6_000),
     heartbeat: Millis(1_500),
     status: Millis(120_000),
@@ -78,7 +81,7 @@
     machines: [OptionalText; 3],
     resources: [OptionalText; 3],
     delegates: [OptionalText; 2],
-    durations: [OptionalText; 11],
+    durations: [OptionalText; 14],
     factor: OptionalText,
 }
 
@@ -123,6 +126,9 @@
             "harm",
             "upkeep",
             "handover",
+            "drain",
+            "evacuate",
+            "cancel",
         ];
         let durations = names.map(|name| section.text(name));
         let factor = section.text("remote-factor");
@@ -203,14 +209,17 @@
 }
 
 fn bounds(raw: &RawBatch, findings: &mut Findings) -> SiteBounds {
-    let [hold, grace, reclaim, config, stop, heartbeat, status, pace, harm, upkeep, handover] =
-        &raw.durations;
+    let [hold, grace, reclaim, config, stop, heartbeat, status, ..] = &raw.durations;
+    let [.., pace, harm, upkeep, handover, drain, evacuate, cancel] = &raw.durations;
     let factor: Option<f64> = parse(&raw.factor, FACTOR_REMEDY, findings);
     SiteBounds {
         max_hold: duration(hold, DEFAULT_BOUNDS.max_hold, findings),
         stop_grace: duration(grace, DEFAULT_BOUNDS.stop_grace, findings),
         reclaim: duration(reclaim, DEFAULT_BOUNDS.reclaim, findings),
         config_apply: duration(config, DEFAULT_BOUNDS.config_apply, findings),
+        drain: duration(drain, DEFAULT_BOUNDS.drain, findings),
+        evacuate: duration(evacuate, DEFAULT_BOUNDS.evacuate, findings),
+        cancel: duration(cancel, DEFAULT_BOUNDS.cancel, findings),
         stop: duration(stop, DEFAULT_BOUNDS.stop, findings),
         heartbeat: duration(heartbeat, DEFAULT_BOUNDS.heartbeat, findings),
         status: duration(status, DEFAULT_BOUNDS.status, findings),
