Apply listed documents once, and copy the configuration only when it is newer

Cause: each change of a document copied the whole configuration for the scheduler, thousands of queues, even if it was of another document; each listing logged every domain and wave again and emptied the domains first. Listings are usual now where documents are large.

Change: the scheduler is told once for all changes of a read and copies a configuration only if it is newer; domains and waves are logged when they change.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -163,9 +163,9 @@
     }
 
     /// Applies a configuration if it is newer than the one in force.
-    pub fn configure(&mut self, catalog: Catalog) {
+    pub fn configure(&mut self, catalog: &Catalog) {
         if catalog.version > self.catalog.version {
-            self.catalog = catalog;
+            self.catalog = catalog.clone();
         }
     }
 
--- a/crates/bronzetack/src/batch/documents.rs
+++ b/crates/bronzetack/src/batch/documents.rs
@@ -3,6 +3,7 @@
 
 use std::rc::Rc;
 
+use base::DomainId;
 use base::Millis;
 use base::Set;
 use batch::Catalog;
@@ -81,6 +82,9 @@
                 for change in &watched.changes {
                     apply_change(shared, change, sent);
                 }
+                if !watched.changes.is_empty() {
+                    update_scheduler(shared);
+                }
                 shared.documents.borrow_mut().confirmed = sent;
                 update_ready(shared);
             }
@@ -128,19 +132,24 @@
 }
 
 fn apply_listing(shared: &Rc<Shared>, listing: Listing, sent: Millis) {
-    let numbers = listing
-        .items
-        .iter()
-        .filter_map(|item| match decode_entry(&item.key, None) {
-            StoreEntry::Wave(number, _) => Some(number),
-            _ => None,
-        });
-    let listed: Set<u64> = numbers.collect();
-    {
-        let mut documents = shared.documents.borrow_mut();
-        documents.excluded.clear();
-        documents.waves.retain(|number, _| listed.contains(number));
+    let mut waves: Set<u64> = Set::default();
+    let mut excluded: Set<DomainId> = Set::default();
+    for item in &listing.items {
+        match decode_entry(&item.key, None) {
+            StoreEntry::Wave(number, _) => drop(waves.insert(number)),
+            StoreEntry::DomainOut(domain) => drop(excluded.insert(domain)),
+            _ => {}
+        }
     }
+    let before = shared.documents.borrow().excluded.clone();
+    for domain in before.difference(&excluded) {
+        exclude_domain(shared, domain, false);
+    }
+    shared
+        .documents
+        .borrow_mut()
+        .waves
+        .retain(|number, _| waves.contains(number));
     for item in listing.items {
         apply_change(shared, &Change::Put(item), sent);
     }
@@ -176,21 +185,14 @@
                 &[("key", key), ("error", &why)];
             obs::record(&shared.log, Event::InputRefused, fields);
         }
-        StoreEntry::DomainOut(domain) => {
-            let event = if removed {
-                Event::DomainBack
-            } else {
-                Event::DomainOut
-            };
-            obs::record(&shared.log, event, &[("domain_out", &domain)]);
-            let mut documents = shared.documents.borrow_mut();
-            match removed {
-                true => documents.excluded.remove(&domain),
-                false => documents.excluded.insert(domain),
-            };
-        }
+        StoreEntry::DomainOut(domain) => exclude_domain(shared, &domain, !removed),
         StoreEntry::Wave(number, Ok(wave)) => {
-            let now = shared.now();
+            let mut documents = shared.documents.borrow_mut();
+            let known = documents.waves.get(&number);
+            if known.is_some_and(|(known, _)| *known == wave) {
+                return;
+            }
+            let first_seen = known.map_or(shared.now(), |(_, seen)| *seen);
             let fields: &[(&'static str, &dyn std::fmt::Display)] = &[
                 ("wave", &number),
                 ("machines", &wave.machines.len()),
@@ -198,8 +200,6 @@
                 ("span", &wave.span),
             ];
             obs::record(&shared.log, Event::WaveRequested, fields);
-            let mut documents = shared.documents.borrow_mut();
-            let first_seen = documents.waves.get(&number).map_or(now, |(_, seen)| *seen);
             documents.waves.insert(number, (wave, first_seen));
         }
         StoreEntry::Wave(number, Err(why)) => {
@@ -212,7 +212,18 @@
         }
         StoreEntry::Other | StoreEntry::Worker(..) => {}
     }
-    update_scheduler(shared);
+}
+
+/// Takes a failure domain out of service or back, and logs that if it was not so before.
+fn exclude_domain(shared: &Shared, domain: &DomainId, out: bool) {
+    let excluded = &mut shared.documents.borrow_mut().excluded;
+    let (changed, event) = match out {
+        true => (excluded.insert(domain.clone()), Event::DomainOut),
+        false => (excluded.remove(domain), Event::DomainBack),
+    };
+    if changed {
+        obs::record(&shared.log, event, &[("domain_out", domain)]);
+    }
 }
 
 /// Passes the documents to the scheduler, if this daemon is the coordinator.
@@ -223,7 +234,7 @@
     let documents = shared.documents.borrow();
     let mut scheduler = lead.scheduler.borrow_mut();
     if let Some(catalog) = &documents.catalog {
-        scheduler.configure(catalog.as_ref().clone());
+        scheduler.configure(catalog);
     }
     scheduler.exclude_domains(documents.excluded.clone());
     scheduler.set_waves(documents.waves.values());
