--- a/crates/bronzetack/tests/soak.rs
+++ b/crates/bronzetack/tests/soak.rs
@@ -39,9 +39,34 @@
     jobs_not_ended_again = { 933 },
 )]
 fn reports_no_findings_under_faults(seed: u64) {
-    soak::kill_daemons_on_signal();
+    expect_no_findings(plan(seed));
+}
+
+/// The same with slow links and a configuration that grows to a megabyte.
+///
+/// Faults of the daemon: a configuration that takes long to transfer was not read again.
+/// 7001, 7006: callers were answered by an outdated one.
+/// 7003, 7005: the coordinator could not confirm it and held all starts back for good.
+#[parameterized(
+    outdated_answer = { 7001 },
+    starts_held = { 7003 },
+    starts_held_again = { 7005 },
+    outdated_answer_again = { 7006 },
+)]
+fn reports_no_findings_with_slow_links(seed: u64) {
+    expect_no_findings(Plan {
+        slow_links: true,
+        ..plan(seed)
+    });
+}
+
+fn plan(seed: u64) -> Plan {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_bronzetack"));
-    let plan = Plan::new(seed, program, &std::env::temp_dir());
+    Plan::new(seed, program, &std::env::temp_dir())
+}
+
+fn expect_no_findings(plan: Plan) {
+    soak::kill_daemons_on_signal();
     let report = actix_rt::System::new().block_on(soak::run(&plan));
     let report = report.expect("the soak test can run");
     let logs = plan.dir.display();
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -17,6 +17,7 @@
 use platform_fakes::Outcome;
 use platform_fakes::CAPACITY;
 
+use crate::growth;
 use crate::history::Call;
 use crate::history::History;
 use crate::history::Operation;
@@ -60,6 +61,8 @@
 ///   a reason.
 /// - `mixed`: a job is reported as completed only after all its tasks are done.
 /// - `order`: a task starts only after the steps that its step depends on are done.
+/// - `outdated`: no call is decided by a configuration that a change has replaced for longer than it
+///   may take to be in force.
 /// - `process`: daemons exit only when told to, in time and with well-formed logs.
 /// - `refused`: no task of a refused job starts.
 /// - `twice`: no task starts while it runs or after its completion was acknowledged.
@@ -77,6 +80,7 @@
     check_answers(history, &mut report);
     check_exits(history, &mut report);
     check_waves(history, &mut report);
+    growth::check(&history.probes, &mut report);
     findings.sort();
     findings.dedup();
     findings
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -251,7 +251,10 @@
         let renewals_enabled = matches!(fault, StoreFault::Slow(_));
         self.set_store_fault(fault, renewals_enabled);
         self.site.sleep(self.duration).await;
-        self.set_store_fault(StoreFault::None, true);
+        *self.site.renewals_enabled.borrow_mut() = true;
+        for (num, daemon) in self.site.daemons.borrow().iter().enumerate() {
+            daemon.store_endpoint.set_fault(self.site.usual_fault(num));
+        }
     }
 
     fn set_store_fault(&self, fault: StoreFault, renewals_enabled: bool) {
@@ -271,7 +274,7 @@
         self.site.sleep(self.duration).await;
         self.site.daemons.borrow()[self.daemon]
             .store_endpoint
-            .set_fault(StoreFault::None);
+            .set_fault(self.site.usual_fault(self.daemon));
     }
 
     /// Drops the store's history, so that watches from earlier revisions fail.
@@ -393,7 +396,7 @@
                 Millis::ZERO,
                 format!("configuration version {version}"),
             );
-            return self.site.store.configure(version);
+            return self.site.configure();
         }
         let domain = match self.parameter % 2 {
             0 => "d0",
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -11,6 +11,7 @@
 use platform_fakes::Outcome;
 
 use crate::daemon::Exit;
+use crate::growth::Probe;
 
 /// Operation that a caller requested.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -85,6 +86,8 @@
     pub exits: Vec<Exit>,
     /// Requested waves of upkeep.
     pub waves: Vec<WaveResult>,
+    /// Calls for queues that the configuration had just got.
+    pub probes: Vec<Probe>,
     /// Accepted jobs that had not ended when their callers gave up.
     pub unfinished: BTreeSet<JobId>,
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod daemon;
 mod error;
 mod faults;
+mod growth;
 mod history;
 mod load;
 mod site;
@@ -17,6 +18,7 @@
 pub use daemon::kill_daemons_on_signal;
 pub use daemon::Exit;
 pub use error::SoakError;
+pub use growth::Probe;
 pub use history::Call;
 pub use history::FaultWindow;
 pub use history::History;
@@ -56,6 +58,8 @@
     pub duration: Millis,
     /// Directory for settings and logs, removed after a run without findings.
     pub dir: PathBuf,
+    /// Whether most daemons have slow links to the store while the configuration grows.
+    pub slow_links: bool,
 }
 
 impl Plan {
@@ -69,6 +73,7 @@
             workers: 6,
             duration: Millis::from_secs(12),
             dir: logs.join(format!("soak-{}-{seed}", std::process::id())),
+            slow_links: false,
         }
     }
 }
@@ -95,6 +100,10 @@
     site.sleep(STARTUP_TIME).await;
     let end = site.now() + plan.duration;
     let faults = actix_rt::spawn(faults::run(site.clone(), plan.seed, end));
+    if plan.slow_links {
+        actix_rt::spawn(growth::change(site.clone(), plan.seed, end));
+        actix_rt::spawn(growth::probe(site.clone(), plan.seed, end));
+    }
     let load = load::run(site.clone(), plan.seed, end, end + SETTLE_TIMEOUT).await;
     faults.await.map_err(|e| SoakError::Task(e.to_string()))?;
     while site.is_upkeep_pending() && site.now() < end + SETTLE_TIMEOUT {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -16,10 +16,13 @@
 use platform_fakes::FakeStore;
 use platform_fakes::FakeWorker;
 use platform_fakes::FakeWorkerPool;
+use platform_fakes::StoreFault;
+use platform_fakes::API_KEY;
 
 use crate::daemon::Addresses;
 use crate::daemon::Daemon;
 use crate::error::SoakError;
+use crate::growth;
 use crate::history::FaultWindow;
 use crate::history::History;
 use crate::history::WaveResult;
@@ -96,6 +99,8 @@
     pub daemons: RefCell<Vec<DaemonHandle>>,
     /// Jobs, faults, and starts and ends of processes recorded so far.
     pub history: RefCell<History>,
+    /// Version of the configuration, and the time and the number of extra queues of each change.
+    changes: RefCell<(u64, Vec<(Millis, usize)>)>,
     /// Set to end the background maintenance.
     finished: RefCell<bool>,
 }
@@ -132,6 +137,7 @@
                 max_attempts: MAX_ATTEMPTS,
                 ..History::default()
             }),
+            changes: RefCell::new((1, Vec::new())),
             finished: RefCell::new(false),
         };
         for worker in workers {
@@ -158,6 +164,7 @@
     /// Creates the endpoint, the relays and the settings of a daemon, without starting it.
     fn new_daemon(&self, num: usize) -> io::Result<DaemonHandle> {
         let store_endpoint = self.store.endpoint()?;
+        store_endpoint.set_fault(self.usual_fault(num));
         let store_relay = Relay::start(store_endpoint.address());
         let addresses = Addresses {
             callers: free_address(),
@@ -211,6 +218,36 @@
         self.plan.daemons
     }
 
+    /// Fault of a daemon's link to the store while no other is injected.
+    pub fn usual_fault(&self, num: usize) -> StoreFault {
+        match self.plan.slow_links && num > 0 {
+            true => StoreFault::Bandwidth(growth::SLOW_LINK),
+            false => StoreFault::None,
+        }
+    }
+
+    /// Writes a new version of the configuration, with more queues if links are slow.
+    pub fn configure(&self) {
+        let (version, changes) = &mut *self.changes.borrow_mut();
+        *version += 1;
+        let before = changes.last().map_or(0, |(_, queues)| *queues);
+        let queues = match self.plan.slow_links {
+            true => growth::next_size(before),
+            false => 0,
+        };
+        self.store.configure_with(*version, API_KEY, queues);
+        if queues > before {
+            changes.push((self.now(), queues));
+        }
+    }
+
+    /// The last change that added queues up to this time: when, and the number of queues since.
+    pub fn queues_at(&self, time: Millis) -> Option<(Millis, usize)> {
+        let changes = self.changes.borrow();
+        let mut before = changes.1.iter().filter(|(at, _)| *at < time);
+        before.next_back().copied()
+    }
+
     /// Size of the site relative to the default one, by number of daemons and at least 1. Load and
     /// faults are that many times more frequent.
     pub fn scale(&self) -> u64 {
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -19,6 +19,7 @@
 use soak::FaultWindow;
 use soak::History;
 use soak::Operation;
+use soak::Probe;
 use soak::WaveResult;
 use std::time::Duration;
 use yare::parameterized;
@@ -263,6 +264,15 @@
     history.waves.push(wave(2, false));
 }
 
+fn old_configuration(history: &mut History) {
+    history.probes.push(Probe {
+        daemon: 0,
+        added: Millis(1_000),
+        sent: Millis(3_100),
+        outcome: Outcome::Status(404),
+    });
+}
+
 #[parameterized(
     running_task = { start_while_running, "twice" },
     acknowledged_task = { start_after_acknowledgement, "twice" },
@@ -285,6 +295,7 @@
     process_exit = { unexpected_exit, "process" },
     wave_cap = { exceed_wave_cap, "limit" },
     late_wave = { incomplete_wave, "late" },
+    unknown_queue = { old_configuration, "outdated" },
 )]
 fn violation_is_found(violate: fn(&mut History), invariant: &str) {
     let mut history = valid_history();
