Count the time in which a VM is suspended

Cause, the same as of answers by an outdated configuration, found by reading: the age of what a daemon knows was counted by a clock that stands still while its VM is suspended. Right after a suspension of seconds it took its configuration, the workers' entries and the lease of its lock for as young as before.

Change: the daemons' clock follows CLOCK_BOOTTIME, where the kernel has it.

Result: no failing test, as a test cannot suspend the machine it runs on.

--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -14,6 +14,8 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use nix::time::clock_gettime;
+use nix::time::ClockId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -154,12 +156,25 @@
     }
 }
 
-/// The wall-clock time of the first call plus the monotonic time elapsed since then, so that
-/// later steps of the wall clock have no effect.
+/// The wall-clock time of the first call plus the time elapsed since then, so that later steps of the
+/// wall clock have no effect. Time in which the VM is suspended counts: what was known before is as
+/// old as others see it.
 fn system_now() -> Millis {
-    static START: OnceLock<(Instant, u64)> = OnceLock::new();
-    let (instant, wall) = START.get_or_init(|| (Instant::now(), wall_now()));
-    Millis(wall + instant.elapsed().as_millis() as u64)
+    static START: OnceLock<(u64, u64)> = OnceLock::new();
+    let (start, wall) = START.get_or_init(|| (since_boot(), wall_now()));
+    Millis(wall + since_boot().saturating_sub(*start))
+}
+
+/// Milliseconds since the VM was started, including those in which it was suspended.
+fn since_boot() -> u64 {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).map(Duration::from);
+    time.map_or_else(|_| monotonic(), |t| t.as_millis() as u64)
+}
+
+/// Milliseconds since the first call, for kernels without a clock that counts suspensions.
+fn monotonic() -> u64 {
+    static START: OnceLock<Instant> = OnceLock::new();
+    START.get_or_init(Instant::now).elapsed().as_millis() as u64
 }
 
 fn wall_now() -> u64 {
