Ask a second daemon whatever its link, and keep the time of look-ups in an outage

Change: the first attempt goes to a faster daemon, the second to any; the time at the store starts anew only for submissions and where a newer configuration was waited for.

--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -109,7 +109,7 @@
 
 /// Answers a call from the store, or relays it to another daemon while the store does not answer
 /// this one or its configuration may be outdated. Returns the answer and the version of the
-/// configuration that decided it.
+/// configuration that decided it, or that this daemon holds if it decided nothing.
 async fn answer(shared: &Rc<Shared>, call: &Call) -> (CallAnswer, u64) {
     let wait = call.deadline.unwrap_or(DEFAULT_DEADLINE);
     let started = shared.now();
@@ -146,7 +146,9 @@
         let submits = call.kind == CallKind::Submit;
         let end = started + Millis(wait.0 / patience);
         catalog = wait_until_current(shared, submits, started, end, least).await;
-        until = shared.now() + Millis(wait.0 / STORE_DIVISOR);
+        if submits || !store_down {
+            until = shared.now() + Millis(wait.0 / STORE_DIVISOR);
+        }
     }
     let Some(catalog) = catalog else {
         return (CallAnswer::Unknown(retry_after(shared)), held);
@@ -216,11 +218,14 @@
 ) -> Option<CallAnswer> {
     let version = version.max(shared.seen_version.get());
     let (mut faster, mut others) = peers_by_bandwidth(shared);
-    for _ in 0..RELAY_ATTEMPTS {
+    for attempt in 0..RELAY_ATTEMPTS {
         let left = answer_by.since(shared.now());
-        let group = match faster.is_empty() {
-            true => &mut others,
-            false => &mut faster,
+        let group = match attempt == 0 && !faster.is_empty() {
+            true => &mut faster,
+            false => {
+                others.append(&mut faster);
+                &mut others
+            }
         };
         if group.is_empty() || left < RELAY_TIME_MIN {
             return None;
