--- a/crates/bronzetack/tests/soak.rs
+++ b/crates/bronzetack/tests/soak.rs
@@ -51,7 +51,7 @@
     outdated_answer = { 7001 },
     starts_held = { 7003 },
     starts_held_again = { 7005 },
-    outdated_answer_again = { 7006 },
+    old_version_answered = { 7006 },
 )]
 fn reports_no_findings_with_slow_links(seed: u64) {
     expect_no_findings(Plan {
