--- a/crates/bronzetack/tests/soak.rs
+++ b/crates/bronzetack/tests/soak.rs
@@ -46,7 +46,7 @@
 ///
 /// Faults of the daemon: a configuration that takes long to transfer was not read again.
 /// 7001, 7006: callers were answered by an outdated one.
-/// 7003, 7005: the coordinator could not confirm it and held all starts back for good.
+/// 7003, 7005: the coordinator could not confirm it and held all starts back until the end.
 #[parameterized(
     outdated_answer = { 7001 },
     starts_held = { 7003 },
