Split the planning of a step into attempt, placement and making room

The function that planned a step had grown to 200 lines in which the wish for racks, the choice of workers, preemption and reservation were mixed, so that no part could change alone. It is now three stages in files of their own: what is placed and under which constraints (plan/attempt.rs), placement on free resources (plan/placement.rs), and making room (plan/make_room.rs). The order of waiting steps moves to plan/queue.rs and expected durations to duration.rs, which is the one copy of both.

No decision changes.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -10,6 +10,7 @@
 mod bounds;
 pub mod candidacy;
 mod catalog;
+mod duration;
 pub mod health;
 mod job;
 pub mod place;
--- /dev/null
+++ b/crates/batch/src/plan/attempt.rs
@@ -0,0 +1,151 @@
+//! One attempt to place the tasks of a step: what is to be placed, and under which constraints.
+
+use base::Millis;
+use base::ServiceId;
+use base::Set;
+use base::WorkerId;
+
+use super::victims::Pressure;
+use super::Pass;
+use super::WaitingStep;
+use crate::advice::AdviceRule;
+use crate::health::waits_for_proof;
+use crate::job::OpenRun;
+use crate::place::Candidate;
+use crate::place::Limits;
+use crate::scheduler::Scheduler;
+use crate::spec::RunNumber;
+use crate::spec::StepId;
+use crate::spec::StepSpec;
+
+/// Time for which a task waits for a worker on which it has not failed.
+const AVOID_TIME: Millis = Millis(2_000);
+
+/// An attempt to place the missing tasks of a step in a pass.
+pub(super) struct Attempt {
+    pub(super) step: StepId,
+    /// The step; without its wish for one rack if racks are not kept to.
+    pub(super) spec: StepSpec,
+    pub(super) pool: ServiceId,
+    /// The tasks to place, and the workers that each of them avoids.
+    pub(super) missing: Vec<(u16, Vec<WorkerId>)>,
+    /// Number of tasks of the step on each worker, by the worker's index.
+    pub(super) on_worker: Vec<u32>,
+    /// The adviser's response times, if there is one, and the workers that it allows.
+    pub(super) rule: Option<AdviceRule>,
+    pub(super) allowed: Option<Set<WorkerId>>,
+    /// Time for which tasks of the step have been waiting.
+    pub(super) waited: Millis,
+    pub(super) pressure: Pressure,
+    /// Whether its job is of priority 0.
+    pub(super) urgent: bool,
+    /// Whether workers on a rack other than that of the data are allowed.
+    pub(super) remote: bool,
+    /// Expected duration of a task.
+    pub(super) duration: Millis,
+    /// Whether only proven workers are used, because the job has failed.
+    pub(super) careful: bool,
+    /// Run number of a gang's start.
+    pub(super) gang_run: RunNumber,
+}
+
+impl Attempt {
+    /// Constraints on the placement, with `avoid` as the workers that are not used.
+    pub(super) fn limits<'a>(&'a self, avoid: &'a [WorkerId]) -> Limits<'a> {
+        Limits {
+            pool: &self.pool,
+            avoid,
+            on_worker: &self.on_worker,
+            remote: self.remote,
+            rack: None,
+            duration: self.duration,
+            // A checkpointing task loses almost nothing when an urgent one preempts it.
+            urgent: self.urgent || self.spec.checkpoints,
+            displaces_urgent: self.pressure == Pressure::Last,
+            allowed: self.allowed.as_ref(),
+        }
+    }
+
+    /// Whether the step can run on every worker of its pool.
+    pub(super) fn is_plain(&self) -> bool {
+        self.spec.label.is_none()
+            && self.spec.data_rack.is_none()
+            && self.spec.per_worker.is_none()
+            && !self.careful
+            && self.allowed.is_none()
+    }
+
+    /// The workers that any of the tasks avoids.
+    pub(super) fn avoided(&self) -> Vec<WorkerId> {
+        self.missing.iter().flat_map(|(_, a)| a.clone()).collect()
+    }
+}
+
+impl Scheduler {
+    /// Collects what a step needs. Racks that it asks for are kept to if `keep_racks` is set.
+    pub(super) fn attempt(
+        &self,
+        pass: &Pass,
+        at: &WaitingStep,
+        keep_racks: bool,
+    ) -> Option<Attempt> {
+        let now = pass.now;
+        let job = self.jobs.get(&at.job)?;
+        let state = job.open.get(&at.occurrence)?;
+        let mut spec = job.submitted.work.steps[usize::from(at.step)].clone();
+        spec.one_rack &= keep_racks;
+        let state = &state.steps[usize::from(at.step)];
+        let rule = self.advice_rule(job);
+        let step = StepId {
+            job: at.job.clone(),
+            occurrence: at.occurrence,
+            step: at.step,
+        };
+        let allowed = rule.map(|_| self.allowed(&step, now));
+        let waited = now.since(state.ready_at.unwrap_or(now));
+        let avoids = waited < AVOID_TIME;
+        let tasks = state.tasks.iter().enumerate();
+        let missing = tasks.filter(|(_, t)| !t.done && t.open.is_none());
+        let missing = missing.map(|(index, t)| {
+            let avoid = if avoids { t.avoid.clone() } else { Vec::new() };
+            (index as u16, avoid)
+        });
+        // A job that has failed goes to proven workers only, for a while.
+        let careful = waits_for_proof(state.failures(), job.submitted.attempts, waited);
+        Some(Attempt {
+            missing: missing.collect(),
+            on_worker: on_workers(
+                &pass.candidates,
+                state.tasks.iter().filter_map(|t| t.open.as_ref()),
+            ),
+            pool: self.pool_of(job),
+            rule,
+            allowed,
+            waited,
+            pressure: self.pressure(at, &spec, state, waited),
+            urgent: job.submitted.priority == 0,
+            remote: spec.data_rack.is_none() || !keep_racks || waited > self.locality_wait(&spec),
+            duration: self.expected(job, at.step),
+            careful,
+            gang_run: state.last_run().next(),
+            step,
+            spec,
+        })
+    }
+
+    /// Time that a step waits for the rack of its data: half of what running elsewhere costs.
+    fn locality_wait(&self, spec: &StepSpec) -> Millis {
+        Millis(spec.estimate.0 * self.bounds.remote_factor.saturating_sub(1) / 2)
+    }
+}
+
+/// Number of tasks of a step on each worker.
+fn on_workers<'a>(candidates: &[Candidate], open: impl Iterator<Item = &'a OpenRun>) -> Vec<u32> {
+    let mut counts = vec![0; candidates.len()];
+    for run in open {
+        if let Ok(num) = candidates.binary_search_by(|c| c.id.cmp(&run.worker)) {
+            counts[num] += 1;
+        }
+    }
+    counts
+}
--- /dev/null
+++ b/crates/batch/src/plan/placement.rs
@@ -0,0 +1,119 @@
+//! Placement of the missing tasks of a step on free resources.
+
+use super::pass::Failure;
+use super::Attempt;
+use super::Pass;
+use super::WaitingStep;
+use crate::place::best_among;
+use crate::place::eligible_among;
+use crate::place::place_gang_among;
+use crate::scheduler::Scheduler;
+use crate::worker::UNPROVED_PENALTY;
+
+/// What became of an attempt to place a step.
+pub(super) struct Placed {
+    /// Number of tasks that found no worker.
+    pub(super) unplaced: usize,
+    /// The workers that were eligible, by index.
+    pub(super) among: Vec<usize>,
+    /// The attempt as a failure that covers others.
+    pub(super) failure: Failure,
+    /// Whether a failure of this pass covers the attempt.
+    pub(super) futile: bool,
+}
+
+impl Scheduler {
+    /// Starts the missing tasks that find free resources; those of a gang only all together.
+    pub(super) fn place_step(
+        &mut self,
+        pass: &mut Pass,
+        at: &WaitingStep,
+        attempt: &mut Attempt,
+    ) -> Placed {
+        let gang = attempt.spec.gang;
+        // A gang avoids the workers of all its failed tasks; other tasks avoid their own below.
+        let gang_avoid = if gang { attempt.avoided() } else { Vec::new() };
+        let limits = attempt.limits(&gang_avoid);
+        let pool = pass.pools.get(&attempt.pool).map_or(&[][..], Vec::as_slice);
+        let mut among = eligible_among(pool, &pass.candidates, &attempt.spec, &limits);
+        if attempt.careful {
+            among.retain(|&num| pass.candidates[num].penalty < UNPROVED_PENALTY);
+        }
+        let failure = Failure {
+            pool: attempt.pool.clone(),
+            need: attempt.spec.occupies(),
+            count: if gang { attempt.missing.len() } else { 1 },
+            duration: attempt.duration,
+            one_rack: gang && attempt.spec.one_rack,
+            urgent: limits.urgent,
+        };
+        let futile = attempt.is_plain() && pass.failures.iter().any(|f| f.covers(&failure));
+        let unplaced = match gang {
+            _ if futile => attempt.missing.len(),
+            true => self.place_gang(pass, at, attempt, &among),
+            false => self.place_tasks(pass, at, attempt, &among),
+        };
+        Placed {
+            unplaced,
+            among,
+            failure,
+            futile,
+        }
+    }
+
+    fn place_gang(
+        &mut self,
+        pass: &mut Pass,
+        at: &WaitingStep,
+        attempt: &Attempt,
+        among: &[usize],
+    ) -> usize {
+        let count = attempt.missing.len();
+        let avoid = attempt.avoided();
+        let limits = attempt.limits(&avoid);
+        let Pass {
+            candidates, free, ..
+        } = pass;
+        let found = place_gang_among(among, candidates, free, &attempt.spec, &limits, count);
+        let Some(chosen) = found else {
+            return count;
+        };
+        for ((index, _), num) in attempt.missing.iter().zip(chosen) {
+            pass.candidates[num].free = pass.free[num];
+            let id = pass.candidates[num].id.clone();
+            self.start(at, *index, attempt.gang_run, &id, pass.now);
+        }
+        0
+    }
+
+    fn place_tasks(
+        &mut self,
+        pass: &mut Pass,
+        at: &WaitingStep,
+        attempt: &mut Attempt,
+        among: &[usize],
+    ) -> usize {
+        let mut unplaced = 0;
+        let mut is_full = false;
+        for (index, avoid) in &attempt.missing {
+            let limits = attempt.limits(avoid);
+            let found = match is_full {
+                true => None,
+                false => best_among(among, &pass.candidates, &pass.free, &attempt.spec, &limits),
+            };
+            let Some(num) = found else {
+                // The other tasks need the same, so they fit nowhere either.
+                is_full |= avoid.is_empty();
+                unplaced += 1;
+                continue;
+            };
+            pass.free[num] -= attempt.spec.occupies();
+            pass.candidates[num].free = pass.free[num];
+            attempt.on_worker[num] += 1;
+            let run = self.last_run(at, *index).next();
+            let id = pass.candidates[num].id.clone();
+            self.start(at, *index, run, &id, pass.now);
+        }
+        unplaced
+    }
+}
--- /dev/null
+++ b/crates/batch/src/plan/queue.rs
@@ -0,0 +1,106 @@
+//! The steps that wait for resources, and the order in which they are served.
+
+use base::JobId;
+use base::Map;
+use base::Millis;
+use base::OrgId;
+use base::Set;
+
+use super::WaitingStep;
+use crate::job::Job;
+use crate::job::StepState;
+use crate::rank::rank;
+use crate::rank::RankInput;
+use crate::scheduler::Scheduler;
+use crate::spec::StepSpec;
+
+impl Scheduler {
+    /// Jobs of priority 0 that are covered by their organisation's guarantee. The jobs accepted
+    /// first are covered first.
+    pub(super) fn guaranteed(&self) -> Set<JobId> {
+        let urgent = self.live.iter().filter_map(|id| self.jobs.get(id));
+        let mut urgent: Vec<&Job> = urgent
+            .filter(|j| j.submitted.priority == 0 && !j.phase.is_final())
+            .collect();
+        urgent.sort_by(|a, b| {
+            a.submitted
+                .at
+                .cmp(&b.submitted.at)
+                .then_with(|| a.id.cmp(&b.id))
+        });
+        let mut sums: Map<&OrgId, u64> = Map::default();
+        let mut found = Set::default();
+        for job in urgent {
+            let Some(org) = &job.submitted.org else {
+                continue;
+            };
+            let sum = sums.entry(org).or_default();
+            *sum += job.accels();
+            if *sum <= self.catalog.guarantee(org) {
+                found.insert(job.id.clone());
+            }
+        }
+        found
+    }
+
+    /// Steps of which tasks could start now.
+    pub(super) fn waiting_steps(
+        &mut self,
+        guaranteed: &Set<JobId>,
+        now: Millis,
+        wall: Millis,
+    ) -> Vec<WaitingStep> {
+        let mut out = Vec::new();
+        for id in &self.live {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            if job.phase.is_final() {
+                continue;
+            }
+            let is_guaranteed = guaranteed.contains(id);
+            let ratio = self
+                .ratios
+                .get(&job.submitted.queue)
+                .copied()
+                .unwrap_or(100);
+            let Job {
+                submitted, open, ..
+            } = job;
+            for (&occurrence, state) in open.iter_mut() {
+                let left = submitted
+                    .work
+                    .remaining_path(|step| state.steps[step].is_done());
+                let age = wall.since(submitted.due(occurrence));
+                let rank = rank(&RankInput {
+                    priority: submitted.priority,
+                    guaranteed: is_guaranteed,
+                    age,
+                    objective: submitted.objective,
+                    left: Millis(left.0 * u64::from(ratio) / 100),
+                });
+                for (num, spec) in submitted.work.steps.iter().enumerate() {
+                    if !state.is_ready(spec) || !is_startable(&state.steps[num], spec, now) {
+                        continue;
+                    }
+                    state.steps[num].ready_at.get_or_insert(now);
+                    out.push(WaitingStep {
+                        job: id.clone(),
+                        occurrence,
+                        step: num as u16,
+                        rank,
+                        guaranteed: is_guaranteed,
+                        age,
+                    });
+                }
+            }
+        }
+        out
+    }
+}
+
+/// Whether a step has tasks to start. A gang does so only once none of its tasks has an open run.
+fn is_startable(state: &StepState, spec: &StepSpec, now: Millis) -> bool {
+    let waits = state.tasks.iter().any(|t| !t.done && t.open.is_none());
+    waits && !(spec.gang && state.is_open()) && now >= state.not_before
+}
