Answer operators' questions on a site of bronzetack batch

Cause: on-call had only raw logs of the coordinator; nothing told why a job waits, and tackctl did not speak to a daemon of batch. Now the operators' address answers what the site looks like (alarms first), what a job waits for, where it runs and what was decided on it, and which workers get tasks and why not. A daemon that does not coordinate names the one that does. `tackctl site` prints them. Nothing can be changed yet: no route changes a job or a worker.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -32,6 +32,7 @@
 use crate::worker::WorkerEntry;
 
 mod load;
+mod overview;
 mod report;
 mod requests;
 mod stall;
@@ -39,6 +40,14 @@
 mod time;
 mod upkeep;
 
+pub use overview::GuaranteeOverview;
+pub use overview::JobCounts;
+pub use overview::JobOverview;
+pub use overview::RunOverview;
+pub use overview::SiteOverview;
+pub use overview::StepOverview;
+pub use overview::Usability;
+pub use overview::WorkerOverview;
 pub use requests::PendingWrite;
 pub use requests::PollRequest;
 pub use requests::SeenEnd;
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -30,6 +30,7 @@
 mod leadership;
 mod load;
 mod local;
+mod operators;
 mod peers;
 mod poll;
 mod restore;
@@ -72,16 +73,19 @@
         let server = listen("callers", &ports, CLOSE_TIMEOUT, routes)?;
         shared.callers.set(server.address());
         let metrics = shared.metrics.clone();
+        let (questions, asked) = mpsc::unbounded_channel();
         let routes = move |app: &mut ServiceConfig| {
             let metrics = metrics.clone();
             let answer = move || std::future::ready(metrics_text(metrics.text()));
             app.route(METRICS_PATH, web::get().to(answer));
+            operators::routes(app, questions.clone());
         };
         let operators = listen("operators", &[addresses.operators], CLOSE_TIMEOUT, routes)?;
         carrier::listen(&shared)?;
         actix_rt::spawn(documents::run(shared.clone()));
         actix_rt::spawn(election::run(shared.clone()));
         actix_rt::spawn(calls::run(shared.clone(), received));
+        actix_rt::spawn(operators::run(shared.clone(), asked));
         actix_rt::spawn(peers::run(shared.clone()));
         obs::record(
             &shared.log,
@@ -103,6 +107,11 @@
         self.shared.callers.get()
     }
 
+    /// Address at which it answers operators, with the port that was bound.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.address()
+    }
+
     /// The metrics in the text format of their HTTP endpoint.
     pub fn metrics(&self) -> Result<String, std::fmt::Error> {
         self.shared.metrics.text()
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -7,7 +7,6 @@
 use base::Revision;
 use batch::Load;
 use batch::LogKind;
-use batch::Scheduler;
 use batch::StartRequest;
 use batch::StartResponse;
 use batch::StopRequest;
@@ -65,7 +64,7 @@
             pending
         };
         lead.pass_done.notify_one();
-        log_decisions(&shared, &mut lead.scheduler.borrow_mut());
+        log_decisions(&shared, &lead);
         if pending.is_empty() {
             let starts = lead
                 .scheduler
@@ -138,8 +137,13 @@
     current
 }
 
-fn log_decisions(shared: &Shared, scheduler: &mut Scheduler) {
-    for entry in scheduler.take_log() {
+fn log_decisions(shared: &Shared, lead: &Leadership) {
+    let entries = lead.scheduler.borrow_mut().take_log();
+    let now = shared.now();
+    for entry in entries {
+        if let Some(job) = &entry.job {
+            lead.history.borrow_mut().record(job, &entry.text, now);
+        }
         let job = entry.job.map(|j| j.to_string()).unwrap_or_default();
         let event = match entry.kind {
             LogKind::Decision => Event::SchedulingDecision,
--- a/crates/bronzetack/src/batch/election.rs
+++ b/crates/bronzetack/src/batch/election.rs
@@ -121,6 +121,13 @@
     })
 }
 
+/// The VM of the daemon that holds the lock, if any does.
+pub async fn holder(shared: &Shared) -> Result<Option<String>, StoreError> {
+    let item = shared.store.get(keys::LOCK).await?;
+    let holder = item.and_then(|i| i.value).and_then(|v| read_holder(&v));
+    Ok(holder.map(|h| h.vm))
+}
+
 fn read_holder(value: &[u8]) -> Option<Holder> {
     ciborium::from_reader(value).ok()
 }
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -13,6 +13,7 @@
 use batch::candidacy::Capacity;
 use batch::candidacy::HandoverReason;
 use batch::Catalog;
+use batch::History;
 use batch::Scheduler;
 use obs::Event;
 use platform::LeaseId;
@@ -54,6 +55,10 @@
     pub ended: Cell<bool>,
     /// State of all jobs and workers.
     pub scheduler: RefCell<Scheduler>,
+    /// The latest decisions on jobs, for operators.
+    pub history: RefCell<History>,
+    /// When it began.
+    pub elected: Millis,
     /// Revisions of the stored records of jobs.
     pub run_revisions: RefCell<Map<JobId, Revision>>,
     /// Revisions of the stored records of upkeep waves.
@@ -124,6 +129,8 @@
         lease_status: keeper.status(),
         ended: Cell::new(false),
         scheduler: RefCell::new(Scheduler::new(epoch, shared.bounds, catalog.clone(), now)),
+        history: RefCell::default(),
+        elected: now,
         run_revisions: RefCell::default(),
         wave_revisions: RefCell::default(),
         confirmed: Cell::new((now, now)),
--- a/crates/conf/src/api.rs
+++ b/crates/conf/src/api.rs
@@ -39,6 +39,7 @@
 
 mod jobs;
 mod settings;
+mod site;
 mod status;
 
 pub use jobs::CancelReply;
@@ -64,6 +65,18 @@
 pub use settings::ShapeInfo;
 pub use settings::ShapesQuery;
 pub use settings::ShapesReply;
+pub use site::CoordinatorStatus;
+pub use site::Grouping;
+pub use site::GuaranteeStatus;
+pub use site::JobCount;
+pub use site::SiteDecision;
+pub use site::SiteJob;
+pub use site::SiteRun;
+pub use site::SiteStatus;
+pub use site::SiteStep;
+pub use site::SiteWorker;
+pub use site::SiteWorkers;
+pub use site::WorkerCount;
 pub use status::Coordinator;
 pub use status::DomainStatus;
 pub use status::PeerStatus;
--- a/crates/tackctl/src/cmd/mod.rs
+++ b/crates/tackctl/src/cmd/mod.rs
@@ -7,5 +7,6 @@
 pub mod org;
 pub mod settings;
 pub mod shape;
+pub mod site;
 pub mod status;
 pub mod worker;
--- a/crates/tackctl/src/main.rs
+++ b/crates/tackctl/src/main.rs
@@ -25,6 +25,7 @@
     org         Creates, removes and lists organisations
     settings    Reads and changes the operators' settings
     shape       Adds, removes and lists guaranteed shapes
+    site        Shows a site of `bronzetack batch`, its jobs and its workers
     status      Shows the site as a daemon sees it
     worker      Lists workers
 
@@ -74,6 +75,7 @@
         "org" => cmd::org::run(args),
         "settings" => cmd::settings::run(args),
         "shape" => cmd::shape::run(args),
+        "site" => cmd::site::run(args),
         "status" => cmd::status::run(args),
         "worker" => cmd::worker::run(args),
         "help" => help(&args.first().map_or("".into(), |a| a.to_string_lossy())),
@@ -92,6 +94,7 @@
         "org" => cmd::org::USAGE,
         "settings" => cmd::settings::USAGE,
         "shape" => cmd::shape::USAGE,
+        "site" => cmd::site::USAGE,
         "status" => cmd::status::USAGE,
         "worker" => cmd::worker::USAGE,
         _ => return Err(Failure::Usage(format!("unknown command {name}"))),
--- a/crates/tackctl/tests/cmd/main.rs
+++ b/crates/tackctl/tests/cmd/main.rs
@@ -10,5 +10,6 @@
 mod org;
 mod settings;
 mod shape;
+mod site;
 mod status;
 mod worker;
