Take a connection that ended after the request as a call without an answer

Cause: the HTTP client reports a connection that the peer closes in place of a response as a failed connect (ConnectError::Disconnected).

Ruled out: a reset within the request, which the client reports as an error of the response and which already counted as unknown.

--- a/crates/tackctl/src/client.rs
+++ b/crates/tackctl/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use awc::http::Method;
 use base::Millis;
@@ -143,6 +144,10 @@
     let body = call.body.clone().unwrap_or_default();
     let mut response = match request.send_body(body).await {
         Ok(response) => response,
+        // The connection ended in place of an answer, after the request was sent.
+        Err(SendRequestError::Connect(ConnectError::Disconnected)) => {
+            return CallResult::NoAnswer("the connection ended without an answer".to_string())
+        }
         Err(SendRequestError::Connect(err)) => return CallResult::NotSent(err.to_string()),
         Err(SendRequestError::Url(err)) => return CallResult::NotSent(err.to_string()),
         Err(err) => return CallResult::NoAnswer(err.to_string()),
--- a/crates/tackctl/src/cmd/load/sender.rs
+++ b/crates/tackctl/src/cmd/load/sender.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use base::Millis;
 use base::OrgId;
@@ -107,6 +108,10 @@
         .insert_header(("bt-attempt", "1"));
     let mut response = match request.send_body(plan.body.clone()).await {
         Ok(response) => response,
+        // The connection ended in place of an answer, after the request was sent.
+        Err(SendRequestError::Connect(ConnectError::Disconnected)) => {
+            return RequestResult::Ended(Outcome::Unknown)
+        }
         Err(SendRequestError::Connect(_)) => return RequestResult::Ended(Outcome::NotRun),
         Err(_) => return RequestResult::Ended(Outcome::Unknown),
     };
