Answer new calls until the last call in progress of a planned stop has ended

Cause: a planned stop closed the callers' port after the drain time and only then waited for calls in progress, for which the server looks once a second. For that second or two nothing listened, and calls that still came were cut. Besides, connections that callers keep open stayed open to the end, and a call sent on one just when it closes gets no answer.

Change: calls in progress are waited for while the port is open; each answer from the begin of the stop closes its connection; both servers close at the same time, and the time that the release of the lock takes counts towards the bound.

--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use actix_web::web;
 use actix_web::web::ServiceConfig;
@@ -12,7 +13,9 @@
 use base::Millis;
 use conf::batch::BatchConfig;
 use entry::Server;
+use futures_util::future::join;
 use obs::Event;
+use platform::OpenCalls;
 use slog::Logger;
 use tokio::sync::mpsc;
 
@@ -47,12 +50,19 @@
 /// a second, and the time for a response.
 const DRAIN_TIME: Millis = Millis(2_200);
 
-/// Longest time for one server to close. The bound on a planned stop includes it for both servers.
-const CLOSE_TIMEOUT: Millis = Millis(1_500);
+/// Longest time for the servers to close, which look once a second whether they may.
+const CLOSE_TIMEOUT: Millis = Millis(2_000);
+
+/// Part of the bound on a planned stop that is left for the end of the process.
+const STOP_MARGIN: Millis = Millis(500);
+
+/// Time between two looks at the calls in progress.
+const CALLS_POLL_INTERVAL: Millis = Millis(20);
 
 /// A running daemon: its servers, and the state shared by its tasks.
 pub struct BatchDaemon {
     shared: Rc<Shared>,
+    open_calls: Arc<OpenCalls>,
     server: Server,
     operators: Server,
 }
@@ -64,9 +74,11 @@
         let addresses = shared.settings.addresses;
         let (calls, received) = mpsc::unbounded_channel();
         let ready = shared.ready.clone();
+        let open_calls: Arc<OpenCalls> = Arc::default();
+        let open = open_calls.clone();
         let routes = move |app: &mut ServiceConfig| {
             let ready = ready.clone();
-            platform::routes(app, calls.clone(), move || ready.is_ready());
+            platform::routes(app, calls.clone(), open.clone(), move || ready.is_ready());
         };
         let ports = [addresses.callers, addresses.ready];
         let server = listen("callers", &ports, CLOSE_TIMEOUT, routes)?;
@@ -93,6 +105,7 @@
         );
         Ok(BatchDaemon {
             shared,
+            open_calls,
             server,
             operators,
         })
@@ -119,23 +132,25 @@
         );
     }
 
-    /// Stops as planned: withdraws readiness, releases the lock, and then finishes the calls in
-    /// progress.
+    /// Stops as planned: withdraws readiness, releases the lock, and finishes the calls in progress.
+    /// New calls are answered until then; once the servers close, nothing listens.
     pub async fn close(self) {
         let shared = self.shared;
+        let begun = shared.now();
         obs::record(&shared.log, Event::DaemonStopping, &[]);
         shared.ready.close();
         shared.stopping.set(true);
+        self.open_calls.begin_close();
         leadership::resign(&shared).await;
         carrier::announce_stop(&shared);
-        let grace = shared
-            .settings
-            .bounds
-            .stop
-            .since(CLOSE_TIMEOUT + CLOSE_TIMEOUT);
-        actix_rt::time::sleep(DRAIN_TIME.min(grace).duration()).await;
-        self.server.close().await;
-        self.operators.close().await;
+        let bound = shared.settings.bounds.stop;
+        let grace = bound.since(CLOSE_TIMEOUT + STOP_MARGIN);
+        let drained = begun + DRAIN_TIME.min(grace);
+        shared.sleep(drained.since(shared.now())).await;
+        while self.open_calls.count() > 0 && shared.now() < begun + grace {
+            shared.sleep(CALLS_POLL_INTERVAL).await;
+        }
+        join(self.server.close(), self.operators.close()).await;
         let links = shared.links.borrow_mut().take();
         if let Some(links) = links {
             links.close().await;
