Hold back starts beyond an organisation's limit

Change: the configuration's weight and cap of an organisation are decoded into typed fields. A ledger counts whatever may be running of each organisation, from the planning of a start until its end is known, unwanted runs included. A start is bounded by what is left of the limit when it is planned, and checked again when it is sent. A gang starts whole or waits; other steps go in waves. For an urgent step that the limit holds back, runs of lower priority of the same organisation are stopped; room is kept for it and for starved gangs. A job that can never run under the limit is refused at once with the reason. Where limits exist, starts need operators' documents younger than the bound on configuration changes.

Tests of the batch crate pass.

--- a/crates/batch/examples/load/arrivals.rs
+++ b/crates/batch/examples/load/arrivals.rs
@@ -4,6 +4,7 @@
 use batch::Catalog;
 use batch::CatalogLimits;
 use batch::Org;
+use batch::OrgLimit;
 use batch::Pool;
 use batch::Queue;
 use batch::Resources;
@@ -133,6 +134,8 @@
         name: format!("org{num}").parse().expect("an organisation"),
         keys: vec![format!("key{num}")],
         guarantee: 60,
+        limit: OrgLimit::default(),
+        weight: None,
     };
     Catalog::new(
         1,
--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -64,6 +64,8 @@
 pub struct StartAges {
     /// Age of the operators' documents.
     pub documents: Millis,
+    /// Age of the operators' documents where organisations have limits, which may have been lowered.
+    pub limits: Millis,
     /// Age of the workers' entries.
     pub workers: Millis,
     /// Age of the callers' requests.
@@ -116,6 +118,7 @@
         let watch_wait = Millis(self.config_apply.0 * WATCH_PERCENT / 100).min(MAX_WATCH_WAIT);
         let start_ages = StartAges {
             documents: self.evacuate.since(START_TIME),
+            limits: self.evacuate.min(self.config_apply).since(START_TIME),
             workers: self.drain.since(START_TIME),
             requests: self.cancel.since(START_TIME),
         };
--- a/crates/batch/src/catalog.rs
+++ b/crates/batch/src/catalog.rs
@@ -6,6 +6,9 @@
 use base::ServiceId;
 
 use crate::advice::AdviceRule;
+use crate::org::OrgLimit;
+use crate::org::Weight;
+use crate::record::Submitted;
 
 /// A queue that callers submit jobs to. It is selected by the host and the path of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -50,6 +53,10 @@
     pub keys: Vec<String>,
     /// Accelerators that its jobs of priority 0 can always get.
     pub guarantee: u64,
+    /// What it may have running.
+    pub limit: OrgLimit,
+    /// Its share when all is full; `None` if it has none configured.
+    pub weight: Option<Weight>,
 }
 
 /// Limits on requests.
@@ -73,6 +80,7 @@
     /// Limits on requests.
     pub limits: CatalogLimits,
     by_key: Map<String, usize>,
+    by_name: Map<OrgId, usize>,
 }
 
 /// A queue that was found for a request.
@@ -94,7 +102,9 @@
         limits: CatalogLimits,
     ) -> Catalog {
         let mut by_key = Map::default();
+        let mut by_name = Map::default();
         for (num, org) in orgs.iter().enumerate() {
+            by_name.insert(org.name.clone(), num);
             for key in &org.keys {
                 by_key.insert(key.clone(), num);
             }
@@ -106,6 +116,7 @@
             orgs,
             limits,
             by_key,
+            by_name,
         }
     }
 
@@ -133,9 +144,36 @@
         self.by_key.get(key).map(|&num| &self.orgs[num])
     }
 
+    /// The organisation with this name.
+    pub fn org(&self, name: &OrgId) -> Option<&Org> {
+        self.by_name.get(name).map(|&num| &self.orgs[num])
+    }
+
     /// Accelerators guaranteed to an organisation; zero if it is not configured.
     pub fn guarantee(&self, org: &OrgId) -> u64 {
-        let found = self.orgs.iter().find(|o| o.name == *org);
-        found.map_or(0, |o| o.guarantee)
+        self.org(org).map_or(0, |o| o.guarantee)
+    }
+
+    /// What an organisation may have running; without a limit if it is not configured.
+    pub fn limit(&self, org: &OrgId) -> OrgLimit {
+        self.org(org).map(|o| o.limit).unwrap_or_default()
+    }
+
+    /// Whether any organisation has a limit.
+    pub fn has_limits(&self) -> bool {
+        self.orgs.iter().any(|o| o.limit != OrgLimit::default())
+    }
+
+    /// Why the limit of the organisation never lets a job run, if it does not.
+    pub fn over_limit(&self, submitted: &Submitted) -> Option<String> {
+        let org = submitted.org.as_ref()?;
+        let limit = self.limit(org);
+        let steps = submitted.work.steps.iter().enumerate();
+        let mut wide = steps.filter(|(_, step)| !limit.allows(&step.at_once()));
+        wide.next().map(|(num, step)| {
+            let needs = step.at_once();
+            let what = if step.gang { "the gang" } else { "one task" };
+            format!("step {num}: {what} needs {needs}, the limit of {org} is {limit}")
+        })
     }
 }
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -132,6 +132,8 @@
     pub not_before: Millis,
     /// Whether it was logged that the step waits long although a guarantee covers it.
     pub delay_logged: bool,
+    /// Whether it was logged that the step waits because of its organisation's limit.
+    pub hold_logged: bool,
 }
 
 impl StepState {
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -15,6 +15,7 @@
 
 mod attempt;
 mod candidates;
+mod limit;
 mod make_room;
 mod pass;
 mod placement;
@@ -45,6 +46,7 @@
     pub fn plan(&mut self, now: Millis, wall: Millis) {
         let live = &self.live;
         self.advice.begin_pass(|job| live.contains(job));
+        self.waits.clear();
         let guaranteed = self.guaranteed();
         let mut waiting = self.waiting_steps(&guaranteed, now, wall);
         let upcoming = self.upcoming_steps(now);
@@ -66,14 +68,22 @@
     /// Places the tasks of a step or makes room for them. Racks that the step asks for are kept to if
     /// `keep_racks` is set.
     fn plan_step(&mut self, pass: &mut Pass, at: &WaitingStep, keep_racks: bool) {
+        let allowed = self.allowance(pass, at);
+        if allowed == Some(0) {
+            return;
+        }
         let Some(mut attempt) = self.attempt(pass, at, keep_racks) else {
             return;
         };
+        attempt.missing.truncate(allowed.unwrap_or(usize::MAX));
         let placed = self.place_step(pass, at, &mut attempt);
         if placed.unplaced == 0 {
-            self.clear_waiting(at);
+            if allowed.is_none() {
+                self.clear_waiting(at);
+            }
             return;
         }
+        self.note_crowded(at);
         if self.make_room(pass, at, &attempt, placed) == Outlook::LeavesRacks {
             self.plan_step(pass, at, false);
         }
@@ -89,6 +99,13 @@
         }
     }
 
+    fn note_crowded(&mut self, at: &WaitingStep) {
+        let job = self.jobs.get(&at.job);
+        if let Some(org) = job.and_then(|j| j.submitted.org.clone()) {
+            self.waits.entry(org).or_default().crowded += 1;
+        }
+    }
+
     fn last_run(&self, at: &WaitingStep, index: u16) -> RunNumber {
         let state = self
             .jobs
@@ -132,8 +149,9 @@
             deadline: 0,
             epoch: self.epoch,
             planned_at: now,
-            task,
+            task: task.clone(),
         });
+        self.count_run(&task);
         self.dirty.insert(at.job.clone());
     }
 }
--- a/crates/batch/src/plan/pass.rs
+++ b/crates/batch/src/plan/pass.rs
@@ -3,6 +3,7 @@
 use base::JobId;
 use base::Map;
 use base::Millis;
+use base::OrgId;
 use base::ServiceId;
 use base::Set;
 
@@ -52,6 +53,8 @@
     /// Gangs for which preemption found no choice, and the most work that might have been lost for
     /// each.
     pub(super) unaffordable: Vec<(Failure, u64)>,
+    /// What is kept of the limit of each organisation for steps that it holds back.
+    pub(super) claims: Map<OrgId, Resources>,
     pub(super) now: Millis,
 }
 
@@ -76,6 +79,7 @@
             guaranteed,
             victims: None,
             unaffordable: Vec::new(),
+            claims: Map::default(),
             now,
         }
     }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -8,6 +8,7 @@
 use base::JobId;
 use base::Map;
 use base::Millis;
+use base::OrgId;
 use base::Set;
 use base::WorkerId;
 
@@ -22,6 +23,7 @@
 use crate::job::Job;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
+use crate::org::Ledger;
 use crate::record::Progress;
 use crate::record::Submitted;
 use crate::reserve::UrgentArrivals;
@@ -32,6 +34,7 @@
 use crate::worker::WorkerEntry;
 
 mod load;
+mod orgs;
 mod report;
 mod requests;
 mod stall;
@@ -39,6 +42,8 @@
 mod time;
 mod upkeep;
 
+use orgs::Waits;
+
 pub use requests::PendingWrite;
 pub use requests::PollRequest;
 pub use requests::SeenEnd;
@@ -54,6 +59,10 @@
     Decision,
     /// A job inside its organisation's guarantee that has not started after half of its time.
     GuaranteeDelayed,
+    /// A step that waits because of its organisation's limit.
+    LimitReached,
+    /// A limit that is smaller than what a job needs to start.
+    LimitTooLow,
 }
 
 /// An entry for the operators' log.
@@ -104,6 +113,10 @@
     pub(crate) early_failures: EarlyFailures,
     /// Recent arrivals of jobs of priority 0.
     pub(crate) urgent: UrgentArrivals,
+    /// What may be running of each organisation.
+    pub(crate) ledger: Ledger,
+    /// What the steps of each organisation wait for, by the last planning pass.
+    pub(crate) waits: Map<OrgId, Waits>,
     /// Time by which runs started under an earlier coordinator have ended on workers that never
     /// answer this one.
     pub(crate) inherited_end: Millis,
@@ -135,6 +148,8 @@
             cordoned: Set::default(),
             early_failures: EarlyFailures::default(),
             urgent: UrgentArrivals::default(),
+            ledger: Ledger::default(),
+            waits: Map::default(),
             inherited_end: now + times.offline_renewal + with_clock_drift(times.worker_lease),
         }
     }
@@ -165,7 +180,11 @@
     /// Applies a configuration if it is newer than the one in force.
     pub fn configure(&mut self, catalog: &Catalog) {
         if catalog.version > self.catalog.version {
+            let changed = catalog.orgs != self.catalog.orgs;
             self.catalog = catalog.clone();
+            if changed {
+                self.check_limits();
+            }
         }
     }
 
@@ -196,6 +215,9 @@
             let Some(spec) = job.spec(&task).cloned() else {
                 continue;
             };
+            if let Some(org) = &job.submitted.org {
+                self.ledger.add(org, &spec.need);
+            }
             let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_ref()) else {
                 continue;
             };
@@ -404,6 +426,7 @@
         if let Some(worker) = self.workers.get_mut(&open.worker) {
             worker.remove_run(task, &spec, open.phase == RunPhase::Stopping);
         }
+        self.uncount_run(task);
         self.stopping.remove(task);
         self.dirty.insert(task.job.clone());
         self.end_if_done(&task.job, now);
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -67,6 +67,7 @@
         if !truncated {
             self.close_missing(id, &report, now);
         }
+        self.count_strays(id, &report);
         self.apply_latencies(id, &report, now);
     }
 
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -220,7 +220,10 @@
         let worker = self.workers.get(&start.worker);
         let usable = worker
             .is_some_and(|w| w.born == start.born && w.clock.is_some() && self.is_usable(w, now));
-        wanted && usable && now.since(start.planned_at) <= MAX_PLAN_AGE
+        wanted
+            && usable
+            && now.since(start.planned_at) <= MAX_PLAN_AGE
+            && !self.is_over_limit(start)
     }
 
     fn cancel_start(&mut self, start: &StartRequest, now: Millis) {
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -53,6 +53,9 @@
             let text = format!("the lease of {worker} has expired; closed {num} runs: {list}");
             self.log(None, text);
         }
+        if check_runs {
+            self.drop_lapsed_strays(now);
+        }
         let is_expired = |w: &Worker| {
             let missing = w
                 .missing_since
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -124,6 +124,15 @@
         }
     }
 
+    /// These resources `count` times.
+    pub fn times(&self, count: u64) -> Resources {
+        Resources {
+            cpu: self.cpu.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            accels: self.accels.saturating_mul(count),
+        }
+    }
+
     /// How many tasks with this need fit into `available`.
     pub fn count_fitting(&self, available: &Resources) -> u64 {
         let ratio = |have: u64, need: u64| have.checked_div(need).unwrap_or(u64::MAX);
@@ -133,6 +142,17 @@
     }
 }
 
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Resources {
+            cpu,
+            memory,
+            accels,
+        } = self;
+        write!(f, "cpu {cpu} memory {memory} accels {accels}")
+    }
+}
+
 impl AddAssign for Resources {
     fn add_assign(&mut self, other: Resources) {
         self.cpu += other.cpu;
@@ -203,6 +223,14 @@
 }
 
 impl StepSpec {
+    /// What its tasks need at the least to start: those of a gang only start together.
+    pub fn at_once(&self) -> Resources {
+        match self.gang {
+            true => self.need.times(u64::from(self.count)),
+            false => self.need,
+        }
+    }
+
     /// Latency target of a serving task; `None` if the tasks do not serve.
     pub fn serving_target(&self) -> Option<Millis> {
         self.tail_target.filter(|_| self.lasting)
--- a/crates/batch/tests/kit/mod.rs
+++ b/crates/batch/tests/kit/mod.rs
@@ -13,6 +13,7 @@
 use batch::Catalog;
 use batch::CatalogLimits;
 use batch::Org;
+use batch::OrgLimit;
 use batch::Pool;
 use batch::Queue;
 use batch::Resources;
@@ -78,6 +79,8 @@
         name: name.parse().expect("an organisation"),
         keys: vec![format!("key-{name}")],
         guarantee: 16,
+        limit: OrgLimit::default(),
+        weight: None,
     }
 }
 
--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -98,6 +98,7 @@
         CallAnswer::Malformed(why) => ("malformed", why.clone()),
         CallAnswer::NoJob => ("no-job", String::new()),
         CallAnswer::NoQueue => ("no-queue", String::new()),
+        CallAnswer::OverLimit(why, _) => ("over-limit", why.clone()),
         CallAnswer::Refused(after) => ("refused", format!("come back after {after}")),
         CallAnswer::Relayed { status, .. } => ("relayed", status.to_string()),
         CallAnswer::State(phase) => ("state", format!("{phase:?}")),
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -112,9 +112,14 @@
 /// workers' entries and the callers' cancellations.
 fn may_start(shared: &Shared, lead: &Leadership, now: Millis) -> bool {
     let (workers, requests) = lead.confirmed.get();
-    let documents = shared.documents.borrow().confirmed;
     let ages = &shared.times.start_ages;
-    let current = now.since(documents) <= ages.documents
+    let (documents, document_age) = {
+        let documents = shared.documents.borrow();
+        let limited = documents.catalog.as_ref().is_some_and(|c| c.has_limits());
+        let age = if limited { ages.limits } else { ages.documents };
+        (documents.confirmed, age)
+    };
+    let current = now.since(documents) <= document_age
         && now.since(workers) <= ages.workers
         && now.since(requests) <= ages.requests;
     match (current, lead.held_since.get()) {
@@ -147,6 +152,8 @@
                 shared.guarantees_delayed.add(&[], 1);
                 Event::GuaranteeDelayed
             }
+            LogKind::LimitReached => Event::OrgLimitReached,
+            LogKind::LimitTooLow => Event::OrgLimitTooLow,
         };
         obs::record(&shared.log, event, &[("job", &job), ("why", &entry.text)]);
     }
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -35,6 +35,10 @@
 /// Longest time after which a caller is asked to retry.
 const RETRY_AFTER_MAX: Millis = Millis(5_000);
 
+/// Time after which a caller may retry a job that its organisation's limit never lets run. Only a
+/// raised limit changes the answer.
+const LIMIT_RETRY_AFTER: Millis = Millis(30_000);
+
 /// Time after which a caller is asked to retry while the store does not answer. It grows with the
 /// outage, since a long outage is likely to last and callers retry only a few times.
 pub fn retry_after(shared: &Shared) -> Millis {
@@ -81,6 +85,11 @@
             }
             Ok(work) => {
                 let submitted = Submitted::new(queue, org, shared.clock.wall(), work);
+                if let Some(why) = catalog.over_limit(&submitted) {
+                    let record = JobRecord::Refused(shared.clock.wall());
+                    let answer = CallAnswer::OverLimit(why, LIMIT_RETRY_AFTER);
+                    return submit(shared, &id, record, answer, until).await;
+                }
                 match load::verdict(shared, &submitted) {
                     Verdict::Accept => {
                         let record = JobRecord::Accepted(Box::new(submitted));
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -101,6 +101,8 @@
     WorkerIsolated = 623, Warn, "worker isolated after task failures";
     WorkerProbed = 624, Info, "probe task sent to an isolated worker";
     GuaranteeDelayed = 625, Warn, "job inside its guarantee has not started after half of its time";
+    OrgLimitReached = 626, Info, "step waits because of its organisation's limit";
+    OrgLimitTooLow = 627, Warn, "limit of an organisation is smaller than what one of its jobs needs to start";
     DomainOut = 630, Info, "failure domain taken out of service";
     DomainBack = 631, Info, "failure domain back in service";
     CallAnswered = 640, Info, "call answered";
