--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -30,6 +30,7 @@
 mod leadership;
 mod load;
 mod local;
+mod orgs;
 mod peers;
 mod poll;
 mod restore;
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -264,6 +264,7 @@
     let mut last_expiry = shared.now();
     while !lead.ended.get() {
         let load = lead.scheduler.borrow().load();
+        shared.orgs.publish(&lead.scheduler.borrow());
         if published.as_ref() != Some(&load) {
             match publish_load(&shared, &lead, &load, revision).await {
                 Some(at) => {
@@ -279,6 +280,7 @@
         }
         shared.sleep(PUBLISH_INTERVAL).await;
     }
+    shared.orgs.end();
 }
 
 async fn publish_load(
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -44,6 +44,7 @@
 use slog::Logger;
 
 use crate::batch::leadership::Leadership;
+use crate::batch::orgs::OrgMetrics;
 use crate::batch::peers::Peer;
 
 /// Time-out of a call to the store, which answers within a few milliseconds, or within a quarter of
@@ -89,6 +90,8 @@
     pub slow_log: LogLimiter,
     /// Rate limit of log lines about stop requests without a response.
     pub stop_log: LogLimiter,
+    /// What each organisation may have running, has, and waits for.
+    pub orgs: OrgMetrics,
     /// Registry of the metrics that operators can read.
     pub metrics: Metrics,
     /// Counts callers' calls by kind and answer.
@@ -216,6 +219,7 @@
                 "batch_guarantees_delayed",
                 "Jobs inside a guarantee that started late or not yet",
             ),
+            orgs: OrgMetrics::new(&metrics),
             starts: metrics.counter("batch_starts", "Orders to start a run by outcome"),
             store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
             slow_log: LogLimiter::default(),
