--- a/crates/batch/tests/absurd.rs
+++ b/crates/batch/tests/absurd.rs
@@ -15,6 +15,7 @@
 use batch::EndedRun;
 use batch::JobRecord;
 use batch::Org;
+use batch::OrgLimit;
 use batch::PromisedCapacity;
 use batch::Report;
 use batch::Resources;
@@ -27,6 +28,7 @@
 use batch::Submission;
 use batch::Submitted;
 use batch::TaskId;
+use batch::Weight;
 use batch::WorkerEntry;
 use batch::WorkerState;
 use yare::parameterized;
@@ -345,6 +347,12 @@
         name: name.parse().expect("an organisation"),
         keys: Vec::new(),
         guarantee: u64::MAX,
+        limit: OrgLimit(Resources {
+            cpu: u64::MAX,
+            memory: u64::MAX,
+            accels: 1,
+        }),
+        weight: Weight::try_from(f64::MAX).ok(),
     });
     let limits = CatalogLimits { body: u64::MAX };
     let queues: Vec<batch::Queue> = queues.collect();
--- a/crates/batch/tests/kit/mod.rs
+++ b/crates/batch/tests/kit/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod candidates;
+pub mod limits;
 pub mod site;
 pub mod worker;
 
@@ -13,6 +14,7 @@
 use batch::Catalog;
 use batch::CatalogLimits;
 use batch::Org;
+use batch::OrgLimit;
 use batch::Pool;
 use batch::Queue;
 use batch::Resources;
@@ -78,6 +80,8 @@
         name: name.parse().expect("an organisation"),
         keys: vec![format!("key-{name}")],
         guarantee: 16,
+        limit: OrgLimit::default(),
+        weight: None,
     }
 }
 
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -34,6 +34,7 @@
 mod load;
 mod local;
 mod operators;
+mod orgs;
 mod peers;
 mod poll;
 mod restore;
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -111,9 +111,14 @@
 /// workers' entries and the callers' cancellations.
 fn may_start(shared: &Shared, lead: &Leadership, now: Millis) -> bool {
     let (workers, requests) = lead.confirmed.get();
-    let documents = shared.documents.borrow().confirmed;
     let ages = &shared.times.start_ages;
-    let current = now.since(documents) <= ages.documents
+    let (documents, document_age) = {
+        let documents = shared.documents.borrow();
+        let limited = documents.catalog.as_ref().is_some_and(|c| c.has_limits());
+        let age = if limited { ages.limits } else { ages.documents };
+        (documents.confirmed, age)
+    };
+    let current = now.since(documents) <= document_age
         && now.since(workers) <= ages.workers
         && now.since(requests) <= ages.requests;
     match (current, lead.held_since.get()) {
@@ -151,6 +156,8 @@
                 shared.guarantees_delayed.add(&[], 1);
                 Event::GuaranteeDelayed
             }
+            LogKind::LimitReached => Event::OrgLimitReached,
+            LogKind::LimitTooLow => Event::OrgLimitTooLow,
         };
         obs::record(&shared.log, event, &[("job", &job), ("why", &entry.text)]);
     }
@@ -261,6 +268,7 @@
     let mut last_expiry = shared.now();
     while !lead.ended.get() {
         let load = lead.scheduler.borrow().load();
+        shared.orgs.publish(&lead.scheduler.borrow());
         if published.as_ref() != Some(&load) {
             match publish_load(&shared, &lead, &load, revision).await {
                 Some(at) => {
@@ -276,6 +284,7 @@
         }
         shared.sleep(PUBLISH_INTERVAL).await;
     }
+    shared.orgs.end();
 }
 
 async fn publish_load(
