--- a/crates/conf/src/batch/raw.rs
+++ b/crates/conf/src/batch/raw.rs
@@ -1,6 +1,7 @@
 //! Fields of the configuration file as written, and their validation.
 
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::str::FromStr;
 
 use base::Bytes;
@@ -25,7 +26,10 @@
 const MEMORY_REMEDY: &str = "write a number of megabytes above 0, such as \"256\"";
 const BANDWIDTH_REMEDY: &str = "write a number of Mbit/s above 0, such as \"100\"";
 const COUNT_REMEDY: &str = "write a number of workers from 1, such as \"500\"";
-const FACTOR_REMEDY: &str = "write a number, such as \"3\"";
+const FACTOR_REMEDY: &str = "write a number from 0 to 100, such as \"3\"";
+
+/// Largest factor.
+const MAX_FACTOR: f64 = 100.0;
 
 /// Defaults with which the scheduler's guarantees hold even if the file gives no bounds.
 const DEFAULT_BOUNDS: SiteBounds = SiteBounds {
@@ -181,10 +185,13 @@
     };
     let adviser = parse(&raw.adviser, ADDRESS_REMEDY, findings);
     let [endpoint, orders, reads] = &raw.machines;
+    let endpoint: Option<SocketAddr> = parse(endpoint, ADDRESS_REMEDY, findings);
+    let (orders, reads) = (rate(orders, findings), rate(reads, findings));
     let machines = MachineSettings {
-        address: parse(endpoint, ADDRESS_REMEDY, findings),
-        orders: rate(orders, findings),
-        reads: rate(reads, findings),
+        // A service that takes no calls is as good as none.
+        address: endpoint.filter(|_| orders > 0.0 && reads > 0.0),
+        orders,
+        reads,
     };
     Some(BatchConfig {
         vm: vm?,
@@ -211,7 +218,7 @@
 fn bounds(raw: &RawBatch, findings: &mut Findings) -> SiteBounds {
     let [hold, grace, reclaim, config, stop, heartbeat, status, ..] = &raw.durations;
     let [.., pace, harm, upkeep, handover, drain, evacuate, cancel] = &raw.durations;
-    let factor: Option<f64> = parse(&raw.factor, FACTOR_REMEDY, findings);
+    let factor = number_up_to(MAX_FACTOR, &raw.factor, FACTOR_REMEDY, findings);
     SiteBounds {
         max_hold: duration(hold, DEFAULT_BOUNDS.max_hold, findings),
         stop_grace: duration(grace, DEFAULT_BOUNDS.stop_grace, findings),
@@ -227,7 +234,7 @@
         harm: duration(harm, DEFAULT_BOUNDS.harm, findings),
         upkeep: duration(upkeep, DEFAULT_BOUNDS.upkeep, findings),
         handover: duration(handover, DEFAULT_BOUNDS.handover, findings),
-        remote_factor: factor.map_or(DEFAULT_BOUNDS.remote_factor, |f| f.ceil() as u64),
+        remote_factor: factor.map_or(DEFAULT_BOUNDS.remote_factor, |f| f.ceil().max(1.0) as u64),
     }
 }
 
@@ -272,11 +279,26 @@
     text.filter(|field| !field.value.is_empty())
 }
 
-/// Calls per second, over all daemons.
+/// Calls per second, over all daemons; 0 if none may be made.
 fn rate(text: &OptionalText, findings: &mut Findings) -> f64 {
-    let rate: Option<f64> = parse(text, RATE_REMEDY, findings);
-    rate.filter(|r| *r > 0.0)
-        .unwrap_or(DEFAULT_MACHINE_CALLS_PER_SEC)
+    number_up_to(f64::MAX, text, RATE_REMEDY, findings).unwrap_or(DEFAULT_MACHINE_CALLS_PER_SEC)
+}
+
+/// A number from 0 to `max`; any other is a finding.
+fn number_up_to(
+    max: f64,
+    text: &OptionalText,
+    remedy: &str,
+    findings: &mut Findings,
+) -> Option<f64> {
+    let field = text.as_ref()?;
+    let num: f64 = field.parse(findings, remedy)?;
+    if (0.0..=max).contains(&num) {
+        return Some(num);
+    }
+    let problem = format!("{num} is out of range");
+    findings.add(field.location.as_str(), problem, remedy);
+    None
 }
 
 fn parse<T>(text: &OptionalText, remedy: &str, findings: &mut Findings) -> Option<T>
--- a/crates/conf/tests/batch.rs
+++ b/crates/conf/tests/batch.rs
@@ -36,6 +36,9 @@
     out_of_range = { r#""reclaim": "1ms""#, "out of range" },
     unknown_field = { r#""max-holt": "1s""#, "max-holt" },
     not_a_number = { r#""remote-factor": "x""#, "\"x\"" },
+    negative_factor = { r#""remote-factor": "-1""#, "out of range" },
+    factor_is_nan = { r#""remote-factor": "NaN""#, "out of range" },
+    huge_factor = { r#""remote-factor": "1e30""#, "out of range" },
 )]
 fn an_invalid_bound_is_a_finding_with_its_location(bounds: &str, part: &str) {
     let found = load(&file(bounds), "f").expect_err("a finding");
@@ -61,3 +64,36 @@
     assert_eq!(settings.machines.address.is_some(), there);
     assert_eq!(settings.machines.reads, 1.0);
 }
+
+/// Failure: a rate that is not one was replaced by the default without a word.
+#[parameterized(
+    negative = { "-1" },
+    not_a_number = { "NaN" },
+    infinite = { "inf" },
+)]
+fn an_impossible_rate_of_calls_is_a_finding(rate: &str) {
+    for name in ["orders", "reads"] {
+        let more = format!(r#""machines": {{ "address": "127.0.0.1:9", "{name}": "{rate}" }},"#);
+        let text = file("").replacen('{', &format!("{{ {more}"), 1);
+        let found = load(&text, "f").expect_err("a finding").to_string();
+        assert!(found.contains("out of range"), "{found}");
+    }
+}
+
+/// Failure: a rate of 0 was replaced by the default, and calls were made that the service does not take.
+#[parameterized(
+    orders = { "orders" },
+    reads = { "reads" },
+)]
+fn a_machine_service_that_takes_no_calls_is_not_used(name: &str) {
+    let more = format!(r#""machines": {{ "address": "127.0.0.1:9", "{name}": "0" }},"#);
+    let text = file("").replacen('{', &format!("{{ {more}"), 1);
+    let settings = load(&text, "f").expect("no findings");
+    assert_eq!(settings.machines.address, None);
+}
+
+#[test]
+fn a_factor_below_one_is_one() {
+    let settings = load(&file(r#""remote-factor": "0""#), "f").expect("no findings");
+    assert_eq!(settings.bounds.remote_factor, 1);
+}
--- a/crates/delegate/src/retry.rs
+++ b/crates/delegate/src/retry.rs
@@ -29,6 +29,10 @@
             StartResponse::Refused(why) if unanswered.is_some() => {
                 return StartResponse::Unknown(format!("refused after a lost answer: {why}"));
             }
+            StartResponse::NoTicket if unanswered.is_some() => {
+                let why = "the ticket ended after a lost answer";
+                return StartResponse::Unknown(why.to_string());
+            }
             response => return response,
         }
     }
--- a/crates/delegate/tests/retry.rs
+++ b/crates/delegate/tests/retry.rs
@@ -29,6 +29,8 @@
     fenced = { vec![lost(), StartResponse::Fenced], 2, "fenced" },
     // The first attempt may still be carried out, so the run must be stopped by its number.
     turned_down_after_a_lost_answer = { vec![lost(), refused()], 2, "unknown" },
+    no_ticket = { vec![StartResponse::NoTicket], 1, "no ticket" },
+    no_ticket_after_a_lost_answer = { vec![lost(), StartResponse::NoTicket], 2, "unknown" },
 )]
 fn an_unanswered_start_is_repeated(responses: Vec<StartResponse>, calls: usize, result: &str) {
     let all = responses.len();
