Tell callers of a cancellation that its outcome is unknown when it may be done

Cause: when the write of the flag had no answer and the read after it failed, the caller got 'not run', as after the last of five attempts. The same for several jobs of which some were cancelled before the store refused the next.

Change: once a flag may be set, or is, for any of the jobs, an error says 'unknown'.

Tests: two in crates/bronzetack/tests/jobs.rs, each failed without its part of the change (503 'not-run').

--- a/crates/bronzetack/src/jobs/cancel.rs
+++ b/crates/bronzetack/src/jobs/cancel.rs
@@ -1,8 +1,10 @@
 //! Cancellation of jobs: sets a flag in their records, on which their coordinators act.
 
 use base::JobId;
+use base::Millis;
 use base::Revision;
 use conf::api::CancelReply;
+use entry::ops::ApiError;
 use entry::ops::ApiResult;
 use plat::Expect;
 use plat::Store;
@@ -17,6 +19,9 @@
 /// Most attempts to set the flag of a job whose coordinator writes the record at the same time.
 const MAX_ATTEMPTS: usize = 5;
 
+/// Time after which a caller is asked to cancel again.
+const RETRY_AFTER: Millis = Millis(500);
+
 /// Flags every job as cancelled. Answers once all flags are durable. `jobs` holds the record of
 /// a job if this daemon has it; otherwise the record is read from the store.
 pub async fn cancel(
@@ -25,7 +30,13 @@
 ) -> ApiResult<CancelReply> {
     let mut reply = CancelReply::default();
     for (id, known) in jobs {
-        match set_flag(store, &id, known).await? {
+        let result = set_flag(store, &id, known).await;
+        let result = result.map_err(|error| match reply.cancelled.is_empty() {
+            true => error,
+            // The other jobs are cancelled.
+            false => ApiError::unknown(error.refusal.reason).retry_after(RETRY_AFTER),
+        });
+        match result? {
             FlagResult::Cancelled => reply.cancelled.push(id),
             FlagResult::Ended => reply.ended.push(id),
             FlagResult::Missing => reply.missing.push(id),
@@ -50,6 +61,8 @@
         Some(known) => Some(known),
         None => read_record(store, &key).await?,
     };
+    // Whether an attempt without an answer may have set the flag.
+    let mut may_be_set = false;
     for _ in 0..MAX_ATTEMPTS {
         let Some((mut record, revision)) = known else {
             return Ok(FlagResult::Missing);
@@ -69,12 +82,23 @@
             Ok(WriteOutcome::Conflict(entry)) => {
                 entry.and_then(|e| Some((decode(&e.value)?, e.revision)))
             }
-            Err(error) if error.may_have_applied() => read_record(store, &key).await?,
+            Err(error) if error.may_have_applied() => {
+                may_be_set = true;
+                let read = read_record(store, &key).await;
+                read.map_err(|e| ApiError::unknown(e.refusal.reason).retry_after(RETRY_AFTER))?
+            }
+            Err(error) if may_be_set => {
+                return Err(ApiError::unknown(error.to_string()).retry_after(error.retry_after()))
+            }
             Err(error) => return Err(store_refusal(&error)),
         };
     }
     let why = format!("the record of job {id} keeps changing; cancel it again");
-    Err(entry::ops::ApiError::not_run(503, why).retry_after(base::Millis(500)))
+    let error = match may_be_set {
+        true => ApiError::unknown(why),
+        false => ApiError::not_run(503, why),
+    };
+    Err(error.retry_after(RETRY_AFTER))
 }
 
 async fn read_record(store: &Store, key: &str) -> ApiResult<Option<(JobRecord, Revision)>> {
--- a/crates/bronzetack/tests/jobs.rs
+++ b/crates/bronzetack/tests/jobs.rs
@@ -24,6 +24,9 @@
 use support::tasks::URGENT_START_MAX;
 use support::Site;
 
+/// Number of calls that outlasts a test.
+const ALL_CALLS: u64 = 1_000_000;
+
 #[test]
 fn a_gang_runs_all_its_tasks_and_a_resubmission_is_recognised() {
     let site = Site::start("gang", 1, 2, 2);
@@ -213,3 +216,49 @@
     assert_eq!(status, 200, "{answer}");
     site.close();
 }
+
+/// Failure: the write of a cancellation got no answer and the store refused the read after it. The
+/// caller was told that nothing had been done, although the job was cancelled.
+#[test]
+fn a_cancellation_whose_answer_was_lost_is_not_reported_as_not_done() {
+    let site = Site::start("lost-cancel", 1, 1, 2);
+    let at = site.daemons[0].ports.callers;
+    let spec = job("lost-1", 1, 8, "run:60000", None);
+    assert_eq!(post(at, "/v1/jobs", &spec).0, 201);
+    eventually("the job runs", || started(&site, "lost-1") == 1);
+    site.platform
+        .set_fault_for_calls(Fault::Lose, "txn", ALL_CALLS);
+    let call = json!({ "op": "cancel-1", "who": "test", "jobs": ["lost-1"] });
+    let cancel = std::thread::spawn(move || post(at, "/v1/jobs/cancel", &call));
+    std::thread::sleep(Duration::from_millis(200));
+    site.platform.set_fault(Fault::Reject);
+    let (status, answer) = cancel.join().expect("the call failed");
+    site.platform.set_fault(Fault::Up);
+    assert_ne!(status, 200, "{answer}");
+    assert_eq!(answer["outcome"], "unknown", "{status} {answer}");
+    site.close();
+}
+
+/// Failure: of two jobs one was cancelled and the store refused the write for the other. The caller was
+/// told that nothing had been done.
+#[test]
+fn a_cancellation_of_a_part_of_the_jobs_is_not_reported_as_not_done() {
+    let site = Site::start("part-cancel", 1, 1, 2);
+    let at = site.daemons[0].ports.callers;
+    for id in ["part-1", "part-2"] {
+        let spec = job(id, 1, 4, "run:60000", None);
+        assert_eq!(post(at, "/v1/jobs", &spec).0, 201);
+        eventually("the job runs", || started(&site, id) == 1);
+    }
+    site.platform
+        .set_fault_for_calls(Fault::Slow(300), "txn", ALL_CALLS);
+    let call = json!({ "op": "cancel-2", "who": "test", "jobs": ["part-1", "part-2"] });
+    let cancel = std::thread::spawn(move || post(at, "/v1/jobs/cancel", &call));
+    std::thread::sleep(Duration::from_millis(150));
+    site.platform.set_fault(Fault::Reject);
+    let (status, answer) = cancel.join().expect("the call failed");
+    site.platform.set_fault(Fault::Up);
+    assert_ne!(status, 200, "{answer}");
+    assert_eq!(answer["outcome"], "unknown", "{status} {answer}");
+    site.close();
+}
