--- a/crates/tackctl/tests/cmd/failure.rs
+++ b/crates/tackctl/tests/cmd/failure.rs
@@ -1,6 +1,8 @@
 //! Exit codes and messages of failures, and fallback to the next daemon.
 
+use std::io::Read;
 use std::net::TcpListener;
+use std::time::Duration;
 
 use serde_json::json;
 use serde_json::Value;
@@ -133,3 +135,21 @@
     let read = tackctl(&["status", "--at", &at, "--timeout", "300"]);
     assert_eq!((change.code, read.code), (6, 5));
 }
+
+/// Failure: a daemon read a change and its connection ended in place of the answer. The operator was told
+/// that the change had not been run.
+#[test]
+fn a_change_whose_connection_ended_is_unknown() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap().to_string();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let quiet = Duration::from_millis(100);
+            stream.set_read_timeout(Some(quiet)).unwrap();
+            while stream.read(&mut [0; 4096]).is_ok_and(|len| len > 0) {}
+        }
+    });
+    let change = tackctl(&["org", "add", "o1", "--at", &at]);
+    assert_eq!(change.code, 6, "{}", change.err);
+}
