Give the soak workers of unequal speed and two outages of the store in a row

Workers run at 1.0, 0.6 and 1.5 times the speed that estimates are made for, in turn, and a gang at that of its slowest member. Half of the store's outages are two, with a return of 300 ms between them. The order of faults of a seed stays.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -23,6 +23,9 @@
 /// Delay until a stopped daemon or a replaced worker is started again, in milliseconds.
 const RESTART_DELAY_MS: std::ops::Range<u64> = 100..1_500;
 
+/// Time between two outages of the store in a row.
+const STORE_RETURN: Millis = Millis(300);
+
 /// Injects faults until `end`, and waits until the last of them is over.
 pub async fn run(site: Rc<Site>, seed: u64, end: Millis) {
     let mut rng = Pcg64::seed_from_u64(seed ^ 0xfa);
@@ -90,6 +93,7 @@
             }
             11 => self.delay_store().await,
             12 => self.break_connections(),
+            13 if self.parameter < 500 => self.store_outages().await,
             13 => self.store_fault(StoreFault::Unavailable).await,
             14 => self.store_fault(StoreFault::NoAnswer).await,
             15 => {
@@ -240,6 +244,23 @@
         }
     }
 
+    /// Turns all daemons away from the store twice, and lets them in for a moment between.
+    async fn store_outages(&self) {
+        self.record(
+            false,
+            self.duration + STORE_RETURN,
+            format!("the store turns all daemons away, and again {STORE_RETURN} after its return"),
+        );
+        for last in [false, true] {
+            self.set_store_fault(StoreFault::Unavailable, false);
+            self.site.sleep(Millis(self.duration.0 / 2)).await;
+            self.end_store_fault();
+            if !last {
+                self.site.sleep(STORE_RETURN).await;
+            }
+        }
+    }
+
     /// Injects a store fault for all daemons. While it lasts, workers renew their registrations
     /// only if it is `Slow`.
     async fn store_fault(&self, fault: StoreFault) {
@@ -251,6 +272,10 @@
         let renewals_enabled = matches!(fault, StoreFault::Slow(_));
         self.set_store_fault(fault, renewals_enabled);
         self.site.sleep(self.duration).await;
+        self.end_store_fault();
+    }
+
+    fn end_store_fault(&self) {
         *self.site.renewals_enabled.borrow_mut() = true;
         for (num, daemon) in self.site.daemons.borrow().iter().enumerate() {
             daemon.store_endpoint.set_fault(self.site.usual_fault(num));
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -35,6 +35,9 @@
 /// Missed renewals after which a worker's registration is removed.
 const MAX_MISSED_RENEWALS: u64 = 3;
 
+/// Speeds of the workers in turn, in thousandths of what the steps' estimates are made for.
+const SPEEDS: [u64; 3] = [1_000, 600, 1_500];
+
 /// Attempts of a task, as [`FakeStore::configure`] sets them.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -121,6 +124,7 @@
         for num in 0..plan.workers {
             let (id, domain) = (format!("w{num}"), format!("d{}", num % 2));
             let worker = pool.worker(&id, &domain).map_err(io_error(&id))?;
+            worker.set_speed(SPEEDS[num % SPEEDS.len()]);
             workers.push(worker);
         }
         let site = Site {
