--- a/crates/batch/tests/absurd.rs
+++ b/crates/batch/tests/absurd.rs
@@ -292,8 +292,50 @@
     assert!(others_run(&mut scheduler));
 }
 
-/// Failure: a job of 64 steps with 2000 tasks each had a record that the store does not take, and no
-/// job started any more.
+/// Guards against occurrences that are never opened because earlier ones reached the limit.
+#[test]
+fn the_occurrences_over_the_limit_follow_as_earlier_ones_end() {
+    let schedule = Schedule {
+        start: Millis::ZERO,
+        interval: Millis::ZERO,
+        runs: 12,
+    };
+    let mut scheduler = Scheduler::new(Epoch(1), BOUNDS, catalog(), NOW);
+    scheduler.update_worker(WorkerEntry {
+        capacity: Resources {
+            cpu: 1 << 24,
+            memory: 1 << 24,
+            accels: 0,
+        },
+        ..entry(1)
+    });
+    let mut submitted = scheduled(schedule, 2_000);
+    submitted.work.steps[0].need = Resources {
+        cpu: 100,
+        memory: 100,
+        accels: 0,
+    };
+    scheduler.add(id(3), submitted, None, NOW);
+    let (mut now, mut number, mut ends) = (NOW, 0, Vec::new());
+    let mut most_open = 0;
+    for _ in 0..20 {
+        now += Millis(1_000);
+        most_open = most_open.max(ends.len());
+        let answer = report(now.0, Vec::new(), std::mem::take(&mut ends));
+        scheduler.report(&worker_id(1), answer, now, now);
+        for start in pass(&mut scheduler, now) {
+            number += 1;
+            ends.push(EndedRun {
+                kind: EndKind::Done,
+                ..ended(number, start.task, start.run.0)
+            });
+        }
+    }
+    assert_eq!((number, most_open), (24_000, 10_000));
+}
+
+/// Guards against a job of 64 steps with 2000 tasks each, whose record would exceed what the store takes
+/// once the tasks have checkpoints. Such a job was accepted.
 #[test]
 fn a_job_has_a_limited_number_of_tasks() {
     let work = |steps| Submission {
