--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -12,6 +12,7 @@
 use crate::spec::RunNumber;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
+use crate::speed::Meter;
 
 /// State of a job as callers see it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -74,6 +75,10 @@
     pub progress_at: Millis,
     /// Progress in percent, as last reported.
     pub percent: u32,
+    /// Measurement of its rate of progress.
+    pub meter: Meter,
+    /// Whether it continued from saved progress.
+    pub restored: bool,
     /// Processor share in percent that the worker last accepted; `None` if an earlier coordinator
     /// may have changed it.
     pub share: Option<u32>,
@@ -95,6 +100,8 @@
             seen_at: None,
             progress_at: now,
             percent: 0,
+            meter: Meter::default(),
+            restored: false,
             share: Some(100),
             share_requested: None,
         }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod reserve;
 mod scheduler;
 mod spec;
+pub mod speed;
+pub mod suit;
 pub mod throttle;
 pub mod wave;
 mod worker;
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -14,6 +14,10 @@
 
 use crate::spec::Resources;
 use crate::spec::StepSpec;
+use crate::speed::Speed;
+use crate::suit::above;
+use crate::suit::floors;
+use crate::suit::SpeedNeed;
 
 /// A worker that tasks may be placed on. The functions here refer to it by its index in a list.
 #[derive(Clone, Debug)]
@@ -43,6 +47,12 @@
     pub penalty: u32,
     /// Whether a serving task runs on it.
     pub has_serving: bool,
+    /// Its speed; while that is not known, one that most workers of its pool reach.
+    pub speed: Speed,
+    /// Whether its speed is known, or all workers of its pool are alike.
+    pub known: bool,
+    /// Number of open runs.
+    pub runs: u32,
 }
 
 /// Constraints on the placement beside the free resources.
@@ -66,6 +76,8 @@
     pub displaces_urgent: bool,
     /// The only workers allowed; `None` allows all.
     pub allowed: Option<&'a Set<WorkerId>>,
+    /// What the step asks of the speed of its workers.
+    pub speed: SpeedNeed,
 }
 
 /// Whether a worker meets the step's constraints, its free resources aside.
@@ -100,8 +112,12 @@
 
 /// Whether the worker is on the rack of the step's data. True if the step names no rack.
 pub fn is_near(candidate: &Candidate, step: &StepSpec) -> bool {
-    let rack = step.data_rack.as_deref();
-    rack.is_none_or(|r| candidate.rack.as_deref() == Some(r))
+    on_rack(candidate.rack.as_deref(), step)
+}
+
+/// Whether a worker on this rack is on that of the step's data.
+pub(crate) fn on_rack(rack: Option<&str>, step: &StepSpec) -> bool {
+    step.data_rack.as_deref().is_none_or(|r| rack == Some(r))
 }
 
 /// Workers on which a step may be placed, by index, whatever they have free.
@@ -166,10 +182,17 @@
             true => (
                 far,
                 candidate.penalty,
+                (0, 0),
                 u64::from(candidate.has_serving),
                 u64::MAX - left.cpu,
             ),
-            false => (far, candidate.penalty, left.accels, left.cpu),
+            false => (
+                far,
+                candidate.penalty,
+                limits.speed.preference(candidate),
+                left.accels,
+                left.cpu,
+            ),
         }
     });
     best.copied()
@@ -258,9 +281,27 @@
     };
     groups.iter().find_map(|group| {
         let racks = racks(group, candidates, available, step, limits, count);
-        racks
-            .iter()
-            .find_map(|rack| place_among(rack, candidates, available, step, limits, count))
+        place_by_speed(&racks, candidates, available, step, limits, count)
+    })
+}
+
+/// Workers for a gang on one of these racks. It is as fast as its slowest member, so it gets workers
+/// that are fast enough, or else those of which the slowest is as fast as possible.
+fn place_by_speed(
+    racks: &[Vec<usize>],
+    candidates: &[Candidate],
+    available: &mut [Resources],
+    step: &StepSpec,
+    limits: &Limits,
+    count: usize,
+) -> Option<Vec<usize>> {
+    let all: Vec<usize> = racks.iter().flatten().copied().collect();
+    let floors = floors(&all, candidates, &limits.speed);
+    floors.into_iter().find_map(|floor| {
+        racks.iter().find_map(|rack| {
+            let part = above(rack, candidates, &limits.speed, floor);
+            place_among(&part, candidates, available, step, limits, count)
+        })
     })
 }
 
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -119,7 +119,10 @@
             return;
         };
         state.run = run;
-        state.open = Some(OpenRun::planned(run, id.clone(), worker.born, now));
+        state.open = Some(OpenRun {
+            restored: !state.saved.is_empty(),
+            ..OpenRun::planned(run, id.clone(), worker.born, now)
+        });
         worker.add_run(task.clone(), run, &step);
         self.planned.push(StartRequest {
             saved: state.saved.clone(),
--- a/crates/batch/src/plan/attempt.rs
+++ b/crates/batch/src/plan/attempt.rs
@@ -17,6 +17,7 @@
 use crate::spec::RunNumber;
 use crate::spec::StepId;
 use crate::spec::StepSpec;
+use crate::suit::SpeedNeed;
 
 /// Time for which a task waits for a worker on which it has not failed.
 const AVOID_TIME: Millis = Millis(2_000);
@@ -43,6 +44,8 @@
     pub(super) remote: bool,
     /// Expected duration of a task.
     pub(super) duration: Millis,
+    /// What it asks of the speed of its workers.
+    pub(super) speed: SpeedNeed,
     /// Whether only proven workers are used, because the job has failed.
     pub(super) careful: bool,
     /// Run number of a gang's start.
@@ -63,6 +66,7 @@
             urgent: self.urgent || self.spec.checkpoints,
             displaces_urgent: self.pressure == Pressure::Last,
             allowed: self.allowed.as_ref(),
+            speed: self.speed,
         }
     }
 
@@ -126,6 +130,7 @@
             urgent: job.submitted.priority == 0,
             remote: spec.data_rack.is_none() || !keep_racks || waited > self.locality_wait(&spec),
             duration: self.expected(job, at.step),
+            speed: self.speed_need(job, at.occurrence, at.age),
             careful,
             gang_run: state.last_run().next(),
             step,
--- a/crates/batch/src/plan/candidates.rs
+++ b/crates/batch/src/plan/candidates.rs
@@ -17,6 +17,11 @@
             if !self.is_usable(worker, now) {
                 continue;
             }
+            let estimate = worker.evidence.estimate;
+            let speed = match estimate.known {
+                true => estimate.speed,
+                false => self.cautious_speed(&worker.entry.pool, estimate.speed),
+            };
             candidates.push(Candidate {
                 id: id.clone(),
                 pool: worker.entry.pool.clone(),
@@ -30,6 +35,9 @@
                 urgent_only: false,
                 penalty: worker.penalty(alarm),
                 has_serving: worker.serving > 0,
+                speed,
+                known: estimate.known,
+                runs: worker.open.len() as u32,
             });
         }
         candidates.sort_by(|a, b| a.id.cmp(&b.id));
--- a/crates/batch/src/plan/prefetch.rs
+++ b/crates/batch/src/plan/prefetch.rs
@@ -15,6 +15,7 @@
 use crate::spec::StepId;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
+use crate::suit::SpeedNeed;
 
 impl Scheduler {
     /// The pool that runs the job under the current configuration.
@@ -113,6 +114,7 @@
             urgent: job.submitted.priority == 0,
             displaces_urgent: false,
             allowed: Some(&allowed),
+            speed: SpeedNeed::default(),
         };
         let count = spec.count as usize;
         self.advice
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -221,6 +221,7 @@
         let open = self.4.map(|OpenRunRecord(run, worker, born)| OpenRun {
             phase: RunPhase::Inherited,
             share: None,
+            restored: true,
             ..OpenRun::planned(run, worker, born, now)
         });
         TaskState {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -8,6 +8,7 @@
 use base::JobId;
 use base::Map;
 use base::Millis;
+use base::ServiceId;
 use base::Set;
 use base::WorkerId;
 
@@ -27,11 +28,13 @@
 use crate::reserve::UrgentArrivals;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
+use crate::speed::PoolFit;
 use crate::wave::Waves;
 use crate::worker::Worker;
 use crate::worker::WorkerEntry;
 
 mod load;
+mod measure;
 mod report;
 mod requests;
 mod stall;
@@ -94,6 +97,13 @@
     pub(crate) fenced: bool,
     /// Measured duration of each queue's tasks relative to their estimates, in percent.
     pub(crate) ratios: Map<String, u32>,
+    /// Mean deviation of these durations from their ratio, as a logarithm.
+    pub(crate) deviations: Map<String, f64>,
+    /// Speeds of the workers of each pool.
+    pub(crate) fits: Map<ServiceId, PoolFit>,
+    pub(crate) fitted_at: Millis,
+    /// Whether there is evidence of speeds that is not estimated from yet.
+    pub(crate) new_evidence: bool,
     /// Responses of the adviser on steps and workers.
     pub(crate) advice: Advice,
     /// Waves of machine upkeep.
@@ -130,6 +140,10 @@
             log_entries: Vec::new(),
             fenced: false,
             ratios: Map::default(),
+            deviations: Map::default(),
+            fits: Map::default(),
+            fitted_at: Millis::ZERO,
+            new_evidence: false,
             advice: Advice::default(),
             waves: Waves::default(),
             cordoned: Set::default(),
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -12,6 +12,8 @@
 use crate::job::RunPhase;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
+use crate::speed::Evidence;
+use crate::speed::Speed;
 use crate::throttle::Throttle;
 use crate::worker::ActiveRun;
 use crate::worker::EndKind;
@@ -63,6 +65,7 @@
         }
         for run in &report.running {
             self.apply_running(id, run, report.clock, now);
+            self.measure(id, run, report.clock, now);
         }
         if !truncated {
             self.close_missing(id, &report, now);
@@ -84,6 +87,10 @@
         worker.stored_end = 0;
         worker.failed_jobs.clear();
         worker.throttle = Throttle::default();
+        if restarted || worker.evidence.born != born {
+            worker.evidence = Evidence::default();
+            worker.evidence.born = born;
+        }
         let tasks: Vec<TaskId> = worker.open.keys().cloned().collect();
         if restarted {
             self.log(
@@ -127,6 +134,9 @@
             worker: id.clone(),
             end: end.clone(),
         });
+        if end.kind == EndKind::Done {
+            self.measure_end(id, &end.task, end.run, now);
+        }
         self.apply_effect(id, end, now);
     }
 
@@ -150,6 +160,13 @@
         let lasting = job.spec(&end.task).is_some_and(|s| s.lasting);
         let estimate = job.spec(&end.task).map(|s| s.estimate).unwrap_or_default();
         let queue = job.submitted.queue.clone();
+        let speed = self
+            .jobs
+            .get(&end.task.job)
+            .and_then(|job| self.run_speed(job, &end.task, end.run));
+        let Some(job) = self.jobs.get_mut(&end.task.job) else {
+            return;
+        };
         let Some(step) = job.step_mut(&end.task) else {
             return;
         };
@@ -180,10 +197,16 @@
             .as_ref()
             .filter(|o| o.run == end.run)
             .and_then(|o| o.seen_at);
+        let restored = task.open.as_ref().is_some_and(|o| o.restored);
         if end.kind == EndKind::Done && !lasting {
             task.done = true;
             if let Some(started) = started.filter(|_| estimate > Millis::ZERO) {
-                update_ratio(&mut self.ratios, queue, now.since(started), estimate);
+                let usual = speed.unwrap_or(Speed::USUAL).usual_time(now.since(started));
+                if !restored {
+                    let ratio = self.ratios.get(&queue).copied().unwrap_or(100);
+                    update_deviation(&mut self.deviations, &queue, usual, estimate, ratio);
+                }
+                update_ratio(&mut self.ratios, queue, usual, estimate);
             }
         }
         if end.kind == EndKind::Failed {
@@ -351,6 +374,10 @@
 /// Weight of a new measurement in the moving average: one in this many.
 const AVERAGE_WEIGHT: u32 = 16;
 
+/// Deviation of a queue's durations before any is measured, and the most that one counts.
+const FIRST_DEVIATION: f64 = 0.3;
+const MAX_DEVIATION: f64 = 1.0;
+
 /// Upper limit on a measured ratio, in percent.
 const MAX_RATIO_PERCENT: u64 = 500;
 
@@ -361,6 +388,22 @@
     *ratio = (*ratio * (AVERAGE_WEIGHT - 1) + measured) / AVERAGE_WEIGHT;
 }
 
+/// Adds how far the duration of one task is off what its queue's ratio lets expect, as a logarithm.
+fn update_deviation(
+    deviations: &mut Map<String, f64>,
+    queue: &str,
+    took: Millis,
+    estimate: Millis,
+    ratio: u32,
+) {
+    let expected = estimate.0 as f64 * f64::from(ratio) / 100.0;
+    let off = (took.0.max(1) as f64 / expected.max(1.0)).ln().abs();
+    let mean = deviations
+        .entry(queue.to_string())
+        .or_insert(FIRST_DEVIATION);
+    *mean += (off.min(MAX_DEVIATION) - *mean) / f64::from(AVERAGE_WEIGHT);
+}
+
 /// Counts a failed run once, however often it is reported.
 fn note_failure(failed: &mut Vec<RunNumber>, run: RunNumber) {
     if !failed.contains(&run) {
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -310,10 +310,14 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        let gang = job.spec(task).is_some_and(|s| s.gang);
         let Some(open) = job.task_mut(task).and_then(|t| t.open.as_mut()) else {
             return;
         };
         open.seen_at = Some(now);
+        if request.saved.is_empty() && !gang {
+            open.meter.begin(clock, now);
+        }
         if open.phase != RunPhase::Stopping {
             open.phase = RunPhase::Running;
             open.absent_after = Some(clock);
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -23,6 +23,7 @@
     /// Applies changes caused by the passing of time: occurrences that fall due, expired leases,
     /// stalled runs, and workers that have been missing too long.
     pub fn tick(&mut self, now: Millis, wall: Millis) {
+        self.refit(now);
         let check_runs = now.since(self.checked_at) >= CHECK_INTERVAL;
         if check_runs {
             self.checked_at = now;
--- /dev/null
+++ b/crates/batch/src/suit.rs
@@ -0,0 +1,93 @@
+//! Which workers suit a step by their speed.
+//!
+//! Load pattern: a third of a pool is slow, and urgent gangs must end within one and a half times
+//! their work. Each step goes to the slowest workers on which it still ends within its objective, so
+//! that fast ones stay free for what needs them. Workers of which nothing is known are tried with
+//! steps that would end in time even on a slow one.
+
+use base::Millis;
+
+use crate::place::Candidate;
+use crate::speed::Speed;
+
+/// Runs that are placed on a worker of unknown speed before others are tried.
+const TRIAL_RUNS: u32 = 2;
+
+/// What a step asks of its workers' speed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SpeedNeed {
+    /// Speed from which the step ends within its objective; `None` if the workers are alike or it
+    /// does not matter.
+    pub least: Option<Speed>,
+    /// Whether the step is used to try workers of unknown speed.
+    pub tries: bool,
+}
+
+/// Part of the objective that is left aside for starts and for reports that are late.
+const START_TIME: Millis = Millis(150);
+
+/// Highest speed that is asked for, in percent.
+const MAX_NEED: u64 = 400;
+
+impl SpeedNeed {
+    /// For a step with `work` left at the usual speed and an objective in `left`. `cautious` is the
+    /// speed to reckon with on a worker of which nothing is known.
+    pub fn new(work: Millis, left: Millis, cautious: Speed) -> SpeedNeed {
+        let left = left.since(START_TIME).0.max(1);
+        let least = Speed((work.0 * 100 / left).min(MAX_NEED) as u32);
+        SpeedNeed {
+            least: Some(least),
+            tries: least <= cautious,
+        }
+    }
+
+    /// Whether the candidate is fast enough.
+    pub fn is_met(&self, candidate: &Candidate) -> bool {
+        let enough = |least: Speed| candidate.speed.class() >= least.class();
+        self.tries && !candidate.known || self.least.is_none_or(enough)
+    }
+
+    /// Sort key of a candidate; smaller ones are preferred.
+    pub(crate) fn preference(&self, candidate: &Candidate) -> (u32, i32) {
+        let Some(least) = self.least else {
+            return (0, 0);
+        };
+        let class = candidate.speed.class();
+        match () {
+            () if self.tries && !candidate.known && candidate.runs < TRIAL_RUNS => (0, 0),
+            () if class >= least.class() => (1, class),
+            () => (2, -class),
+        }
+    }
+}
+
+/// Least classes of speed to try for a gang, in this order: the workers that are fast enough, for
+/// which it is `None`, then each lower class that occurs.
+pub(crate) fn floors(
+    group: &[usize],
+    candidates: &[Candidate],
+    need: &SpeedNeed,
+) -> Vec<Option<i32>> {
+    let lower = group.iter().map(|&num| &candidates[num]);
+    let lower = lower.filter(|c| !need.is_met(c));
+    let mut lower: Vec<i32> = lower.map(|c| c.speed.class()).collect();
+    lower.sort_unstable_by(|a, b| b.cmp(a));
+    lower.dedup();
+    std::iter::once(None)
+        .chain(lower.into_iter().map(Some))
+        .collect()
+}
+
+/// The workers of a rack that are fast enough or at least of this class.
+pub(crate) fn above(
+    rack: &[usize],
+    candidates: &[Candidate],
+    need: &SpeedNeed,
+    floor: Option<i32>,
+) -> Vec<usize> {
+    let reaches = |num: &usize| {
+        let candidate = &candidates[*num];
+        need.is_met(candidate) || floor.is_some_and(|class| candidate.speed.class() >= class)
+    };
+    rack.iter().copied().filter(reaches).collect()
+}
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -18,6 +18,7 @@
 use crate::spec::RunNumber;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
+use crate::speed::Evidence;
 use crate::throttle::Throttle;
 
 /// Whether a worker accepts new tasks.
@@ -165,6 +166,8 @@
     pub not_before: Millis,
     /// Processor share of the best-effort tasks on it.
     pub throttle: Throttle,
+    /// Evidence of its speed.
+    pub evidence: Evidence,
 }
 
 /// Penalty of a worker that has not proved itself since the alarm.
@@ -201,6 +204,7 @@
             proved_at: Millis::ZERO,
             not_before: Millis::ZERO,
             throttle: Throttle::default(),
+            evidence: Evidence::default(),
         }
     }
 
--- a/crates/batch/tests/kit/candidates.rs
+++ b/crates/batch/tests/kit/candidates.rs
@@ -3,6 +3,8 @@
 use base::Millis;
 use batch::place::Candidate;
 use batch::place::Limits;
+use batch::speed::Speed;
+use batch::suit::SpeedNeed;
 use batch::Resources;
 
 use super::pool;
@@ -29,6 +31,9 @@
         urgent_only: false,
         penalty: 0,
         has_serving: false,
+        speed: Speed::USUAL,
+        known: true,
+        runs: 0,
     };
     (0..count).map(candidate).collect()
 }
@@ -45,5 +50,6 @@
         urgent: false,
         displaces_urgent: false,
         allowed: None,
+        speed: SpeedNeed::default(),
     }
 }
