Learn the speeds of workers and place steps by them

Cause: nothing knew that workers of a pool differ in speed. On a pool of 0.6, 1 and 1.6 a gang is as slow as its slowest member, so most urgent gangs were late although they began at once.

So one gang shows the speeds of all its workers; its end shows only the slowest.

Change: a meter for each run (differences of percent on the worker's own clock), a robust joint fit by pool (step, worker, distribution of speeds), and SpeedNeed: the speeds with which a step ends within its objective. Steps go to the slowest workers that amply suffice, urgent gangs to those of which the slowest is as fast as possible, unknown workers are tried with work that has slack. Nothing changes while the gain in likelihood over one speed for all is not clear.

--- a/crates/batch/src/duration.rs
+++ b/crates/batch/src/duration.rs
@@ -13,8 +13,9 @@
 use crate::suit::SpeedNeed;
 
 /// How far the duration of a task may be off what is expected, in mean deviations of its queue, for a
-/// worker still to count as fast enough.
-const MARGIN: f64 = 1.0;
+/// worker still to count as amply fast; and the deviation of a queue before any is measured.
+const MARGIN: f64 = 2.0;
+pub(crate) const FIRST_DEVIATION: f64 = 0.3;
 
 impl Scheduler {
     /// Expected remaining time of a run.
@@ -69,14 +70,15 @@
         let work = &job.submitted.work;
         let path = work.remaining_path(|step| state.steps[step].is_done());
         let deviation = self.deviations.get(&job.submitted.queue);
-        let margin = (MARGIN * deviation.copied().unwrap_or_default()).exp();
-        let usual = path.0 as f64 * f64::from(self.ratio(job)) / 100.0 * margin;
+        let margin = (MARGIN * deviation.copied().unwrap_or(FIRST_DEVIATION)).exp();
+        let usual = Millis(path.0 * u64::from(self.ratio(job)) / 100);
+        let urgent = job.submitted.priority == 0;
         let objective = job.submitted.objective;
         let left = match age < objective {
             true => objective.since(age),
             false => Millis(objective.0 * USEFUL_FACTOR).since(age),
         };
-        SpeedNeed::new(Millis(usual as u64), left, fit.cautious)
+        SpeedNeed::new(usual, margin, left, urgent, fit.cautious)
     }
 
     /// Speed to reckon with on a worker of which only `estimate` is known.
--- a/crates/batch/src/plan/placement.rs
+++ b/crates/batch/src/plan/placement.rs
@@ -8,6 +8,7 @@
 use crate::place::eligible_among;
 use crate::place::place_gang_among;
 use crate::scheduler::Scheduler;
+use crate::speed::Speed;
 use crate::worker::UNPROVED_PENALTY;
 
 /// What became of an attempt to place a step.
@@ -78,6 +79,7 @@
         let Some(chosen) = found else {
             return count;
         };
+        self.log_speeds(pass, attempt, &chosen);
         for ((index, _), num) in attempt.missing.iter().zip(chosen) {
             pass.candidates[num].free = pass.free[num];
             let id = pass.candidates[num].id.clone();
@@ -95,6 +97,7 @@
     ) -> usize {
         let mut unplaced = 0;
         let mut is_full = false;
+        let mut chosen = Vec::new();
         for (index, avoid) in &attempt.missing {
             let limits = attempt.limits(avoid);
             let found = match is_full {
@@ -113,7 +116,30 @@
             let run = self.last_run(at, *index).next();
             let id = pass.candidates[num].id.clone();
             self.start(at, *index, run, &id, pass.now);
+            chosen.push(num);
         }
+        self.log_speeds(pass, attempt, &chosen);
         unplaced
     }
+
+    /// Logs on workers of which speed a step starts, in a pool whose workers differ.
+    fn log_speeds(&mut self, pass: &Pass, attempt: &Attempt, chosen: &[usize]) {
+        let Some((least, ample)) = attempt.speed.least.filter(|_| !chosen.is_empty()) else {
+            return;
+        };
+        let mut speeds: Vec<(Speed, bool)> = chosen
+            .iter()
+            .map(|&num| (pass.candidates[num].speed, pass.candidates[num].known))
+            .collect();
+        speeds.sort_unstable();
+        let (lowest, highest) = (speeds[0].0, speeds[speeds.len() - 1].0);
+        let unknown = speeds.iter().filter(|(_, known)| !known).count();
+        let text = format!(
+            "starting {} tasks of step {} on workers of speed {lowest} to {highest}, {unknown} of \
+             them unknown; {least} to {ample} end within the objective",
+            chosen.len(),
+            attempt.step.step,
+        );
+        self.log(Some(&attempt.step.job), text);
+    }
 }
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -8,6 +8,7 @@
 use super::Scheduler;
 use super::SeenEnd;
 use crate::bounds::with_clock_drift;
+use crate::duration::FIRST_DEVIATION;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
 use crate::spec::RunNumber;
@@ -374,8 +375,7 @@
 /// Weight of a new measurement in the moving average: one in this many.
 const AVERAGE_WEIGHT: u32 = 16;
 
-/// Deviation of a queue's durations before any is measured, and the most that one counts.
-const FIRST_DEVIATION: f64 = 0.3;
+/// Most that the deviation of one duration counts, as a logarithm.
 const MAX_DEVIATION: f64 = 1.0;
 
 /// Upper limit on a measured ratio, in percent.
--- a/crates/batch/src/speed/estimate.rs
+++ b/crates/batch/src/speed/estimate.rs
@@ -101,6 +101,14 @@
         self.level.is_some_and(|(_, deviation)| deviation <= KNOWN)
     }
 
+    /// Whether its speed can be told from the length of its tasks: members of a gang have the same
+    /// work, while of single tasks it takes several.
+    pub(super) fn is_clear(&self) -> bool {
+        let first = self.samples.first();
+        let several = first.is_some_and(|f| self.samples.iter().any(|s| s.step != f.step));
+        several || self.samples.iter().any(|s| s.kind == Kind::Member)
+    }
+
     /// When a run was last measured.
     pub fn measured_at(&self) -> Option<Millis> {
         self.samples.iter().map(|s| s.at).max()
--- a/crates/batch/src/speed/fit.rs
+++ b/crates/batch/src/speed/fit.rs
@@ -42,20 +42,27 @@
 const STRAY: f64 = 0.05;
 const STRAY_RANGE: f64 = 3.0;
 
+/// Deviations, in standard deviations, from which a speed is possible only for a stray run.
+const TAIL: f64 = 4.5;
+
 /// Time in which an older run loses half of its weight against a newer one.
 const HALF_LIFE: f64 = 10_000.0;
 
 /// Added to the variance of a recorded speed: what it may have changed by.
 const RECORDED_VARIANCE: f64 = 0.01;
 
-/// Gain in log likelihood from which speeds count as different, and below which as alike again.
-const DIFFERENT: f64 = 8.0;
-const ALIKE: f64 = 3.0;
+/// Gain in log likelihood from which speeds count as different: in any pool, and for each worker. They
+/// count as alike again below half of it.
+const DIFFERENT: f64 = 5.5;
+const DIFFERENT_EACH: f64 = 0.15;
 
 /// Least spread of the logarithms that is worth acting on: between the speeds below and above which
 /// a tenth of the workers are.
 const MIN_SPREAD: f64 = 0.15;
 
+/// Steps of the grid from the middle in which the speed of workers that are alike is looked for.
+const NEAR: usize = 2;
+
 /// Fewest workers with evidence.
 const MIN_WORKERS: usize = 3;
 
@@ -128,10 +135,17 @@
     for _ in 0..ROUNDS {
         adapt(&mut pool.parts, &likelihoods, seen);
     }
-    pool.gain = gain(&pool.parts, &likelihoods);
+    let clear = workers.iter().map(|w| w.is_clear());
+    let clear: Vec<&[f64; GRID]> = likelihoods
+        .iter()
+        .zip(clear)
+        .filter_map(|(l, clear)| l.as_ref().filter(|_| clear))
+        .collect();
+    pool.gain = gain(&pool.parts, &clear);
     let wide = quantile(&pool.parts, 0.9) - quantile(&pool.parts, 0.1) >= MIN_SPREAD;
-    let least = if pool.differ { ALIKE } else { DIFFERENT };
-    pool.differ = seen >= MIN_WORKERS && wide && pool.gain >= least;
+    let least = DIFFERENT + DIFFERENT_EACH * clear.len() as f64;
+    let least = if pool.differ { least / 2.0 } else { least };
+    pool.differ = clear.len() >= MIN_WORKERS && wide && pool.gain >= least;
     pool.cautious = Speed::from_log(quantile(&pool.parts, 0.25));
     for (worker, likelihood) in workers.iter_mut().zip(&likelihoods) {
         worker.level = likelihood.map(|l| posterior(&pool.parts, &l));
@@ -158,8 +172,11 @@
 impl StepPart {
     /// The step's part and its variance, without the runs on one worker.
     fn without(&self, worker: usize) -> Option<(f64, f64)> {
-        let own = self.by_worker.iter().find(|(num, _)| *num == worker);
-        let own = own.map(|(_, sums)| *sums).unwrap_or_default();
+        // Collected in the order of the workers.
+        let own = self
+            .by_worker
+            .binary_search_by_key(&worker, |(num, _)| *num);
+        let own = own.map(|at| self.by_worker[at].1).unwrap_or_default();
         let weight = self.all.weight - own.weight;
         (weight > f64::EPSILON).then(|| ((self.all.value - own.value) / weight, 1.0 / weight))
     }
@@ -326,10 +343,14 @@
 
 fn likelihood(value: f64, variance: f64) -> [f64; GRID] {
     let scale = (1.0 - STRAY) / (variance * std::f64::consts::TAU).sqrt();
-    let mut out = [0.0; GRID];
-    for (num, density) in out.iter_mut().enumerate() {
+    let mut out = [STRAY / STRAY_RANGE; GRID];
+    let reach = TAIL * variance.sqrt();
+    let place = |log: f64| ((log - FIRST) / GRID_STEP).clamp(0.0, GRID as f64);
+    let (low, high) = (place(value - reach), place(value + reach).ceil());
+    let (low, high) = (low as usize, high as usize);
+    for (num, density) in out.iter_mut().enumerate().take(high).skip(low) {
         let off = value - speed_at(num);
-        *density = scale * (-off * off / (2.0 * variance)).exp() + STRAY / STRAY_RANGE;
+        *density += scale * (-off * off / (2.0 * variance)).exp();
     }
     out
 }
@@ -358,12 +379,14 @@
 }
 
 /// Gain in log likelihood of the distribution over workers of one speed.
-fn gain(parts: &[f64], likelihoods: &[Option<[f64; GRID]>]) -> f64 {
-    let mut alike = [0.0; GRID];
+fn gain(parts: &[f64], likelihoods: &[&[f64; GRID]]) -> f64 {
+    let middle = (-FIRST / GRID_STEP).round() as usize;
+    let near = middle - NEAR..=middle + NEAR;
+    let mut alike = [0.0; 2 * NEAR + 1];
     let mut mixed = 0.0;
-    for likelihood in likelihoods.iter().flatten() {
+    for likelihood in likelihoods {
         mixed += dot(parts, likelihood).ln();
-        for (sum, density) in alike.iter_mut().zip(likelihood) {
+        for (sum, density) in alike.iter_mut().zip(&likelihood[near.clone()]) {
             *sum += density.ln();
         }
     }
--- a/crates/batch/src/speed/meter.rs
+++ b/crates/batch/src/speed/meter.rs
@@ -123,7 +123,7 @@
             self.restart(reading);
             return false;
         }
-        let step = rate(&last, &reading);
+        let step = step_rate(&last, &reading);
         if let (Some(before), Some(step)) = (self.rate, step) {
             let change = step.log - before.log;
             let clear = change * change > CLEAR * CLEAR * (step.variance + before.variance);
@@ -133,6 +133,7 @@
             }
             if clear && change.abs() > CHANGE {
                 self.restart(last);
+                self.rate = Some(step);
                 self.changed = true;
             }
         }
@@ -210,14 +211,20 @@
     own.abs_diff(its) > its / CLOCK_SHARE + CLOCK_SLACK
 }
 
+/// The rate between two readings, if there is enough progress or time between them.
 fn rate(from: &Reading, to: &Reading) -> Option<Rate> {
     let span = to.clock.saturating_sub(from.clock);
     let progress = to.percent.saturating_sub(from.percent);
-    if span < MIN_TIME || progress < MIN_PROGRESS && span < SLOW_TIME {
-        return None;
-    }
+    let enough = progress >= MIN_PROGRESS || span >= SLOW_TIME;
+    step_rate(from, to).filter(|_| enough)
+}
+
+/// The rate between two readings, however uncertain.
+fn step_rate(from: &Reading, to: &Reading) -> Option<Rate> {
+    let span = to.clock.saturating_sub(from.clock);
+    let progress = to.percent.saturating_sub(from.percent);
     let progress = f64::from(progress).max(HALF_PERCENT);
-    Some(Rate {
+    (span >= MIN_TIME).then(|| Rate {
         log: (progress / span as f64).ln(),
         variance: ROUNDING / (progress * progress),
     })
--- a/crates/batch/src/suit.rs
+++ b/crates/batch/src/suit.rs
@@ -16,9 +16,11 @@
 /// What a step asks of its workers' speed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct SpeedNeed {
-    /// Speed from which the step ends within its objective; `None` if the workers are alike or it
-    /// does not matter.
-    pub least: Option<Speed>,
+    /// Speed from which the step is expected to end within its objective, and the higher one from
+    /// which it almost surely does; `None` if the workers are alike or it does not matter.
+    pub least: Option<(Speed, Speed)>,
+    /// Whether the step is urgent. Any other leaves fast workers to those as far as it can.
+    pub urgent: bool,
     /// Whether the step is used to try workers of unknown speed.
     pub tries: bool,
 }
@@ -30,33 +32,50 @@
 const MAX_NEED: u64 = 400;
 
 impl SpeedNeed {
-    /// For a step with `work` left at the usual speed and an objective in `left`. `cautious` is the
-    /// speed to reckon with on a worker of which nothing is known.
-    pub fn new(work: Millis, left: Millis, cautious: Speed) -> SpeedNeed {
+    /// For a step with `work` left at the usual speed and an objective in `left`. The work may be
+    /// more by the factor `margin`. `cautious` is the speed to reckon with on a worker of which
+    /// nothing is known.
+    pub fn new(
+        work: Millis,
+        margin: f64,
+        left: Millis,
+        urgent: bool,
+        cautious: Speed,
+    ) -> SpeedNeed {
         let left = left.since(START_TIME).0.max(1);
-        let least = Speed((work.0 * 100 / left).min(MAX_NEED) as u32);
+        let speed = |work: u64| Speed((work.saturating_mul(100) / left).min(MAX_NEED) as u32);
+        let least = speed(work.0);
+        let ample = speed((work.0 as f64 * margin) as u64);
         SpeedNeed {
-            least: Some(least),
-            tries: least <= cautious,
+            least: Some((least, ample)),
+            urgent,
+            tries: !urgent && least <= cautious,
         }
     }
 
     /// Whether the candidate is fast enough.
     pub fn is_met(&self, candidate: &Candidate) -> bool {
-        let enough = |least: Speed| candidate.speed.class() >= least.class();
+        let enough = |(least, ample): (Speed, Speed)| {
+            let asked = if self.urgent { ample } else { least };
+            candidate.speed.class() >= asked.class()
+        };
         self.tries && !candidate.known || self.least.is_none_or(enough)
     }
 
     /// Sort key of a candidate; smaller ones are preferred.
     pub(crate) fn preference(&self, candidate: &Candidate) -> (u32, i32) {
-        let Some(least) = self.least else {
+        let Some((least, ample)) = self.least else {
             return (0, 0);
         };
         let class = candidate.speed.class();
+        let usual = Speed::USUAL.max(ample).class();
         match () {
             () if self.tries && !candidate.known && candidate.runs < TRIAL_RUNS => (0, 0),
-            () if class >= least.class() => (1, class),
-            () => (2, -class),
+            () if class >= ample.class() && (self.urgent || class <= usual) => (1, class),
+            () if self.urgent => (2, -class),
+            () if class > usual => (3, class),
+            () if class >= least.class() => (2, -class),
+            () => (4, -class),
         }
     }
 }
