Keep what is known about speeds for the next coordinator

Change: a record of ten bytes a worker in the store, written by a task of its own at most every 5 s under the condition of the lock, read beside the other records at a take-over. Workers are named by a hash of id and incarnation. Ratios of queues are in it, too. An urgent step counts a worker as fast enough only by its speed, not by its class, and only if it is known; of workers that are too slow, unknown ones go first.

Tests of the crate batch for speeds pass; the kit's workers got a speed, members of a gang stand at 100 there like on the platform, and a gang ends with its slowest member (same as before for workers of one speed).

--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -182,7 +182,7 @@
             true => (
                 far,
                 candidate.penalty,
-                (0, 0),
+                (0, 0, false),
                 u64::from(candidate.has_serving),
                 u64::MAX - left.cpu,
             ),
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -28,6 +28,7 @@
 use crate::reserve::UrgentArrivals;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
+use crate::speed::Level;
 use crate::speed::PoolFit;
 use crate::wave::Waves;
 use crate::worker::Worker;
@@ -35,6 +36,7 @@
 
 mod load;
 mod measure;
+mod recall;
 mod report;
 mod requests;
 mod stall;
@@ -102,6 +104,8 @@
     /// Speeds of the workers of each pool.
     pub(crate) fits: Map<ServiceId, PoolFit>,
     pub(crate) fitted_at: Millis,
+    /// Speeds of workers that an earlier coordinator has recorded, by their key.
+    pub(crate) recorded: Map<u64, Level>,
     /// Whether there is evidence of speeds that is not estimated from yet.
     pub(crate) new_evidence: bool,
     /// Responses of the adviser on steps and workers.
@@ -143,6 +147,7 @@
             deviations: Map::default(),
             fits: Map::default(),
             fitted_at: Millis::ZERO,
+            recorded: Map::default(),
             new_evidence: false,
             advice: Advice::default(),
             waves: Waves::default(),
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -92,6 +92,10 @@
             worker.evidence = Evidence::default();
             worker.evidence.born = born;
         }
+        self.recall_worker(id, now);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
         let tasks: Vec<TaskId> = worker.open.keys().cloned().collect();
         if restarted {
             self.log(
--- a/crates/batch/src/speed.rs
+++ b/crates/batch/src/speed.rs
@@ -10,6 +10,7 @@
 
 mod estimate;
 mod fit;
+mod memory;
 mod meter;
 
 pub use estimate::Estimate;
@@ -18,6 +19,10 @@
 pub use estimate::Sample;
 pub use fit::fit;
 pub use fit::PoolFit;
+pub use memory::worker_key;
+pub use memory::Level;
+pub use memory::QueueRatio;
+pub use memory::SpeedRecord;
 pub use meter::Meter;
 pub use meter::Rate;
 
--- a/crates/batch/src/speed/estimate.rs
+++ b/crates/batch/src/speed/estimate.rs
@@ -97,7 +97,7 @@
     }
 
     /// Whether the speed is known well enough to rely on.
-    pub(super) fn is_known(&self) -> bool {
+    pub(crate) fn is_known(&self) -> bool {
         self.level.is_some_and(|(_, deviation)| deviation <= KNOWN)
     }
 
@@ -106,7 +106,7 @@
     pub(super) fn is_clear(&self) -> bool {
         let first = self.samples.first();
         let several = first.is_some_and(|f| self.samples.iter().any(|s| s.step != f.step));
-        several || self.samples.iter().any(|s| s.kind == Kind::Member)
+        several || self.recorded.is_some() || self.samples.iter().any(|s| s.kind == Kind::Member)
     }
 
     /// When a run was last measured.
--- a/crates/batch/src/speed/fit.rs
+++ b/crates/batch/src/speed/fit.rs
@@ -96,6 +96,38 @@
     }
 }
 
+/// Unit of recorded parts and noise.
+const PART_UNIT: f64 = 255.0;
+const NOISE_UNIT: f64 = 200.0;
+
+impl PoolFit {
+    /// The distribution and the noise, one byte each, for a record.
+    pub(super) fn to_bytes(&self) -> (Vec<u8>, Vec<u8>) {
+        let most = self.parts.iter().copied().fold(f64::EPSILON, f64::max);
+        let parts = self.parts.iter().map(|p| (p / most * PART_UNIT) as u8);
+        let noise = self.noise.iter().map(|n| (n * NOISE_UNIT).round() as u8);
+        (parts.collect(), noise.collect())
+    }
+
+    /// The reverse of [`PoolFit::to_bytes`], for a pool whose workers differ.
+    pub(super) fn from_bytes(parts: &[u8], noise: &[u8]) -> Option<PoolFit> {
+        let sum: f64 = parts.iter().map(|p| f64::from(*p)).sum();
+        if parts.len() != GRID || sum <= 0.0 {
+            return None;
+        }
+        let parts: Vec<f64> = parts.iter().map(|p| f64::from(*p) / sum).collect();
+        let noise: [u8; 2] = noise.try_into().ok()?;
+        let noise = noise.map(|n| f64::from(n) / NOISE_UNIT);
+        Some(PoolFit {
+            noise: noise.map(|n| n.clamp(NOISE_RANGE.0, NOISE_RANGE.1)),
+            differ: true,
+            gain: 0.0,
+            cautious: Speed::from_log(quantile(&parts, 0.25)),
+            parts,
+        })
+    }
+}
+
 /// Sums over the runs of a step, or over those of it on one worker.
 #[derive(Clone, Copy, Default)]
 struct Sums {
@@ -145,7 +177,9 @@
     let wide = quantile(&pool.parts, 0.9) - quantile(&pool.parts, 0.1) >= MIN_SPREAD;
     let least = DIFFERENT + DIFFERENT_EACH * clear.len() as f64;
     let least = if pool.differ { least / 2.0 } else { least };
-    pool.differ = clear.len() >= MIN_WORKERS && wide && pool.gain >= least;
+    if seen > 0 {
+        pool.differ = clear.len() >= MIN_WORKERS && wide && pool.gain >= least;
+    }
     pool.cautious = Speed::from_log(quantile(&pool.parts, 0.25));
     for (worker, likelihood) in workers.iter_mut().zip(&likelihoods) {
         worker.level = likelihood.map(|l| posterior(&pool.parts, &l));
--- a/crates/batch/src/suit.rs
+++ b/crates/batch/src/suit.rs
@@ -57,25 +57,27 @@
     pub fn is_met(&self, candidate: &Candidate) -> bool {
         let enough = |(least, ample): (Speed, Speed)| {
             let asked = if self.urgent { ample } else { least };
-            candidate.speed.class() >= asked.class()
+            candidate.speed >= asked && (candidate.known || !self.urgent)
         };
         self.tries && !candidate.known || self.least.is_none_or(enough)
     }
 
-    /// Sort key of a candidate; smaller ones are preferred.
-    pub(crate) fn preference(&self, candidate: &Candidate) -> (u32, i32) {
+    /// Sort key of a candidate; smaller ones are preferred. Of those that are too slow, one of unknown
+    /// speed may turn out to be faster.
+    pub(crate) fn preference(&self, candidate: &Candidate) -> (u32, i32, bool) {
         let Some((least, ample)) = self.least else {
-            return (0, 0);
+            return (0, 0, false);
         };
         let class = candidate.speed.class();
         let usual = Speed::USUAL.max(ample).class();
         match () {
-            () if self.tries && !candidate.known && candidate.runs < TRIAL_RUNS => (0, 0),
-            () if class >= ample.class() && (self.urgent || class <= usual) => (1, class),
-            () if self.urgent => (2, -class),
-            () if class > usual => (3, class),
-            () if class >= least.class() => (2, -class),
-            () => (4, -class),
+            () if self.tries && !candidate.known && candidate.runs < TRIAL_RUNS => (0, 0, false),
+            () if self.urgent && self.is_met(candidate) => (1, class, false),
+            () if !self.urgent && candidate.speed >= ample && class <= usual => (1, class, false),
+            () if self.urgent => (2, -class, candidate.known),
+            () if class > usual => (3, class, false),
+            () if candidate.speed >= least => (2, -class, false),
+            () => (4, -class, candidate.known),
         }
     }
 }
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -56,6 +56,8 @@
     pub always_failing: BTreeSet<JobId>,
     pub rng: Pcg64,
     pub accepted_starts: u64,
+    /// Whether a new coordinator takes over what the former knew about speeds.
+    pub keeps_speeds: bool,
     /// Tasks whose success has been acknowledged, with the time of it.
     pub acknowledged: BTreeMap<TaskId, Millis>,
     /// Tasks that have succeeded, acknowledged or not, with the time of it.
@@ -95,6 +97,7 @@
             always_failing: BTreeSet::new(),
             rng: Pcg64::seed_from_u64(seed),
             accepted_starts: 0,
+            keeps_speeds: true,
             acknowledged: BTreeMap::new(),
             succeeded: BTreeMap::new(),
             started: BTreeMap::new(),
@@ -139,6 +142,7 @@
     pub fn take_over(&mut self) {
         self.epoch += 1;
         self.pending_responses.clear();
+        let record = self.scheduler.speed_record(self.now);
         self.scheduler = Scheduler::new(Epoch(self.epoch), BOUNDS, catalog(), self.now);
         for (id, (submitted, progress, cancelled)) in &self.stored {
             self.scheduler
@@ -147,6 +151,9 @@
                 self.scheduler.cancel(id, self.now);
             }
         }
+        if let Some(record) = record.filter(|_| self.keeps_speeds) {
+            self.scheduler.recall_speeds(record, self.now);
+        }
         self.publish_workers();
     }
 
@@ -292,7 +299,7 @@
             run: request.run,
             gang: spec.gang.then_some(spec.count),
             started: now,
-            work: spec.estimate,
+            work: Millis(spec.estimate.0 * 100 / self.workers[num].speed),
             need: spec.occupies(),
             stopping: None,
             fails: fails
@@ -348,24 +355,32 @@
     /// Advances the runs: they end, gangs end together, leases expire.
     fn advance_runs(&mut self) {
         let now = self.now;
-        let mut members: BTreeMap<(JobId, u16, RunNumber), u32> = BTreeMap::new();
+        // Number of members of each gang that are there, and the work of the slowest.
+        let mut members: BTreeMap<(JobId, u16, RunNumber), (u32, Millis)> = BTreeMap::new();
         for (task, run) in self.workers.iter().filter(|w| w.up).flat_map(|w| &w.runs) {
-            *members
-                .entry((task.job.clone(), task.step, run.run))
-                .or_default() += 1;
+            let key = (task.job.clone(), task.step, run.run);
+            let (count, work) = members.entry(key).or_default();
+            *count += 1;
+            *work = run.work.max(*work);
         }
         let mut ends: Vec<(usize, TaskId, EndKind)> = Vec::new();
         for (num, worker) in self.workers.iter().enumerate().filter(|(_, w)| w.up) {
             for (task, run) in &worker.runs {
                 let key = (task.job.clone(), task.step, run.run);
-                let whole = run.gang.is_none_or(|all| members[&key] == all);
+                let (count, slowest) = members[&key];
+                let whole = run.gang.is_none_or(|all| count == all);
+                let work = if run.gang.is_some() {
+                    slowest
+                } else {
+                    run.work
+                };
                 let kind = match () {
                     () if worker.is_lease_expired(now) => EndKind::Lapsed,
                     () if run.stopping.is_some_and(|at| at <= now) => EndKind::Stopped,
                     () if !whole && now.since(run.started) > GANG_TIMEOUT => EndKind::Alone,
                     () if worker.hangs || !whole => continue,
                     () if run.fails && now.since(run.started).0 > run.work.0 / 2 => EndKind::Failed,
-                    () if now.since(run.started) > run.work => EndKind::Done,
+                    () if now.since(run.started) > work => EndKind::Done,
                     () => continue,
                 };
                 ends.push((num, task.clone(), kind));
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -55,6 +55,8 @@
     pub hangs: bool,
     /// Whether its tasks fail.
     pub fails: bool,
+    /// Speed of its tasks, in percent.
+    pub speed: u64,
     pub runs: BTreeMap<TaskId, FakeRun>,
     closed: BTreeMap<TaskId, RunNumber>,
     /// Ended runs, with the time of the end, and whether the lease has expired since.
@@ -86,6 +88,7 @@
             listed: true,
             hangs: false,
             fails: false,
+            speed: 100,
             runs: BTreeMap::new(),
             closed: BTreeMap::new(),
             ended: Vec::new(),
@@ -121,6 +124,7 @@
         self.id = old.id;
         self.domain = old.domain;
         self.rack = old.rack;
+        self.speed = old.speed;
         self.entry_lag = old.entry_lag;
         self.shown_born = old.shown_born;
     }
@@ -201,7 +205,11 @@
             saved: String::new(),
             percent: match hangs {
                 true => 0,
-                false => (now.since(run.started).0 * 100 / run.work.0.max(1)).min(99) as u32,
+                // A member of a gang that is done stands at 100 until the last one is.
+                false => {
+                    let most = if run.gang.is_some() { 100 } else { 99 };
+                    (now.since(run.started).0 * 100 / run.work.0.max(1)).min(most) as u32
+                }
             },
             load: None,
         });
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -34,6 +34,7 @@
 mod poll;
 mod restore;
 mod shared;
+mod speeds;
 mod upkeep;
 
 use shared::Shared;
--- a/crates/bronzetack/src/batch/keys.rs
+++ b/crates/bronzetack/src/batch/keys.rs
@@ -8,6 +8,9 @@
 /// The load of the site as the coordinator publishes it.
 pub const LOAD: &str = "bronzetack/load";
 
+/// What the coordinator knows about the speeds of workers.
+pub const SPEEDS: &str = "bronzetack/speeds";
+
 /// Prefix of what daemons publish about themselves, one key for each daemon.
 pub const PEERS: &str = "bronzetack/daemons/";
 
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -33,6 +33,7 @@
 use crate::batch::restore::read_workers;
 use crate::batch::restore::watch_prefix;
 use crate::batch::shared::Shared;
+use crate::batch::speeds;
 use crate::batch::upkeep;
 
 /// Delay after a failed call to the store.
@@ -193,6 +194,7 @@
 
 /// Restores the state from the store, starts the tasks of the leadership, and plans until it ends.
 async fn coordinate(shared: Rc<Shared>, lead: Rc<Leadership>) {
+    actix_rt::spawn(speeds::recall(shared.clone(), lead.clone()));
     let Some(workers) = until_done(&shared, &lead, || read_workers(&shared, &lead)).await else {
         return;
     };
@@ -221,6 +223,7 @@
     actix_rt::spawn(dispatch::publish_loop(shared.clone(), lead.clone()));
     actix_rt::spawn(dispatch::stop_loop(shared.clone(), lead.clone()));
     actix_rt::spawn(upkeep::run(shared.clone(), lead.clone()));
+    actix_rt::spawn(speeds::run(shared.clone(), lead.clone()));
     obs::record(
         &shared.log,
         Event::TakeoverDone,
