--- a/crates/batch/tests/kit/mod.rs
+++ b/crates/batch/tests/kit/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod candidates;
+pub mod shown;
 pub mod site;
 pub mod worker;
 
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -482,33 +482,4 @@
             }
         }
     }
-
-    /// Whether every task of a job has succeeded.
-    pub fn is_done(&self, id: &JobId) -> bool {
-        self.all_tasks(id, |task| self.succeeded.contains_key(task))
-    }
-
-    /// Whether the success of every task of a job has been acknowledged.
-    pub fn is_recorded(&self, id: &JobId) -> bool {
-        self.all_tasks(id, |task| self.acknowledged.contains_key(task))
-    }
-
-    fn all_tasks(&self, id: &JobId, holds: impl Fn(&TaskId) -> bool) -> bool {
-        let steps = self.stored[id].0.work.steps.iter().enumerate();
-        steps.into_iter().all(|(num, step)| {
-            (0..step.count).all(|index| {
-                holds(&TaskId {
-                    job: id.clone(),
-                    occurrence: 0,
-                    step: num as u16,
-                    index: index as u16,
-                })
-            })
-        })
-    }
-
-    /// State of a job that callers see, from its record.
-    pub fn phase_shown(&self, id: &JobId) -> Option<batch::JobPhase> {
-        self.stored[id].1.as_ref().map(|p| p.phase)
-    }
 }
