--- a/crates/batch/examples/load/args.rs
+++ b/crates/batch/examples/load/args.rs
@@ -17,6 +17,8 @@
         optional --small small: f64
         /// Number of workers that run at a quarter of their speed; 0 if not given.
         optional --slow slow: usize
+        /// Speeds of the workers in percent, in turn, such as 60,100,160; all 100 if not given.
+        optional --speeds speeds: String
         /// Number of workers that fail all that they start from second 1.5 to 8; 0 if not given.
         optional --failing failing: usize
         /// Prints the worth by windows of two seconds.
--- a/crates/batch/examples/load/main.rs
+++ b/crates/batch/examples/load/main.rs
@@ -98,8 +98,13 @@
         burst(2, 9_000, 13_000, flags.small.unwrap_or(2.6)),
     ];
     let jobs = arrivals::arrivals(&mut rng, workers as f64 / 1_100.0, SPAN, &bursts);
+    let speeds = flags.speeds.as_deref().unwrap_or("100").split(',');
+    let speeds: Vec<f64> = speeds.filter_map(|s| s.trim().parse().ok()).collect();
+    let speeds: Vec<f64> = speeds.iter().map(|percent: &f64| percent / 100.0).collect();
+    assert!(!speeds.is_empty(), "--speeds: no number of percent");
     let mut world = World::new(
         workers,
+        &speeds,
         flags.slow.unwrap_or(0),
         flags.failing.unwrap_or(0),
         arrivals::catalog(),
--- a/crates/batch/examples/load/world.rs
+++ b/crates/batch/examples/load/world.rs
@@ -127,7 +127,13 @@
 }
 
 impl World {
-    pub fn new(workers: usize, slow: usize, failing: usize, catalog: Catalog) -> World {
+    pub fn new(
+        workers: usize,
+        speeds: &[f64],
+        slow: usize,
+        failing: usize,
+        catalog: Catalog,
+    ) -> World {
         let now = WORLD_START;
         let mut world = World {
             now,
@@ -150,7 +156,8 @@
                 speed: if num % 7 == 0 && num / 7 < slow {
                     0.25
                 } else {
-                    1.0
+                    // Racks are mixed, and so are neighbours.
+                    speeds[num * 7 / 3 % speeds.len()]
                 },
                 runs: BTreeMap::new(),
                 ended: Vec::new(),
@@ -244,35 +251,36 @@
     }
 
     fn advance_runs(&mut self) {
-        let mut speeds: Map<(JobId, RunNumber), f64> = Map::default();
-        for worker in &self.workers {
-            for (task, run) in &worker.runs {
-                let speed = speeds
+        // The members of a gang progress each at its worker's speed and end with the last one.
+        let mut most: Map<(JobId, RunNumber), f64> = Map::default();
+        for worker in &mut self.workers {
+            let progress = TURN.0 as f64 * worker.speed;
+            for (task, run) in &mut worker.runs {
+                run.left -= progress;
+                let left = most
                     .entry((task.job.clone(), run.run))
-                    .or_insert(worker.speed);
-                *speed = speed.min(worker.speed);
+                    .or_insert(f64::NEG_INFINITY);
+                *left = left.max(run.left);
             }
         }
         let now = self.now;
         for num in 0..self.workers.len() {
             let worker = &mut self.workers[num];
-            let own = worker.speed;
             let mut ended = Vec::new();
             for (task, run) in &mut worker.runs {
                 let Some((submitted, truth)) = self.truths.get(&task.job) else {
                     continue;
                 };
                 let spec = &submitted.work.steps[usize::from(task.step)];
-                let speed = match spec.gang {
-                    true => speeds[&(task.job.clone(), run.run)],
-                    false => own,
+                let left = match spec.gang {
+                    true => most[&(task.job.clone(), run.run)],
+                    false => run.left,
                 };
-                run.left -= TURN.0 as f64 * speed;
                 let kind = match () {
                     () if run.ends_at.is_some_and(|at| now >= at) => EndKind::Stopped,
                     () if run.ends_at.is_some() => continue,
                     () if run.fails && now.since(run.started) >= FAILURE_DELAY => EndKind::Failed,
-                    () if run.left > 0.0 => continue,
+                    () if left > 0.0 => continue,
                     () if truth.hopeless => EndKind::Failed,
                     () => EndKind::Done,
                 };
