--- a/crates/batch/tests/kit/mod.rs
+++ b/crates/batch/tests/kit/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod candidates;
 pub mod limits;
+pub mod shown;
 pub mod site;
 pub mod worker;
 
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -39,6 +39,7 @@
 mod poll;
 mod restore;
 mod shared;
+mod speeds;
 mod upkeep;
 
 use shared::Shared;
