Divide the room between organisations by weight when there is not enough

Cause: waiting steps are ordered by class and deadline alone, so whoever sends most gets most.

Change: where weights are configured and more is wanted than there is, each organisation has a share of its dominant resource by weight (max-min: what one does not want goes to the others). Within a class of the order, steps of organisations whose average use of the last seconds is above their share come after the others, which is decided by not starting. Jobs sent beyond the weight in jobs a second, by their stored times of acceptance, come after all others of their class and stop nothing. Jobs inside a guarantee are not concerned. Gauges show share and what waits for it. What a limit holds back twice in a pass is kept and stopped for once.

The batch crate's tests pass.

--- a/crates/batch/src/catalog.rs
+++ b/crates/batch/src/catalog.rs
@@ -164,6 +164,18 @@
         self.orgs.iter().any(|o| o.limit != OrgLimit::default())
     }
 
+    /// Whether any organisation has a weight.
+    pub fn has_weights(&self) -> bool {
+        self.orgs.iter().any(|o| o.weight.is_some())
+    }
+
+    /// The rate in jobs a second within which the jobs of an organisation go before those beyond;
+    /// `None` if it has none.
+    pub fn rate(&self, org: &OrgId) -> Option<Weight> {
+        let weight = self.org(org).and_then(|o| o.weight);
+        weight.filter(|w| w.get() > 0.0)
+    }
+
     /// Why the limit of the organisation never lets a job run, if it does not.
     pub fn over_limit(&self, submitted: &Submitted) -> Option<String> {
         let org = submitted.org.as_ref()?;
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -212,6 +212,8 @@
     pub next: u32,
     /// When it ended, on the coordinator's clock.
     pub ended: Option<Millis>,
+    /// Whether it was sent beyond the rate of its organisation.
+    pub excess: bool,
     /// Workers on which a task of the job has failed, without duplicates.
     pub failed_on: Vec<WorkerId>,
 }
@@ -236,6 +238,7 @@
             open,
             next,
             ended: None,
+            excess: false,
             failed_on: Vec::new(),
         }
     }
--- a/crates/batch/src/org/ledger.rs
+++ b/crates/batch/src/org/ledger.rs
@@ -5,6 +5,7 @@
 use base::WorkerId;
 
 use super::OrgLimit;
+use super::Weight;
 use crate::spec::Resources;
 
 /// Sums of what may be running of each organisation: each open run, from its planning until it is
@@ -69,6 +70,13 @@
     pub used: Resources,
     /// Number of its steps that wait because of its limit.
     pub held: usize,
+    /// Number of its steps that wait because it has used its share up.
+    pub deferred: usize,
     /// Number of its steps that wait for room on the workers.
     pub crowded: usize,
+    /// Its weight; `None` if it has none configured.
+    pub weight: Option<Weight>,
+    /// The part of the capacity that it may use before the others; `None` while there is enough for
+    /// all.
+    pub share: Option<f64>,
 }
--- a/crates/batch/src/org/limit.rs
+++ b/crates/batch/src/org/limit.rs
@@ -76,6 +76,11 @@
             .min(room(self.0.accels, used.accels, need.accels))
     }
 
+    /// What is left of these resources where the limit cuts them off.
+    pub fn clamp(&self, wanted: &Resources) -> Resources {
+        wanted.saturating_sub(&self.excess(wanted))
+    }
+
     /// By how much so much use exceeds the limit.
     pub fn excess(&self, used: &Resources) -> Resources {
         let over = |used: u64, limit: u64| match limit {
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -11,6 +11,7 @@
 use crate::scheduler::Scheduler;
 use crate::scheduler::StartRequest;
 use crate::spec::RunNumber;
+use crate::spec::StepId;
 use crate::spec::TaskId;
 
 mod attempt;
@@ -21,11 +22,13 @@
 mod placement;
 mod prefetch;
 mod queue;
+mod share;
 mod victims;
 
 use attempt::Attempt;
 use make_room::Outlook;
 use pass::Pass;
+use share::Shares;
 
 pub(crate) use victims::can_spare_one;
 pub(crate) use victims::lost_by_stopping;
@@ -41,6 +44,16 @@
     age: Millis,
 }
 
+impl WaitingStep {
+    fn step_id(&self) -> StepId {
+        StepId {
+            job: self.job.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+}
+
 impl Scheduler {
     /// Plans starts and stops. The start requests are sent once they are recorded.
     pub fn plan(&mut self, now: Millis, wall: Millis) {
@@ -48,7 +61,8 @@
         self.advice.begin_pass(|job| live.contains(job));
         self.waits.clear();
         let guaranteed = self.guaranteed();
-        let mut waiting = self.waiting_steps(&guaranteed, now, wall);
+        self.settle_rates();
+        let (mut waiting, wanted) = self.waiting_steps(&guaranteed, now, wall);
         let upcoming = self.upcoming_steps(now);
         if waiting.is_empty() && upcoming.is_empty() {
             return;
@@ -57,36 +71,74 @@
         let mut candidates = self.candidates(now);
         reserve::reserve_urgent(&mut candidates, self.urgent.accels(now));
         let mut pass = Pass::new(candidates, guaranteed, now);
-        for at in waiting {
-            self.plan_step(&mut pass, &at, true);
-        }
+        let shares = self.shares(&pass, &wanted);
+        self.plan_steps(&mut pass, waiting, shares.as_ref());
         for (step, rule) in upcoming {
             self.request_ahead(&pass, &step, rule);
         }
     }
 
+    /// Plans the steps in their order. Among those of the same class, what goes beyond the share of its
+    /// organisation comes after the others.
+    fn plan_steps(&mut self, pass: &mut Pass, waiting: Vec<WaitingStep>, shares: Option<&Shares>) {
+        let mut deferred: Vec<WaitingStep> = Vec::new();
+        for at in waiting {
+            if deferred.first().is_some_and(|d| !d.rank.is_level(&at.rank)) {
+                self.plan_deferred(pass, std::mem::take(&mut deferred));
+            }
+            let left = shares.and_then(|shares| self.share_left(shares, &at));
+            let more = match left {
+                Some(0) => true,
+                Some(left) => self.plan_step(pass, &at, true, left),
+                None => self.plan_step(pass, &at, true, usize::MAX),
+            };
+            if more {
+                deferred.push(at);
+            }
+        }
+        self.plan_deferred(pass, deferred);
+    }
+
+    fn plan_deferred(&mut self, pass: &mut Pass, steps: Vec<WaitingStep>) {
+        pass.beyond_shares = true;
+        for step in steps {
+            self.plan_step(pass, &step, true, usize::MAX);
+        }
+        pass.beyond_shares = false;
+    }
+
     /// Places the tasks of a step or makes room for them. Racks that the step asks for are kept to if
-    /// `keep_racks` is set.
-    fn plan_step(&mut self, pass: &mut Pass, at: &WaitingStep, keep_racks: bool) {
+    /// `keep_racks` is set. At most `most` of the tasks start; returns whether only that kept the
+    /// others from it.
+    fn plan_step(
+        &mut self,
+        pass: &mut Pass,
+        at: &WaitingStep,
+        keep_racks: bool,
+        most: usize,
+    ) -> bool {
         let allowed = self.allowance(pass, at);
         if allowed == Some(0) {
-            return;
+            return false;
         }
         let Some(mut attempt) = self.attempt(pass, at, keep_racks) else {
-            return;
+            return false;
         };
-        attempt.missing.truncate(allowed.unwrap_or(usize::MAX));
+        let all = attempt.missing.len();
+        let allowed = allowed.unwrap_or(all);
+        attempt.missing.truncate(allowed.min(most));
         let placed = self.place_step(pass, at, &mut attempt);
         if placed.unplaced == 0 {
-            if allowed.is_none() {
+            if allowed.min(most) >= all {
                 self.clear_waiting(at);
             }
-            return;
+            return most < allowed;
         }
-        self.note_crowded(at);
+        self.note_crowded(pass, at);
         if self.make_room(pass, at, &attempt, placed) == Outlook::LeavesRacks {
-            self.plan_step(pass, at, false);
+            return self.plan_step(pass, at, false, most);
         }
+        false
     }
 
     /// Clears the waiting time of a step whose tasks are all placed. After a restart it is counted
@@ -99,10 +151,16 @@
         }
     }
 
-    fn note_crowded(&mut self, at: &WaitingStep) {
+    /// Notes that a step found no room, or that what others got before it left none.
+    fn note_crowded(&mut self, pass: &Pass, at: &WaitingStep) {
         let job = self.jobs.get(&at.job);
-        if let Some(org) = job.and_then(|j| j.submitted.org.clone()) {
-            self.waits.entry(org).or_default().crowded += 1;
+        let Some(org) = job.and_then(|j| j.submitted.org.clone()) else {
+            return;
+        };
+        let waits = self.waits.entry(org).or_default();
+        match pass.beyond_shares {
+            true => waits.deferred += 1,
+            false => waits.crowded += 1,
         }
     }
 
--- a/crates/batch/src/plan/limit.rs
+++ b/crates/batch/src/plan/limit.rs
@@ -44,9 +44,8 @@
         let org = job.submitted.org.as_ref()?;
         let limit = self.catalog.limit(org);
         let spec = &job.submitted.work.steps[usize::from(at.step)];
-        let claimed = pass.claims.get(org).copied().unwrap_or_default();
         let mut used = self.ledger.used(org);
-        used += claimed;
+        used += pass.claimed_before(org, at);
         let room = limit.room(&used, &spec.need);
         if room >= u64::from(spec.count) {
             return None;
@@ -73,6 +72,10 @@
         count: u64,
         used: Resources,
     ) {
+        if pass.held.contains_key(&at.step_id()) {
+            return;
+        }
+        pass.held.insert(at.step_id(), Resources::default());
         self.waits.entry(org.clone()).or_default().held += 1;
         let limit = self.catalog.limit(org);
         let need = spec.need.times(count);
@@ -109,6 +112,7 @@
         let starved = spec.gang && waited >= CLAIM_AFTER && !at.rank.is_expired();
         if urgent || starved {
             *pass.claims.entry(org.clone()).or_default() += need;
+            pass.held.insert(at.step_id(), need);
         }
         if urgent {
             let mut wanted = used;
--- a/crates/batch/src/plan/pass.rs
+++ b/crates/batch/src/plan/pass.rs
@@ -7,9 +7,11 @@
 use base::ServiceId;
 use base::Set;
 
+use super::WaitingStep;
 use crate::place::Candidate;
 use crate::preempt::VictimIndex;
 use crate::spec::Resources;
+use crate::spec::StepId;
 use crate::spec::TaskId;
 
 /// A placement that failed in a pass. Until the next pass nothing becomes free, so whatever needs at
@@ -55,6 +57,10 @@
     pub(super) unaffordable: Vec<(Failure, u64)>,
     /// What is kept of the limit of each organisation for steps that it holds back.
     pub(super) claims: Map<OrgId, Resources>,
+    /// The steps that a limit holds back in this pass, each with what is kept for it.
+    pub(super) held: Map<StepId, Resources>,
+    /// Whether the steps planned now go beyond the shares of their organisations.
+    pub(super) beyond_shares: bool,
     pub(super) now: Millis,
 }
 
@@ -80,7 +86,18 @@
             victims: None,
             unaffordable: Vec::new(),
             claims: Map::default(),
+            held: Map::default(),
+            beyond_shares: false,
             now,
         }
     }
+
+    /// What is kept of the limit of an organisation for other steps than this one.
+    pub(super) fn claimed_before(&self, org: &OrgId, at: &WaitingStep) -> Resources {
+        let Some(claimed) = self.claims.get(org) else {
+            return Resources::default();
+        };
+        let own = self.held.get(&at.step_id()).copied().unwrap_or_default();
+        claimed.saturating_sub(&own)
+    }
 }
--- a/crates/batch/src/plan/queue.rs
+++ b/crates/batch/src/plan/queue.rs
@@ -12,6 +12,7 @@
 use crate::rank::rank;
 use crate::rank::RankInput;
 use crate::scheduler::Scheduler;
+use crate::spec::Resources;
 use crate::spec::StepSpec;
 
 impl Scheduler {
@@ -43,14 +44,16 @@
         found
     }
 
-    /// Steps of which tasks could start now.
+    /// Steps of which tasks could start now, and what they want of each organisation with a weight.
     pub(super) fn waiting_steps(
         &mut self,
         guaranteed: &Set<JobId>,
         now: Millis,
         wall: Millis,
-    ) -> Vec<WaitingStep> {
+    ) -> (Vec<WaitingStep>, Map<OrgId, Resources>) {
         let mut out = Vec::new();
+        let mut wanted: Map<OrgId, Resources> = Map::default();
+        let weighted = self.catalog.has_weights();
         for id in &self.live {
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
@@ -65,25 +68,38 @@
                 .copied()
                 .unwrap_or(100);
             let Job {
-                submitted, open, ..
+                submitted,
+                open,
+                excess,
+                ..
             } = job;
+            let excess = *excess && !is_guaranteed;
+            let mut need = Resources::default();
             for (&occurrence, state) in open.iter_mut() {
                 let left = submitted
                     .work
                     .remaining_path(|step| state.steps[step].is_done());
                 let age = wall.since(submitted.due(occurrence));
-                let rank = rank(&RankInput {
+                let mut rank = rank(&RankInput {
                     priority: submitted.priority,
                     guaranteed: is_guaranteed,
                     age,
                     objective: submitted.objective,
                     left: Millis(left.0 * u64::from(ratio) / 100),
                 });
+                if excess {
+                    rank = rank.behind();
+                }
                 for (num, spec) in submitted.work.steps.iter().enumerate() {
                     if !state.is_ready(spec) || !is_startable(&state.steps[num], spec, now) {
                         continue;
                     }
                     state.steps[num].ready_at.get_or_insert(now);
+                    if weighted {
+                        let tasks = state.steps[num].tasks.iter();
+                        let missing = tasks.filter(|t| !t.done && t.open.is_none());
+                        need += spec.need.times(missing.count() as u64);
+                    }
                     out.push(WaitingStep {
                         job: id.clone(),
                         occurrence,
@@ -94,8 +110,14 @@
                     });
                 }
             }
+            if let Some(org) = submitted.org.as_ref().filter(|_| weighted) {
+                match wanted.get_mut(org) {
+                    Some(sum) => *sum += need,
+                    None => drop(wanted.insert(org.clone(), need)),
+                }
+            }
         }
-        out
+        (out, wanted)
     }
 }
 
--- a/crates/batch/src/rank.rs
+++ b/crates/batch/src/rank.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank {
     class: u32,
+    /// Whether the job was sent beyond the rate of its organisation.
+    excess: bool,
     /// Time left until the step must start to meet the deadline of its class.
     pub slack: Millis,
 }
@@ -49,6 +51,7 @@
         // All guaranteed jobs must start within the same time, so the oldest goes first.
         return Rank {
             class: 0,
+            excess: false,
             slack: Millis::MAX.since(input.age),
         };
     }
@@ -59,6 +62,7 @@
     };
     Rank {
         class,
+        excess: false,
         slack: deadline.since(end),
     }
 }
@@ -68,7 +72,21 @@
     /// otherwise the stopped work would be ranked before it, take the resources back and be stopped
     /// again.
     pub fn may_preempt(&self) -> bool {
-        self.class <= MAX_PREEMPTING_CLASS
+        self.class <= MAX_PREEMPTING_CLASS && !self.excess
+    }
+
+    /// The rank of a job that was sent beyond the rate of its organisation: behind all others of the
+    /// same class.
+    pub fn behind(self) -> Rank {
+        Rank {
+            excess: true,
+            ..self
+        }
+    }
+
+    /// Whether the two differ in their deadline only.
+    pub fn is_level(&self, other: &Rank) -> bool {
+        self.class == other.class && self.excess == other.excess
     }
 
     /// Whether the result would come too late to be of use.
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -23,7 +23,9 @@
 use crate::job::Job;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
+use crate::org::History;
 use crate::org::Ledger;
+use crate::org::Rates;
 use crate::record::Progress;
 use crate::record::Submitted;
 use crate::reserve::UrgentArrivals;
@@ -115,6 +117,10 @@
     pub(crate) urgent: UrgentArrivals,
     /// What may be running of each organisation.
     pub(crate) ledger: Ledger,
+    /// Average use of each organisation.
+    pub(crate) history: Map<OrgId, History>,
+    /// Which jobs are beyond the rates of their organisations.
+    pub(crate) rates: Rates,
     /// What the steps of each organisation wait for, by the last planning pass.
     pub(crate) waits: Map<OrgId, Waits>,
     /// Time by which runs started under an earlier coordinator have ended on workers that never
@@ -149,6 +155,8 @@
             early_failures: EarlyFailures::default(),
             urgent: UrgentArrivals::default(),
             ledger: Ledger::default(),
+            history: Map::default(),
+            rates: Rates::default(),
             waits: Map::default(),
             inherited_end: now + times.offline_renewal + with_clock_drift(times.worker_lease),
         }
@@ -181,10 +189,18 @@
     pub fn configure(&mut self, catalog: &Catalog) {
         if catalog.version > self.catalog.version {
             let changed = catalog.orgs != self.catalog.orgs;
+            let weights = |c: &Catalog| -> Vec<_> {
+                let orgs = c.orgs.iter();
+                orgs.map(|o| (o.name.clone(), o.weight)).collect()
+            };
+            let reweighted = changed && weights(catalog) != weights(&self.catalog);
             self.catalog = catalog.clone();
             if changed {
                 self.check_limits();
             }
+            if reweighted {
+                self.rebuild_rates();
+            }
         }
     }
 
@@ -233,6 +249,11 @@
         if !job.phase.is_final() || !job.open_tasks().is_empty() {
             self.live.insert(id.clone());
         }
+        let org = job.submitted.org.as_ref();
+        if let Some(org) = org.filter(|_| self.catalog.has_weights()) {
+            let rate = self.catalog.rate(org);
+            job.excess = self.rates.add(org, job.submitted.at, &id, rate);
+        }
         self.jobs.insert(id, job);
     }
 
@@ -311,7 +332,10 @@
         });
         let old: Vec<JobId> = old.map(|(id, _)| id.clone()).collect();
         for id in &old {
-            self.jobs.remove(id);
+            let job = self.jobs.remove(id);
+            if let Some((org, at)) = job.and_then(|j| Some((j.submitted.org?, j.submitted.at))) {
+                self.rates.remove(&org, at, id);
+            }
         }
         old
     }
--- a/crates/batch/src/scheduler/orgs.rs
+++ b/crates/batch/src/scheduler/orgs.rs
@@ -9,7 +9,9 @@
 use super::LogKind;
 use super::Scheduler;
 use super::StartRequest;
+use crate::job::Job;
 use crate::org::OrgState;
+use crate::org::Rates;
 use crate::spec::Resources;
 use crate::spec::TaskId;
 use crate::worker::Report;
@@ -73,6 +75,32 @@
             || excess.accels.min(need.accels) > 0
     }
 
+    /// Marks the jobs that were sent beyond the rates of their organisations, all anew, as after a
+    /// change of weights.
+    pub(super) fn rebuild_rates(&mut self) {
+        self.rates = Rates::default();
+        let weighted = self.catalog.has_weights();
+        let mut jobs: Vec<&mut Job> = self.jobs.values_mut().collect();
+        jobs.sort_by(|a, b| (a.submitted.at, &a.id).cmp(&(b.submitted.at, &b.id)));
+        for job in jobs {
+            let org = job.submitted.org.as_ref().filter(|_| weighted);
+            job.excess = org.is_some_and(|org| {
+                let rate = self.catalog.rate(org);
+                self.rates.add(org, job.submitted.at, &job.id, rate)
+            });
+        }
+    }
+
+    /// Marks the jobs that were sent beyond the rates of their organisations.
+    pub(crate) fn settle_rates(&mut self) {
+        let catalog = &self.catalog;
+        for (id, excess) in self.rates.settle(|org| catalog.rate(org)) {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.excess = excess;
+            }
+        }
+    }
+
     /// What each configured organisation may have running, has, and waits for.
     pub fn org_states(&self) -> Vec<OrgState> {
         let orgs = self.catalog.orgs.iter().map(|org| {
@@ -82,7 +110,10 @@
                 limit: org.limit,
                 used: self.ledger.used(&org.name),
                 held: waits.held,
+                deferred: waits.deferred,
                 crowded: waits.crowded,
+                weight: org.weight,
+                share: waits.share,
             }
         });
         orgs.collect()
@@ -140,6 +171,10 @@
 pub(crate) struct Waits {
     /// Because of its limit.
     pub(crate) held: usize,
+    /// Because it has used its share up.
+    pub(crate) deferred: usize,
     /// For room on the workers.
     pub(crate) crowded: usize,
+    /// Its share of the capacity, if there was not enough for all.
+    pub(crate) share: Option<f64>,
 }
--- a/crates/batch/tests/kit/limits.rs
+++ b/crates/batch/tests/kit/limits.rs
@@ -4,10 +4,12 @@
 
 use base::OrgId;
 use batch::Catalog;
+use batch::Org;
 use batch::OrgLimit;
 use batch::Resources;
 use batch::RunNumber;
 use batch::TaskId;
+use batch::Weight;
 
 use super::catalog;
 use super::site::Site;
@@ -25,6 +27,26 @@
     Catalog::new(version, plain.queues, plain.pools, orgs, plain.limits)
 }
 
+/// The configuration with this version and these organisations, without limits; `None` stands for no
+/// weight.
+pub fn weighted(version: u64, weights: &[(&str, Option<f64>)]) -> Catalog {
+    let plain = catalog();
+    let orgs = weights.iter().map(|(name, weight)| Org {
+        name: org(name),
+        keys: Vec::new(),
+        guarantee: 0,
+        limit: OrgLimit::default(),
+        weight: weight.map(|w| Weight::try_from(w).expect("a weight")),
+    });
+    Catalog::new(
+        version,
+        plain.queues,
+        plain.pools,
+        orgs.collect(),
+        plain.limits,
+    )
+}
+
 pub fn org(name: &str) -> OrgId {
     name.parse().expect("an organisation")
 }
--- a/crates/bronzetack/src/batch/orgs.rs
+++ b/crates/bronzetack/src/batch/orgs.rs
@@ -5,12 +5,16 @@
 use obs::Gauge;
 use obs::Metrics;
 
+/// The whole capacity, in the unit of the gauge of shares.
+const ALL: i64 = 1_000;
+
 /// Gauges with the organisation as a label. The coordinator sets them; on other daemons the version
 /// is 0.
 pub struct OrgMetrics {
     limit: Gauge,
     used: Gauge,
     waiting: Gauge,
+    share: Gauge,
     version: Gauge,
 }
 
@@ -30,6 +34,10 @@
                 "batch_org_waiting",
                 "Steps of an organisation that wait, by reason",
             ),
+            share: metrics.gauge(
+                "batch_org_share_permille",
+                "Part of the capacity that an organisation may use before others; 1000 if all have room",
+            ),
             version: metrics.gauge(
                 "batch_org_version",
                 "Version of the configuration that decides on limits; 0 if not the coordinator",
@@ -44,7 +52,13 @@
             let org = state.org.as_str();
             set(&self.limit, org, &state.limit.0);
             set(&self.used, org, &state.used);
-            let reasons = [("limit", state.held), ("room", state.crowded)];
+            let share = state.share.map_or(ALL, |share| (share * ALL as f64) as i64);
+            self.share.set(&[("org", org)], share);
+            let reasons = [
+                ("limit", state.held),
+                ("share", state.deferred),
+                ("room", state.crowded),
+            ];
             for (reason, steps) in reasons {
                 let labels = [("org", org), ("reason", reason)];
                 self.waiting.set(&labels, steps as i64);
