--- a/crates/batch/examples/load/args.rs
+++ b/crates/batch/examples/load/args.rs
@@ -19,6 +19,16 @@
         optional --slow slow: usize
         /// Number of workers that fail all that they start from second 1.5 to 8; 0 if not given.
         optional --failing failing: usize
+        /// Number of organisations; 24 if not given.
+        optional --orgs orgs: usize
+        /// Gives the organisations weights, by turns of 1, 2 and 4.
+        optional --weights
+        /// Limit of each organisation in accelerators; none if not given.
+        optional --limit limit: u64
+        /// Number of jobs that wait from the start, for the cost of a pass; 0 if not given.
+        optional --backlog backlog: usize
+        /// Number of turns after which it ends; all if not given.
+        optional --turns turns: u64
         /// Prints the worth by windows of two seconds.
         optional --windows
     }
--- a/crates/batch/examples/load/arrivals.rs
+++ b/crates/batch/examples/load/arrivals.rs
@@ -11,6 +11,7 @@
 use batch::StepSpec;
 use batch::Submission;
 use batch::Submitted;
+use batch::Weight;
 use rand::RngExt;
 use rand_distr::Distribution;
 use rand_distr::Exp;
@@ -125,7 +126,33 @@
     pub objective: Millis,
 }
 
+/// The organisations of the site.
+#[derive(Clone, Copy, Debug)]
+pub struct Orgs {
+    pub count: usize,
+    /// Whether they have weights.
+    pub weighted: bool,
+    /// Accelerators that each may have running; 0 is no limit.
+    pub limit: u64,
+}
+
+/// Weights of the organisations, by turns.
+const WEIGHTS: [f64; 3] = [1.0, 2.0, 4.0];
+
+/// The configuration for organisations without limits and weights, for tests.
+#[allow(dead_code)]
 pub fn catalog() -> Catalog {
+    catalog_of(&Orgs {
+        count: ORGS,
+        weighted: false,
+        limit: 0,
+    })
+}
+
+/// Number of organisations that send jobs, unless told otherwise.
+pub const ORGS: usize = 24;
+
+pub fn catalog_of(orgs: &Orgs) -> Catalog {
     let pool = Pool {
         name: "pool".parse().expect("a pool"),
         checks_capacity: false,
@@ -134,20 +161,24 @@
         name: format!("org{num}").parse().expect("an organisation"),
         keys: vec![format!("key{num}")],
         guarantee: 60,
-        limit: OrgLimit::default(),
-        weight: None,
+        limit: OrgLimit(Resources {
+            accels: orgs.limit,
+            ..Resources::default()
+        }),
+        weight: orgs
+            .weighted
+            .then_some(WEIGHTS[num % WEIGHTS.len()])
+            .and_then(|w| Weight::try_from(w).ok()),
     };
     Catalog::new(
         1,
         KINDS.iter().map(queue).collect(),
         vec![pool],
-        (0..ORGS).map(org).collect(),
+        (0..orgs.count).map(org).collect(),
         CatalogLimits { body: 1 << 18 },
     )
 }
 
-const ORGS: usize = 24;
-
 fn queue(kind: &Kind) -> Queue {
     Queue {
         name: kind.name.to_string(),
@@ -164,7 +195,19 @@
 }
 
 /// All arrivals within `span`, in the order of their times.
+#[allow(dead_code)]
 pub fn arrivals(rng: &mut Pcg64, scale: f64, span: Millis, bursts: &[Burst]) -> Vec<Arrival> {
+    arrivals_of(rng, scale, span, bursts, ORGS)
+}
+
+/// As [`arrivals`], of so many organisations.
+pub fn arrivals_of(
+    rng: &mut Pcg64,
+    scale: f64,
+    span: Millis,
+    bursts: &[Burst],
+    orgs: usize,
+) -> Vec<Arrival> {
     let mut found = Vec::new();
     for (num, kind) in KINDS.iter().enumerate() {
         let peak = bursts.iter().filter(|b| b.kind == num);
@@ -183,7 +226,7 @@
                 .map(|b| b.factor)
                 .fold(1.0, f64::max);
             if rng.random::<f64>() < factor / peak {
-                found.push(arrival(rng, num, now));
+                found.push(arrival(rng, num, now, orgs));
             }
         }
     }
@@ -191,7 +234,20 @@
     found
 }
 
-fn arrival(rng: &mut Pcg64, num: usize, at: Millis) -> Arrival {
+/// Jobs that wait from the start: narrow ones of the kind with the least priority.
+pub fn backlog(rng: &mut Pcg64, jobs: usize, orgs: usize) -> Vec<Arrival> {
+    let narrow = |rng: &mut Pcg64| {
+        let mut found = arrival(rng, KINDS.len() - 1, Millis::ZERO, orgs);
+        found.submitted.work.steps[0].count = BACKLOG_TASKS;
+        found
+    };
+    (0..jobs).map(|_| narrow(rng)).collect()
+}
+
+/// Tasks of each job that waits from the start.
+const BACKLOG_TASKS: u32 = 8;
+
+fn arrival(rng: &mut Pcg64, num: usize, at: Millis, orgs: usize) -> Arrival {
     let kind = &KINDS[num];
     let width = draw(rng, kind.width).round().max(1.0);
     let work = draw(rng, kind.work).max(200.0);
@@ -215,7 +271,7 @@
         steps: vec![step],
         schedule: None,
     };
-    let org = format!("org{}", rng.random_range(0..ORGS));
+    let org = format!("org{}", rng.random_range(0..orgs));
     let org = org.parse().expect("an organisation");
     let size = width * work * (kind.cpu as f64 / 1000.0 + 8.0 * accels as f64);
     let mean_accels = kind.accels.iter().sum::<u64>() as f64 / kind.accels.len() as f64;
--- a/crates/batch/examples/load/main.rs
+++ b/crates/batch/examples/load/main.rs
@@ -22,6 +22,7 @@
 use args::Load;
 use arrivals::Arrival;
 use arrivals::Burst;
+use arrivals::Orgs;
 use arrivals::KINDS;
 use world::World;
 
@@ -97,21 +98,35 @@
         burst(0, 5_000, 11_000, flags.burst.unwrap_or(2.6)),
         burst(2, 9_000, 13_000, flags.small.unwrap_or(2.6)),
     ];
-    let jobs = arrivals::arrivals(&mut rng, workers as f64 / 1_100.0, SPAN, &bursts);
+    let orgs = Orgs {
+        count: flags.orgs.unwrap_or(arrivals::ORGS),
+        weighted: flags.weights,
+        limit: flags.limit.unwrap_or(0),
+    };
+    let scale = workers as f64 / 1_100.0;
+    let jobs = arrivals::arrivals_of(&mut rng, scale, SPAN, &bursts, orgs.count);
     let mut world = World::new(
         workers,
         flags.slow.unwrap_or(0),
         flags.failing.unwrap_or(0),
-        arrivals::catalog(),
+        arrivals::catalog_of(&orgs),
     );
     let start = world.now;
+    let waiting = arrivals::backlog(&mut rng, flags.backlog.unwrap_or(0), orgs.count);
+    for (num, job) in waiting.into_iter().enumerate() {
+        let id = format!("b{num:015x}").parse().expect("a job id");
+        let mut submitted = job.submitted;
+        submitted.at = start;
+        world.submit(id, submitted, job.truth);
+    }
     let mut promises = vec![PromisedCapacity::default(); DAEMONS as usize];
     let mut attempts: BinaryHeap<Attempt> = BinaryHeap::new();
     for (num, job) in jobs.iter().enumerate() {
         attempts.push(std::cmp::Reverse((start + job.at, num, 0)));
     }
     let mut refused = vec![false; jobs.len()];
-    while world.now < start + SPAN + TAIL {
+    let most = flags.turns.unwrap_or(u64::MAX);
+    while world.now < start + SPAN + TAIL && world.totals.passes < most {
         while let Some(std::cmp::Reverse((at, num, tries))) = attempts.peek().copied() {
             if at > world.now {
                 break;
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -117,6 +117,10 @@
         keep_racks: bool,
         most: usize,
     ) -> bool {
+        if self.finds_no_room(pass, at) {
+            self.note_crowded(pass, at);
+            return false;
+        }
         let allowed = self.allowance(pass, at);
         if allowed == Some(0) {
             return false;
--- a/crates/batch/src/plan/queue.rs
+++ b/crates/batch/src/plan/queue.rs
@@ -6,6 +6,8 @@
 use base::OrgId;
 use base::Set;
 
+use super::pass::Failure;
+use super::Pass;
 use super::WaitingStep;
 use crate::job::Job;
 use crate::job::StepState;
@@ -44,6 +46,37 @@
         found
     }
 
+    /// Whether a placement that failed in this pass shows that a step finds no room, and nothing else
+    /// would come of trying. With thousands of steps waiting, most are known by this.
+    pub(super) fn finds_no_room(&self, pass: &Pass, at: &WaitingStep) -> bool {
+        if pass.failures.is_empty() {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&at.job) else {
+            return false;
+        };
+        let spec = &job.submitted.work.steps[usize::from(at.step)];
+        let plain = !spec.gang
+            && job.submitted.priority != 0
+            && spec.label.is_none()
+            && spec.data_rack.is_none()
+            && spec.per_worker.is_none();
+        let state = job.open.get(&at.occurrence);
+        let sound = state.is_some_and(|o| o.steps[usize::from(at.step)].failures() == 0);
+        if !plain || !sound || self.advice_rule(job).is_some() {
+            return false;
+        }
+        let failure = Failure {
+            pool: self.pool_of(job),
+            need: spec.occupies(),
+            count: 1,
+            duration: self.expected(job, at.step),
+            one_rack: false,
+            urgent: spec.checkpoints,
+        };
+        pass.failures.iter().any(|f| f.covers(&failure))
+    }
+
     /// Steps of which tasks could start now, and what they want of each organisation with a weight.
     pub(super) fn waiting_steps(
         &mut self,
