Sharpen two tests of limits that passed without what they guard

Cause: with the count of unwanted runs, or the room kept for gangs, taken out, both tests still passed: the successor's own starts hid the strays, and the tasks in the way ended all at once.

Change: the one reports a run that no record knows and counts the starts beside it; in the other the tasks end one by one.

--- a/crates/batch/tests/limits.rs
+++ b/crates/batch/tests/limits.rs
@@ -4,10 +4,14 @@
 mod kit;
 
 use base::Millis;
+use batch::ActiveRun;
 use batch::JobPhase;
 use batch::LogKind;
+use batch::Report;
 use batch::Resources;
+use batch::RunNumber;
 use batch::StepSpec;
+use batch::TaskId;
 use rand::RngExt;
 use yare::parameterized;
 
@@ -93,8 +97,11 @@
 #[test]
 fn a_gang_is_not_starved_by_small_tasks_of_its_organisation() {
     let mut site = site(8, 8, Faults::default());
-    let submitted = job(1, vec![step(8, 1, SECOND)], site.now);
-    site.submit("first", submitted);
+    // What runs ends one by one.
+    for num in 0..8 {
+        let submitted = job(1, vec![step(1, 1, Millis(600 + 100 * num))], site.now);
+        site.submit(&format!("first{num}"), submitted);
+    }
     site.run(Millis(100));
     let id = site.submit("gang", job(1, vec![gang(8, 1, SECOND)], site.now));
     // Twice as much work as may run.
@@ -235,22 +242,42 @@
     assert!(site.is_done(&id));
 }
 
-/// Guards against runs that a worker reports, that are not wanted there and that nobody counts. The
-/// record of the run is lost with a store that took it back.
+/// Guards against runs that a worker reports, that are not wanted there and that nobody counts.
 #[test]
 fn an_unwanted_run_counts_until_it_is_gone() {
-    let mut site = site(2, 4, Faults::default());
-    let id = site.submit("a", job(1, vec![step(4, 1, LONG)], site.now));
-    site.run(SECOND);
-    // The successor reads the job without its progress.
-    site.stored.get_mut(&id).expect("the job").1 = None;
-    site.take_over();
-    site.scheduler.configure(&limited(2, 4));
-    site.run(Millis(20));
-    assert!(site.counted(&org("board")).accels >= 4);
-    site.run(Millis(5_000));
-    site.check_counted(true);
-    assert_eq!(site.running_of(&org("board")).accels, 4);
+    let mut site = site(8, 4, Faults::default());
+    site.run(Millis(200));
+    let submitted = job(1, vec![step(4, 1, LONG)], site.now);
+    let id = site.submit("a", submitted);
+    let unwanted = ActiveRun {
+        task: TaskId {
+            job: id,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        run: RunNumber(7),
+        saved: String::new(),
+        percent: 10,
+        load: None,
+    };
+    let worker = (site.workers[0].id.clone(), site.workers[0].born);
+    let report = |running: Vec<ActiveRun>, now: Millis| Report {
+        born: Some(worker.1 .0),
+        clock: (now - worker.1).0,
+        running,
+        ended: Vec::new(),
+    };
+    let mut starts = |running: Vec<ActiveRun>| {
+        let now = site.now;
+        site.scheduler
+            .report(&worker.0, report(running, now), now, now);
+        site.scheduler.plan(now, now);
+        let pending = site.scheduler.take_pending();
+        site.scheduler.records_stored(pending, now).len()
+    };
+    assert_eq!(starts(vec![unwanted]), 3);
+    assert_eq!(starts(Vec::new()), 1);
 }
 
 /// Guards against a guarantee that work of the same organisation keeps from starting: it holds all
