Compare runs of a step on different workers only, and keep what they have shown

Causes, found with the emulator on workers that are alike, which were told apart 30 s into the load: a run that another worker, or the same one, still listed under an earlier number fed the meter of the present run; several runs of a step on one worker counted as independent; the declared time as a prior is biased where long tasks fill the workers. Also, a worker whose counterparts were forgotten lost its estimate, so that 100 % drifted, and speeds below 0.3 fell off the grid (--slow 50 was never noticed).

Change: only the open run's own rows are read; the step's error counts once a worker; no prior from declared times; estimates stay; the grid reaches from 0.1 to 3; a twentieth of the workers may differ rather than a tenth.

Not covered by a test of its own: rows of earlier runs.

--- a/crates/batch/src/scheduler/measure.rs
+++ b/crates/batch/src/scheduler/measure.rs
@@ -48,6 +48,7 @@
             .task_mut(&active.task)
             .and_then(|t| t.open.as_mut())
             .filter(|o| is_measured && !cold && o.phase == RunPhase::Running)
+            .filter(|o| o.run == active.run && o.worker == *id)
         else {
             return;
         };
@@ -122,13 +123,11 @@
         if !on_rack(worker.rack.as_deref(), spec) {
             rate.log += (self.bounds.remote_factor.max(1) as f64).ln();
         }
-        let expected = self.expected(job, task.step).0;
         let group = if spec.gang { run.0 } else { 0 };
         Some(Sample {
             step: hash(&(&task.job, task.occurrence, task.step, group)),
             run: hash(&(task, run)),
             rate,
-            expected: (expected > 0).then(|| (100.0 / expected as f64).ln()),
             kind: if spec.gang {
                 Kind::Member
             } else {
--- a/crates/batch/src/scheduler/recall.rs
+++ b/crates/batch/src/scheduler/recall.rs
@@ -6,6 +6,7 @@
 use super::Scheduler;
 use crate::speed::worker_key;
 use crate::speed::Estimate;
+use crate::speed::Evidence;
 use crate::speed::Level;
 use crate::speed::Speed;
 use crate::speed::SpeedRecord;
@@ -51,6 +52,11 @@
         known.count()
     }
 
+    /// Evidence of the speed of a worker; `None` if the worker is not known.
+    pub fn evidence(&self, id: &WorkerId) -> Option<&Evidence> {
+        self.workers.get(id).map(|w| &w.evidence)
+    }
+
     /// Takes over what an earlier coordinator has recorded. What this one has learned itself stays.
     pub fn recall_speeds(&mut self, record: SpeedRecord, now: Millis) {
         for (queue, (ratio, deviation)) in &record.queues {
--- a/crates/batch/src/speed/estimate.rs
+++ b/crates/batch/src/speed/estimate.rs
@@ -31,8 +31,6 @@
     pub rate: Rate,
     /// Whether the tasks of its step may differ.
     pub kind: Kind,
-    /// Logarithm of the rate that the caller's estimate and the ratio of its queue let expect.
-    pub expected: Option<f64>,
     /// When it was last measured.
     pub at: Millis,
 }
@@ -94,6 +92,7 @@
     pub fn forget(&mut self, now: Millis) {
         self.samples.retain(|s| s.at >= now);
         self.recorded = None;
+        self.level = None;
     }
 
     /// Whether the speed is known well enough to rely on.
--- a/crates/batch/src/speed/fit.rs
+++ b/crates/batch/src/speed/fit.rs
@@ -1,7 +1,9 @@
 //! Joint estimate of the speeds of a pool's workers.
 //!
 //! The logarithm of a run's rate is the sum of its worker's speed, a part that all tasks of its step
-//! share, and noise. Both parts are taken in turn from the robust mean of what the other leaves. The
+//! share, and noise. Both parts are taken in turn from the robust mean of what the other leaves. Only
+//! runs whose step has others on other workers count: how long a task was declared to take says
+//! nothing, as those that take several times as long are on more workers at a time than all others. The
 //! distribution of speeds in the pool is learned along with them and decides how far a single run is
 //! believed. While it does not differ clearly from a single speed, all workers count as alike.
 
@@ -15,9 +17,9 @@
 use super::Speed;
 
 /// Logarithms of speed for which the distribution is kept: from the first on, in steps.
-const GRID: usize = 49;
-const FIRST: f64 = -1.2;
-const GRID_STEP: f64 = 0.05;
+const GRID: usize = 50;
+const FIRST: f64 = -2.31;
+const GRID_STEP: f64 = 0.07;
 
 /// Standard deviation of the logarithms of two tasks of one kind, until enough pairs have been seen,
 /// and its limits. Members of a gang have the same work.
@@ -28,9 +30,6 @@
 /// Median of the difference of two normal values, in standard deviations of one.
 const MEDIAN_PAIR: f64 = 0.954;
 
-/// Variance of a single task against what its queue's ratio lets expect.
-const EXPECTED_VARIANCE: f64 = 0.3;
-
 /// Variance of a worker of which nothing is known.
 const UNKNOWN_VARIANCE: f64 = 0.15;
 
@@ -57,7 +56,7 @@
 const DIFFERENT_EACH: f64 = 0.15;
 
 /// Least spread of the logarithms that is worth acting on: between the speeds below and above which
-/// a tenth of the workers are.
+/// a twentieth of the workers are.
 const MIN_SPREAD: f64 = 0.15;
 
 /// Steps of the grid from the middle in which the speed of workers that are alike is looked for.
@@ -174,7 +173,7 @@
         .filter_map(|(l, clear)| l.as_ref().filter(|_| clear))
         .collect();
     pool.gain = gain(&pool.parts, &clear);
-    let wide = quantile(&pool.parts, 0.9) - quantile(&pool.parts, 0.1) >= MIN_SPREAD;
+    let wide = quantile(&pool.parts, 0.95) - quantile(&pool.parts, 0.05) >= MIN_SPREAD;
     let least = DIFFERENT + DIFFERENT_EACH * clear.len() as f64;
     let least = if pool.differ { least / 2.0 } else { least };
     if seen > 0 {
@@ -204,7 +203,7 @@
 }
 
 impl StepPart {
-    /// The step's part and its variance, without the runs on one worker.
+    /// The step's part and its variance, without the runs on one worker; `None` if there are no others.
     fn without(&self, worker: usize) -> Option<(f64, f64)> {
         // Collected in the order of the workers.
         let own = self
@@ -216,41 +215,30 @@
     }
 }
 
+/// The runs of one step: the number of the worker, the rate less its speed, and the variance.
+type StepRuns = Vec<(usize, f64, f64)>;
+
 fn step_parts(workers: &[&mut Evidence], noise: [f64; 2]) -> Map<u64, StepPart> {
-    let mut by_step: Map<u64, Vec<(usize, f64, f64)>> = Map::default();
-    let mut expected: Map<u64, f64> = Map::default();
+    let mut by_step: Map<u64, StepRuns> = Map::default();
     for (num, worker) in workers.iter().enumerate() {
         let (level, deviation) = worker.level.unwrap_or((0.0, UNKNOWN_VARIANCE.sqrt()));
         for sample in &worker.samples {
             let variance = own_variance(sample, noise) + deviation * deviation;
             let runs = by_step.entry(sample.step).or_default();
             runs.push((num, sample.rate.log - level, variance));
-            if let Some(log) = sample.expected {
-                expected.insert(sample.step, log);
-            }
         }
     }
-    let parts = by_step.into_iter().map(|(step, runs)| {
-        let prior = expected.get(&step).copied();
-        (step, step_part(&runs, prior))
-    });
-    parts.collect()
+    let parts = by_step.into_iter();
+    parts.map(|(step, runs)| (step, step_part(&runs))).collect()
 }
 
-fn step_part(runs: &[(usize, f64, f64)], expected: Option<f64>) -> StepPart {
-    let mut values: Vec<(f64, f64)> = runs.iter().map(|(_, v, var)| (*v, 1.0 / var)).collect();
-    values.extend(expected.map(|log| (log, 1.0 / EXPECTED_VARIANCE)));
-    let middle = weighted_median(&mut values);
+fn step_part(runs: &[(usize, f64, f64)]) -> StepPart {
+    let values = runs.iter().map(|(_, value, var)| (*value, 1.0 / var));
+    let middle = weighted_median(&mut values.collect::<Vec<(f64, f64)>>());
     let mut part = StepPart {
         all: Sums::default(),
         by_worker: Vec::new(),
     };
-    if let Some(log) = expected {
-        part.all.add(
-            huber(log - middle, EXPECTED_VARIANCE) / EXPECTED_VARIANCE,
-            log,
-        );
-    }
     for (num, value, variance) in runs {
         let weight = huber(value - middle, *variance) / variance;
         part.all.add(weight, *value);
@@ -289,9 +277,11 @@
 ) -> Vec<Residual> {
     let values = worker.samples.iter().filter_map(|sample| {
         let (part, variance) = steps.get(&sample.step)?.without(num)?;
+        // The error of the step's part is the same in all of its runs here.
+        let same = worker.samples.iter().filter(|s| s.step == sample.step);
         Some(Residual {
             value: sample.rate.log - part,
-            variance: variance + own_variance(sample, noise),
+            variance: variance * same.count() as f64 + own_variance(sample, noise),
             at: sample.at,
             step: sample.step,
             kind: sample.kind,
@@ -320,6 +310,11 @@
     if let Some((log, deviation, at)) = worker.recorded {
         values.push((log, deviation * deviation + RECORDED_VARIANCE, at));
     }
+    if values.is_empty() {
+        // The runs that its own were compared with are forgotten; what they showed still holds.
+        let (log, deviation) = worker.level?;
+        return Some((log, deviation * deviation + RECORDED_VARIANCE));
+    }
     let newest = values.iter().map(|(_, _, at)| *at).max().unwrap_or(now);
     let weigh = |variance: f64, at: Millis| {
         let age = newest.since(at).0 as f64;
@@ -329,9 +324,6 @@
         .iter()
         .map(|(value, variance, at)| (*value, weigh(*variance, *at)))
         .collect();
-    if weighted.is_empty() {
-        return None;
-    }
     let middle = weighted_median(&mut weighted);
     let mut sums = Sums::default();
     for (value, variance, at) in &values {
@@ -376,6 +368,9 @@
 }
 
 fn likelihood(value: f64, variance: f64) -> [f64; GRID] {
+    // Speeds beyond the grid count as its ends, and nothing is told apart more finely than the grid.
+    let value = value.clamp(FIRST, speed_at(GRID - 1));
+    let variance = variance.max(GRID_STEP * GRID_STEP / 4.0);
     let scale = (1.0 - STRAY) / (variance * std::f64::consts::TAU).sqrt();
     let mut out = [STRAY / STRAY_RANGE; GRID];
     let reach = TAIL * variance.sqrt();
--- a/crates/batch/tests/health.rs
+++ b/crates/batch/tests/health.rs
@@ -78,7 +78,7 @@
     let mut rng = Pcg64::seed_from_u64(7);
     let scale = WORKERS as f64 / 1_100.0;
     let jobs = arrivals::arrivals(&mut rng, scale, SPAN, &[]);
-    let mut world = World::new(WORKERS, 0, failing, arrivals::catalog());
+    let mut world = World::new(WORKERS, &[1.0], 0, failing, arrivals::catalog());
     let start = world.now;
     let mut next = 0;
     while world.now < start + SPAN + Millis(12_000) {
--- a/crates/batch/tests/speed.rs
+++ b/crates/batch/tests/speed.rs
@@ -67,7 +67,6 @@
                     variance: 0.001,
                 },
                 kind: Kind::Single,
-                expected: Some(0.0),
                 at: self.now,
             };
             self.workers[worker].add(sample);
--- a/crates/batch/tests/speed_memory.rs
+++ b/crates/batch/tests/speed_memory.rs
@@ -34,7 +34,6 @@
                     variance: 0.001,
                 },
                 kind: Kind::Member,
-                expected: None,
                 at: Millis(1_000),
             });
         }
