Check in the soak that an organisation stays within its cap

No start may bring what runs above the highest cap that may be in force, a tenth of it and one task. A cap may be in force for the apply time of a configuration and 1.2 s for a start decided by it.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -21,6 +21,7 @@
 use crate::history::Call;
 use crate::history::History;
 use crate::history::Operation;
+use crate::quota;
 
 /// Time after a disruption in which a missed time bound is still excused.
 const DISRUPTION_GRACE: Millis = Millis(3_000);
@@ -299,10 +300,11 @@
     let mut used = step.need;
     let concurrent = state.running.keys().filter(|(w, _)| **w == event.worker);
     for (_, other) in concurrent.filter(|(_, t)| *t != task) {
-        let need = history.jobs.get(&other.job);
-        let need = need.and_then(|j| j.steps.get(usize::from(other.step)));
-        used += need.map_or(Resources::default(), |s| s.need);
+        used += need_of(history, other);
     }
+    let others = state.running.keys().filter(|(_, t)| *t != task);
+    let others = others.map(|(_, other)| need_of(history, other));
+    quota::check(history, event, others, step.need, report);
     if !CAPACITY.fits(&used) {
         report(
             "limit",
@@ -314,6 +316,12 @@
     }
 }
 
+fn need_of(history: &History, task: &TaskId) -> Resources {
+    let job = history.jobs.get(&task.job);
+    let step = job.and_then(|j| j.steps.get(usize::from(task.step)));
+    step.map_or(Resources::default(), |s| s.need)
+}
+
 /// Jobs whose submissions were all refused or not sent.
 fn refused_jobs(history: &History) -> BTreeSet<&JobId> {
     let mut jobs: BTreeMap<&JobId, bool> = BTreeMap::new();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -5,6 +5,7 @@
 
 use base::JobId;
 use base::Millis;
+use batch::Resources;
 use batch::Submission;
 use platform_fakes::Event;
 use platform_fakes::EventKind;
@@ -90,6 +91,8 @@
     pub refusals: Vec<(usize, Millis)>,
     /// Ends of processes.
     pub exits: Vec<Exit>,
+    /// Caps of the organisation of all jobs, with the times at which the store acknowledged them.
+    pub caps: Vec<(Millis, Resources)>,
     /// Requested waves of upkeep.
     pub waves: Vec<WaveResult>,
     /// Calls for queues that the configuration had just got.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod growth;
 mod history;
 mod load;
+mod quota;
 mod site;
 
 pub use check::check;
@@ -100,6 +101,7 @@
     site.sleep(STARTUP_TIME).await;
     let end = site.now() + plan.duration;
     let faults = actix_rt::spawn(faults::run(site.clone(), plan.seed, end));
+    actix_rt::spawn(quota::change(site.clone(), plan.seed, end));
     if plan.slow_links {
         actix_rt::spawn(growth::change(site.clone(), plan.seed, end));
         actix_rt::spawn(growth::probe(site.clone(), plan.seed, end));
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -26,6 +26,7 @@
 use crate::history::FaultWindow;
 use crate::history::History;
 use crate::history::WaveResult;
+use crate::quota;
 use crate::Plan;
 use crate::Report;
 
@@ -139,6 +140,7 @@
             daemons: RefCell::default(),
             history: RefCell::new(History {
                 max_attempts: MAX_ATTEMPTS,
+                caps: vec![(Millis::ZERO, quota::NO_CAP)],
                 ..History::default()
             }),
             changes: RefCell::new((1, Vec::new())),
@@ -239,7 +241,10 @@
             true => growth::next_size(before),
             false => 0,
         };
-        self.store.configure_with(*version, API_KEY, queues);
+        let cap = quota::cap_of(*version);
+        self.store
+            .configure_capped(*version, API_KEY, queues, Some(cap));
+        self.history.borrow_mut().caps.push((self.now(), cap));
         if queues > before {
             changes.push((self.now(), queues));
         }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -258,6 +258,36 @@
     }
 }
 
+/// The second step takes eight accelerators; a cap of six allows six, a tenth of it and one task.
+fn exceed_cap(history: &mut History) {
+    let six = Resources {
+        cpu: 0,
+        memory: 0,
+        accels: 6,
+    };
+    history.caps = vec![(Millis(2_000), six)];
+    let other: JobId = "000000000000000b".parse().expect("a valid job id");
+    let submission = Submission {
+        spec: "work".to_string(),
+        steps: vec![step(1, 7)],
+        schedule: None,
+    };
+    history.jobs.insert(other.clone(), submission);
+    let other = TaskId {
+        job: other,
+        ..task(0, 0)
+    };
+    let at = 10_195;
+    history.events.insert(3, event(at, 2, started(other, 1)));
+}
+
+fn exceed_earlier_cap(history: &mut History) {
+    exceed_cap(history);
+    let (_, six) = history.caps[0];
+    let eight = Resources { accels: 8, ..six };
+    history.caps = vec![(Millis(1_000), eight), (Millis(6_000), six)];
+}
+
 fn unexpected_exit(history: &mut History) {
     history.exits.push(Exit {
         daemon: 0,
@@ -314,6 +344,8 @@
     connection_ended = { no_answer, "dropped" },
     connection_ended_before_exit = { no_answer_before_exit, "dropped" },
     connection_ended_after_restart = { no_answer_after_restart, "dropped" },
+    org_cap = { exceed_cap, "quota" },
+    lowered_org_cap = { exceed_earlier_cap, "quota" },
     process_exit = { unexpected_exit, "process" },
     wave_cap = { exceed_wave_cap, "limit" },
     late_wave = { incomplete_wave, "late" },
@@ -363,3 +395,27 @@
     history.refusals.push((daemon, Millis(at)));
     assert_eq!(check(&history).is_empty(), excused, "{:?}", check(&history));
 }
+
+/// A cap that was lowered may be in force for a while, and one that sets no limit is not exceeded.
+#[parameterized(
+    lowered_just_now = { vec![(1_000, 20), (9_000, 6)], true },
+    no_limit = { vec![(1_000, 0)], true },
+    no_limit_until_just_now = { vec![(1_000, 0), (9_000, 6)], true },
+    high = { vec![(1_000, 7)], true },
+    low = { vec![(1_000, 6)], false },
+    lowered_before = { vec![(1_000, 20), (5_000, 6)], false },
+)]
+fn the_highest_cap_that_may_be_in_force_counts(caps: Vec<(u64, u64)>, allowed: bool) {
+    let mut history = valid_history();
+    exceed_cap(&mut history);
+    let caps = caps.into_iter().map(|(at, accels)| {
+        let cap = Resources {
+            cpu: 0,
+            memory: 0,
+            accels,
+        };
+        (Millis(at), cap)
+    });
+    history.caps = caps.collect();
+    assert_eq!(check(&history).is_empty(), allowed, "{:?}", check(&history));
+}
