--- a/crates/batch/src/plan/placement.rs
+++ b/crates/batch/src/plan/placement.rs
@@ -8,7 +8,6 @@
 use crate::place::eligible_among;
 use crate::place::place_gang_among;
 use crate::scheduler::Scheduler;
-use crate::speed::Speed;
 use crate::worker::UNPROVED_PENALTY;
 
 /// What became of an attempt to place a step.
@@ -127,16 +126,16 @@
         let Some((least, ample)) = attempt.speed.least.filter(|_| !chosen.is_empty()) else {
             return;
         };
-        let mut speeds: Vec<(Speed, bool)> = chosen
-            .iter()
-            .map(|&num| (pass.candidates[num].speed, pass.candidates[num].known))
-            .collect();
-        speeds.sort_unstable();
-        let (lowest, highest) = (speeds[0].0, speeds[speeds.len() - 1].0);
-        let unknown = speeds.iter().filter(|(_, known)| !known).count();
+        let workers = || chosen.iter().map(|&num| &pass.candidates[num]);
+        let Some(slowest) = workers().min_by_key(|c| c.speed) else {
+            return;
+        };
+        let highest = workers().map(|c| c.speed).max().unwrap_or_default();
+        let unknown = workers().filter(|c| !c.known).count();
+        let (lowest, id) = (slowest.speed, &slowest.id);
         let text = format!(
-            "starting {} tasks of step {} on workers of speed {lowest} to {highest}, {unknown} of \
-             them unknown; {least} to {ample} end within the objective",
+            "starting {} tasks of step {} on workers of speed {lowest} ({id}) to {highest}, \
+             {unknown} of them unknown; {least} to {ample} end within the objective",
             chosen.len(),
             attempt.step.step,
         );
