Apply jobs before their cancellations when keys are read again

Cause: after the store had forgotten changes, the coordinator read callers' requests again and applied them in the order of their keys, in which a cancellation comes before its job. A job that had come together with its cancellation was not known yet, so the cancellation was dropped and the job ran to its end.

Change: jobs are applied first, as at a take-over. The new test showed the cancelled job as completed before, and passes now.

--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -184,9 +184,13 @@
             .collect();
         scheduler.mark_unlisted(&listed, now);
     }
-    let changes = listing.items.into_iter().map(Change::Put);
-    for change in changes {
-        apply_change(shared, &mut scheduler, change, now);
+    // By their keys, cancellations come before the jobs that they cancel.
+    let (jobs, others): (Vec<Item>, Vec<Item>) = listing
+        .items
+        .into_iter()
+        .partition(|i| matches!(keys::parse_request(&i.key), Some(RequestKey::Job(_))));
+    for item in jobs.into_iter().chain(others) {
+        apply_change(shared, &mut scheduler, Change::Put(item), now);
     }
     Ok(listing.revision)
 }
