Renew leases in the emulated site, and show operators the speed of each worker

Cause: the emulator never polled workers in the way that renews leases, so most of what it counted as stopped were lapsed leases; found when its stops were taken apart.

tackctl site workers shows the speed in percent where it is known; the test of the list checks it.

--- a/crates/batch/examples/load/world.rs
+++ b/crates/batch/examples/load/world.rs
@@ -339,6 +339,8 @@
             ended: std::mem::take(&mut worker.ended),
         };
         let id = worker.entry.id.clone();
+        // A poll also renews the worker's lease.
+        let _ = self.scheduler.poll(&id, true, now);
         self.scheduler.report(&id, report, now, now);
     }
 }
--- a/crates/batch/src/scheduler/overview.rs
+++ b/crates/batch/src/scheduler/overview.rs
@@ -14,6 +14,7 @@
 use crate::spec::Resources;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
+use crate::speed::Speed;
 use crate::worker::Worker;
 use crate::worker::WorkerState;
 
@@ -70,6 +71,8 @@
     pub free: Resources,
     /// Number of runs that may be active on it.
     pub runs: usize,
+    /// Its speed relative to its pool, if its runs have shown it.
+    pub speed: Option<Speed>,
 }
 
 /// Number of jobs that have one property in common.
@@ -268,6 +271,9 @@
             capacity: worker.entry.capacity,
             free: worker.free(),
             runs: worker.open.len(),
+            speed: Some(worker.evidence.estimate)
+                .filter(|e| e.known)
+                .map(|e| e.speed),
         });
         let mut all: Vec<WorkerOverview> = all.collect();
         all.sort_by(|a, b| a.id.cmp(&b.id));
--- a/crates/bronzetack/src/batch/operators.rs
+++ b/crates/bronzetack/src/batch/operators.rs
@@ -316,5 +316,6 @@
         accels: worker.capacity.accels,
         free: worker.free.accels,
         runs: worker.runs,
+        speed: worker.speed.map(|s| s.0),
     }
 }
--- a/crates/conf/src/api/site.rs
+++ b/crates/conf/src/api/site.rs
@@ -195,4 +195,6 @@
     pub free: u64,
     /// Number of runs that may be active on it.
     pub runs: usize,
+    /// Its speed in percent of what is usual in its pool, if its runs have shown it.
+    pub speed: Option<u32>,
 }
--- a/crates/tackctl/src/cmd/site.rs
+++ b/crates/tackctl/src/cmd/site.rs
@@ -168,10 +168,12 @@
             w.accels.to_string(),
             w.free.to_string(),
             w.runs.to_string(),
+            w.speed
+                .map_or("-".to_string(), |percent| format!("{percent}%")),
         ]
     });
     let header = [
-        "WORKER", "DOMAIN", "RACK", "STATE", "HEARD", "ACCELS", "FREE", "RUNS",
+        "WORKER", "DOMAIN", "RACK", "STATE", "HEARD", "ACCELS", "FREE", "RUNS", "SPEED",
     ];
     render::table(&header, &rows.collect::<Vec<_>>())
 }
--- a/crates/tackctl/tests/cmd/site.rs
+++ b/crates/tackctl/tests/cmd/site.rs
@@ -76,12 +76,13 @@
 fn workers_are_filtered_by_state() {
     let worker = |id: &str, state: &str| {
         json!({"worker": id, "domain": "d0", "rack": "r1", "state": state, "heard": 80,
-            "accels": 8, "free": 3, "runs": 2})
+            "accels": 8, "free": 3, "runs": 2, "speed": 63})
     };
     let reply = json!({"workers": [worker("w1", "usable"), worker("w2", "silent")]});
     let args = ["site", "workers", "--state", "silent"];
     let (run, _) = run_against(Behaviour::Reply(200, reply), &args);
     assert_eq!(run.code, 0);
+    assert!(run.out.contains("2     63%"), "{}", run.out);
     assert!(
         run.out.contains("w2") && !run.out.contains("w1"),
         "{}",
