Give stops a price, spare those that help nobody, and keep the room that they make

Whatever ranked first took the room while the stops were under way, and what had just been started again was the cheapest to stop: 42 % of the runs were younger than a second, single tasks were stopped ten times.

Change: a stop has a price (work not saved, resuming, the stop itself, the result that comes too late, times the number of stops before); the stops for one step share one limit; none for a step that is expected to start within half of its slack or that ends late all the same, unless its guarantee presses; victims that turn out not to be needed are left out; the room is held for its step until that starts, also while a worker does not answer. The pressure levels of guarantees are as they were.

The emulator never renewed the workers' leases, so most of its stops were lapses of leases and its figures said little; it polls now as the daemon does. It also has a site with heavy tasks and failure domains out of service. The test in health.rs only passes the new arguments; its bounds are the same.

--- a/crates/batch/examples/load/args.rs
+++ b/crates/batch/examples/load/args.rs
@@ -19,6 +19,13 @@
         optional --slow slow: usize
         /// Number of workers that fail all that they start from second 1.5 to 8; 0 if not given.
         optional --failing failing: usize
+        /// Number of the six failure domains that are out of service from second 1 to 10; 0 if not
+        /// given.
+        optional --out out: usize
+        /// Workers of 128 cores on racks of 20, and tasks that need much of their processors.
+        optional --heavy
+        /// Prints what stops have cost.
+        optional --stops
         /// Prints the worth by windows of two seconds.
         optional --windows
     }
--- a/crates/batch/examples/load/arrivals.rs
+++ b/crates/batch/examples/load/arrivals.rs
@@ -104,6 +104,33 @@
     },
 ];
 
+/// Kinds that need much of a worker's processors, so that its accelerators can not all be used.
+pub const HEAVY_KINDS: [Kind; 3] = [
+    Kind {
+        rate: 31.0,
+        width: (5.4, 0.8, 32.0),
+        cpu: 15_000,
+        memory: 44_000,
+        ..KINDS[0]
+    },
+    Kind {
+        rate: 4.6,
+        width: (13.0, 0.8, 78.0),
+        cpu: 52_000,
+        memory: 150_000,
+        off: 0.5,
+        ..KINDS[1]
+    },
+    Kind {
+        rate: 4.6,
+        width: (50.0, 0.8, 230.0),
+        cpu: 11_000,
+        memory: 46_000,
+        off: 0.5,
+        ..KINDS[2]
+    },
+];
+
 /// A time in which a kind arrives more often.
 #[derive(Clone, Copy, Debug)]
 pub struct Burst {
@@ -124,7 +151,8 @@
     pub objective: Millis,
 }
 
-pub fn catalog() -> Catalog {
+/// The queues, one pool, and the organisations with their guarantees.
+pub fn catalog(kinds: &[Kind], guarantee: u64) -> Catalog {
     let pool = Pool {
         name: "pool".parse().expect("a pool"),
         checks_capacity: false,
@@ -132,11 +160,11 @@
     let org = |num: usize| Org {
         name: format!("org{num}").parse().expect("an organisation"),
         keys: vec![format!("key{num}")],
-        guarantee: 60,
+        guarantee,
     };
     Catalog::new(
         1,
-        KINDS.iter().map(queue).collect(),
+        kinds.iter().map(queue).collect(),
         vec![pool],
         (0..ORGS).map(org).collect(),
         CatalogLimits { body: 1 << 18 },
@@ -145,6 +173,9 @@
 
 const ORGS: usize = 24;
 
+/// Accelerators that each of them is guaranteed.
+pub const GUARANTEE: u64 = 60;
+
 fn queue(kind: &Kind) -> Queue {
     Queue {
         name: kind.name.to_string(),
@@ -161,9 +192,15 @@
 }
 
 /// All arrivals within `span`, in the order of their times.
-pub fn arrivals(rng: &mut Pcg64, scale: f64, span: Millis, bursts: &[Burst]) -> Vec<Arrival> {
+pub fn arrivals(
+    rng: &mut Pcg64,
+    kinds: &[Kind],
+    scale: f64,
+    span: Millis,
+    bursts: &[Burst],
+) -> Vec<Arrival> {
     let mut found = Vec::new();
-    for (num, kind) in KINDS.iter().enumerate() {
+    for (num, kind) in kinds.iter().enumerate() {
         let peak = bursts.iter().filter(|b| b.kind == num);
         let peak = peak.map(|b| b.factor).fold(1.0, f64::max);
         let gaps = Exp::new(kind.rate * scale * peak / 1000.0).expect("a positive rate");
@@ -180,7 +217,7 @@
                 .map(|b| b.factor)
                 .fold(1.0, f64::max);
             if rng.random::<f64>() < factor / peak {
-                found.push(arrival(rng, num, now));
+                found.push(arrival(rng, kind, num, now));
             }
         }
     }
@@ -188,8 +225,7 @@
     found
 }
 
-fn arrival(rng: &mut Pcg64, num: usize, at: Millis) -> Arrival {
-    let kind = &KINDS[num];
+fn arrival(rng: &mut Pcg64, kind: &Kind, num: usize, at: Millis) -> Arrival {
     let width = draw(rng, kind.width).round().max(1.0);
     let work = draw(rng, kind.work).max(200.0);
     let estimate = work * draw(rng, (1.0, kind.off, 5.0));
--- a/crates/batch/examples/load/main.rs
+++ b/crates/batch/examples/load/main.rs
@@ -22,8 +22,12 @@
 use args::Load;
 use arrivals::Arrival;
 use arrivals::Burst;
+use arrivals::GUARANTEE;
+use arrivals::HEAVY_KINDS;
 use arrivals::KINDS;
 use world::World;
+use world::HEAVY;
+use world::LIGHT;
 
 /// Time in which jobs arrive, and the time after it in which they can still end.
 const SPAN: Millis = Millis(26_000);
@@ -38,6 +42,12 @@
 /// Attempts of a caller after the first.
 const RETRIES: u32 = 4;
 
+/// Accelerators that each organisation is guaranteed on a heavy site, for each thousand workers.
+const HEAVY_GUARANTEE: u64 = 200;
+
+/// Time in which failure domains are out of service.
+const OUT: std::ops::Range<u64> = 1_000..10_000;
+
 /// Number of daemons that admit jobs.
 const DAEMONS: u64 = 147;
 
@@ -97,12 +107,22 @@
         burst(0, 5_000, 11_000, flags.burst.unwrap_or(2.6)),
         burst(2, 9_000, 13_000, flags.small.unwrap_or(2.6)),
     ];
-    let jobs = arrivals::arrivals(&mut rng, workers as f64 / 1_100.0, SPAN, &bursts);
+    let (kinds, shape, guarantee) = match flags.heavy {
+        true => (
+            &HEAVY_KINDS,
+            HEAVY,
+            HEAVY_GUARANTEE * workers as u64 / 1_000,
+        ),
+        false => (&KINDS, LIGHT, GUARANTEE),
+    };
+    let scale = workers as f64 / 1_100.0;
+    let jobs = arrivals::arrivals(&mut rng, kinds, scale, SPAN, &bursts);
     let mut world = World::new(
         workers,
         flags.slow.unwrap_or(0),
         flags.failing.unwrap_or(0),
-        arrivals::catalog(),
+        shape,
+        arrivals::catalog(kinds, guarantee),
     );
     let start = world.now;
     let mut promises = vec![PromisedCapacity::default(); DAEMONS as usize];
@@ -130,8 +150,16 @@
                 Verdict::Late(_) | Verdict::NoWorker(_) => refused[num] = true,
             }
         }
+        let since = world.now.since(start).0;
+        if flags.out.is_some() && (since == OUT.start || since == OUT.end) {
+            let out = flags.out.filter(|_| since == OUT.start);
+            world.exclude(out.unwrap_or_default());
+        }
         world.turn();
     }
+    if flags.stops {
+        println!("{:?}", world.scheduler.stop_totals());
+    }
     judge(flags, &jobs, &refused, &world, start)
 }
 
--- a/crates/batch/examples/load/world.rs
+++ b/crates/batch/examples/load/world.rs
@@ -44,15 +44,35 @@
 const FAULT: std::ops::Range<u64> = 1_500..8_000;
 const FAILURE_DELAY: Millis = Millis(40);
 
-const WORKERS_PER_RACK: usize = 8;
-
 /// Cores that one accelerator counts as when work is summed.
 const ACCEL_CORES: u64 = 8;
 
-const WHOLE: Resources = Resources {
-    cpu: 32_000,
-    memory: 128_000,
-    accels: 8,
+/// What the workers are like.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub whole: Resources,
+    pub rack: usize,
+    pub grace: Millis,
+}
+
+pub const LIGHT: Shape = Shape {
+    whole: Resources {
+        cpu: 32_000,
+        memory: 128_000,
+        accels: 8,
+    },
+    rack: 8,
+    grace: Millis(200),
+};
+
+pub const HEAVY: Shape = Shape {
+    whole: Resources {
+        cpu: 128_000,
+        memory: 512_000,
+        accels: 8,
+    },
+    rack: 20,
+    grace: Millis(400),
 };
 
 pub const BOUNDS: Bounds = Bounds {
@@ -121,27 +141,39 @@
     pub totals: Totals,
     /// Jobs that have ended, with the time of it.
     pub done: Map<JobId, Millis>,
+    grace: Millis,
     workers: Vec<EmulatedWorker>,
     index: Map<WorkerId, usize>,
     truths: Map<JobId, (Submitted, Truth)>,
 }
 
 impl World {
-    pub fn new(workers: usize, slow: usize, failing: usize, catalog: Catalog) -> World {
+    pub fn new(
+        workers: usize,
+        slow: usize,
+        failing: usize,
+        shape: Shape,
+        catalog: Catalog,
+    ) -> World {
         let now = WORLD_START;
+        let bounds = Bounds {
+            stop_grace: shape.grace,
+            ..BOUNDS
+        };
         let mut world = World {
             now,
-            scheduler: Scheduler::new(Epoch(1), BOUNDS, catalog, now),
+            scheduler: Scheduler::new(Epoch(1), bounds, catalog, now),
             load: Load::default(),
             load_at: now,
             totals: Totals::default(),
             done: Map::default(),
+            grace: shape.grace,
             workers: Vec::new(),
             index: Map::default(),
             truths: Map::default(),
         };
         for num in 0..workers {
-            let entry = entry(num);
+            let entry = entry(num, shape);
             world.index.insert(entry.id.clone(), num);
             world.scheduler.update_worker(entry.clone());
             world.workers.push(EmulatedWorker {
@@ -162,6 +194,12 @@
         world
     }
 
+    /// Takes the first failure domains out of service.
+    pub fn exclude(&mut self, domains: usize) {
+        let names = (0..domains).map(|num| format!("d{num}").parse().expect("a domain"));
+        self.scheduler.exclude_domains(names.collect());
+    }
+
     pub fn submit(&mut self, id: JobId, submitted: Submitted, truth: Truth) {
         self.truths.insert(id.clone(), (submitted.clone(), truth));
         self.scheduler.add(id, submitted, None, self.now);
@@ -235,7 +273,7 @@
     }
 
     fn stop(&mut self, request: &StopRequest) {
-        let at = self.now + Millis(BOUNDS.stop_grace.0 / 2);
+        let at = self.now + Millis(self.grace.0 / 2);
         let worker = &mut self.workers[self.index[&request.worker]];
         if let Some(run) = worker.runs.get_mut(&request.task) {
             run.ends_at.get_or_insert(at);
@@ -331,12 +369,14 @@
             ended: std::mem::take(&mut worker.ended),
         };
         let id = worker.entry.id.clone();
+        // A poll also renews the worker's lease.
+        let _ = self.scheduler.poll(&id, true, now);
         self.scheduler.report(&id, report, now, now);
     }
 }
 
-fn entry(num: usize) -> WorkerEntry {
-    let rack = num / WORKERS_PER_RACK;
+fn entry(num: usize, shape: Shape) -> WorkerEntry {
+    let rack = num / shape.rack;
     WorkerEntry {
         id: format!("w{num:05}").parse().expect("a worker id"),
         born: Some(1),
@@ -344,7 +384,7 @@
         domain: format!("d{}", rack % 6).parse().expect("a domain"),
         pool: "pool".parse().expect("a pool"),
         state: WorkerState::Ready,
-        capacity: WHOLE,
+        capacity: shape.whole,
         labels: vec!["a".to_string(), format!("r{rack}")],
         cold: Millis::ZERO,
     }
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -117,6 +117,8 @@
     pub open: Option<OpenRun>,
     /// Workers on which it failed.
     pub avoid: Vec<WorkerId>,
+    /// Number of its runs that this coordinator has stopped for others.
+    pub stops: u32,
 }
 
 /// State of one step of an occurrence.
@@ -130,6 +132,8 @@
     pub ready_at: Option<Millis>,
     /// No task of the step starts before this time.
     pub not_before: Millis,
+    /// Price of the stops that this coordinator has made for it, in core-milliseconds.
+    pub spent: u64,
     /// Whether it was logged that the step waits long although a guarantee covers it.
     pub delay_logged: bool,
 }
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod reserve;
 mod scheduler;
 mod spec;
+pub mod stop;
 pub mod throttle;
 pub mod wave;
 mod worker;
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -15,6 +15,7 @@
 
 mod attempt;
 mod candidates;
+mod keep;
 mod make_room;
 mod pass;
 mod placement;
@@ -52,9 +53,10 @@
             return;
         }
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.job.cmp(&b.job)));
-        let mut candidates = self.candidates(now);
-        reserve::reserve_urgent(&mut candidates, self.urgent.accels(now));
-        let mut pass = Pass::new(candidates, guaranteed, now);
+        let candidates = self.candidates(now);
+        let mut pass = Pass::new(candidates, guaranteed, now, wall);
+        self.hold_kept(&mut pass, &waiting);
+        reserve::reserve_urgent(&mut pass.candidates, self.urgent.accels(now));
         for at in waiting {
             self.plan_step(&mut pass, &at, true);
         }
@@ -69,8 +71,10 @@
         let Some(mut attempt) = self.attempt(pass, at, keep_racks) else {
             return;
         };
+        attempt.has_room = self.give_back(pass, at);
         let placed = self.place_step(pass, at, &mut attempt);
         if placed.unplaced == 0 {
+            self.drop_kept(pass, at);
             self.clear_waiting(at);
             return;
         }
--- a/crates/batch/src/plan/attempt.rs
+++ b/crates/batch/src/plan/attempt.rs
@@ -47,6 +47,8 @@
     pub(super) careful: bool,
     /// Run number of a gang's start.
     pub(super) gang_run: RunNumber,
+    /// Whether room was kept for it.
+    pub(super) has_room: bool,
 }
 
 impl Attempt {
@@ -66,12 +68,13 @@
         }
     }
 
-    /// Whether the step can run on every worker of its pool.
+    /// Whether the step can run on every worker of its pool, and has no room of its own.
     pub(super) fn is_plain(&self) -> bool {
         self.spec.label.is_none()
             && self.spec.data_rack.is_none()
             && self.spec.per_worker.is_none()
             && !self.careful
+            && !self.has_room
             && self.allowed.is_none()
     }
 
@@ -128,6 +131,7 @@
             duration: self.expected(job, at.step),
             careful,
             gang_run: state.last_run().next(),
+            has_room: false,
             step,
             spec,
         })
--- a/crates/batch/src/plan/candidates.rs
+++ b/crates/batch/src/plan/candidates.rs
@@ -2,6 +2,7 @@
 
 use base::Millis;
 
+use crate::job::RunPhase;
 use crate::place::Candidate;
 use crate::scheduler::Scheduler;
 use crate::spec::Resources;
@@ -43,7 +44,10 @@
                 continue;
             };
             let runs = worker.open.keys().filter_map(|task| {
-                let open = self.open_run(task)?;
+                // Those that are being stopped are in `releasing`.
+                let open = self
+                    .open_run(task)
+                    .filter(|o| o.phase != RunPhase::Stopping)?;
                 Some((self.time_left(task, open, now), self.occupied(task)))
             });
             candidate.running = runs.collect();
--- a/crates/batch/src/plan/make_room.rs
+++ b/crates/batch/src/plan/make_room.rs
@@ -12,6 +12,7 @@
 use crate::preempt;
 use crate::reserve;
 use crate::scheduler::Scheduler;
+use crate::stop::Decision;
 
 /// Most gangs that resources are reserved for at a time.
 const MAX_RESERVED_GANGS: usize = 2;
@@ -63,9 +64,23 @@
                 unplaced,
             );
         }
-        if attempt.urgent && at.rank.may_preempt() {
+        let has_room = self.hold_again(pass, at);
+        if attempt.has_room && !has_room {
+            // What is left of it counts when the rest is made.
+            self.give_back(pass, at);
+        }
+        let may_stop = attempt.urgent && at.rank.may_preempt() && !has_room;
+        let decision = match may_stop {
+            true => self.need_of_stop(pass, at, attempt, &among, &limits),
+            false => Decision::Late,
+        };
+        if decision == Decision::Keep {
+            return Outlook::Waits;
+        }
+        if decision == Decision::Stop {
             let worth = preempt::work(&spec.need, limits.duration) * unplaced as u64;
             let most = attempt.pressure.max_loss(at.guaranteed, worth);
+            let most = most.saturating_sub(self.spent(at));
             // A gang that needs as much as one that could not be helped, and may cost no more, cannot
             // be helped either.
             let known = plain && spec.gang;
@@ -76,7 +91,7 @@
                     .any(|(f, m)| f.covers(&failure) && most <= *m);
             let attempted = match hopeless {
                 true => Preemption::NoChoice,
-                false => self.preempt_for(pass, at, &among, (spec, &limits), unplaced, most),
+                false => self.preempt_for(pass, at, attempt, &among, &limits, (unplaced, most)),
             };
             let asks_rack = spec.one_rack || spec.data_rack.is_some() && !limits.remote;
             if attempted == Preemption::NoChoice && attempt.pressure == Pressure::Last && asks_rack
@@ -91,11 +106,12 @@
                 pass.unaffordable.push((failure, most));
             }
         }
-        let starved = attempt.waited >= RESERVE_AFTER && !at.rank.is_expired();
+        if !has_room {
+            self.hold_again(pass, at);
+        }
+        let starved = !has_room && attempt.waited >= RESERVE_AFTER && !at.rank.is_expired();
         if spec.gang && starved && pass.reserved < MAX_RESERVED_GANGS {
-            if pass.reserved == 0 {
-                self.add_running(&mut pass.candidates, pass.now);
-            }
+            self.know_running(pass);
             reserve::reserve_among(&among, &mut pass.candidates, spec, &limits, unplaced);
             pass.reserved += 1;
         }
--- a/crates/batch/src/plan/pass.rs
+++ b/crates/batch/src/plan/pass.rs
@@ -6,10 +6,11 @@
 use base::ServiceId;
 use base::Set;
 
+use super::victims::Stoppable;
 use crate::place::Candidate;
 use crate::preempt::VictimIndex;
 use crate::spec::Resources;
-use crate::spec::TaskId;
+use crate::stop::kept::Held;
 
 /// A placement that failed in a pass. Until the next pass nothing becomes free, so whatever needs at
 /// least as much under the same constraints fails too.
@@ -45,19 +46,30 @@
     /// Free resources that may be used, by the index in `candidates`.
     pub(super) free: Vec<Resources>,
     pub(super) reserved: usize,
+    /// What is taken from the candidates for each kept room, in the order of the scheduler's list.
+    pub(super) held: Vec<Vec<Held>>,
+    /// Whether the candidates have the remaining times of their runs.
+    pub(super) knows_running: bool,
     /// Jobs of priority 0 that a guarantee covers.
     pub(super) guaranteed: Set<JobId>,
-    /// Runs that could be stopped, and the tasks of each; `None` until they are needed.
-    pub(super) victims: Option<(VictimIndex, Vec<Vec<TaskId>>)>,
+    /// Runs that could be stopped, and what else is known of each; `None` until they are needed.
+    pub(super) victims: Option<(VictimIndex, Vec<Stoppable>)>,
     /// Gangs for which preemption found no choice, and the most work that might have been lost for
     /// each.
     pub(super) unaffordable: Vec<(Failure, u64)>,
     pub(super) now: Millis,
+    /// Unix time of the pass.
+    pub(super) wall: Millis,
 }
 
 impl Pass {
     /// Begins a pass over these workers.
-    pub(super) fn new(candidates: Vec<Candidate>, guaranteed: Set<JobId>, now: Millis) -> Pass {
+    pub(super) fn new(
+        candidates: Vec<Candidate>,
+        guaranteed: Set<JobId>,
+        now: Millis,
+        wall: Millis,
+    ) -> Pass {
         let mut pools: Map<ServiceId, Vec<usize>> = Map::default();
         for (num, candidate) in candidates.iter().enumerate() {
             match pools.get_mut(&candidate.pool) {
@@ -73,10 +85,13 @@
             pools,
             failures: Vec::new(),
             reserved: 0,
+            held: Vec::new(),
+            knows_running: false,
             guaranteed,
             victims: None,
             unaffordable: Vec::new(),
             now,
+            wall,
         }
     }
 }
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -1,9 +1,7 @@
 //! Runs that could be preempted for urgent jobs.
 
-use base::JobId;
 use base::Map;
 use base::Millis;
-use base::Set;
 use base::WorkerId;
 
 use crate::job::Job;
@@ -11,8 +9,8 @@
 use crate::job::RunPhase;
 use crate::job::StepState;
 use crate::job::TaskState;
-use crate::place::Candidate;
 use crate::place::Limits;
+use crate::plan::Attempt;
 use crate::plan::Pass;
 use crate::plan::WaitingStep;
 use crate::preempt;
@@ -23,6 +21,20 @@
 use crate::scheduler::Scheduler;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
+use crate::stop::Price;
+use crate::stop::StopInput;
+
+/// Runs that are stopped together.
+#[derive(Clone, Debug)]
+pub(super) struct Stoppable {
+    /// Their tasks.
+    pub(super) tasks: Vec<TaskId>,
+    /// The price of it.
+    pub(super) price: Price,
+}
+
+/// Most runs that one line of the log names.
+const MAX_NAMED: usize = 32;
 
 /// Outcome of an attempt at preemption.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,44 +59,46 @@
 }
 
 impl Pressure {
-    /// Most work, in core-milliseconds, that may be lost to start a step of this worth.
+    /// Highest price, in core-milliseconds, of the stops that start a step of this worth. It is more
+    /// than the worth, as a price also counts what only has to wait.
     pub(super) fn max_loss(self, guaranteed: bool, worth: u64) -> u64 {
         match self {
             Pressure::High | Pressure::Last => u64::MAX,
-            Pressure::None if guaranteed => worth * 2,
-            Pressure::None => worth,
+            Pressure::None if guaranteed => worth * GUARANTEED_FACTOR,
+            Pressure::None => worth * PRICE_FACTOR,
         }
     }
 }
 
+/// Highest price of stops relative to the worth of the step that they start, and that of a step which
+/// a guarantee covers.
+const PRICE_FACTOR: u64 = 2;
+const GUARANTEED_FACTOR: u64 = 4;
+
 /// Part of the time in which work can still be stopped for a guaranteed step, in percent, after which
 /// urgent work is stopped as well. Until then short urgent work often ends by itself.
 const LAST_PERCENT: u64 = 75;
 
 /// Time to notice the end of a stopped task and start its successor, beside the grace period.
-const TURNAROUND: Millis = Millis(700);
+pub(super) const TURNAROUND: Millis = Millis(700);
 
 impl Scheduler {
-    /// Runs on the workers that no guarantee covers, each with the work that stopping it would lose,
-    /// and the tasks of each. All members of a gang form one victim.
-    pub(super) fn victims(
-        &self,
-        candidates: &[Candidate],
-        guaranteed: &Set<JobId>,
-        now: Millis,
-    ) -> (Vec<Victim>, Vec<Vec<TaskId>>) {
-        let index_of: Map<&WorkerId, usize> = candidates
+    /// Runs on the workers that no guarantee covers, each with the price of stopping it. All members
+    /// of a gang form one victim.
+    pub(super) fn victims(&self, pass: &Pass) -> (Vec<Victim>, Vec<Stoppable>) {
+        let index_of: Map<&WorkerId, usize> = pass
+            .candidates
             .iter()
             .enumerate()
             .map(|(num, c)| (&c.id, num))
             .collect();
         let mut victims: Vec<Victim> = Vec::new();
-        let mut tasks: Vec<Vec<TaskId>> = Vec::new();
+        let mut stoppable: Vec<Stoppable> = Vec::new();
         for id in &self.live {
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            if guaranteed.contains(id) || job.phase.is_final() {
+            if pass.guaranteed.contains(id) || job.phase.is_final() {
                 continue;
             }
             for task in job.open_tasks() {
@@ -105,31 +119,57 @@
                 if spec.lasting && !can_spare_one(job, &task) {
                     continue;
                 }
-                let loss = preempt::work(&spec.need, lost_by_stopping(spec, open, now));
-                let same = tasks.last().and_then(|t| t.first()).filter(|first| {
-                    spec.gang
-                        && first.job == task.job
-                        && first.occurrence == task.occurrence
-                        && first.step == task.step
-                });
+                let price = Price::of(&self.stop_input(job, &task, open, pass));
+                let same = stoppable.last().and_then(|s| s.tasks.first());
+                let same = same.filter(|first| spec.gang && first.step_id() == task.step_id());
                 if same.is_some() {
-                    if let (Some(victim), Some(list)) = (victims.last_mut(), tasks.last_mut()) {
+                    if let (Some(victim), Some(with)) = (victims.last_mut(), stoppable.last_mut()) {
                         victim.workers.push(at);
-                        victim.loss += loss;
-                        list.push(task);
+                        with.tasks.push(task);
+                        with.price.add(price);
+                        victim.loss = with.price.total;
                     }
                     continue;
                 }
                 victims.push(Victim {
                     workers: vec![at],
                     need: spec.occupies(),
-                    loss,
+                    loss: price.total,
                     urgent: job.submitted.priority == 0,
                 });
-                tasks.push(vec![task]);
+                stoppable.push(Stoppable {
+                    tasks: vec![task],
+                    price,
+                });
             }
         }
-        (victims, tasks)
+        (victims, stoppable)
+    }
+
+    /// A run as a stop would find it.
+    fn stop_input(&self, job: &Job, task: &TaskId, open: &OpenRun, pass: &Pass) -> StopInput {
+        let spec = &job.submitted.work.steps[usize::from(task.step)];
+        let duration = self.expected(job, task.step);
+        let left = self.time_left(task, open, pass.now);
+        let (unsaved, restore) = match spec.checkpoints {
+            true => (Millis::ZERO, RESTORE_TIME),
+            false => (lost_by_stopping(spec, open, pass.now), Millis::ZERO),
+        };
+        let after = self.path_left(job, task.occurrence).since(duration);
+        let state = job.open.get(&task.occurrence);
+        let state = state.and_then(|o| o.steps.get(usize::from(task.step)));
+        let state = state.and_then(|s| s.tasks.get(usize::from(task.index)));
+        StopInput {
+            cores: preempt::work(&spec.need, Millis(1)),
+            unsaved,
+            restore,
+            turnaround: self.bounds.stop_grace,
+            duration,
+            left: left + after,
+            age: pass.wall.since(job.submitted.due(task.occurrence)),
+            objective: job.submitted.objective,
+            stops: state.map_or(0, |t| t.stops),
+        }
     }
 
     /// How pressing a step is. The time of a guaranteed job that has not begun counts from its
@@ -163,50 +203,86 @@
         &mut self,
         pass: &mut Pass,
         at: &WaitingStep,
+        attempt: &Attempt,
         among: &[usize],
-        (spec, limits): (&StepSpec, &Limits),
-        count: usize,
-        most: u64,
+        limits: &Limits,
+        (count, most): (usize, u64),
     ) -> Preemption {
-        let (index, tasks) = pass.victims.get_or_insert_with(|| {
-            let (victims, tasks) = self.victims(&pass.candidates, &pass.guaranteed, pass.now);
-            (VictimIndex::new(victims, pass.candidates.len()), tasks)
+        let spec = &attempt.spec;
+        if pass.victims.is_none() {
+            let (victims, stoppable) = self.victims(pass);
+            let index = VictimIndex::new(victims, pass.candidates.len());
+            pass.victims = Some((index, stoppable));
+        }
+        let choose = |pass: &Pass| {
+            let (index, _) = pass.victims.as_ref()?;
+            preempt::choose_among(among, &pass.candidates, index, spec, limits, count)
+        };
+        // Room that was made for a step without a guarantee goes to one that presses.
+        let found = choose(pass).or_else(|| {
+            let pressing = attempt.pressure != Pressure::None;
+            (pressing && self.drop_unguaranteed(pass)).then(|| choose(pass))?
         });
-        let found = preempt::choose_among(among, &pass.candidates, index, spec, limits, count);
         let Some(choice) = found else {
             return Preemption::NoChoice;
         };
         if choice.loss > most {
+            self.stop_totals.dear += 1;
             return Preemption::TooDear(choice.loss, most);
         }
-        let need = spec.occupies();
-        for &num in &choice.workers {
-            let candidate = &mut pass.candidates[num];
-            let rest = need.saturating_sub(&candidate.free);
-            candidate.free -= need;
-            candidate.releasing -= rest;
-            pass.free[num] = candidate.free;
-        }
-        // One line for all runs that are stopped for the job: thousands are in a burst.
+        let Some((index, stoppable)) = pass.victims.as_mut() else {
+            return Preemption::NoChoice;
+        };
+        let mut price = Price::default();
         let mut stopped = Vec::new();
-        for victim in choice.victims {
-            index.take(victim);
-            for task in &tasks[victim] {
-                self.stop_run(task);
-                stopped.push(task.to_string());
+        for victim in &choice.victims {
+            index.take(*victim);
+            price.add(stoppable[*victim].price);
+            stopped.extend(stoppable[*victim].tasks.iter().cloned());
+        }
+        for task in &stopped {
+            self.stop_run(task);
+            if let Some(task) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task)) {
+                task.stops += 1;
             }
         }
+        pass.release(&choice.victims);
+        self.drop_kept(pass, at);
+        self.keep(pass, at, spec, &choice.workers);
+        self.add_spent(at, price.total);
         if !stopped.is_empty() {
-            let num = stopped.len();
-            let text = format!(
-                "stopping {num} runs for this urgent job: {}",
-                stopped.join(" ")
-            );
-            self.log(Some(&at.job), text);
+            let level = attempt.pressure as usize;
+            let totals = &mut self.stop_totals;
+            totals.decisions[level] += 1;
+            totals.runs[level] += stopped.len() as u64;
+            totals.lost[level] += price.lost;
+            self.log_stops(at, &stopped, price, most);
         }
         Preemption::Begun
     }
 
+    /// Logs the runs that are stopped for a job in one line, as thousands are in a burst.
+    fn log_stops(&mut self, at: &WaitingStep, stopped: &[TaskId], price: Price, most: u64) {
+        let num = stopped.len();
+        let named: Vec<String> = stopped
+            .iter()
+            .take(MAX_NAMED)
+            .map(|t| t.to_string())
+            .collect();
+        let more = match num.saturating_sub(MAX_NAMED) {
+            0 => String::new(),
+            more => format!(" and {more} more"),
+        };
+        let text = format!(
+            "stopping {num} runs for this urgent job at a price of {} core-ms of {most}, {} of them \
+             lost work: {}{more}",
+            price.total,
+            price.lost,
+            named.join(" ")
+        );
+        self.log(Some(&at.job), text);
+    }
+
     /// Logs, once a step, that a guarantee covers it and half of its time has passed.
     pub(super) fn log_delay(&mut self, at: &WaitingStep, among: &[usize], attempted: &Preemption) {
         if !at.guaranteed || at.age < Millis(self.bounds.reclaim.0 / 2) {
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// The workers of a victim, and what it occupies on each.
+    pub(crate) fn room(&self, victim: usize) -> (&[usize], Resources) {
+        (&self.victims[victim].workers, self.victims[victim].need)
+    }
+
     /// Excludes a victim from later choices, because it is being stopped.
     pub fn take(&mut self, victim: usize) {
         self.taken[victim] = true;
@@ -254,7 +259,6 @@
         return Some((0, Vec::new()));
     }
     let mut sum = *have;
-    let mut loss = 0;
     let mut chosen = Vec::new();
     for &at in &index.by_worker[num] {
         let victim = &index.victims[at];
@@ -264,11 +268,38 @@
         for _ in victim.workers.iter().filter(|&&worker| worker == num) {
             sum += victim.need;
         }
-        loss = victim.weighted_loss().saturating_add(loss);
         chosen.push(at);
         if sum.fits(need) {
-            return Some((loss, chosen));
+            return Some(without_spare(sum, need, index, chosen, num));
         }
     }
     None
 }
+
+/// Leaves out the victims that are not needed, those that lose the most first.
+fn without_spare(
+    mut sum: Resources,
+    need: &Resources,
+    index: &VictimIndex,
+    mut chosen: Vec<usize>,
+    num: usize,
+) -> (u64, Vec<usize>) {
+    let mut by_loss = chosen.clone();
+    by_loss.sort_by_key(|&at| (std::cmp::Reverse(index.victims[at].weighted_loss()), at));
+    for at in by_loss {
+        let victim = &index.victims[at];
+        let mut less = sum;
+        for _ in victim.workers.iter().filter(|&&worker| worker == num) {
+            less -= victim.need;
+        }
+        if less.fits(need) {
+            sum = less;
+            chosen.retain(|&other| other != at);
+        }
+    }
+    let loss = chosen
+        .iter()
+        .map(|&at| index.victims[at].weighted_loss())
+        .fold(0, u64::saturating_add);
+    (loss, chosen)
+}
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -230,6 +230,7 @@
             saved: self.3,
             open,
             avoid: Vec::new(),
+            stops: 0,
         }
     }
 }
--- a/crates/batch/src/reserve.rs
+++ b/crates/batch/src/reserve.rs
@@ -37,19 +37,30 @@
     limits: &Limits,
     count: usize,
 ) -> Option<Millis> {
+    let (start, chosen) = earliest(among, candidates, step, limits, count)?;
+    for num in chosen {
+        candidates[num].reserved_until = Some(start);
+    }
+    Some(start)
+}
+
+/// The earliest expected start of `count` tasks, and the worker of each.
+pub(crate) fn earliest(
+    among: &[usize],
+    candidates: &[Candidate],
+    step: &StepSpec,
+    limits: &Limits,
+    count: usize,
+) -> Option<(Millis, Vec<usize>)> {
     let free: Vec<Resources> = candidates.iter().map(|c| c.free).collect();
     let racks = racks(among, candidates, &free, step, limits, count);
     let earliest = racks
         .iter()
         .filter_map(|rack| earliest_start(rack, candidates, step, count));
-    let (start, chosen) = earliest.min_by_key(|(start, _)| *start)?;
-    for num in chosen {
-        candidates[num].reserved_until = Some(start);
-    }
-    Some(start)
+    earliest.min_by_key(|(start, _)| *start)
 }
 
-/// The earliest expected start of a gang, and the workers that it would use.
+/// The earliest expected start of a gang on these workers, and the worker of each member.
 fn earliest_start(
     among: &[usize],
     candidates: &[Candidate],
@@ -66,6 +77,7 @@
             continue;
         }
         let mut ends = candidate.running.clone();
+        ends.push((PREEMPTION_TIME, candidate.releasing));
         ends.sort_by_key(|(left, _)| *left);
         let mut sum = candidate.free;
         let mut fitted = need.count_fitting(&sum).min(most).min(count as u64);
@@ -83,10 +95,8 @@
         return None;
     }
     let start = slots.last().map(|(left, _)| *left)?;
-    let mut chosen: Vec<usize> = slots.into_iter().map(|(_, num)| num).collect();
-    chosen.sort_unstable();
-    chosen.dedup();
-    Some((start, chosen))
+    let chosen = slots.into_iter().map(|(_, num)| num);
+    Some((start, chosen.collect()))
 }
 
 /// Weight of a new job in the moving averages: one in this many.
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -27,6 +27,8 @@
 use crate::reserve::UrgentArrivals;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
+use crate::stop::kept::Kept;
+use crate::stop::StopTotals;
 use crate::wave::Waves;
 use crate::worker::Worker;
 use crate::worker::WorkerEntry;
@@ -104,6 +106,10 @@
     pub(crate) early_failures: EarlyFailures,
     /// Recent arrivals of jobs of priority 0.
     pub(crate) urgent: UrgentArrivals,
+    /// Room that stops have made for steps that have not started yet.
+    pub(crate) kept: Vec<Kept>,
+    /// What stops have cost so far.
+    pub(crate) stop_totals: StopTotals,
     /// Time by which runs started under an earlier coordinator have ended on workers that never
     /// answer this one.
     pub(crate) inherited_end: Millis,
@@ -135,6 +141,8 @@
             cordoned: Set::default(),
             early_failures: EarlyFailures::default(),
             urgent: UrgentArrivals::default(),
+            kept: Vec::new(),
+            stop_totals: StopTotals::default(),
             inherited_end: now + times.offline_renewal + with_clock_drift(times.worker_lease),
         }
     }
@@ -154,6 +162,11 @@
         std::mem::take(&mut self.log_entries)
     }
 
+    /// What stops have cost so far.
+    pub fn stop_totals(&self) -> StopTotals {
+        self.stop_totals
+    }
+
     pub(crate) fn log(&mut self, job: Option<&JobId>, text: String) {
         self.log_entries.push(LogEntry {
             kind: LogKind::Decision,
--- a/crates/batch/tests/health.rs
+++ b/crates/batch/tests/health.rs
@@ -77,8 +77,9 @@
     const SPAN: Millis = Millis(8_000);
     let mut rng = Pcg64::seed_from_u64(7);
     let scale = WORKERS as f64 / 1_100.0;
-    let jobs = arrivals::arrivals(&mut rng, scale, SPAN, &[]);
-    let mut world = World::new(WORKERS, 0, failing, arrivals::catalog());
+    let jobs = arrivals::arrivals(&mut rng, &arrivals::KINDS, scale, SPAN, &[]);
+    let catalog = arrivals::catalog(&arrivals::KINDS, arrivals::GUARANTEE);
+    let mut world = World::new(WORKERS, 0, failing, world::LIGHT, catalog);
     let start = world.now;
     let mut next = 0;
     while world.now < start + SPAN + Millis(12_000) {
