Reject submissions in an outage of the store if every daemon vouches

Cause: in an outage each submission waited for half of its caller's time and was left open (504), also where nothing had been sent. A 503 would have been false where an earlier attempt at another daemon was written, or the job had been accepted, and a daemon knew only its own writes.

Change: the daemon that holds the call asks all others whether they have written for the id; a coordinator's list of accepted jobs covers those that are gone, and writes of submissions are conditional on the entry of the daemon that sends them. Daemons greet each other before their first write. Waits and times to return follow the age of the outage.

--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -19,6 +19,7 @@
 mod advice;
 mod calls;
 mod carrier;
+mod clearance;
 mod commit;
 mod delegates;
 mod dispatch;
@@ -71,6 +72,7 @@
         let ports = [addresses.callers, addresses.ready];
         let server = listen("callers", &ports, CLOSE_TIMEOUT, routes)?;
         shared.callers.set(server.address());
+        shared.standing.borrow_mut().set_address(server.address());
         let metrics = shared.metrics.clone();
         let routes = move |app: &mut ServiceConfig| {
             let metrics = metrics.clone();
@@ -135,6 +137,7 @@
             .since(CLOSE_TIMEOUT + CLOSE_TIMEOUT);
         actix_rt::time::sleep(DRAIN_TIME.min(grace).duration()).await;
         self.server.close().await;
+        peers::leave(&shared).await;
         self.operators.close().await;
         let links = shared.links.borrow_mut().take();
         if let Some(links) = links {
--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -4,20 +4,25 @@
 use std::rc::Rc;
 
 use base::Millis;
+use batch::outage;
 use batch::Catalog;
 use obs::Event;
 use platform::Call;
 use platform::CallAnswer;
 use platform::CallError;
 use platform::CallKind;
+use platform::Incoming;
 use platform::Reply;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::oneshot::Sender;
 
+use crate::batch::clearance;
 use crate::batch::documents;
 use crate::batch::local::answer_locally;
 use crate::batch::local::reject;
 use crate::batch::local::retry_after;
+use crate::batch::local::submitted_id;
+use crate::batch::local::Times;
 use crate::batch::local::RETRY_AFTER;
 use crate::batch::peers::Peer;
 use crate::batch::shared::Shared;
@@ -29,9 +34,11 @@
 /// retries at another daemon, so one attempt must not use up the whole deadline.
 const STORE_DIVISOR: u64 = 5;
 
-/// A submission during an outage of the store waits for its end for the caller's deadline divided by
-/// this, and checks at this interval.
+/// A submission that cannot be rejected during an outage of the store waits for its end for the
+/// caller's deadline divided by this.
 const OUTAGE_DIVISOR: u64 = 2;
+
+/// Time between two checks whether an outage has ended.
 const OUTAGE_CHECK_INTERVAL: Millis = Millis(25);
 
 /// Largest number of other daemons to which one call is relayed.
@@ -47,10 +54,21 @@
 /// A caller's deadline divided by this is reserved for sending the answer back.
 const MARGIN_DIVISOR: u64 = 10;
 
-/// Serves calls until the server that receives them closes.
-pub async fn run(shared: Rc<Shared>, mut calls: UnboundedReceiver<(Call, Sender<Reply>)>) {
-    while let Some((call, reply)) = calls.recv().await {
-        actix_rt::spawn(serve(shared.clone(), call, reply));
+/// Serves calls and questions of other daemons until the server that receives them closes.
+pub async fn run(shared: Rc<Shared>, mut calls: UnboundedReceiver<Incoming>) {
+    while let Some(incoming) = calls.recv().await {
+        match incoming {
+            Incoming::Call(call, reply) => {
+                actix_rt::spawn(serve(shared.clone(), call, reply));
+            }
+            Incoming::Question(question, reply) => {
+                let mut standing = shared.standing.borrow_mut();
+                if let Some(answer) = clearance::answer(&mut standing, &question, shared.now()) {
+                    // Who asked may have gone; what was vouched for still holds.
+                    reply.send(answer).ok();
+                }
+            }
+        }
     }
 }
 
@@ -123,11 +141,17 @@
         .map(|c| c.version);
     let Some(held) = held else {
         let refused = CallAnswer::Refused(RETRY_AFTER);
-        return (reject(shared, call, refused, until).await, 0);
+        let times = Times {
+            received: started,
+            until,
+        };
+        return (reject(shared, call, refused, times).await, 0);
     };
     // A caller has had an answer by this version, from this daemon or the relaying one.
     let least = || shared.seen_version.get().max(call.relayed.unwrap_or(0));
-    let store_down = shared.store_outage() > Millis::ZERO;
+    let submits = call.kind == CallKind::Submit;
+    let outage = shared.store_outage();
+    let store_down = outage > Millis::ZERO || submits && !shared.standing.borrow().has_joined();
     let mut catalog = documents::current_catalog(shared, started, least());
     let mut until = until;
     if store_down || catalog.is_none() {
@@ -137,15 +161,25 @@
         if let Some(found) = relay(shared, held, call, answer_by).await {
             return (found, held);
         }
-        // The other daemons do not know more. A caller that is sent away would use its attempts up
-        // before the store is back.
-        let patience = match call.kind {
-            CallKind::Submit => OUTAGE_DIVISOR,
-            CallKind::Cancel | CallKind::Query => STORE_DIVISOR,
-        };
-        let submits = call.kind == CallKind::Submit;
-        let end = started + Millis(wait.0 / patience);
-        catalog = wait_until_current(shared, submits, started, end, least).await;
+        // The other daemons do not know more.
+        let mut hold = Millis(wait.0 / STORE_DIVISOR);
+        if submits {
+            hold = outage::hold(outage, wait);
+            if outage > Millis::ZERO && hold == Millis::ZERO {
+                if let Some(refused) = reject_unwritten(shared, call, started, answer_by).await {
+                    return (refused, held);
+                }
+                // A caller that is told nothing certain would use its attempts up before the store
+                // is back.
+                hold = Millis(wait.0 / OUTAGE_DIVISOR);
+            }
+        }
+        catalog = wait_until_current(shared, submits, started, started + hold, least).await;
+        if submits && shared.store_outage() > Millis::ZERO {
+            let refused = reject_unwritten(shared, call, started, answer_by).await;
+            let open = || CallAnswer::Unknown(retry_after(shared));
+            return (refused.unwrap_or_else(open), held);
+        }
         if submits || !store_down {
             until = shared.now() + Millis(wait.0 / STORE_DIVISOR);
         }
@@ -153,16 +187,20 @@
     let Some(catalog) = catalog else {
         return (CallAnswer::Unknown(retry_after(shared)), held);
     };
+    let times = Times {
+        received: started,
+        until,
+    };
     let version = catalog.version;
     shared
         .seen_version
         .set(version.max(shared.seen_version.get()));
     let left = answer_by.since(shared.now()).duration();
     let local = async {
-        let found = answer_locally(shared, &catalog, call, until).await;
+        let found = answer_locally(shared, &catalog, call, times).await;
         match found {
             CallAnswer::Forbidden | CallAnswer::NoQueue | CallAnswer::TooLarge => {
-                reject(shared, call, found, until).await
+                reject(shared, call, found, times).await
             }
             found => found,
         }
@@ -186,10 +224,36 @@
             };
             (relayed, version)
         }
-        Some(_) | None => (local, version),
+        Some(_) | None => {
+            let refused = reject_unwritten(shared, call, started, answer_by).await;
+            (refused.unwrap_or(local), version)
+        }
     }
 }
 
+/// Rejects a submission received at `received` during an outage of the store, with a time to return.
+/// `None` if there is no outage, or if an attempt at it may still take effect.
+async fn reject_unwritten(
+    shared: &Shared,
+    call: &Call,
+    received: Millis,
+    answer_by: Millis,
+) -> Option<CallAnswer> {
+    let id = submitted_id(call)?;
+    let left = answer_by.since(shared.now());
+    if shared.store_outage() == Millis::ZERO || left < RELAY_TIME_MIN {
+        return None;
+    }
+    let unwritten = clearance::is_unwritten(shared, &id, received);
+    let unwritten = actix_rt::time::timeout(left.duration(), unwritten).await;
+    if unwritten != Ok(true) {
+        return None;
+    }
+    let age = shared.store_outage();
+    let after = outage::return_after(age, |most| shared.random_up_to(most));
+    Some(CallAnswer::Refused(after))
+}
+
 /// Waits, at most until `end`, for a configuration by which a call received at `started` may be
 /// decided, and for the store to answer this daemon if `store` is set.
 async fn wait_until_current(
@@ -217,6 +281,7 @@
     answer_by: Millis,
 ) -> Option<CallAnswer> {
     let version = version.max(shared.seen_version.get());
+    let id = submitted_id(call);
     let (mut faster, mut others) = peers_by_bandwidth(shared);
     for attempt in 0..RELAY_ATTEMPTS {
         let left = answer_by.since(shared.now());
@@ -232,11 +297,15 @@
         }
         let index = shared.random_up_to(Millis(group.len() as u64 - 1)).0 as usize;
         let peer = group.swap_remove(index);
-        match shared
-            .relay
-            .forward(peer, call, version, RELAY_TIMEOUT.min(left))
-            .await
-        {
+        if let Some(id) = &id {
+            shared.standing.borrow_mut().note(id, shared.now());
+        }
+        let timeout = RELAY_TIMEOUT.min(left);
+        let answer = shared.relay.forward(peer, call, version, timeout).await;
+        if let Some(id) = id.as_ref().filter(|_| !may_be_written(&answer)) {
+            shared.standing.borrow_mut().undo(id);
+        }
+        match answer {
             Ok(Reply {
                 answer: CallAnswer::Unknown(_),
                 ..
@@ -260,6 +329,16 @@
     None
 }
 
+/// Whether a relayed submission is accepted, or may be written by a daemon that has not answered. One
+/// that has answered knows by itself what it has written.
+fn may_be_written(answer: &Result<Reply, CallError>) -> bool {
+    match answer {
+        Ok(reply) => matches!(reply.answer, CallAnswer::Relayed { status, .. } if status < 300),
+        Err(CallError::NotSent(_)) => false,
+        Err(CallError::Unknown(_)) => true,
+    }
+}
+
 /// Addresses of the other daemons: those with a faster link than this one, which are the first to
 /// have read a large document, and the others.
 fn peers_by_bandwidth(shared: &Shared) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
--- a/crates/bronzetack/src/batch/documents.rs
+++ b/crates/bronzetack/src/batch/documents.rs
@@ -111,14 +111,15 @@
     (current && catalog.version >= version).then(|| catalog.clone())
 }
 
-/// Updates readiness: the daemon is ready while it has a current configuration and the store
-/// answers.
-fn update_ready(shared: &Shared) {
+/// Updates readiness: the daemon is ready while it has a current configuration, is known to others
+/// and the store answers.
+pub fn update_ready(shared: &Shared) {
     let documents = shared.documents.borrow();
     let age = shared.now().since(documents.confirmed);
     let current = age <= shared.bounds.config_apply;
     let store_up = shared.store_outage() <= OUTAGE_TOLERANCE;
-    let ready = documents.catalog.is_some() && current && store_up;
+    let joined = shared.standing.borrow().has_joined();
+    let ready = documents.catalog.is_some() && current && joined && store_up;
     if ready != shared.ready.is_ready() && !shared.stopping.get() {
         let version = documents.catalog.as_ref().map_or(0, |c| c.version);
         let event = if ready {
--- a/crates/bronzetack/src/batch/keys.rs
+++ b/crates/bronzetack/src/batch/keys.rs
@@ -36,6 +36,11 @@
     Job(JobId),
 }
 
+/// Key of what the daemon with this instance publishes about itself.
+pub fn peer(instance: &str) -> String {
+    format!("{PEERS}{instance}")
+}
+
 /// Key of a submission or its refusal.
 pub fn job(id: &JobId) -> String {
     format!("{REQUESTS}{id}{JOB}")
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -35,18 +35,27 @@
 /// Longest time after which a caller is asked to retry.
 const RETRY_AFTER_MAX: Millis = Millis(5_000);
 
+/// When an attempt was received, and until when the store is tried for it.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Time at which this daemon received the attempt.
+    pub received: Millis,
+    /// Time until which the store is tried.
+    pub until: Millis,
+}
+
 /// Time after which a caller is asked to retry while the store does not answer. It grows with the
 /// outage, since a long outage is likely to last and callers retry only a few times.
 pub fn retry_after(shared: &Shared) -> Millis {
     shared.store_outage().clamp(RETRY_AFTER, RETRY_AFTER_MAX)
 }
 
-/// Answers a call from the store by this configuration. The store is tried until `until`.
+/// Answers a call from the store by this configuration.
 pub async fn answer_locally(
     shared: &Rc<Shared>,
     catalog: &Catalog,
     call: &Call,
-    until: Millis,
+    times: Times,
 ) -> CallAnswer {
     let Some(found) = catalog.find_queue(&call.host, &call.path) else {
         return CallAnswer::NoQueue;
@@ -70,25 +79,25 @@
         };
     };
     match call.kind {
-        CallKind::Cancel => cancel(shared, &id, until).await,
-        CallKind::Query => find_phase(shared, &id, until).await,
+        CallKind::Cancel => cancel(shared, &id, times.until).await,
+        CallKind::Query => find_phase(shared, &id, times.until).await,
         CallKind::Submit if call.body.len() as u64 > catalog.limits.body => CallAnswer::TooLarge,
         CallKind::Submit => match platform::parse_submission(&call.body) {
             Ok(_) if queue.advice.is_some() && shared.adviser.is_none() => {
                 let record = JobRecord::Refused(shared.clock.wall());
                 let answer = CallAnswer::Refused(RETRY_AFTER_MAX);
-                submit(shared, &id, record, answer, until).await
+                submit(shared, &id, record, answer, times).await
             }
             Ok(work) => {
                 let submitted = Submitted::new(queue, org, shared.clock.wall(), work);
                 match load::verdict(shared, &submitted) {
                     Verdict::Accept => {
                         let record = JobRecord::Accepted(Box::new(submitted));
-                        submit(shared, &id, record, CallAnswer::Accepted, until).await
+                        submit(shared, &id, record, CallAnswer::Accepted, times).await
                     }
                     Verdict::Late(after) | Verdict::NoWorker(after) => {
                         let record = JobRecord::Refused(shared.clock.wall());
-                        submit(shared, &id, record, CallAnswer::Refused(after), until).await
+                        submit(shared, &id, record, CallAnswer::Refused(after), times).await
                     }
                 }
             }
@@ -100,26 +109,28 @@
 /// Rejects a call that the configuration does not allow. An earlier attempt at the same submission
 /// may have been valid under another configuration and may still be stored late, so a refusal is
 /// recorded before the answer.
-pub async fn reject(shared: &Shared, call: &Call, answer: CallAnswer, until: Millis) -> CallAnswer {
-    let id = call
-        .path
-        .rsplit('/')
-        .next()
-        .and_then(platform::parse_job_id);
-    let Some(id) = id.filter(|_| call.kind == CallKind::Submit) else {
+pub async fn reject(shared: &Shared, call: &Call, answer: CallAnswer, times: Times) -> CallAnswer {
+    let Some(id) = submitted_id(call) else {
         return answer;
     };
     if !shared.refusal_limit.borrow_mut().allow(shared.now()) {
         return CallAnswer::Unknown(retry_after(shared));
     }
     let record = JobRecord::Refused(shared.clock.wall());
-    match submit(shared, &id, record, answer, until).await {
+    match submit(shared, &id, record, answer, times).await {
         // An earlier attempt was accepted, but this caller is not authorised to see that.
         CallAnswer::Accepted => CallAnswer::Unknown(retry_after(shared)),
         answer => answer,
     }
 }
 
+/// Id of the job that a call submits; `None` if it submits none.
+pub fn submitted_id(call: &Call) -> Option<JobId> {
+    let last = call.path.rsplit('/').next();
+    let id = last.and_then(platform::parse_job_id);
+    id.filter(|_| call.kind == CallKind::Submit)
+}
+
 async fn queue_length(shared: &Rc<Shared>, queue: &Queue) -> CallAnswer {
     if let Some(lead) = shared.current_leadership() {
         let counts = lead.scheduler.borrow().waiting();
@@ -142,7 +153,7 @@
     id: &JobId,
     record: JobRecord,
     answer: CallAnswer,
-    until: Millis,
+    times: Times,
 ) -> CallAnswer {
     let key = keys::job(id);
     let value = match record.encode() {
@@ -151,8 +162,19 @@
     };
     let refusal = matches!(record, JobRecord::Refused(_));
     let mut expected = Revision(0);
-    while shared.now() < until {
-        match store_job(shared, &key, &value, expected, refusal).await {
+    while shared.now() < times.until {
+        let stored = match refusal {
+            true => store_refusal(shared, &key, &value, expected).await,
+            false => {
+                let now = shared.now();
+                let entry = shared.standing.borrow_mut().begin(id, times.received, now);
+                let Some(entry) = entry else {
+                    return CallAnswer::Unknown(retry_after(shared));
+                };
+                store_job(shared, id, &value, expected, entry).await
+            }
+        };
+        match stored {
             Ok(TxnOutcome::Done(_)) => {
                 shared.record_store_result(Ok(()));
                 return answer;
@@ -176,21 +198,16 @@
     CallAnswer::Unknown(retry_after(shared))
 }
 
-async fn store_job(
+async fn store_refusal(
     shared: &Shared,
     key: &str,
     value: &[u8],
     expected: Revision,
-    refusal: bool,
 ) -> Result<TxnOutcome, StoreError> {
-    let lease = match refusal {
-        true => load::refusal_lease(shared).await?,
-        false => LeaseId::default(),
-    };
     let put = Put {
         key: key.to_string(),
         value: value.to_vec(),
-        lease,
+        lease: load::refusal_lease(shared).await?,
     };
     let txn = Txn {
         conditions: vec![(key.to_string(), expected)],
@@ -200,6 +217,49 @@
     shared.caller_store.commit(&txn).await
 }
 
+/// Stores an accepted job. The write is conditional on this daemon's own entry, so that none of a
+/// daemon that is no longer listed takes effect.
+async fn store_job(
+    shared: &Shared,
+    id: &JobId,
+    value: &[u8],
+    expected: Revision,
+    entry: Revision,
+) -> Result<TxnOutcome, StoreError> {
+    let key = keys::job(id);
+    let own = keys::peer(&shared.instance);
+    let put = Put {
+        key: key.clone(),
+        value: value.to_vec(),
+        lease: LeaseId::default(),
+    };
+    let txn = Txn {
+        conditions: vec![(key, expected), (own.clone(), entry)],
+        puts: vec![put],
+        removes: Vec::new(),
+    };
+    let stored = shared.caller_store.commit(&txn).await;
+    let mut standing = shared.standing.borrow_mut();
+    match &stored {
+        Ok(TxnOutcome::Done(_)) => {}
+        Ok(TxnOutcome::Conflict(items)) => {
+            let accepted = |i: &Item| i.key != own && is_accepted(i);
+            if !items.iter().any(accepted) {
+                standing.undo(id);
+            }
+            let current = items.iter().find(|i| i.key == own);
+            if current.is_none_or(|i| i.revision != entry) {
+                standing.unregistered();
+                shared.refresh.notify_one();
+            }
+        }
+        Ok(TxnOutcome::LeaseEnded) => standing.undo(id),
+        Err(error) if error.has_no_effect() => standing.undo(id),
+        Err(_) => {}
+    }
+    stored
+}
+
 fn is_accepted(item: &Item) -> bool {
     let record = item.value.as_deref().map(JobRecord::decode);
     matches!(record, Some(Ok(JobRecord::Accepted(_))))
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -50,6 +50,7 @@
         upkeep::read_records(shared, lead),
     )?;
     let now = shared.now();
+    shared.standing.borrow_mut().restart_book();
     let mut scheduler = lead.scheduler.borrow_mut();
     for (number, record) in waves {
         scheduler.waves().restore(number, record);
@@ -83,6 +84,8 @@
             Some(RequestKey::Job(_)) | None => {}
         }
     }
+    let mut standing = shared.standing.borrow_mut();
+    standing.booked_until(requests.revision);
     Ok(requests.revision)
 }
 
@@ -99,6 +102,7 @@
     match item.value.as_deref().map(JobRecord::decode) {
         Some(Ok(JobRecord::Accepted(submitted))) => {
             let progress = records.remove(&id);
+            shared.standing.borrow_mut().book_job(id.clone());
             scheduler.add(id, *submitted, progress, now);
         }
         Some(Ok(JobRecord::Refused(_))) => {}
@@ -126,11 +130,17 @@
                 shared.record_store_result(Ok(()));
                 lead.confirm(prefix, sent);
                 after = watched.revision.max(after);
-                if !watched.changes.is_empty() && !lead.ended.get() {
+                if lead.ended.get() {
+                    return;
+                }
+                if !watched.changes.is_empty() {
                     apply_changes(&shared, &lead, watched.changes);
                     lead.wake.notify_one();
                     lead.workers_changed.notify_one();
                 }
+                if prefix == keys::REQUESTS {
+                    shared.standing.borrow_mut().booked_until(after);
+                }
                 if prefix == WORKER_PREFIX {
                     // Each return of the watch costs a call to the store, so the changes of
                     // several workers, which all write once a heartbeat, are collected first.
@@ -209,7 +219,11 @@
             Some(RequestKey::Ends) => apply_ends(shared, scheduler, &item, now),
             None => apply_worker(shared, scheduler, &item.key, item.value.as_deref(), now),
         },
-        Change::Removed { key, .. } => apply_worker(shared, scheduler, &key, None, now),
+        Change::Removed { key, .. } => match keys::parse_request(&key) {
+            Some(RequestKey::Job(id)) => shared.standing.borrow_mut().unbook_job(&id),
+            Some(RequestKey::Cancel(_) | RequestKey::Ends) => {}
+            None => apply_worker(shared, scheduler, &key, None, now),
+        },
     }
 }
 
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -13,6 +13,10 @@
 use base::VmId;
 use batch::candidacy::Capacity;
 use batch::candidacy::Handover;
+use batch::clearance::Instance;
+use batch::clearance::Member;
+use batch::clearance::Standing;
+use batch::outage::Outage;
 use batch::wave::Wave;
 use batch::Bounds;
 use batch::Catalog;
@@ -42,6 +46,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use slog::Logger;
+use tokio::sync::Notify;
 
 use crate::batch::leadership::Leadership;
 use crate::batch::peers::Peer;
@@ -105,6 +110,12 @@
     pub starts: Counter,
     /// Counts failed calls to the store, by kind of error.
     pub store_errors: Counter,
+    /// Length of the outages of the store that are over.
+    pub outages: Histogram,
+    /// Counts submissions that could not be rejected during an outage, by reason.
+    pub withheld: Counter,
+    /// Rate limit of log lines about submissions that could not be rejected during an outage.
+    pub withheld_log: LogLimiter,
     /// Source of the monotonic and the wall-clock time.
     pub clock: Clock,
     /// Client of the platform's store.
@@ -117,6 +128,14 @@
     pub callers: Cell<SocketAddr>,
     /// The other daemons, as last read.
     pub peers: RefCell<Vec<Peer>>,
+    /// What is known of submissions and daemons, by which a submission may be rejected in an outage.
+    pub standing: RefCell<Standing>,
+    /// Time until which no submission is asked about.
+    pub clearance_pause: Cell<Millis>,
+    /// Lease to which this daemon's entry is bound.
+    pub entry_lease: Cell<Option<LeaseId>>,
+    /// Notified when this daemon's entry has to be stored or made known.
+    pub refresh: Notify,
     /// Resources of this VM.
     pub capacity: Capacity,
     /// Observations from which hand-overs of the lock are decided.
@@ -165,8 +184,7 @@
     pub campaigned: Cell<bool>,
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
-    /// Start of the current outage of the store; `None` while it answers.
-    outage_start: Cell<Option<Millis>>,
+    outage: Cell<Outage>,
     rng: RefCell<Pcg64>,
 }
 
@@ -218,6 +236,12 @@
             ),
             starts: metrics.counter("batch_starts", "Orders to start a run by outcome"),
             store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
+            outages: metrics.histogram("batch_outage_ms", "Length of the outages of the store"),
+            withheld: metrics.counter(
+                "batch_rejections_withheld",
+                "Submissions that could not be rejected during an outage, by reason",
+            ),
+            withheld_log: LogLimiter::default(),
             slow_log: LogLimiter::default(),
             stop_log: LogLimiter::default(),
             clock,
@@ -226,6 +250,13 @@
             callers: Cell::new(settings.addresses.callers),
             relay: Relay::default(),
             peers: RefCell::default(),
+            standing: RefCell::new(Standing::new(Member {
+                instance: Instance(base::digest(instance.as_bytes())),
+                callers: settings.addresses.callers,
+            })),
+            clearance_pause: Cell::default(),
+            entry_lease: Cell::default(),
+            refresh: Notify::new(),
             capacity: Capacity {
                 cores: settings.resources.cores,
                 memory: settings.resources.memory,
@@ -269,7 +300,7 @@
             refusal_lease: Cell::new(None),
             campaigned: Cell::new(false),
             stopping: Cell::new(false),
-            outage_start: Cell::new(None),
+            outage: Cell::default(),
             rng: RefCell::new(Pcg64::seed_from_u64(seed)),
             instance,
             settings,
@@ -312,20 +343,31 @@
             result,
             Ok(()) | Err(StoreError::Compacted | StoreError::TooLarge)
         );
-        if up == self.outage_start.get().is_none() {
+        let mut outage = self.outage.get();
+        let age = outage.age(self.now());
+        if !outage.record(up, self.now()) {
             return;
         }
-        self.outage_start.set((!up).then(|| self.now()));
+        self.outage.set(outage);
         match result {
-            Err(error) => obs::record(&self.log, Event::StoreUnreachable, &[("error", error)]),
-            Ok(()) => obs::record(&self.log, Event::StoreReachable, &[]),
+            Err(error) => {
+                let age = outage.age(self.now());
+                let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                    &[("error", error), ("age", &age)];
+                obs::record(&self.log, Event::StoreUnreachable, fields);
+            }
+            Ok(()) => {
+                self.outages.observe(&[], age);
+                obs::record(&self.log, Event::StoreReachable, &[("after", &age)]);
+                // The lease of the daemon's entry was not renewed meanwhile.
+                self.refresh.notify_one();
+            }
         }
     }
 
     /// Duration of the current outage of the store; zero while it answers.
     pub fn store_outage(&self) -> Millis {
-        let since = self.outage_start.get();
-        since.map_or(Millis::ZERO, |at| self.now().since(at).max(Millis(1)))
+        self.outage.get().age(self.now())
     }
 
     /// Suspends the current task.
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -114,5 +114,6 @@
     UpkeepRequested = 648, Info, "upkeep of a machine requested";
     UpkeepDelayed = 649, Warn, "upkeep is delayed";
     SettingsReloaded = 650, Info, "settings file reloaded";
+    RejectionWithheld = 655, Info, "submission not rejected during an outage of the store";
     InputRefused = 700, Info, "malformed input refused";
 }
