Confirm the configuration at once when an outage of the store ends

Change: the watch of the documents waits briefly until the configuration is confirmed again, and the end of an outage wakes it.

--- a/crates/bronzetack/src/batch/documents.rs
+++ b/crates/bronzetack/src/batch/documents.rs
@@ -24,9 +24,13 @@
 /// daemons. After a single lost response the call is repeated within this time.
 const OUTAGE_TOLERANCE: Millis = Millis(300);
 
-/// Wait of a watch call during an outage of the store; short, so that its end is seen soon.
+/// Wait of a watch call during an outage of the store, and after it until the configuration is
+/// confirmed again; short, so that calls are decided soon after its end.
 const OUTAGE_WATCH_WAIT: Millis = Millis(50);
 
+/// Time beyond the usual wait of a watch after which the configuration counts as not confirmed.
+const CONFIRM_MARGIN: Millis = Millis(300);
+
 /// Largest response of a watch that is read. What changed is listed instead if it is larger: over a
 /// slow link, every version that was written during a transfer would make the next one longer.
 const MAX_WATCH_BYTES: usize = 256 << 10;
@@ -49,7 +53,7 @@
         }
         update_ready(&shared);
         shared
-            .sleep(RETRY_DELAY + shared.random_up_to(RETRY_DELAY))
+            .sleep_until_back(RETRY_DELAY + shared.random_up_to(RETRY_DELAY))
             .await;
     }
 }
@@ -67,9 +71,11 @@
 async fn watch(shared: &Rc<Shared>, mut after: base::Revision) -> WatchEnd {
     loop {
         let sent = shared.now();
-        let wait = match shared.store_outage() > Millis::ZERO {
+        let age = sent.since(shared.documents.borrow().confirmed);
+        let usual = shared.times.watch_wait;
+        let wait = match shared.store_outage() > Millis::ZERO || age > usual + CONFIRM_MARGIN {
             true => OUTAGE_WATCH_WAIT,
-            false => shared.times.watch_wait,
+            false => usual,
         };
         let watched = shared
             .caller_store
@@ -94,7 +100,7 @@
                 shared.record_store_result(Err(&error));
                 update_ready(shared);
                 shared
-                    .sleep(RETRY_DELAY + shared.random_up_to(RETRY_DELAY))
+                    .sleep_until_back(RETRY_DELAY + shared.random_up_to(RETRY_DELAY))
                     .await;
             }
         }
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -185,6 +185,8 @@
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
     outage: Cell<Outage>,
+    /// Notified when an outage of the store has ended.
+    back: Notify,
     rng: RefCell<Pcg64>,
 }
 
@@ -301,6 +303,7 @@
             campaigned: Cell::new(false),
             stopping: Cell::new(false),
             outage: Cell::default(),
+            back: Notify::new(),
             rng: RefCell::new(Pcg64::seed_from_u64(seed)),
             instance,
             settings,
@@ -361,6 +364,7 @@
                 obs::record(&self.log, Event::StoreReachable, &[("after", &age)]);
                 // The lease of the daemon's entry was not renewed meanwhile.
                 self.refresh.notify_one();
+                self.back.notify_waiters();
             }
         }
     }
@@ -370,6 +374,13 @@
         self.outage.get().age(self.now())
     }
 
+    /// Suspends the current task until the end of an outage of the store, for `span` at most.
+    pub async fn sleep_until_back(&self, span: Millis) {
+        // A time-out is the usual end.
+        let back = self.back.notified();
+        actix_rt::time::timeout(span.duration(), back).await.ok();
+    }
+
     /// Suspends the current task.
     pub async fn sleep(&self, span: Millis) {
         actix_rt::time::sleep(span.duration()).await;
