Refuse a job only for more urgent work, and wait no longer than half of a caller's time

Cause: admission counted all work of the job's own priority as ahead of it and refused under bursts, but late work is served last anyway.

In an outage the last attempt of a caller waits for half of its time, no longer for 0.8 of it: more would hold back an answer that is known.

--- a/crates/batch/src/admit.rs
+++ b/crates/batch/src/admit.rs
@@ -1,9 +1,11 @@
 //! Admission control: whether a job is accepted, and when the caller of a refused one may retry.
 //!
-//! Load pattern: for some seconds more work is submitted than the workers can do. If all of it were
-//! accepted, all of it would end too late. A job that could only end after its result is of use is
-//! refused at once, with a retry time. Callers that are given the same retry time return as one
-//! burst, so each refusal moves the next caller's retry time further out.
+//! Load pattern: for some seconds more work is submitted than the workers can do. A job is refused at
+//! once, with a retry time, if more urgent work alone keeps it from ending while its result is of use.
+//! Work of its own priority does not count: what is late is served last, so accepted jobs that cannot
+//! be in time cost the others nothing, while a refused one loses its place, and which jobs are late
+//! is known from estimates only. Callers that are given the same retry time return as one burst, so
+//! each refusal moves the next caller's retry time further out.
 
 use base::Map;
 use base::Millis;
@@ -123,7 +125,7 @@
     for (_, work) in pool
         .backlog
         .iter()
-        .filter(|(p, _)| **p <= submitted.priority)
+        .filter(|(p, _)| **p < submitted.priority)
     {
         ahead.cpu = ahead.cpu.saturating_add(work.cpu);
         ahead.accels = ahead.accels.saturating_add(work.accels);
--- a/crates/batch/src/outage.rs
+++ b/crates/batch/src/outage.rs
@@ -12,8 +12,8 @@
 /// An outage that begins within this time of the end of another one continues it.
 const SETTLE_TIME: Millis = Millis(1_000);
 
-/// Part of a caller's time for which its last attempt waits. The rest is for the write and the answer.
-const LAST_HOLD_PERCENT: u64 = 80;
+/// A submission waits for at most its caller's time divided by this.
+const HOLD_DIVISOR: u64 = 2;
 
 /// The age of an outage divided by this is the time after which a rejected caller returns.
 const RETURN_DIVISOR: u64 = 2;
@@ -66,13 +66,14 @@
 
 /// Time for which a submission waits for the end of an outage of this age before its caller is
 /// rejected; `wait` is the time for which the caller waits in all. The submission waits for as long
-/// as the outage is more likely to end within the caller's time than not, and to the end of that time
-/// if it is too short for the caller to return.
+/// as the outage is more likely to end within the caller's time than not, and in any case if that time
+/// is too short for the caller to return.
 pub fn hold(age: Millis, wait: Millis) -> Millis {
-    match wait <= RETURN_RANGE.0 {
-        true => Millis(wait.0 * LAST_HOLD_PERCENT / 100),
-        false => Millis(wait.since(age).0 / 2),
-    }
+    let left = match wait <= RETURN_RANGE.0 {
+        true => wait,
+        false => wait.since(age),
+    };
+    Millis(left.0 / HOLD_DIVISOR)
 }
 
 /// Time after which a caller that is rejected at this age of an outage returns, in whole seconds.
