Leave the daemon's entry to its lease if it stops in an outage

Cause: removing the entry at a planned stop could take the time-out of a store call, beside the grace of the stop. Change: not in an outage, and with the short time-out.

--- a/crates/bronzetack/src/batch/peers.rs
+++ b/crates/bronzetack/src/batch/peers.rs
@@ -76,10 +76,13 @@
 }
 
 /// Removes this daemon's entry once it answers no more calls, so that the others do not expect
-/// answers. It otherwise ends with its lease.
+/// answers. In an outage of the store it ends with its lease.
 pub async fn leave(shared: &Shared) {
+    if shared.store_outage() > Millis::ZERO {
+        return;
+    }
     if let Some(lease) = shared.entry_lease.take() {
-        if let Err(error) = shared.store.revoke_lease(lease).await {
+        if let Err(error) = shared.caller_store.revoke_lease(lease).await {
             shared.record_store_result(Err(&error));
         }
     }
