Hold starts by the age of the configuration also while no limit is in force

Cause: starts depended on a configuration younger than config-apply only while the version in force set a limit. While it set none, starts went on for up to the bound on evacuations after the next version had set one.

Change: the shorter age holds wherever organisations have limits or weights. A first limit for organisations that had neither is still seen as late as the bound on evacuations.

The check is as before.

--- a/crates/batch/src/catalog.rs
+++ b/crates/batch/src/catalog.rs
@@ -159,9 +159,11 @@
         self.org(org).map(|o| o.limit).unwrap_or_default()
     }
 
-    /// Whether any organisation has a limit.
-    pub fn has_limits(&self) -> bool {
-        self.orgs.iter().any(|o| o.limit != OrgLimit::default())
+    /// Whether organisations have limits or weights. Where they have either, the next version may set
+    /// a limit.
+    pub fn may_limit(&self) -> bool {
+        let named = |o: &Org| o.limit != OrgLimit::default() || o.weight.is_some();
+        self.orgs.iter().any(named)
     }
 
     /// Whether any organisation has a weight.
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -114,7 +114,7 @@
     let ages = &shared.times.start_ages;
     let (documents, document_age) = {
         let documents = shared.documents.borrow();
-        let limited = documents.catalog.as_ref().is_some_and(|c| c.has_limits());
+        let limited = documents.catalog.as_ref().is_some_and(|c| c.may_limit());
         let age = if limited { ages.limits } else { ages.documents };
         (documents.confirmed, age)
     };
--- a/crates/soak/src/quota.rs
+++ b/crates/soak/src/quota.rs
@@ -41,7 +41,11 @@
 /// Time from one change to the next, in milliseconds.
 const CHANGE_INTERVAL_MS: std::ops::Range<u64> = 1_500..4_500;
 
-/// Raises and lowers the cap at random times until `end`.
+/// Time between two checks after the load that no cap is in force.
+const LIFT_INTERVAL: Millis = Millis(500);
+
+/// Raises and lowers the cap at random times until `end`, and then lifts it, as what was accepted
+/// under less of a cap may not end in time under the lowest one.
 pub async fn change(site: Rc<Site>, seed: u64, end: Millis) {
     let mut rng = Pcg64::seed_from_u64(seed ^ 0xca9);
     while site.now() < end {
@@ -49,6 +53,12 @@
         site.sleep(Millis(rng.random_range(CHANGE_INTERVAL_MS)))
             .await;
     }
+    while !site.is_finished() {
+        while site.last_cap() != NO_CAP {
+            site.configure();
+        }
+        site.sleep(LIFT_INTERVAL).await;
+    }
 }
 
 /// The cap that this version of the configuration sets.
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use base::Millis;
+use batch::Resources;
 use fakes::fault_relay::Relay;
 use platform_fakes::FakeAdviser;
 use platform_fakes::FakeMachines;
@@ -232,6 +233,17 @@
         }
     }
 
+    /// Whether the run is over.
+    pub fn is_finished(&self) -> bool {
+        *self.finished.borrow()
+    }
+
+    /// The cap that the last version of the configuration sets.
+    pub fn last_cap(&self) -> Resources {
+        let history = self.history.borrow();
+        history.caps.last().map_or(quota::NO_CAP, |(_, cap)| *cap)
+    }
+
     /// Writes a new version of the configuration, with more queues if links are slow.
     pub fn configure(&self) {
         let (version, changes) = &mut *self.changes.borrow_mut();
