--- a/crates/batch/tests/limits.rs
+++ b/crates/batch/tests/limits.rs
@@ -19,6 +19,7 @@
 use kit::job_of;
 use kit::limits::limited;
 use kit::limits::org;
+use kit::limits::weighted;
 use kit::site::Faults;
 use kit::site::Site;
 use kit::step;
