Keep a wave of upkeep active until its end is recorded

Cause: a pass over the waves first reads the machines and then stores the records, and runs only while a wave is active. A wave stopped being active once all its upkeep had begun, so if the store refused just the write that says so, no pass came to repeat it.

Change: a wave is active until its record is stored. The test of the end of a wave asserted that it is inactive before that; it now asserts the opposite until the record is stored, and inactive after it.

Evidence: the new test fails on the code before ("the end of the wave is not recorded") and passes now.

--- a/crates/batch/src/wave.rs
+++ b/crates/batch/src/wave.rs
@@ -151,6 +151,10 @@
         let settled = |m: &MachineId| self.begun.contains(m) || self.gone.contains(m);
         self.wave.machines.iter().all(settled)
     }
+
+    fn is_recorded(&self) -> bool {
+        self.stored_record.as_ref() == Some(&record(self))
+    }
 }
 
 /// The stored record of a wave.
@@ -231,9 +235,11 @@
         self.restored.insert(number, record);
     }
 
-    /// Whether a wave still needs the list of machines.
+    /// Whether a wave still has upkeep to do, or a record to store.
     pub fn is_active(&self) -> bool {
-        self.active.values().any(|w| !w.is_over())
+        self.active
+            .values()
+            .any(|w| !w.is_over() || !w.is_recorded())
     }
 
     /// Applies a list of machines that was requested at `sent`.
@@ -355,13 +361,8 @@
 
     /// Waves whose record has changed since it was stored, with the new record.
     pub fn unrecorded(&self) -> Vec<(u64, WaveRecord)> {
-        let all = self
-            .active
-            .iter()
-            .map(|(num, active)| (*num, active, record(active)));
-        let changed =
-            all.filter(|(_, active, record)| active.stored_record.as_ref() != Some(record));
-        changed.map(|(num, _, record)| (num, record)).collect()
+        let changed = self.active.iter().filter(|(_, w)| !w.is_recorded());
+        changed.map(|(num, w)| (*num, record(w))).collect()
     }
 
     /// Notes that the record of a wave is stored.
--- a/crates/batch/tests/wave.rs
+++ b/crates/batch/tests/wave.rs
@@ -255,6 +255,25 @@
         waves.apply_response(&requests[0], &UpkeepResponse::Begun, Millis(at + 200));
     }
     // The fifth machine is not in the list.
-    assert!(waves.unrecorded()[0].1.is_over);
+    let (number, record) = waves.unrecorded().remove(0);
+    assert!(record.is_over);
+    waves.mark_recorded(number, record);
+    assert!(!waves.is_active());
+}
+
+/// Guards against a wave that operators see as running for good: the store refused the write of its
+/// end, and nothing wrote it again.
+#[test]
+fn a_wave_stays_active_until_its_end_is_recorded() {
+    let mut waves = waves();
+    for num in 0..4 {
+        let at = 1_000 + 5_000 * num as u64;
+        waves.set_machines(machine_list(|_| true), Millis(at));
+        let requests = planned_requests(&mut waves, at + 100);
+        waves.apply_response(&requests[0], &UpkeepResponse::Begun, Millis(at + 200));
+    }
+    assert!(waves.is_active(), "the end of the wave is not recorded");
+    let (number, record) = waves.unrecorded().remove(0);
+    waves.mark_recorded(number, record);
     assert!(!waves.is_active());
 }
