Log workers that have crashed, changed capacities, and why starts are taken back

Nothing told a worker that has crashed from one that is silent: both ended as "the lease has expired". So the hypotheses of docs/incidents/crashing-task.md could not be told apart.

Change: the first answer of another incarnation, under the same id or of another worker at the same address, shows that the one before has ended; unless it was draining or its upkeep had begun, that is a crash (629, `batch_worker_crashes`), logged with the runs that were open and their ages. 632 logs a changed capacity. Starts that are taken back before they are sent say why. Decisions are unchanged.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -1,6 +1,7 @@
 //! The coordinator's state of all jobs and workers, and the decisions on them.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use base::DomainId;
 use base::Epoch;
@@ -36,6 +37,7 @@
 use crate::wave::Waves;
 use crate::worker::Worker;
 
+mod crashes;
 mod load;
 mod measure;
 mod orgs;
@@ -78,6 +80,10 @@
     LimitReached,
     /// A limit that is smaller than what a job needs to start.
     LimitTooLow,
+    /// A worker whose capacity has changed.
+    CapacityChanged,
+    /// A worker that has crashed, with the runs that were on it.
+    WorkerCrashed,
 }
 
 /// An entry for the operators' log.
@@ -103,6 +109,8 @@
     /// Jobs that have not ended, or of which a run may still be active.
     pub(crate) live: BTreeSet<JobId>,
     pub(crate) workers: Map<WorkerId, Worker>,
+    /// Ids of the workers at each address: incarnations may have ids of their own.
+    pub(crate) hosts: Map<SocketAddr, Vec<WorkerId>>,
     /// Ends of runs whose effect is not stored yet.
     pub(crate) unstored: Vec<SeenEnd>,
     /// Tasks whose open run is being stopped.
@@ -163,6 +171,7 @@
             jobs: Map::default(),
             live: BTreeSet::new(),
             workers: Map::default(),
+            hosts: Map::default(),
             unstored: Vec::new(),
             stopping: BTreeSet::new(),
             checked_at: Millis::ZERO,
@@ -205,11 +214,12 @@
     }
 
     pub(crate) fn log(&mut self, job: Option<&JobId>, text: String) {
-        self.log_entries.push(LogEntry {
-            kind: LogKind::Decision,
-            job: job.cloned(),
-            text,
-        });
+        self.log_kind(LogKind::Decision, job, text);
+    }
+
+    pub(crate) fn log_kind(&mut self, kind: LogKind, job: Option<&JobId>, text: String) {
+        let job = job.cloned();
+        self.log_entries.push(LogEntry { kind, job, text });
     }
 
     /// Applies a configuration if it is newer than the one in force.
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -20,6 +20,7 @@
 use crate::worker::EndKind;
 use crate::worker::EndedRun;
 use crate::worker::Report;
+use crate::worker::WorkerState;
 
 /// Most ended runs in one report. A report with this many may be incomplete.
 const MAX_REPORTED_ENDS: usize = 500;
@@ -86,6 +87,16 @@
             return;
         };
         let restarted = worker.clock.is_some();
+        let ended: Vec<TaskId> = self.runs_before(id, born);
+        if restarted || !ended.is_empty() {
+            self.note_crash(id, ended, "has restarted", now);
+        }
+        self.note_predecessors(id, now);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.has_crashed = false;
+        worker.is_leaving = worker.entry.state == WorkerState::Draining;
         worker.born = born;
         worker.clock = None;
         worker.reported_end = 0;
@@ -101,12 +112,6 @@
             return;
         };
         let tasks: Vec<TaskId> = worker.open.keys().cloned().collect();
-        if restarted {
-            self.log(
-                None,
-                format!("{id} has restarted; {} runs were open", tasks.len()),
-            );
-        }
         for task in tasks {
             let job = self.jobs.get_mut(&task.job);
             let open = job
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -15,6 +15,7 @@
 use crate::job::RunPhase;
 use crate::record::Progress;
 use crate::spec::RunNumber;
+use crate::spec::StepId;
 use crate::spec::TaskId;
 use crate::worker::EndedRun;
 use crate::worker::WorkerState;
@@ -176,17 +177,21 @@
                 worker.stored_end = worker.stored_end.max(end);
             }
         }
-        let mut invalid: Vec<(JobId, u32, u16)> = Vec::new();
-        let step = |t: &TaskId| (t.job.clone(), t.occurrence, t.step);
+        let mut invalid: Vec<StepId> = Vec::new();
         for start in &pending.starts {
-            if !self.may_start(start, now) && !invalid.contains(&step(&start.task)) {
-                invalid.push(step(&start.task));
+            let step = start.task.step_id();
+            let obstacle = self.obstacle(start, now);
+            if let Some(why) = obstacle.filter(|_| !invalid.contains(&step)) {
+                let text = format!("starts of step {step} are taken back: {why}");
+                self.log(Some(&step.job), text);
+                invalid.push(step);
             }
         }
         let mut out = Vec::with_capacity(pending.starts.len());
         for mut start in pending.starts {
             let gang = self.is_gang(&start.task);
-            if invalid.contains(&step(&start.task)) && (gang || !self.may_start(&start, now)) {
+            let invalid = invalid.contains(&start.task.step_id());
+            if invalid && (gang || self.obstacle(&start, now).is_some()) {
                 self.cancel_start(&start, now);
                 continue;
             }
@@ -213,17 +218,27 @@
         job.and_then(|j| j.spec(task)).is_some_and(|s| s.gang)
     }
 
-    /// Whether the conditions on which a start was planned still hold.
-    fn may_start(&self, start: &StartRequest, now: Millis) -> bool {
+    /// Which of the conditions on which a start was planned no longer holds, if any.
+    fn obstacle(&self, start: &StartRequest, now: Millis) -> Option<String> {
+        let id = &start.worker;
         let job = self.jobs.get(&start.task.job);
-        let wanted = job.is_some_and(|j| !j.phase.is_final());
-        let worker = self.workers.get(&start.worker);
-        let usable = worker
-            .is_some_and(|w| w.born == start.born && w.clock.is_some() && self.is_usable(w, now));
-        wanted
-            && usable
-            && now.since(start.planned_at) <= MAX_PLAN_AGE
-            && !self.is_over_limit(start)
+        if job.is_none_or(|j| j.phase.is_final()) {
+            return Some("the job has ended".to_string());
+        }
+        let Some(worker) = self.workers.get(id) else {
+            return Some(format!("{id} is gone"));
+        };
+        if worker.born != start.born || worker.clock.is_none() || !self.is_usable(worker, now) {
+            return Some(format!("{id} is not usable any more"));
+        }
+        let age = now.since(start.planned_at);
+        if age > MAX_PLAN_AGE {
+            return Some(format!("planned {age} ago, more than {MAX_PLAN_AGE}"));
+        }
+        if self.is_over_limit(start) {
+            return Some("the limit of the organisation is exceeded".to_string());
+        }
+        None
     }
 
     fn cancel_start(&mut self, start: &StartRequest, now: Millis) {
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -51,7 +51,12 @@
         }
         for (worker, runs) in lapsed {
             let (num, list) = (runs.len(), runs.join(", "));
-            let text = format!("the lease of {worker} has expired; closed {num} runs: {list}");
+            let heard = self.workers.get(&worker).and_then(Worker::last_report);
+            let heard = heard.map_or("never heard".to_string(), |at| {
+                format!("last heard {} ago", now.since(at))
+            });
+            let text =
+                format!("the lease of {worker} has expired, {heard}; closed {num} runs: {list}");
             self.log(None, text);
         }
         if check_runs {
@@ -63,7 +68,15 @@
                 .is_some_and(|at| now.since(at) > MISSING_GRACE);
             missing && w.open.is_empty() && now.since(w.last_answer) > MISSING_GRACE
         };
-        self.workers.retain(|_, w| !is_expired(w));
+        let gone: Vec<WorkerId> = self
+            .workers
+            .iter()
+            .filter(|(_, w)| is_expired(w))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.remove_worker(&id);
+        }
     }
 
     /// Notes that a run that is active has survived its start on its worker.
--- a/crates/batch/src/scheduler/upkeep.rs
+++ b/crates/batch/src/scheduler/upkeep.rs
@@ -55,6 +55,12 @@
         response: &UpkeepResponse,
         now: Millis,
     ) {
+        if *response == UpkeepResponse::Begun {
+            let id = self.waves.worker_of(&request.machine).cloned();
+            if let Some(worker) = id.and_then(|id| self.workers.get_mut(&id)) {
+                worker.is_leaving = true;
+            }
+        }
         self.waves.apply_response(request, response, now);
         self.fenced |= *response == UpkeepResponse::Fenced;
     }
--- a/crates/batch/src/scheduler/workers.rs
+++ b/crates/batch/src/scheduler/workers.rs
@@ -7,6 +7,7 @@
 use base::Set;
 use base::WorkerId;
 
+use super::LogKind;
 use super::Scheduler;
 use crate::job::RunPhase;
 use crate::worker::Worker;
@@ -35,14 +36,23 @@
 
     /// Adds or updates one worker from its entry.
     pub fn update_worker(&mut self, entry: WorkerEntry) {
+        self.add_host(&entry);
         match self.workers.get_mut(&entry.id) {
             Some(worker) => {
+                let before = worker.entry.capacity;
+                let id = entry.id.clone();
                 worker.missing_since = None;
                 let restarted = entry.born.is_some_and(|born| born > worker.born);
                 if worker.entry.address != entry.address || restarted {
                     worker.has_answered = false;
                 }
                 worker.set_entry(entry);
+                let (after, used) = (worker.entry.capacity, worker.used);
+                if before != after {
+                    let text =
+                        format!("capacity of {id} is {after}, was {before}; runs occupy {used}");
+                    self.log_kind(LogKind::CapacityChanged, None, text);
+                }
             }
             None => {
                 let id = entry.id.clone();
--- a/crates/batch/src/wave.rs
+++ b/crates/batch/src/wave.rs
@@ -242,6 +242,11 @@
             .any(|w| !w.is_over() || !w.is_recorded())
     }
 
+    /// The worker on a machine, by the last list.
+    pub fn worker_of(&self, machine: &MachineId) -> Option<&WorkerId> {
+        self.machines.get(machine)?.worker.as_ref()
+    }
+
     /// Applies a list of machines that was requested at `sent`.
     pub fn set_machines(&mut self, listed: Vec<MachineEntry>, sent: Millis) {
         self.machines = listed.into_iter().map(|m| (m.id.clone(), m)).collect();
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -142,6 +142,10 @@
     pub has_answered: bool,
     /// Whether the last poll failed.
     pub unresponsive: bool,
+    /// Whether the end of this incarnation was announced or requested, so that it is no crash.
+    pub is_leaving: bool,
+    /// Whether this incarnation is known to have crashed.
+    pub has_crashed: bool,
     /// When the last poll that was answered was sent.
     pub last_answer: Millis,
     /// Last reading of the worker's clock, and when it arrived.
@@ -190,6 +194,7 @@
 impl Worker {
     /// A worker that has not answered yet.
     pub fn new(entry: WorkerEntry) -> Worker {
+        let entry_leaves = entry.state == WorkerState::Draining;
         Worker {
             labels: entry.labels.as_slice().into(),
             rack: entry.rack().map(Arc::from),
@@ -198,6 +203,8 @@
             born: 0,
             has_answered: false,
             unresponsive: false,
+            is_leaving: entry_leaves,
+            has_crashed: false,
             last_answer: Millis::ZERO,
             clock: None,
             reported_end: 0,
@@ -222,9 +229,20 @@
             self.labels = entry.labels.as_slice().into();
             self.rack = entry.rack().map(Arc::from);
         }
+        self.is_leaving |= entry.state == WorkerState::Draining;
         self.entry = entry.bounded();
     }
 
+    /// Whether the coordinator gets no answer from it.
+    pub fn is_lost(&self) -> bool {
+        self.unresponsive || self.missing_since.is_some() || !self.has_answered
+    }
+
+    /// When it last reported to this coordinator.
+    pub fn last_report(&self) -> Option<Millis> {
+        self.clock.map(|(_, at)| at)
+    }
+
     /// Records an open run of a task with this specification.
     pub fn add_run(&mut self, task: TaskId, run: RunNumber, spec: &StepSpec) {
         if self.open.insert(task, run).is_none() {
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -1,6 +1,7 @@
 //! A simulated worker that follows the platform's specification.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use base::DomainId;
 use base::Millis;
@@ -38,6 +39,7 @@
 /// A simulated worker, with switches for faults.
 pub struct FakeWorker {
     pub id: WorkerId,
+    pub address: SocketAddr,
     pub domain: DomainId,
     pub rack: String,
     pub capacity: Resources,
@@ -73,6 +75,7 @@
     pub fn new(num: usize, now: Millis) -> FakeWorker {
         FakeWorker {
             id: format!("w{num}").parse().expect("a worker id"),
+            address: SocketAddr::from(([127, 0, 0, 1], 1 + num as u16)),
             domain: format!("d{}", num % 2).parse().expect("a domain"),
             rack: format!("r{}", num / 4),
             capacity: Resources {
@@ -108,7 +111,7 @@
         WorkerEntry {
             id: self.id.clone(),
             born: Some(self.shown_born.0),
-            address: "127.0.0.1:1".parse().expect("an address"),
+            address: self.address,
             domain: self.domain.clone(),
             pool: super::pool(),
             state: WorkerState::Ready,
@@ -122,6 +125,7 @@
     pub fn restart(&mut self, now: Millis) {
         let old = std::mem::replace(self, FakeWorker::new(0, now));
         self.id = old.id;
+        self.address = old.address;
         self.domain = old.domain;
         self.rack = old.rack;
         self.speed = old.speed;
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -158,6 +158,11 @@
             }
             LogKind::LimitReached => Event::OrgLimitReached,
             LogKind::LimitTooLow => Event::OrgLimitTooLow,
+            LogKind::CapacityChanged => Event::CapacityChanged,
+            LogKind::WorkerCrashed => {
+                shared.worker_crashes.add(&[], 1);
+                Event::WorkerCrashed
+            }
         };
         obs::record(&shared.log, event, &[("job", &job), ("why", &entry.text)]);
     }
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -104,6 +104,8 @@
     pub starts_held: Histogram,
     /// Counts jobs inside a guarantee that had not started after half of their time.
     pub guarantees_delayed: Counter,
+    /// Counts workers that are known to have crashed.
+    pub worker_crashes: Counter,
     /// Counts requests to start a run, by outcome.
     pub starts: Counter,
     /// Counts failed calls to the store, by kind of error.
@@ -219,6 +221,10 @@
                 "batch_guarantees_delayed",
                 "Jobs inside a guarantee that started late or not yet",
             ),
+            worker_crashes: metrics.counter(
+                "batch_worker_crashes",
+                "Workers known to have crashed, as another incarnation answers in their place",
+            ),
             orgs: OrgMetrics::new(&metrics),
             starts: metrics.counter("batch_starts", "Orders to start a run by outcome"),
             store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -103,8 +103,10 @@
     GuaranteeDelayed = 625, Warn, "job inside its guarantee has not started after half of its time";
     OrgLimitReached = 626, Info, "step waits because of its organisation's limit";
     OrgLimitTooLow = 627, Warn, "limit of an organisation is smaller than what one of its jobs needs to start";
+    WorkerCrashed = 629, Warn, "worker crashed";
     DomainOut = 630, Info, "failure domain taken out of service";
     DomainBack = 631, Info, "failure domain back in service";
+    CapacityChanged = 632, Info, "capacity of a worker has changed";
     CallAnswered = 640, Info, "call answered";
     RunRequested = 641, Info, "worker asked to start a run";
     SchedulingDecision = 642, Info, "scheduling decision about a job or worker";
