Give a task up after the crashes of the workers that started it

What callers saw: with a few tasks that crash each worker that starts them, jobs of all organisations lost their runs every five seconds for as long as those jobs existed.

Cause: a run that ended with its worker was closed as if it had never been. Attempts count reported failures only, so nothing bounded the starts (a query of death: the retry is safe for the task, not for the workers).

Change: each run that was open on a lost worker notes that under its task, in the job's record, which is stored before the task starts again. A loss counts as a crash once another incarnation answers in the worker's place; a silence does not, nor the loss of most of a failure domain or rack, nor an end that was announced. All that ran there are suspects until a later run survives clearly longer. Those that had just started, or were on two lost workers, run next where no other job does, one worker at a time for a job, on an eighth of the pool at most, and for two seconds at most. After two crashes just after the start, one of them alone on a machine that had not crashed under others, or after three of any kind, the job has failed (628).

Why this works: the record carries the count over hand-overs, and the second crash costs no other job and tells the guilty task from those beside it.

--- /dev/null
+++ b/crates/batch/src/crash.rs
@@ -0,0 +1,74 @@
+//! Attribution of crashed workers to the tasks that ran on them.
+//!
+//! Load pattern: a few tasks crash each worker that starts them, moments after the start, while eight
+//! other tasks run on it. A retry that is safe for such a task costs the site one worker after the other,
+//! and each of these takes sound tasks with it. All that ran on a crashed worker are suspects; those that
+//! had run well for a while are not likely to be the cause. A suspect runs next where no other job does:
+//! if that worker crashes as well, the task is the cause, and if it does not, the task is cleared.
+
+use std::net::SocketAddr;
+
+use base::Millis;
+use base::WorkerId;
+
+use crate::spec::RunNumber;
+
+/// Age up to which a run counts as just started when its worker crashed.
+const START_AGE: Millis = Millis(1_000);
+
+/// Age from which a run is not suspected: it has started well.
+pub(crate) const MAX_AGE: Millis = Millis(10_000);
+
+/// Number of crashes under a task, however they came about, after which it is the cause.
+const MAX_CRASHES: usize = 3;
+
+/// The same for crashes just after its start, if no other job ran on one of the workers.
+const MAX_START_CRASHES: usize = 2;
+
+/// A run that was open on a worker when the worker was lost.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Crash {
+    /// Number of the run.
+    pub run: RunNumber,
+    /// Id of the worker.
+    pub worker: WorkerId,
+    /// Incarnation of the worker (its start as Unix time).
+    pub born: u64,
+    /// Address of the worker.
+    pub address: SocketAddr,
+    /// Time for which the run is known to have been active before; `None` if an earlier coordinator
+    /// started it.
+    pub age: Option<Millis>,
+    /// Whether only its job ran there, on a machine that had not crashed under other jobs.
+    pub alone: bool,
+    /// Whether the worker is known to have crashed. Otherwise it may only be out of reach.
+    pub proven: bool,
+}
+
+impl Crash {
+    fn is_at_start(&self) -> bool {
+        self.age.is_some_and(|age| age < START_AGE)
+    }
+}
+
+/// Whether the next run of a task is to be kept apart from other jobs.
+pub fn is_suspect(crashes: &[Crash]) -> bool {
+    let at_start = crashes.iter().any(|c| c.proven && c.is_at_start());
+    at_start || crashes.len() > 1
+}
+
+/// Whether a task is the cause of the crashes under it, so that it must not start again.
+pub fn is_cause(crashes: &[Crash]) -> bool {
+    let proven = crashes.iter().filter(|c| c.proven);
+    let at_start = proven.clone().filter(|c| c.is_at_start());
+    proven.count() >= MAX_CRASHES
+        || at_start.clone().count() >= MAX_START_CRASHES && at_start.clone().any(|c| c.alone)
+}
+
+/// Age at which a later run clears the task: it has survived its start for clearly longer than the runs
+/// before. A run may have gone on for up to a poll after it was last heard of.
+pub fn cleared_after(crashes: &[Crash], poll_wait: Millis) -> Millis {
+    let ages = crashes.iter().map(|c| c.age.unwrap_or(START_AGE));
+    let longest = ages.max().unwrap_or_default();
+    Millis(2 * (longest.0 + poll_wait.0))
+}
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::crash::Crash;
 use crate::record::Submitted;
 use crate::spec::RunNumber;
 use crate::spec::StepSpec;
@@ -125,6 +126,10 @@
     pub open: Option<OpenRun>,
     /// Workers on which it failed.
     pub avoid: Vec<WorkerId>,
+    /// Losses of workers under its runs, since it last ran well.
+    pub crashes: Vec<Crash>,
+    /// Since when it has been waiting for a worker without other jobs.
+    pub held_since: Option<Millis>,
 }
 
 /// State of one step of an occurrence.
@@ -286,12 +291,19 @@
         self.next > first
     }
 
-    /// The state of a task; `None` if it does not exist.
+    /// The state of a task, for changes; `None` if it does not exist.
     pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut TaskState> {
         let step = self.step_mut(id)?;
         step.tasks.get_mut(usize::from(id.index))
     }
 
+    /// The state of a task; `None` if it does not exist.
+    pub fn task(&self, id: &TaskId) -> Option<&TaskState> {
+        let occurrence = self.open.get(&id.occurrence)?;
+        let step = occurrence.steps.get(usize::from(id.step))?;
+        step.tasks.get(usize::from(id.index))
+    }
+
     /// The state of a task's step; `None` if it does not exist.
     pub fn step_mut(&mut self, id: &TaskId) -> Option<&mut StepState> {
         let occurrence = self.open.get_mut(&id.occurrence)?;
@@ -326,11 +338,20 @@
 
     /// All tasks with an open run.
     pub fn open_tasks(&self) -> Vec<TaskId> {
+        self.tasks_where(|task| task.open.is_some())
+    }
+
+    /// All tasks under whose runs workers were lost.
+    pub fn crashed_tasks(&self) -> Vec<TaskId> {
+        self.tasks_where(|task| !task.crashes.is_empty())
+    }
+
+    fn tasks_where(&self, holds: impl Fn(&TaskState) -> bool) -> Vec<TaskId> {
         let mut found = Vec::new();
         for (&occurrence, state) in &self.open {
             for (step, steps) in state.steps.iter().enumerate() {
                 for (index, task) in steps.tasks.iter().enumerate() {
-                    if task.open.is_some() {
+                    if holds(task) {
                         found.push(TaskId {
                             job: self.id.clone(),
                             occurrence,
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -10,6 +10,7 @@
 mod bounds;
 pub mod candidacy;
 mod catalog;
+pub mod crash;
 mod duration;
 pub mod health;
 mod history;
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -16,6 +16,7 @@
 
 mod attempt;
 mod candidates;
+mod isolate;
 mod limit;
 mod make_room;
 mod pass;
@@ -71,6 +72,7 @@
         let mut candidates = self.candidates(now);
         reserve::reserve_urgent(&mut candidates, self.urgent.accels(now));
         let mut pass = Pass::new(candidates, guaranteed, now);
+        pass.isolated = self.isolated_workers(&pass);
         let shares = self.shares(&pass, &wanted);
         self.plan_steps(&mut pass, waiting, shares.as_ref());
         for (step, rule) in upcoming {
@@ -139,6 +141,9 @@
             return most < allowed;
         }
         self.note_crowded(pass, at);
+        if placed.is_held {
+            return false;
+        }
         if self.make_room(pass, at, &attempt, placed) == Outlook::LeavesRacks {
             return self.plan_step(pass, at, false, most);
         }
@@ -198,6 +203,7 @@
             return;
         };
         state.run = run;
+        state.held_since = None;
         state.open = Some(OpenRun {
             restored: !state.saved.is_empty(),
             ..OpenRun::planned(run, id.clone(), worker.born, now)
--- a/crates/batch/src/plan/attempt.rs
+++ b/crates/batch/src/plan/attempt.rs
@@ -9,6 +9,7 @@
 use super::Pass;
 use super::WaitingStep;
 use crate::advice::AdviceRule;
+use crate::crash::is_suspect;
 use crate::health::waits_for_proof;
 use crate::job::OpenRun;
 use crate::place::Candidate;
@@ -30,6 +31,10 @@
     pub(super) pool: ServiceId,
     /// The tasks to place, and the workers that each of them avoids.
     pub(super) missing: Vec<(u16, Vec<WorkerId>)>,
+    /// Those of the tasks to place that are suspected of crashing workers, and since when they have been
+    /// waiting for workers of their own.
+    pub(super) suspects: Vec<u16>,
+    pub(super) held_since: Option<Millis>,
     /// Number of tasks of the step on each worker, by the worker's index.
     pub(super) on_worker: Vec<u32>,
     /// The adviser's response times, if there is one, and the workers that it allows.
@@ -114,10 +119,18 @@
             let avoid = if avoids { t.avoid.clone() } else { Vec::new() };
             (index as u16, avoid)
         });
+        let suspects = state.tasks.iter().enumerate();
+        let suspects = suspects.filter(|(_, t)| !t.done && t.open.is_none());
+        let suspects: Vec<(u16, Option<Millis>)> = suspects
+            .filter(|(_, t)| is_suspect(&t.crashes))
+            .map(|(index, t)| (index as u16, t.held_since))
+            .collect();
         // A job that has failed goes to proven workers only, for a while.
         let careful = waits_for_proof(state.failures(), job.submitted.attempts, waited);
         Some(Attempt {
             missing: missing.collect(),
+            held_since: suspects.iter().filter_map(|(_, since)| *since).min(),
+            suspects: suspects.into_iter().map(|(index, _)| index).collect(),
             on_worker: on_workers(
                 &pass.candidates,
                 state.tasks.iter().filter_map(|t| t.open.as_ref()),
--- a/crates/batch/src/plan/make_room.rs
+++ b/crates/batch/src/plan/make_room.rs
@@ -42,6 +42,7 @@
             among,
             failure,
             futile,
+            ..
         } = placed;
         let spec = &attempt.spec;
         let avoid = attempt.avoided();
--- a/crates/batch/src/plan/pass.rs
+++ b/crates/batch/src/plan/pass.rs
@@ -55,6 +55,8 @@
     /// Gangs for which preemption found no choice, and the most work that might have been lost for
     /// each.
     pub(super) unaffordable: Vec<(Failure, u64)>,
+    /// Workers that are kept for a job with a suspect, by their index.
+    pub(super) isolated: Map<usize, JobId>,
     /// What is kept of the limit of each organisation for steps that it holds back.
     pub(super) claims: Map<OrgId, Resources>,
     /// The steps that a limit holds back in this pass, each with what is kept for it.
@@ -85,6 +87,7 @@
             guaranteed,
             victims: None,
             unaffordable: Vec::new(),
+            isolated: Map::default(),
             claims: Map::default(),
             held: Map::default(),
             beyond_shares: false,
--- a/crates/batch/src/plan/placement.rs
+++ b/crates/batch/src/plan/placement.rs
@@ -1,5 +1,8 @@
 //! Placement of the missing tasks of a step on free resources.
 
+use base::Millis;
+
+use super::isolate::Isolation;
 use super::pass::Failure;
 use super::Attempt;
 use super::Pass;
@@ -8,6 +11,7 @@
 use crate::place::eligible_among;
 use crate::place::place_gang_among;
 use crate::scheduler::Scheduler;
+use crate::spec::TaskId;
 use crate::worker::UNPROVED_PENALTY;
 
 /// What became of an attempt to place a step.
@@ -20,6 +24,8 @@
     pub(super) failure: Failure,
     /// Whether a failure of this pass covers the attempt.
     pub(super) futile: bool,
+    /// Whether suspects of crashing workers wait for a worker without other jobs.
+    pub(super) is_held: bool,
 }
 
 impl Scheduler {
@@ -39,6 +45,8 @@
         if attempt.careful {
             among.retain(|&num| pass.candidates[num].penalty < UNPROVED_PENALTY);
         }
+        among.retain(|num| pass.isolated.get(num).is_none_or(|job| *job == at.job));
+        let isolation = self.isolation(pass, attempt, &among);
         let failure = Failure {
             pool: attempt.pool.clone(),
             need: attempt.spec.occupies(),
@@ -50,15 +58,37 @@
         let futile = attempt.is_plain() && pass.failures.iter().any(|f| f.covers(&failure));
         let unplaced = match gang {
             _ if futile => attempt.missing.len(),
-            true => self.place_gang(pass, at, attempt, &among),
-            false => self.place_tasks(pass, at, attempt, &among),
+            true => self.place_gang(pass, at, attempt, &among, isolation.as_ref()),
+            false => self.place_tasks(pass, at, attempt, &among, isolation.as_ref()),
         };
+        let is_held = isolation.is_some_and(|i| i.waits) && self.hold_suspects(attempt, pass.now);
         Placed {
             unplaced,
             among,
             failure,
             futile,
+            is_held,
+        }
+    }
+
+    /// Notes that suspects have not been placed. Returns whether there are any.
+    fn hold_suspects(&mut self, attempt: &Attempt, now: Millis) -> bool {
+        let step = &attempt.step;
+        let mut is_held = false;
+        for &index in &attempt.suspects {
+            let task = TaskId {
+                job: step.job.clone(),
+                occurrence: step.occurrence,
+                step: step.step,
+                index,
+            };
+            let state = self.jobs.get_mut(&step.job).and_then(|j| j.task_mut(&task));
+            if let Some(state) = state.filter(|t| t.open.is_none()) {
+                state.held_since.get_or_insert(now);
+                is_held = true;
+            }
         }
+        is_held
     }
 
     fn place_gang(
@@ -67,7 +97,9 @@
         at: &WaitingStep,
         attempt: &Attempt,
         among: &[usize],
+        isolation: Option<&Isolation>,
     ) -> usize {
+        let among = isolation.map_or(among, |i| &i.among);
         let count = attempt.missing.len();
         let avoid = attempt.avoided();
         let limits = attempt.limits(&avoid);
@@ -81,6 +113,9 @@
         self.log_speeds(pass, attempt, &chosen);
         for ((index, _), num) in attempt.missing.iter().zip(chosen) {
             pass.candidates[num].free = pass.free[num];
+            if isolation.is_some() {
+                pass.isolated.insert(num, at.job.clone());
+            }
             let id = pass.candidates[num].id.clone();
             self.start(at, *index, attempt.gang_run, &id, pass.now);
         }
@@ -93,25 +128,33 @@
         at: &WaitingStep,
         attempt: &mut Attempt,
         among: &[usize],
+        isolation: Option<&Isolation>,
     ) -> usize {
         let mut unplaced = 0;
+        let mut apart = isolation.map_or(Vec::new(), |i| i.among.clone());
         let mut is_full = false;
         let mut chosen = Vec::new();
         for (index, avoid) in &attempt.missing {
             let limits = attempt.limits(avoid);
-            let found = match is_full {
+            let is_suspect = attempt.suspects.contains(index);
+            let list = if is_suspect { &apart[..] } else { among };
+            let found = match is_full && !is_suspect {
                 true => None,
-                false => best_among(among, &pass.candidates, &pass.free, &attempt.spec, &limits),
+                false => best_among(list, &pass.candidates, &pass.free, &attempt.spec, &limits),
             };
             let Some(num) = found else {
                 // The other tasks need the same, so they fit nowhere either.
-                is_full |= avoid.is_empty();
+                is_full |= avoid.is_empty() && !is_suspect;
                 unplaced += 1;
                 continue;
             };
             pass.free[num] -= attempt.spec.occupies();
             pass.candidates[num].free = pass.free[num];
             attempt.on_worker[num] += 1;
+            if is_suspect {
+                pass.isolated.insert(num, at.job.clone());
+                apart = vec![num];
+            }
             let run = self.last_run(at, *index).next();
             let id = pass.candidates[num].id.clone();
             self.start(at, *index, run, &id, pass.now);
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -1,6 +1,7 @@
 //! Stored records of a job, encoded as CBOR.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use base::Millis;
 use base::OrgId;
@@ -11,6 +12,7 @@
 use serde::Serialize;
 
 use crate::catalog::Queue;
+use crate::crash::Crash;
 use crate::job::Job;
 use crate::job::JobPhase;
 use crate::job::Occurrence;
@@ -20,6 +22,7 @@
 use crate::job::TaskState;
 use crate::spec::RunNumber;
 use crate::spec::Submission;
+use crate::spec::TaskId;
 use crate::spec::MAX_ESTIMATE;
 
 quick_error! {
@@ -125,6 +128,8 @@
     pub phase: JobPhase,
     next: u32,
     open: BTreeMap<u32, Vec<StepRecord>>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    crashes: Vec<CrashRecord>,
 }
 
 /// Failed runs of the gang, and the tasks.
@@ -141,6 +146,21 @@
     Option<OpenRunRecord>,
 );
 
+/// A loss of a worker under a run of a task.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct CrashRecord {
+    occurrence: u32,
+    step: u16,
+    index: u16,
+    run: RunNumber,
+    worker: WorkerId,
+    born: u64,
+    address: SocketAddr,
+    age: Option<Millis>,
+    alone: bool,
+    proven: bool,
+}
+
 /// Run number, worker, and the worker's incarnation.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct OpenRunRecord(RunNumber, WorkerId, u64);
@@ -180,6 +200,9 @@
             (num, Occurrence { steps })
         });
         job.open = states.collect();
+        for record in self.crashes {
+            record.restore(job);
+        }
         true
     }
 }
@@ -196,6 +219,56 @@
             phase: job.phase,
             next: job.next,
             open: open.map(|(&num, o)| (num, steps(o))).collect(),
+            crashes: match done {
+                true => Vec::new(),
+                false => crash_records(job),
+            },
+        }
+    }
+}
+
+fn crash_records(job: &Job) -> Vec<CrashRecord> {
+    let mut records = Vec::new();
+    for (&occurrence, state) in &job.open {
+        for (step, steps) in state.steps.iter().enumerate() {
+            for (index, task) in steps.tasks.iter().enumerate() {
+                records.extend(task.crashes.iter().map(|crash| CrashRecord {
+                    occurrence,
+                    step: step as u16,
+                    index: index as u16,
+                    run: crash.run,
+                    worker: crash.worker.clone(),
+                    born: crash.born,
+                    address: crash.address,
+                    age: crash.age,
+                    alone: crash.alone,
+                    proven: crash.proven,
+                }));
+            }
+        }
+    }
+    records
+}
+
+impl CrashRecord {
+    fn restore(self, job: &mut Job) {
+        let task = TaskId {
+            job: job.id.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+            index: self.index,
+        };
+        let crash = Crash {
+            run: self.run,
+            worker: self.worker,
+            born: self.born,
+            address: self.address,
+            age: self.age,
+            alone: self.alone,
+            proven: self.proven,
+        };
+        if let Some(task) = job.task_mut(&task) {
+            task.crashes.push(crash);
         }
     }
 }
@@ -246,6 +319,8 @@
             saved: self.3,
             open,
             avoid: Vec::new(),
+            crashes: Vec::new(),
+            held_since: None,
         }
     }
 }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -51,6 +51,7 @@
 mod upkeep;
 mod workers;
 
+use crashes::CrashedMachines;
 use orgs::Waits;
 
 pub use overview::GuaranteeOverview;
@@ -84,6 +85,8 @@
     CapacityChanged,
     /// A worker that has crashed, with the runs that were on it.
     WorkerCrashed,
+    /// A job that is given up because workers crash under one of its tasks.
+    JobGivenUp,
 }
 
 /// An entry for the operators' log.
@@ -113,6 +116,10 @@
     pub(crate) hosts: Map<SocketAddr, Vec<WorkerId>>,
     /// Ends of runs whose effect is not stored yet.
     pub(crate) unstored: Vec<SeenEnd>,
+    /// Tasks under whose runs workers were lost, since they last ran well.
+    pub(crate) suspects: BTreeSet<TaskId>,
+    /// Machines that have crashed lately.
+    pub(crate) machines: CrashedMachines,
     /// Tasks whose open run is being stopped.
     pub(crate) stopping: BTreeSet<TaskId>,
     /// When open runs were last checked for expired leases and stalls.
@@ -173,6 +180,8 @@
             workers: Map::default(),
             hosts: Map::default(),
             unstored: Vec::new(),
+            suspects: BTreeSet::new(),
+            machines: CrashedMachines::default(),
             stopping: BTreeSet::new(),
             checked_at: Millis::ZERO,
             dirty: BTreeSet::new(),
@@ -264,6 +273,7 @@
                 "recorded progress does not match the job; it starts from the beginning".into(),
             );
         }
+        self.suspects.extend(job.crashed_tasks());
         for task in job.open_tasks() {
             let Some(spec) = job.spec(&task).cloned() else {
                 continue;
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -55,8 +55,8 @@
             // From now on no earlier coordinator can extend the worker's lease.
             worker.lease_end = now + lease;
         }
-        worker.has_answered = true;
-        worker.unresponsive = false;
+        let was_silent = std::mem::replace(&mut worker.unresponsive, false);
+        let is_first = !std::mem::replace(&mut worker.has_answered, true);
         worker.last_answer = worker.last_answer.max(sent);
         let answered = worker.clock.map_or(now, |(_, at)| at);
         let silence = now.since(answered).since(self.times.poll_wait);
@@ -67,6 +67,9 @@
         for end in &report.ended {
             self.apply_end(id, end, now);
         }
+        if was_silent || is_first {
+            self.settle_losses(id, now);
+        }
         self.discount_silence(id, silence, now);
         for run in &report.running {
             self.apply_running(id, run, report.clock, now);
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -61,6 +61,7 @@
         }
         if check_runs {
             self.drop_lapsed_strays(now);
+            self.review_suspects(now);
         }
         let is_expired = |w: &Worker| {
             let missing = w
@@ -109,6 +110,7 @@
         if now <= end {
             return None;
         }
+        self.note_lapse(&worker, now);
         self.close_run(task, now);
         Some((run, worker))
     }
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -159,6 +159,10 @@
             LogKind::LimitReached => Event::OrgLimitReached,
             LogKind::LimitTooLow => Event::OrgLimitTooLow,
             LogKind::CapacityChanged => Event::CapacityChanged,
+            LogKind::JobGivenUp => {
+                shared.jobs_given_up.add(&[], 1);
+                Event::JobGivenUp
+            }
             LogKind::WorkerCrashed => {
                 shared.worker_crashes.add(&[], 1);
                 Event::WorkerCrashed
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -104,6 +104,8 @@
     pub starts_held: Histogram,
     /// Counts jobs inside a guarantee that had not started after half of their time.
     pub guarantees_delayed: Counter,
+    /// Counts jobs that were given up because workers crash under one of their tasks.
+    pub jobs_given_up: Counter,
     /// Counts workers that are known to have crashed.
     pub worker_crashes: Counter,
     /// Counts requests to start a run, by outcome.
@@ -221,6 +223,10 @@
                 "batch_guarantees_delayed",
                 "Jobs inside a guarantee that started late or not yet",
             ),
+            jobs_given_up: metrics.counter(
+                "batch_jobs_given_up",
+                "Jobs given up because workers crash under one of their tasks",
+            ),
             worker_crashes: metrics.counter(
                 "batch_worker_crashes",
                 "Workers known to have crashed, as another incarnation answers in their place",
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -103,6 +103,7 @@
     GuaranteeDelayed = 625, Warn, "job inside its guarantee has not started after half of its time";
     OrgLimitReached = 626, Info, "step waits because of its organisation's limit";
     OrgLimitTooLow = 627, Warn, "limit of an organisation is smaller than what one of its jobs needs to start";
+    JobGivenUp = 628, Warn, "job given up, as workers crash under one of its tasks";
     WorkerCrashed = 629, Warn, "worker crashed";
     DomainOut = 630, Info, "failure domain taken out of service";
     DomainBack = 631, Info, "failure domain back in service";
