Check a start against the worker's newest capacity when it is sent

What was seen: a start planned on a worker with 8 accelerators was sent after the worker's entry had shown 4, so that its runs exceeded what it had.

Cause: a start waits until its record is stored, for up to 1.5 s. The check before it is sent asked for the state and the incarnation of the worker and the age of its entry, but not for its room: the capacity of the plan was taken as constant.

Change: a start is taken back if the worker's runs, this one and those being stopped among them, exceed the capacity in a resource that it needs.

--- a/crates/batch/src/scheduler/orgs.rs
+++ b/crates/batch/src/scheduler/orgs.rs
@@ -70,9 +70,7 @@
         let used = self.ledger.used(org);
         let excess = self.catalog.limit(org).excess(&used);
         // What the start does not add to cannot be exceeded by it.
-        excess.cpu.min(need.cpu) > 0
-            || excess.memory.min(need.memory) > 0
-            || excess.accels.min(need.accels) > 0
+        excess.overlaps(&need)
     }
 
     /// Marks the jobs that were sent beyond the rates of their organisations, all anew, as after a
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -16,6 +16,7 @@
 use crate::record::Progress;
 use crate::spec::RunNumber;
 use crate::spec::StepId;
+use crate::spec::StepSpec;
 use crate::spec::TaskId;
 use crate::worker::EndedRun;
 use crate::worker::WorkerState;
@@ -235,6 +236,13 @@
         if age > MAX_PLAN_AGE {
             return Some(format!("planned {age} ago, more than {MAX_PLAN_AGE}"));
         }
+        let need = job
+            .and_then(|j| j.spec(&start.task))
+            .map(StepSpec::occupies);
+        if need.is_some_and(|need| worker.excess().overlaps(&need)) {
+            let (used, capacity) = (worker.used, worker.entry.capacity);
+            return Some(format!("{id} has {capacity}, and its runs occupy {used}"));
+        }
         if self.is_over_limit(start) {
             return Some("the limit of the organisation is exceeded".to_string());
         }
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -134,6 +134,13 @@
         }
     }
 
+    /// Whether any resource is in both.
+    pub fn overlaps(&self, other: &Resources) -> bool {
+        self.cpu.min(other.cpu) > 0
+            || self.memory.min(other.memory) > 0
+            || self.accels.min(other.accels) > 0
+    }
+
     /// These resources within the range that the scheduler counts with.
     pub fn bounded(self) -> Resources {
         Resources {
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -307,4 +307,9 @@
     pub fn free(&self) -> Resources {
         self.entry.capacity.saturating_sub(&self.used)
     }
+
+    /// By how much the open runs exceed the capacity, which may have shrunk under them.
+    pub fn excess(&self) -> Resources {
+        self.used.saturating_sub(&self.entry.capacity)
+    }
 }
