Count what exceeds a shrunken capacity against the room that stops and ends make

What was seen: for an urgent job of 2 accelerators on a worker whose 8 runs exceed its 4, two runs were stopped. They made no room, and more were stopped pass by pass, each costing its grace period.

Cause: free room is capacity less use, but never less than nothing. Preemption and the reservation for gangs added to it what runs free at their end, so the part beyond the capacity was counted as room.

Change: a candidate holds by how much its runs exceed the capacity. Preemption frees that as well, and a reservation expects a start only once it is gone. Where no capacity has shrunk the excess is zero.

--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -34,8 +34,10 @@
     pub capacity: Resources,
     /// Resources that no run occupies.
     pub free: Resources,
-    /// Resources that will be free once the runs being stopped have ended.
+    /// Resources that the runs being stopped occupy.
     pub releasing: Resources,
+    /// By how much all runs on it exceed its capacity, which has shrunk under them.
+    pub excess: Resources,
     /// Expected remaining time and resources of each run on it.
     pub running: Vec<(Millis, Resources)>,
     /// Set if it is reserved for a gang that is expected to start after this time. Tasks that end
--- a/crates/batch/src/plan/candidates.rs
+++ b/crates/batch/src/plan/candidates.rs
@@ -30,6 +30,7 @@
                 capacity: worker.entry.capacity,
                 free: worker.free(),
                 releasing: worker.releasing,
+                excess: worker.excess(),
                 running: Vec::new(),
                 reserved_until: None,
                 urgent_only: false,
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -21,6 +21,7 @@
 use crate::scheduler::LogEntry;
 use crate::scheduler::LogKind;
 use crate::scheduler::Scheduler;
+use crate::spec::Resources;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
 
@@ -185,6 +186,8 @@
             let rest = need.saturating_sub(&candidate.free);
             candidate.free -= need;
             candidate.releasing -= rest;
+            // The runs that are stopped cover it.
+            candidate.excess = Resources::default();
             pass.free[num] = candidate.free;
         }
         // One line for all runs that are stopped for the job: thousands are in a burst.
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -156,6 +156,7 @@
 fn with_releasing(candidate: &Candidate) -> Resources {
     let mut sum = candidate.free;
     sum += candidate.releasing;
+    sum -= candidate.excess;
     sum
 }
 
@@ -189,7 +190,11 @@
     let per_worker = step.per_worker.unwrap_or(u32::MAX);
     let offer = |available: &[Resources], taken: &[usize], num: usize| -> Option<Offer> {
         let urgent = limits.displaces_urgent;
-        let (loss, chosen) = cheapest(&available[num], &need, index, (taken, urgent), num)?;
+        // What still exceeds the capacity has to be freed as well.
+        let mut owed = candidates[num].excess;
+        owed -= candidates[num].releasing;
+        owed += need;
+        let (loss, chosen) = cheapest(&available[num], &owed, index, (taken, urgent), num)?;
         let left = available[num].saturating_sub(&need).accels;
         Some((candidates[num].penalty, loss, left, chosen))
     };
--- a/crates/batch/src/reserve.rs
+++ b/crates/batch/src/reserve.rs
@@ -72,7 +72,8 @@
         slots.extend((0..fitted).map(|_| (Millis::ZERO, num)));
         for (left, used) in ends {
             sum += used;
-            let fits = need.count_fitting(&sum).min(most).min(count as u64);
+            let left_over = sum.saturating_sub(&candidate.excess);
+            let fits = need.count_fitting(&left_over).min(most).min(count as u64);
             slots.extend((fitted..fits).map(|_| (left, num)));
             fitted = fitted.max(fits);
         }
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -376,9 +376,11 @@
 #[test]
 fn crashes_are_read_back_from_a_record() {
     let mut crashing = Crashing::new(8, Back::OtherId);
-    let (sound, guilty) = crashing.submit_pair(step(1, 1, SECOND));
+    let (_, guilty) = crashing.submit_pair(step(1, 1, SECOND));
     let is_guilty = |task: &TaskId| task.job == guilty;
     crashing.run_until_crashes(1, is_guilty);
+    let later = job(2, vec![step(1, 1, SECOND)], crashing.site.now);
+    let later = crashing.site.submit("later", later);
     crashing.run(DOWN_TIME + SECOND, is_guilty);
     let encoded = |id: &JobId| {
         let progress = crashing.site.stored[id].1.clone().expect("a record");
@@ -387,6 +389,6 @@
         String::from_utf8_lossy(&bytes).into_owned()
     };
     assert!(encoded(&guilty).contains("crashes"));
-    // Records of other jobs are as they were before there was this field.
-    assert!(!encoded(&sound).contains("crashes"));
+    // Other records are as they were before there was this field.
+    assert!(!encoded(&later).contains("crashes"));
 }
--- a/crates/batch/tests/kit/candidates.rs
+++ b/crates/batch/tests/kit/candidates.rs
@@ -26,6 +26,7 @@
         capacity: WHOLE,
         free: WHOLE,
         releasing: Resources::default(),
+        excess: Resources::default(),
         running: Vec::new(),
         reserved_until: None,
         urgent_only: false,
