Count unwanted runs that a worker reports against its room

What was seen: a run that a worker began late, after it had been given up, was being stopped, and meanwhile another start was sent to the room that it occupied.

Cause: the room of a worker was reckoned from open runs alone. Unwanted runs were counted against the limit of their organisation, but not against the capacity of their worker.

Change: what the unwanted runs in a report occupy is not free until they are reported no more, the worker restarts or its lease has expired. Found by looking for other places that take the room for granted.

Evidence: nothing_starts_beside_an_unwanted_run_that_fills_the_worker failed before ("the runs on w0 exceed its capacity") and passes now.

--- a/crates/batch/src/scheduler/orgs.rs
+++ b/crates/batch/src/scheduler/orgs.rs
@@ -13,6 +13,7 @@
 use crate::org::OrgState;
 use crate::org::Rates;
 use crate::spec::Resources;
+use crate::spec::StepSpec;
 use crate::spec::TaskId;
 use crate::worker::Report;
 
@@ -46,13 +47,27 @@
             .running
             .iter()
             .filter(|r| !self.is_open(&r.task, r.run, id));
-        let strays = strays.filter_map(|r| self.org_and_need(&r.task));
-        let strays = strays.map(|(org, need)| (org.clone(), need)).collect();
-        self.ledger.set_strays(id, strays);
+        let strays: Vec<&TaskId> = strays.map(|r| &r.task).collect();
+        let mut occupied = Resources::default();
+        for task in &strays {
+            let spec = self.jobs.get(&task.job).and_then(|j| j.spec(task));
+            occupied += spec.map(StepSpec::occupies).unwrap_or_default();
+        }
+        let counted = strays.iter().filter_map(|task| self.org_and_need(task));
+        let counted = counted.map(|(org, need)| (org.clone(), need)).collect();
+        self.ledger.set_strays(id, counted);
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.strays = occupied;
+        }
     }
 
     /// Drops the counted strays of workers whose lease has expired.
     pub(crate) fn drop_lapsed_strays(&mut self, now: Millis) {
+        for worker in self.workers.values_mut() {
+            if now > worker.lease_end {
+                worker.strays = Resources::default();
+            }
+        }
         for id in self.ledger.stray_workers() {
             let end = self.workers.get(&id).map(|w| w.lease_end);
             if end.is_none_or(|end| now > end) {
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -240,7 +240,7 @@
             .and_then(|j| j.spec(&start.task))
             .map(StepSpec::occupies);
         if need.is_some_and(|need| worker.excess().overlaps(&need)) {
-            let (used, capacity) = (worker.used, worker.entry.capacity);
+            let (used, capacity) = (worker.occupied(), worker.entry.capacity);
             return Some(format!("{id} has {capacity}, and its runs occupy {used}"));
         }
         if self.is_over_limit(start) {
--- a/crates/batch/src/scheduler/workers.rs
+++ b/crates/batch/src/scheduler/workers.rs
@@ -47,7 +47,7 @@
                     worker.has_answered = false;
                 }
                 worker.set_entry(entry);
-                let (after, used) = (worker.entry.capacity, worker.used);
+                let (after, used) = (worker.entry.capacity, worker.occupied());
                 if before != after {
                     let text =
                         format!("capacity of {id} is {after}, was {before}; runs occupy {used}");
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -162,6 +162,8 @@
     pub rack: Option<Arc<str>>,
     /// Resources that the open runs occupy.
     pub used: Resources,
+    /// Resources that runs occupy which it reports but which are not wanted there.
+    pub strays: Resources,
     /// The part of `used` that is occupied by runs being stopped.
     pub releasing: Resources,
     /// Number of open runs of serving tasks.
@@ -211,6 +213,7 @@
             stored_end: 0,
             lease_end: Millis::ZERO,
             used: Resources::default(),
+            strays: Resources::default(),
             releasing: Resources::default(),
             serving: 0,
             open: Map::default(),
@@ -303,13 +306,20 @@
         self.failed_jobs.len()
     }
 
-    /// Resources that no open run occupies.
+    /// Resources that its runs occupy.
+    pub fn occupied(&self) -> Resources {
+        let mut sum = self.used;
+        sum += self.strays;
+        sum
+    }
+
+    /// Resources that no run occupies.
     pub fn free(&self) -> Resources {
-        self.entry.capacity.saturating_sub(&self.used)
+        self.entry.capacity.saturating_sub(&self.occupied())
     }
 
-    /// By how much the open runs exceed the capacity, which may have shrunk under them.
+    /// By how much its runs exceed the capacity, which may have shrunk under them.
     pub fn excess(&self) -> Resources {
-        self.used.saturating_sub(&self.entry.capacity)
+        self.occupied().saturating_sub(&self.entry.capacity)
     }
 }
--- a/crates/batch/tests/capacity.rs
+++ b/crates/batch/tests/capacity.rs
@@ -4,13 +4,16 @@
 
 use base::Millis;
 use batch::Resources;
+use batch::RunNumber;
 use batch::StepSpec;
+use batch::TaskId;
 use rand::RngExt;
 
 use kit::job;
 use kit::site::Faults;
 use kit::site::Site;
 use kit::step;
+use kit::worker::FakeRun;
 
 const SECOND: Millis = Millis(1_000);
 
@@ -118,3 +121,34 @@
     let stopped = site.scheduler.stop_requests(site.now).len();
     assert_eq!(stopped, 6, "2 of 4 accelerators are left to 8 runs");
 }
+
+/// Guards against a start beside a run that a worker began late, after it was given up: until it is
+/// stopped, it occupies the worker.
+#[test]
+fn nothing_starts_beside_an_unwanted_run_that_fills_the_worker() {
+    let mut site = Site::new(1, 1, Faults::default());
+    let first = site.submit("a", job(1, vec![step(1, 8, SECOND)], site.now));
+    site.run(Millis(3_000));
+    assert!(site.is_done(&first));
+    let task = TaskId {
+        job: first,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    let late = FakeRun {
+        run: RunNumber(9),
+        gang: None,
+        started: site.now,
+        work: Millis(20_000),
+        need: shrunk(8),
+        stopping: None,
+        fails: false,
+    };
+    site.workers[0].runs.insert(task, late);
+    site.run(Millis(150));
+    let second = site.submit("b", job(1, vec![step(1, 8, SECOND)], site.now));
+    // The site checks at each start that the runs fit.
+    site.run(Millis(5_000));
+    assert!(site.is_done(&second));
+}
