Close the runs of a worker as soon as another one answers in its place

What callers saw: after the crash of a worker that came back under another id, its tasks waited for its lease, 5.2 s, although since 3.3 s it was known that nothing of them ran any more.

Cause: only another incarnation under the same id closed runs before the lease.

Change: of the workers at one address, the ones that are silent have ended if one answers that had not answered before they fell silent. Their runs are closed at once. Requests name their worker, so none that is still under way starts a run on the next one. This takes the place of the check at the first answer, which missed a worker whose failed poll was noticed later than that.

With it, workers that are lost without runs count as lost with their failure domain or rack, and a worker and the one in its place count once: before, a domain that lost power with little work on it made suspects of what ran there (a_failure_domain_that_loses_power_makes_no_task_suspect failed as soon as runs were closed early).

The stand-ins of two tests and of the emulator had all workers at one address; each has its own now.

--- a/crates/batch/examples/load/world.rs
+++ b/crates/batch/examples/load/world.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use std::net::SocketAddr;
+
 use base::Epoch;
 use base::JobId;
 use base::Map;
@@ -350,7 +352,7 @@
     WorkerEntry {
         id: format!("w{num:05}").parse().expect("a worker id"),
         born: Some(1),
-        address: "127.0.0.1:1".parse().expect("an address"),
+        address: SocketAddr::from(([10, 0, (num >> 8) as u8, num as u8], 1)),
         domain: format!("d{}", rack % 6).parse().expect("a domain"),
         pool: "pool".parse().expect("a pool"),
         state: WorkerState::Ready,
--- a/crates/batch/src/scheduler/crashes.rs
+++ b/crates/batch/src/scheduler/crashes.rs
@@ -10,6 +10,7 @@
 use base::JobId;
 use base::Map;
 use base::Millis;
+use base::Set;
 use base::WorkerId;
 
 use super::LogKind;
@@ -35,6 +36,7 @@
 /// A worker that was lost.
 struct Loss {
     worker: WorkerId,
+    address: SocketAddr,
     domain: DomainId,
     rack: Option<String>,
     /// When it last reported to this coordinator, if it did.
@@ -56,6 +58,21 @@
         self.losses.retain(|l| now.since(l.noted) <= MEMORY);
     }
 
+    /// Adds the loss of a worker, once.
+    fn add_loss(&mut self, worker: &Worker, now: Millis) {
+        self.forget(now);
+        if !self.is_noted(&worker.entry.id, worker.last_report()) {
+            self.losses.push(Loss {
+                worker: worker.entry.id.clone(),
+                address: worker.entry.address,
+                domain: worker.entry.domain.clone(),
+                rack: worker.entry.rack().map(str::to_string),
+                heard: worker.last_report(),
+                noted: now,
+            });
+        }
+    }
+
     fn is_noted(&self, id: &WorkerId, heard: Option<Millis>) -> bool {
         let mut losses = self.losses.iter();
         losses.any(|l| l.worker == *id && l.heard == heard)
@@ -102,9 +119,12 @@
     }
 
     /// Drops a worker that is gone.
-    pub(super) fn remove_worker(&mut self, id: &WorkerId) {
+    pub(super) fn remove_worker(&mut self, id: &WorkerId, now: Millis) {
         if let Some(worker) = self.workers.remove(id) {
             self.remove_host(worker.entry.address, id);
+            if !worker.is_leaving {
+                self.machines.add_loss(&worker, now);
+            }
         }
     }
 
@@ -115,22 +135,42 @@
         open.filter(before).cloned().collect()
     }
 
-    /// Processes the first answer of a worker: those that were at its address have ended.
-    pub(super) fn note_predecessors(&mut self, id: &WorkerId, now: Millis) {
-        let Some(address) = self.workers.get(id).map(|w| w.entry.address) else {
+    /// Notes the workers in whose place another one answers, which did not before they fell silent.
+    pub(super) fn note_replaced(&mut self, now: Millis) {
+        let mut replaced: Vec<(WorkerId, WorkerId)> = Vec::new();
+        for ids in self.hosts.values().filter(|ids| ids.len() > 1) {
+            let heard = |id: &WorkerId| self.workers.get(id).and_then(Worker::last_report);
+            let is_lost = |id: &WorkerId| self.workers.get(id).is_some_and(Worker::is_lost);
+            let Some(present) = ids.iter().find(|id| !is_lost(id)) else {
+                continue;
+            };
+            let since = self.workers.get(present).map(|w| w.first_answer);
+            let before = ids.iter().filter(|id| is_lost(id) && heard(id) < since);
+            replaced.extend(before.map(|id| (id.clone(), present.clone())));
+        }
+        for (id, present) in replaced {
+            let Some(worker) = self.workers.get(&id) else {
+                continue;
+            };
+            let runs: Vec<TaskId> = worker.open.keys().cloned().collect();
+            let address = worker.entry.address;
+            let how = format!("has ended: {present} answers at {address}");
+            self.note_crash(&id, runs.clone(), &how, now);
+            for task in runs {
+                self.close_ended(&task, now);
+            }
+        }
+    }
+
+    /// Closes a run whose worker has ended. Requests name their worker, so none that is still under way
+    /// starts it on the next one.
+    fn close_ended(&mut self, task: &TaskId, now: Millis) {
+        let open = self.open_run(task);
+        let Some(run) = open.filter(|o| o.phase != RunPhase::Planned).map(|o| o.run) else {
             return;
         };
-        let others = self.hosts.get(&address).into_iter().flatten();
-        let is_lost = |other: &&WorkerId| {
-            *other != id && self.workers.get(*other).is_some_and(Worker::is_lost)
-        };
-        let others: Vec<WorkerId> = others.filter(is_lost).cloned().collect();
-        for other in others {
-            let runs = self.workers.get(&other);
-            let runs = runs.map(|w| w.open.keys().cloned().collect());
-            let how = format!("has ended: {id} answers at {address}");
-            self.note_crash(&other, runs.unwrap_or_default(), &how, now);
-        }
+        self.close_run(task, now);
+        self.break_gang(task, run);
     }
 
     /// Notes that a worker has crashed while these runs of it were open.
@@ -185,16 +225,7 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        self.machines.forget(now);
-        if !self.machines.is_noted(id, worker.last_report()) {
-            self.machines.losses.push(Loss {
-                worker: id.clone(),
-                domain: worker.entry.domain.clone(),
-                rack: worker.entry.rack().map(str::to_string),
-                heard: worker.last_report(),
-                noted: now,
-            });
-        }
+        self.machines.add_loss(worker, now);
         if is_group {
             return;
         }
@@ -261,24 +292,28 @@
             (Some(a), Some(b)) => a.since(b).max(b.since(a)) <= window,
             (a, b) => a == b,
         };
+        // By address, as a worker and the one in its place count once.
         let most = |in_group: &dyn Fn(&DomainId, Option<&str>) -> bool| {
-            let mut all = 0;
-            let mut gone = 0;
+            let mut all: Set<SocketAddr> = Set::default();
+            let mut gone: Set<SocketAddr> = Set::default();
             for worker in self.workers.values() {
-                if in_group(&worker.entry.domain, worker.entry.rack()) {
-                    all += 1;
-                    gone += usize::from(worker.is_lost() && together(worker.last_report()));
+                let entry = &worker.entry;
+                if in_group(&entry.domain, entry.rack()) {
+                    all.insert(entry.address);
+                    if worker.is_lost() && together(worker.last_report()) {
+                        gone.insert(entry.address);
+                    }
                 }
             }
             for loss in &self.machines.losses {
-                let back = self.workers.get(&loss.worker);
-                if back.is_none_or(|w| !w.is_lost()) && in_group(&loss.domain, loss.rack.as_deref())
-                {
-                    all += usize::from(back.is_none());
-                    gone += usize::from(together(loss.heard));
+                if in_group(&loss.domain, loss.rack.as_deref()) {
+                    all.insert(loss.address);
+                    if together(loss.heard) {
+                        gone.insert(loss.address);
+                    }
                 }
             }
-            gone >= MIN_GROUP && gone * 2 > all
+            gone.len() >= MIN_GROUP && gone.len() * 2 > all.len()
         };
         let rack = lost.entry.rack();
         most(&|domain, _| *domain == lost.entry.domain)
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -94,10 +94,10 @@
         if restarted || !ended.is_empty() {
             self.note_crash(id, ended, "has restarted", now);
         }
-        self.note_predecessors(id, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        worker.first_answer = now;
         worker.has_crashed = false;
         worker.is_leaving = worker.entry.state == WorkerState::Draining;
         worker.born = born;
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -28,6 +28,9 @@
         if check_runs {
             self.checked_at = now;
         }
+        if check_runs {
+            self.note_replaced(now);
+        }
         let mut lapsed: BTreeMap<WorkerId, Vec<String>> = BTreeMap::new();
         let live: Vec<JobId> = self.live.iter().cloned().collect();
         for id in &live {
@@ -76,7 +79,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in gone {
-            self.remove_worker(&id);
+            self.remove_worker(&id, now);
         }
     }
 
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -140,6 +140,8 @@
     pub born: u64,
     /// Whether the current incarnation has answered this coordinator.
     pub has_answered: bool,
+    /// When the current incarnation first answered this coordinator.
+    pub first_answer: Millis,
     /// Whether the last poll failed.
     pub unresponsive: bool,
     /// Whether the end of this incarnation was announced or requested, so that it is no crash.
@@ -204,6 +206,7 @@
             missing_since: None,
             born: 0,
             has_answered: false,
+            first_answer: Millis::ZERO,
             unresponsive: false,
             is_leaving: entry_leaves,
             has_crashed: false,
@@ -238,7 +241,7 @@
 
     /// Whether the coordinator gets no answer from it.
     pub fn is_lost(&self) -> bool {
-        self.unresponsive || self.missing_since.is_some() || !self.has_answered
+        self.unresponsive || !self.has_answered
     }
 
     /// When it last reported to this coordinator.
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -297,6 +297,21 @@
     }
 }
 
+/// Guards against work that waits for a lease although its worker is known to have ended.
+#[test]
+fn runs_of_a_crashed_worker_start_again_once_another_is_in_its_place() {
+    let mut crashing = Crashing::new(2, Back::OtherId);
+    let long = job(2, vec![step(1, 8, Millis(20_000))], crashing.site.now);
+    crashing.site.submit("long", long);
+    crashing.run(Millis(12_000), |_| false);
+    let used = |w: &kit::worker::FakeWorker| !w.runs.is_empty();
+    let num = crashing.site.workers.iter().position(used).expect("a run");
+    crashing.crash(num);
+    crashing.run(DOWN_TIME + Millis(300), |_| false);
+    let mut up = crashing.site.workers.iter().filter(|w| w.up);
+    assert!(up.any(used), "its lease has not expired yet");
+}
+
 /// Guards against a job that is given up because its workers were cut off: silence is no crash.
 #[test]
 fn workers_that_are_only_silent_count_as_no_crash() {
--- a/crates/batch/tests/silence.rs
+++ b/crates/batch/tests/silence.rs
@@ -3,6 +3,8 @@
 
 mod kit;
 
+use std::net::SocketAddr;
+
 use base::Epoch;
 use base::JobId;
 use base::Millis;
@@ -56,7 +58,7 @@
     WorkerEntry {
         id: worker_id(num),
         born: Some(1),
-        address: "127.0.0.1:1".parse().expect("an address"),
+        address: SocketAddr::from(([127, 0, 0, 1], num as u16)),
         domain: "d0".parse().expect("a domain"),
         pool: pool(),
         state: WorkerState::Ready,
