Bound the upstreams that one repeatable request can crash

What callers saw: a request that is safe to repeat, and under which each upstream breaks off, was sent to three upstreams, and to three more each time its caller asked again.

Change: the entry VM remembers the upstreams to which the connection broke while they worked on a request. From the second one on it pauses 5 s, then 30 s, then 5 min before each further send. Until then the caller gets `unknown` at once, with the number of upstreams and the time to come back. One broken connection changes nothing, and an answer clears the request. Each entry VM counts for itself, so a caller that goes round n of them reaches up to 2n upstreams at once.

--- a/crates/bronzetack/tests/upstreams.rs
+++ b/crates/bronzetack/tests/upstreams.rs
@@ -190,3 +190,29 @@
 fn failing_workers_run_nothing_twice() {
     with_faulty_workers("failing", RequestFault::Failing);
 }
+
+/// Guards against a repeatable request that crashes one upstream after the other: each time its caller
+/// asks again, it was sent to three more.
+#[test]
+fn a_request_under_which_upstreams_break_off_reaches_few_of_them() {
+    let site = Site::start("breaking", 1, 1, 6);
+    await_all_used(&site);
+    for worker in site.worker_states() {
+        worker.lock().fault = RequestFault::Truncated;
+    }
+    let at = site.daemons[0].ports.callers;
+    let request = Request::idempotent();
+    for attempt in 1..=4 {
+        let reply = send(at, &request.resend(attempt));
+        assert_eq!(reply.outcome, "unknown", "{reply:?}");
+    }
+    let runs = site.runs(&request.id);
+    assert!(runs <= 2, "it ran {runs} times");
+    for worker in site.worker_states() {
+        worker.lock().fault = RequestFault::None;
+    }
+    eventually("other requests run", || {
+        send(at, &Request::idempotent()).outcome == "ran"
+    });
+    site.close();
+}
--- a/crates/entry/src/requests.rs
+++ b/crates/entry/src/requests.rs
@@ -27,6 +27,7 @@
 use route::Balancer;
 use route::Config;
 use route::Input;
+use route::LostSends;
 use route::Ticket;
 use route::UpstreamStatus;
 use slog::Logger;
@@ -84,6 +85,8 @@
 struct Inner {
     balancer: RefCell<Balancer<Pcg64>>,
     orgs: RefCell<Orgs>,
+    /// Connections that broke while an upstream worked on a request.
+    lost: RefCell<LostSends>,
     addresses: RefCell<Map<WorkerId, SocketAddr>>,
     /// Requests that wait for a decision, by ticket.
     waiters: RefCell<Map<Ticket, oneshot::Sender<Decision>>>,
@@ -112,6 +115,7 @@
         let inner = Inner {
             balancer: RefCell::new(Balancer::new(config.route, config.rng)),
             orgs: RefCell::default(),
+            lost: RefCell::default(),
             addresses: RefCell::default(),
             waiters: RefCell::default(),
             last_ticket: Cell::new(0),
--- a/crates/entry/src/requests/forward.rs
+++ b/crates/entry/src/requests/forward.rs
@@ -10,6 +10,7 @@
 use obs::Span;
 use obs::TraceParent;
 use route::Input;
+use route::LostPause;
 use route::RefusalReason;
 use route::Request;
 use route::SendResult;
@@ -101,6 +102,10 @@
             may_have_run: false,
         };
         if request.head.idempotent {
+            if let Some(pause) = self.pause(&request) {
+                request.may_have_run = true;
+                return self.failure_reply(&request, pause_text(&pause), pause.left);
+            }
             return self.send_with_retries(&mut request).await;
         }
         match (self.claims.claim)(request.head.clone()).await {
@@ -135,6 +140,7 @@
             self.report(ticket, &ending);
             let outcome = ending.outcome();
             request.may_have_run |= outcome == Outcome::Unknown;
+            self.note_break(request, &upstream, &ending);
             if let ExchangeResult::Ran(answer) = ending {
                 return Reply::Ran {
                     status: answer.status,
@@ -142,6 +148,9 @@
                 };
             }
             let repeatable = request.head.idempotent || outcome == Outcome::NotRun;
+            if let Some(pause) = self.pause(request) {
+                return self.failure_reply(request, pause_text(&pause), pause.left);
+            }
             if !repeatable || !self.take_retry(request) {
                 return self.failure_reply(request, ending_text(&ending), retry_after(&ending));
             }
@@ -158,6 +167,24 @@
         orgs.retry_budget(&request.head.org).take(request.sends)
     }
 
+    /// Notes whether the connection to an upstream broke while it worked on the request.
+    fn note_break(&self, request: &ActiveRequest, upstream: &WorkerId, ending: &ExchangeResult) {
+        let mut lost = self.lost.borrow_mut();
+        match ending {
+            ExchangeResult::Ran(_) => lost.forget(&request.head.id),
+            ExchangeResult::ResponseLost(_) | ExchangeResult::Truncated => {
+                lost.record(&request.head.id, upstream, self.clock.now());
+            }
+            _ => {}
+        }
+    }
+
+    /// The pause that the request has to keep after connections broke under it.
+    fn pause(&self, request: &ActiveRequest) -> Option<LostPause> {
+        let lost = self.lost.borrow();
+        lost.pause(&request.head.id, self.clock.now())
+    }
+
     fn next_ticket(&self) -> Ticket {
         let ticket = self.last_ticket.get() + 1;
         self.last_ticket.set(ticket);
@@ -283,6 +310,14 @@
     }
 }
 
+fn pause_text(pause: &LostPause) -> String {
+    format!(
+        "connections to {} upstreams broke while they worked on this request; it is not sent again \
+         for {}",
+        pause.upstreams, pause.left
+    )
+}
+
 fn refusal_text(why: RefusalReason) -> String {
     let text = match why {
         RefusalReason::Deadline => "the deadline would pass before an upstream is free",
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,7 +1,8 @@
 //! Load balancing, concurrency limits, admission control and retry budgets of requests.
 //!
 //! [`Balancer`] decides which upstream serves a request, which requests wait and which are
-//! refused. [`RetryBudget`] limits the load that retries add. Neither performs I/O.
+//! refused. [`RetryBudget`] limits the load that retries add, [`LostSends`] the
+//! upstreams that a request can crash. None performs I/O.
 
 mod balancer;
 mod check;
@@ -9,6 +10,7 @@
 mod fair;
 mod health;
 mod limit;
+mod lost;
 mod pool;
 mod retry;
 
@@ -21,6 +23,8 @@
 pub use balancer::Ticket;
 pub use check::Violation;
 pub use config::Config;
+pub use lost::LostPause;
+pub use lost::LostSends;
 pub use pool::Availability;
 pub use pool::Upstream;
 pub use pool::UpstreamStatus;
