Give a job of `serve` up after four attempts in a row that its workers lost at the start

What callers saw: a restartable job under which each worker crashes was started again for as long as it existed.

Only reported failures lead to an end.

Change: the job's record counts attempts in a row in which a worker restarted and knew nothing of a task that had been started, within 5 s of the gang's start (and the time to notice). A worker that stays silent, a task that was stopped, or an attempt that ran for longer is not counted; the last one clears the count. After four the job has failed, with that as evidence. The record's new field is read as 0 where it is missing.

Tried first and left out: counting tasks that had been stopped as well. Without fencing, the stops of a former coordinator then gave jobs up, which hid the violation that random_run_finds_missing_fencing looks for.

Evidence: a_job_that_crashes_each_worker_is_given_up failed before (20 attempts without an outcome), 4 now, with a hand-over in between; an_attempt_that_ran_for_long_clears_the_losses_before_it.

--- a/crates/sched/src/call.rs
+++ b/crates/sched/src/call.rs
@@ -305,6 +305,7 @@
                 TaskState::Ended | TaskState::Failed | TaskState::Finished => false,
             };
             if expected && !reports.iter().any(|r| r.key == task.key) {
+                task.vanished = task.state != TaskState::Unknown;
                 task.state = TaskState::Ended;
             }
         }
--- a/crates/sched/src/job.rs
+++ b/crates/sched/src/job.rs
@@ -104,6 +104,8 @@
     pub stop_acked: bool,
     /// Whether the worker refused the reservation.
     pub refused: bool,
+    /// Whether its worker restarted and knew nothing of it.
+    pub vanished: bool,
     /// Whether the worker reported that the task ran.
     pub ran: bool,
     /// Whether an inherited task is known not to have run: after the worker accepted this epoch, it
@@ -134,6 +136,7 @@
             start_sent: false,
             stop_acked: false,
             refused: false,
+            vanished: false,
             ran: false,
             never_ran: false,
             checkpointed: false,
--- a/crates/sched/src/record.rs
+++ b/crates/sched/src/record.rs
@@ -114,6 +114,8 @@
     pub submitted: Millis,
     /// Whether any task of any attempt may have run.
     pub ran: bool,
+    /// Number of its latest attempts in a row that were lost with their workers soon after the start.
+    pub losses: u32,
     /// Whether the job was cancelled by its caller or an operator.
     pub cancel: bool,
     /// Epoch of the coordinator that wrote the record last; 0 if none did.
@@ -133,6 +135,7 @@
             saved: Millis::ZERO,
             submitted,
             ran: false,
+            losses: 0,
             cancel: false,
             epoch: Epoch(0),
             op: 0,
@@ -165,6 +168,8 @@
     submitted: Millis,
     ran: bool,
     #[serde(default)]
+    losses: u32,
+    #[serde(default)]
     cancel: bool,
     epoch: Epoch,
     op: u64,
@@ -196,6 +201,7 @@
             saved: rec.saved,
             submitted: rec.submitted,
             ran: rec.ran,
+            losses: rec.losses,
             cancel: rec.cancel,
             epoch: rec.epoch,
             op: rec.op,
@@ -218,6 +224,7 @@
             saved: wire.saved,
             submitted: wire.submitted,
             ran: wire.ran,
+            losses: wire.losses,
             cancel: wire.cancel,
             epoch: wire.epoch,
             op: wire.op,
--- a/crates/sched/src/result.rs
+++ b/crates/sched/src/result.rs
@@ -1,6 +1,7 @@
 //! The result of an attempt: the job is requeued, moves, or gets its final outcome.
 
 use base::JobId;
+use base::Millis;
 
 use crate::coordinator::Coordinator;
 use crate::job::EndReason;
@@ -13,6 +14,13 @@
 use crate::record::JobRecord;
 use crate::stage::is_finished;
 
+/// Number of attempts in a row that are lost with their workers soon after the start, after which the
+/// job is held responsible for it.
+const MAX_LOSSES: u32 = 4;
+
+/// Time for which an attempt must have run, so that its loss shows nothing of the job.
+const EARLY_LOSS: Millis = Millis(5_000);
+
 impl Coordinator {
     /// The record that ends the attempt; `None` if the durable record needs no change.
     pub(crate) fn final_record(&self, id: &JobId) -> Option<JobRecord> {
@@ -20,7 +28,12 @@
         let mut record = job.rec.clone();
         record.ran |= job.may_have_run();
         record.saved = job.saved();
-        let outcome = outcome(job, record.ran, self.overrides.restart_all);
+        match self.is_early_loss(job) {
+            Some(true) => record.losses += 1,
+            Some(false) => record.losses = 0,
+            None => {}
+        }
+        let outcome = outcome(job, &record, self.overrides.restart_all);
         record.phase = outcome.map_or(JobPhase::Queued, |outcome| JobPhase::Done { outcome });
         if let (JobPhase::Queued, Some(domain)) = (&record.phase, job.move_to()) {
             record.domain = domain.clone();
@@ -28,6 +41,19 @@
         (record != job.rec).then_some(record)
     }
 
+    /// Whether a worker lost the job's tasks soon after their start; `None` if the attempt ended early
+    /// for another reason, which shows nothing.
+    fn is_early_loss(&self, job: &Job) -> Option<bool> {
+        // A worker that restarts may be silent before that.
+        let early = self.timing.silence_timeout + self.timing.start_timeout + EARLY_LOSS;
+        let is_early = self.now.since(job.active_since) < early;
+        let is_lost = job.tasks.iter().any(|t| t.vanished && t.start_sent);
+        match is_early {
+            true => is_lost.then_some(true),
+            false => Some(false),
+        }
+    }
+
     /// Ends the attempt once its result is durable.
     pub(crate) fn advance_finalise(&mut self, id: &JobId) -> bool {
         let Some(job) = self.jobs.get(id) else {
@@ -72,14 +98,16 @@
     }
 }
 
-/// The final outcome of the job, or `None` if it may be attempted again. `ran` says whether any
-/// task of any attempt may have run; `restart` allows another attempt in any case.
-fn outcome(job: &Job, ran: bool, restart: bool) -> Option<JobOutcome> {
+/// The final outcome of the job, or `None` if it may be attempted again. `record` holds what is known
+/// after this attempt; `restart` allows another attempt in any case.
+fn outcome(job: &Job, record: &JobRecord, restart: bool) -> Option<JobOutcome> {
     if is_finished(job) {
         return Some(JobOutcome::Finished);
     }
+    let ran = record.ran;
     let reason = job.end_reason.clone().unwrap_or(EndReason::Abort);
-    let restartable = !ran || restart || job.is_restartable();
+    let is_harmful = record.losses >= MAX_LOSSES;
+    let restartable = !ran || restart || job.is_restartable() && !is_harmful;
     let ran_seen = job.tasks.iter().any(|t| t.ran);
     match reason {
         EndReason::Request(StopCause::Cancel) => Some(JobOutcome::Cancelled { ran }),
@@ -88,6 +116,14 @@
         }
         EndReason::Request(StopCause::Fail(reason)) => Some(JobOutcome::Refused { reason }),
         _ if restartable => None,
+        EndReason::Lost(_) | EndReason::Abort if is_harmful => {
+            let losses = record.losses;
+            Some(JobOutcome::Failed {
+                evidence: format!(
+                    "{losses} attempts in a row were lost with their workers soon after the start"
+                ),
+            })
+        }
         EndReason::TaskFailed(evidence) => Some(JobOutcome::Failed { evidence }),
         EndReason::Lost(evidence) if ran_seen => Some(JobOutcome::Failed { evidence }),
         EndReason::Lost(reason) => Some(JobOutcome::Unknown { reason }),
--- a/crates/sched/tests/life.rs
+++ b/crates/sched/tests/life.rs
@@ -248,3 +248,45 @@
     assert!(site.coord.is_ready());
     assert_eq!(site.count(&id, TaskPhase::Running), 2);
 }
+
+/// Guards against a job that crashes its workers for as long as it exists: an attempt that was lost with a
+/// worker counted as none.
+#[test]
+fn a_job_that_crashes_each_worker_is_given_up() {
+    let mut site = Site::new(2);
+    site.elect(1);
+    let id = site.submit(job_spec("j", 2, true));
+    let mut attempts = 0;
+    while site.outcome(&id).is_none() && attempts < 20 {
+        attempts += 1;
+        site.feed(Input::Plan(plan(&id, 2, 0)));
+        site.run(100);
+        // The worker restarts, and knows nothing of its tasks.
+        let crashed = site.workers.get_mut(&worker_id(0)).expect("a worker");
+        crashed.tasks.clear();
+        site.run(25_000);
+        if attempts == 2 {
+            site.elect(2);
+            site.run(1_000);
+        }
+    }
+    assert_eq!(attempts, 4);
+    let outcome = site.outcome(&id).expect("an outcome");
+    assert!(matches!(outcome, JobOutcome::Failed { .. }), "{outcome:?}");
+}
+
+/// Guards against a job that is given up for losses of workers that are years apart.
+#[test]
+fn an_attempt_that_ran_for_long_clears_the_losses_before_it() {
+    let mut site = Site::new(2);
+    site.elect(1);
+    let id = site.submit(job_spec("j", 2, true));
+    for attempt in 1..=8 {
+        site.feed(Input::Plan(plan(&id, 2, 0)));
+        site.run(if attempt % 3 == 0 { 60_000 } else { 100 });
+        let crashed = site.workers.get_mut(&worker_id(0)).expect("a worker");
+        crashed.tasks.clear();
+        site.run(25_000);
+        assert_eq!(site.outcome(&id), None);
+    }
+}
