Follow the capacity of a VM that changes while it is up

What was seen: the planner of `serve` took the accelerators, cores and memory of a VM from the first row of the platform's list. A later row with other figures was ignored while the VM was up, so gangs were placed on accelerators that were no longer there, and never on those that had been added.

Cause: a worker that is known and up was left as it was.

Change: a row with another capacity takes effect at once. What is only planned on the worker is given up: guaranteed gangs get other places, claiming jobs go back to the queue. What runs beyond the capacity goes on, and is kept apart in the checks as overhang, so that they still find a placement beyond the capacity.

--- a/crates/gang/src/check.rs
+++ b/crates/gang/src/check.rs
@@ -147,7 +147,7 @@
         if let Some((_, what)) = totals.iter().find(|(same, _)| !same) {
             return Err(Violation::Totals(id(), what));
         }
-        if !worker.total().covers(busy) {
+        if !worker.total().covers(busy.minus(worker.overhang)) {
             return Err(self.double_allocation(w));
         }
         if !worker.total().minus(pinned).covers(guaranteed) {
@@ -194,7 +194,7 @@
         for place in places {
             let worker = &self.site.workers[place.worker];
             if place.resources.mask != worker.task_resources(shape, place.first).mask
-                || place.resources.mask & !worker.total().mask != 0
+                || place.resources.mask & !(worker.total().mask | worker.overhang.mask) != 0
             {
                 return Err("accelerators not adjacent or out of range");
             }
--- a/crates/gang/src/placement.rs
+++ b/crates/gang/src/placement.rs
@@ -149,6 +149,7 @@
         };
         if job.phase.is_active() {
             self.site.remove_tasks(key, &job.places);
+            self.site.trim_overhang(&job.places);
         }
         if let Some(gang) = job.gang.take() {
             self.table.gangs[gang].jobs.remove(&key);
--- a/crates/gang/src/planner.rs
+++ b/crates/gang/src/planner.rs
@@ -186,15 +186,34 @@
     }
 
     fn worker_up(&mut self, spec: WorkerSpec) {
-        let known = self.site.worker_index(&spec.id);
-        if known.is_some_and(|w| self.site.workers[w].state == WorkerState::Up) {
-            return;
+        if let Some(w) = self.site.worker_index(&spec.id) {
+            let has_changed = self.site.workers[w].has_changed(&spec);
+            if has_changed {
+                self.change_capacity(w, &spec);
+            } else if self.site.workers[w].state == WorkerState::Up {
+                return;
+            }
         }
         self.site.add(spec);
         self.rebind();
         self.scan = Scan::All;
     }
 
+    /// Gives up what is planned on a worker, whose capacity has changed. What runs there goes on.
+    fn change_capacity(&mut self, w: usize, spec: &WorkerSpec) {
+        self.unassign_worker(w);
+        for key in self.jobs_on(w) {
+            if self
+                .jobs
+                .get(&key)
+                .is_some_and(|j| j.phase == Phase::Claiming)
+            {
+                self.requeue(key);
+            }
+        }
+        self.site.workers[w].set_capacity(spec);
+    }
+
     fn worker_unavailable(&mut self, id: &WorkerId, state: WorkerState) {
         let Some(w) = self.site.worker_index(id) else {
             return;
--- a/crates/gang/src/site.rs
+++ b/crates/gang/src/site.rs
@@ -116,6 +116,8 @@
     pub placed: Vec<PlacedTask>,
     /// Sum of the resources in `placed`.
     pub busy: Resources,
+    /// The part of `busy` beyond the worker's capacity, which shrank under it.
+    pub overhang: Resources,
     /// Resources of claiming jobs, which wait for active jobs to stop.
     pub claimed: Resources,
     /// Resources of active and claiming jobs of class [`TaskClass::Pinned`].
@@ -133,6 +135,20 @@
         }
     }
 
+    /// Whether the platform reports another capacity than before.
+    pub fn has_changed(&self, spec: &WorkerSpec) -> bool {
+        let accels = Accels(spec.accels.0.min(MAX_ACCELS));
+        (accels, spec.cores, spec.memory) != (self.spec.accels, self.spec.cores, self.spec.memory)
+    }
+
+    /// Takes over the capacity that the platform reports. What is in use beyond it stays in use.
+    pub fn set_capacity(&mut self, spec: &WorkerSpec) {
+        self.spec.accels = Accels(spec.accels.0.min(MAX_ACCELS));
+        self.spec.cores = spec.cores;
+        self.spec.memory = spec.memory;
+        self.overhang = self.busy.minus(self.total());
+    }
+
     /// Whether jobs and guarantees may be placed on it.
     pub fn is_available(&self) -> bool {
         self.state == WorkerState::Up && !self.isolated
@@ -262,6 +278,7 @@
             recent_failures: 0,
             placed: Vec::new(),
             busy: Resources::default(),
+            overhang: Resources::default(),
             claimed: Resources::default(),
             pinned: Resources::default(),
             guaranteed: Resources::default(),
@@ -298,6 +315,15 @@
         }
     }
 
+    /// Notes that the tasks at these places have ended, for workers whose capacity shrank under them.
+    pub fn trim_overhang(&mut self, places: &[Place]) {
+        for place in places {
+            let worker = &mut self.workers[place.worker];
+            let beyond = worker.busy.minus(worker.total());
+            worker.overhang = worker.overhang.common(beyond);
+        }
+    }
+
     /// Removes an active job's tasks from their workers.
     pub fn remove_tasks(&mut self, job: JobKey, places: &[Place]) {
         for place in places {
--- a/crates/gang/tests/world/ops.rs
+++ b/crates/gang/tests/world/ops.rs
@@ -34,6 +34,7 @@
             51 => self.cancel(a, b),
             52 => self.worker_down(a, false),
             53 => self.worker_down(a, true),
+            55 if a % 4 == 0 => self.resize_worker(a / 4, b),
             54 | 55 => self.worker_up(a),
             56 => self.toggle_domain(a),
             57 | 58 => self.tick(b),
@@ -177,6 +178,17 @@
         self.step(Input::WorkerUp(spec));
     }
 
+    /// Changes the capacity of a worker that is up.
+    fn resize_worker(&mut self, a: u32, b: u32) {
+        let count = self.workers.len();
+        let Some((spec, true)) = self.workers.get_mut(a as usize % count.max(1)) else {
+            return;
+        };
+        spec.accels = base::Accels(b % 9);
+        let spec = spec.clone();
+        self.step(Input::WorkerUp(spec));
+    }
+
     fn toggle_domain(&mut self, a: u32) {
         let id: base::DomainId = format!("d{}", a % 2).parse().unwrap();
         let input = if self.out.remove(&id) {
