Let workers of the soak crash by a task and change their capacity

15 of 1,000 jobs have a task that crashes each worker 20 ms after its start; the worker is back after 1.5 s. Another task changes capacities every 0.2 to 1.5 s, also twice in a row and during outages of the store, in which registrations are not renewed. Both have generators of their own, so that the load and the faults of earlier seeds stay as they were.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -15,8 +15,8 @@
 use platform_fakes::Event;
 use platform_fakes::EventKind;
 use platform_fakes::Outcome;
-use platform_fakes::CAPACITY;
 
+use crate::crashes;
 use crate::growth;
 use crate::history::Call;
 use crate::history::History;
@@ -50,7 +50,8 @@
 /// Checks all invariants and returns the violations, sorted and without duplicates:
 ///
 /// - `answer`: calls are answered only with the statuses that callers expect.
-/// - `budget`: no task starts after acknowledged failures have used up its attempts.
+/// - `budget`: no task starts after acknowledged failures have used up its attempts, nor goes on
+///   crashing workers.
 /// - `dropped`: without a disruption, a request that a daemon has read is answered.
 /// - `gang`: without a disruption, the members of a gang do not time out waiting for each other.
 /// - `late`: requested waves of upkeep are completed.
@@ -79,6 +80,7 @@
     check_exits(history, &mut report);
     check_waves(history, &mut report);
     growth::check(&history.probes, &mut report);
+    crashes::check(history, &mut report);
     findings.sort();
     findings.dedup();
     findings
@@ -185,7 +187,9 @@
             EventKind::Acknowledged(task, _, EndKind::Done) => {
                 state.acknowledged.insert(task);
             }
-            EventKind::Acknowledged(..) => {}
+            EventKind::Acknowledged(..)
+            | EventKind::CapacityShown(_)
+            | EventKind::CrashedUnder(_) => {}
             EventKind::Crashed => state
                 .running
                 .retain(|(worker, _), _| *worker != &event.worker),
@@ -305,7 +309,7 @@
     let others = state.running.keys().filter(|(_, t)| *t != task);
     let others = others.map(|(_, other)| need_of(history, other));
     quota::check(history, event, others, step.need, report);
-    if !CAPACITY.fits(&used) {
+    if !crashes::capacity(history, event).fits(&used) {
         report(
             "limit",
             format!(
@@ -389,7 +393,7 @@
                     format!("{job} was reported as cancelled without a request to cancel it"),
                 );
             }
-            Outcome::State(JobPhase::Failed) if !attempts_exhausted(history, job) => {
+            Outcome::State(JobPhase::Failed) if !crashes::may_be_failed(history, job) => {
                 report(
                     "lost",
                     format!("{job} was reported as failed before a task had used up its attempts"),
@@ -452,24 +456,6 @@
     })
 }
 
-/// Whether a task or gang of a job has failed as often as it has attempts.
-fn attempts_exhausted(history: &History, job: &JobId) -> bool {
-    let mut failures: BTreeMap<(u16, Option<u16>), BTreeSet<RunNumber>> = BTreeMap::new();
-    for event in &history.events {
-        let EventKind::Ended(task, run, EndKind::Failed) = &event.kind else {
-            continue;
-        };
-        let submission = history.jobs.get(&task.job).filter(|_| task.job == *job);
-        if let Some(spec) = submission.and_then(|w| w.steps.get(usize::from(task.step))) {
-            let index = (!spec.gang).then_some(task.index);
-            failures.entry((task.step, index)).or_default().insert(*run);
-        }
-    }
-    failures
-        .values()
-        .any(|runs| runs.len() as u32 >= history.max_attempts)
-}
-
 fn check_waves(history: &History, report: &mut ReportFn<'_>) {
     for wave in &history.waves {
         if wave.max_down > wave.cap {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! seed are similar, not identical; [`Report::findings`] must be empty on every run.
 
 mod check;
+mod crashes;
 mod daemon;
 mod error;
 mod faults;
@@ -12,6 +13,7 @@
 mod history;
 mod load;
 mod quota;
+mod shrink;
 mod site;
 
 pub use check::check;
@@ -102,6 +104,7 @@
     let end = site.now() + plan.duration;
     let faults = actix_rt::spawn(faults::run(site.clone(), plan.seed, end));
     actix_rt::spawn(quota::change(site.clone(), plan.seed, end));
+    actix_rt::spawn(shrink::run(site.clone(), plan.seed, end));
     if plan.slow_links {
         actix_rt::spawn(growth::change(site.clone(), plan.seed, end));
         actix_rt::spawn(growth::probe(site.clone(), plan.seed, end));
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -11,6 +11,7 @@
 use batch::Submission;
 use platform_fakes::FakeCaller;
 use platform_fakes::Outcome;
+use platform_fakes::DEADLY;
 use platform_fakes::POISON;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -45,11 +46,15 @@
 /// Share of jobs whose runs all fail, in thousandths.
 const POISONED_PER_MILLE: u32 = 30;
 
+/// Share of jobs with a task that crashes its workers, in thousandths.
+const DEADLY_PER_MILLE: u32 = 15;
+
 /// Submits jobs until `end` and queries each until it has ended, at the latest until `deadline`.
 /// The returned history has only calls and unfinished jobs.
 pub async fn run(site: Rc<Site>, seed: u64, end: Millis, deadline: Millis) -> History {
     let maintenance = actix_rt::spawn(site.clone().maintain());
     let mut rng = Pcg64::seed_from_u64(seed ^ 0x10ad);
+    let mut deadly_rng = Pcg64::seed_from_u64(seed ^ 0xdead);
     let history = Rc::new(RefCell::new(History::default()));
     let callers = QUEUES.map(FakeCaller::new);
     let mut caller_tasks = Vec::new();
@@ -58,7 +63,8 @@
         let id = format!("{:08x}{number:08x}", seed as u32);
         let id: JobId = id.parse().expect("sixteen hexadecimal digits");
         number += 1;
-        let submission = job(&mut rng);
+        let deadly = deadly_rng.random_range(0..1_000) < DEADLY_PER_MILLE;
+        let submission = job(&mut rng, deadly);
         let queue = rng.random_range(0..QUEUES.len());
         site.register(&id, &submission, QUEUES[queue] == ADVISED_QUEUE);
         let job_caller = JobCaller {
@@ -95,8 +101,9 @@
     }
 }
 
-/// Random job: independent tasks, a gang, long tasks with checkpoints, or two dependent steps.
-fn job(rng: &mut Pcg64) -> Submission {
+/// Random job: independent tasks, a gang, long tasks with checkpoints, or two dependent steps. Its first
+/// task crashes its workers if it is `deadly`.
+fn job(rng: &mut Pcg64, deadly: bool) -> Submission {
     let (count, accels) = (rng.random_range(1..5), rng.random_range(1..5));
     let mut steps = vec![step(rng, count, 1, 100..500)];
     match rng.random_range(0..10) {
@@ -117,9 +124,10 @@
         }
     }
     let poison = rng.random_range(0..1_000) < POISONED_PER_MILLE;
-    let spec_text = match poison {
-        true => POISON,
-        false => "work",
+    let spec_text = match (deadly, poison) {
+        (true, _) => DEADLY,
+        (false, true) => POISON,
+        (false, false) => "work",
     };
     Submission {
         spec: format!("{spec_text} {}", rng.random_range(0..1_000)),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -20,6 +20,7 @@
 use platform_fakes::StoreFault;
 use platform_fakes::API_KEY;
 
+use crate::crashes;
 use crate::daemon::Addresses;
 use crate::daemon::Daemon;
 use crate::error::SoakError;
@@ -311,7 +312,8 @@
         }
         let now = self.now();
         for handle in self.workers.borrow_mut().iter_mut() {
-            if handle.renewing
+            let renewing = handle.renewing && !handle.worker.is_crashed();
+            if renewing
                 && handle
                     .last_renewal
                     .is_none_or(|at| now.since(at) >= RENEWAL_PERIOD)
@@ -323,10 +325,11 @@
                 let relay = handle.relay.addr();
                 let (key, entry) = handle.worker.registration_at(relay, "pool", state);
                 self.store.write(&key, &entry);
+                handle.worker.record_capacity();
                 handle.last_renewal = Some(now);
             }
             let is_silent = |at: Millis| now.since(at).0 > MAX_MISSED_RENEWALS * RENEWAL_PERIOD.0;
-            if !handle.renewing && handle.last_renewal.is_some_and(is_silent) {
+            if !renewing && handle.last_renewal.is_some_and(is_silent) {
                 self.store
                     .remove(&handle.worker.registration("pool", "ready").0);
                 handle.last_renewal = None;
@@ -376,6 +379,7 @@
         history.calls = load.calls;
         history.unfinished = load.unfinished;
         history.events = self.pool.events();
+        history.faults.extend(crashes::windows(&history.events));
         history.waves = waves;
         history.refusals = refusals;
         history
