Adopt jobs that run beyond a capacity that has shrunk

What callers saw: after a hand-over, a job that ran on accelerators beyond the present capacity of its VM was stopped, and once the VM had grown again another job was started on accelerators in use.

Cause: the new coordinator took a recorded placement beyond the capacity for a damaged record.

Change: a placement within what any worker may have is adopted and counts as overhang. A changed capacity applies the limit on isolated workers anew.

--- a/crates/gang/src/lifecycle.rs
+++ b/crates/gang/src/lifecycle.rs
@@ -7,6 +7,7 @@
 use base::Millis;
 use base::WorkerId;
 
+use crate::blocks::MAX_ACCELS;
 use crate::event::Action;
 use crate::event::Ended;
 use crate::event::Evidence;
@@ -228,6 +229,7 @@
         let places = job.places.clone();
         let class = job.class;
         self.site.add_tasks(key, &places, class);
+        self.site.set_overhang(&places);
         self.count_usage(key, true);
         self.bind(key);
         let is_unbound = self.jobs.get(&key).is_some_and(|j| j.gang.is_none());
@@ -264,7 +266,9 @@
             let resources = worker.task_resources(&spec.shape, task.first);
             let overlaps = |p: &Place| p.worker == w && p.resources.mask & resources.mask != 0;
             let taken = worker.busy.mask & resources.mask != 0 || list.iter().any(overlaps);
-            if taken || resources.mask & !worker.total().mask != 0 {
+            // Beyond the worker's capacity, which may have shrunk, but within what any worker has.
+            let last = task.first.saturating_add(spec.shape.accels.0);
+            if taken || last > MAX_ACCELS {
                 return None;
             }
             list.push(Place {
--- a/crates/gang/src/planner.rs
+++ b/crates/gang/src/planner.rs
@@ -212,6 +212,7 @@
             }
         }
         self.site.workers[w].set_capacity(spec);
+        self.enforce_isolation_limit();
     }
 
     fn worker_unavailable(&mut self, id: &WorkerId, state: WorkerState) {
--- a/crates/gang/src/site.rs
+++ b/crates/gang/src/site.rs
@@ -315,6 +315,14 @@
         }
     }
 
+    /// Notes that adopted tasks at these places may be beyond the capacity of their workers.
+    pub fn set_overhang(&mut self, places: &[Place]) {
+        for place in places {
+            let worker = &mut self.workers[place.worker];
+            worker.overhang = worker.busy.minus(worker.total());
+        }
+    }
+
     /// Notes that the tasks at these places have ended, for workers whose capacity shrank under them.
     pub fn trim_overhang(&mut self, places: &[Place]) {
         for place in places {
--- a/crates/gang/tests/capacity.rs
+++ b/crates/gang/tests/capacity.rs
@@ -3,8 +3,12 @@
 mod common;
 
 use base::Accels;
+use base::Attempt;
 use base::Cores;
+use base::GangPlan;
+use base::Millis;
 use base::Spread;
+use base::TaskPlace;
 use common::*;
 use gang::Action;
 use gang::Ended;
@@ -62,3 +66,31 @@
     let met = |a: &Action| matches!(a, Action::GuaranteeMet { .. });
     assert!(actions.iter().any(met), "{actions:?}");
 }
+
+/// Guards against a job that a new coordinator stops only because its worker has shrunk since its start.
+#[test]
+fn a_job_beyond_a_capacity_that_shrank_is_adopted() {
+    let mut fixture = Fixture::new(policy(vec![]), 1, 1);
+    resize(&mut fixture, 2);
+    let whole = shape(1, 8, Spread::Domain);
+    let plan = GangPlan {
+        job: "whole".parse().unwrap(),
+        attempt: Attempt(1),
+        places: vec![TaskPlace {
+            task: 0,
+            worker: "x/0/0".parse().unwrap(),
+            first: 0,
+            count: whole.accels,
+        }],
+    };
+    let actions = fixture.step(Input::Adopt {
+        spec: job("whole", "a", whole),
+        plan,
+        since: fixture.now,
+        saved: Millis::ZERO,
+    });
+    assert_eq!(actions, [], "it is not stopped");
+    resize(&mut fixture, 8);
+    let two = shape(1, 2, Spread::Domain);
+    assert_eq!(starts(&fixture.submit(job("two", "a", two))), 0);
+}
