--- a/crates/batch/src/scheduler/crashes.rs
+++ b/crates/batch/src/scheduler/crashes.rs
@@ -17,6 +17,7 @@
 use super::Scheduler;
 use crate::crash::cleared_after;
 use crate::crash::is_cause;
+use crate::crash::is_suspect;
 use crate::crash::Crash;
 use crate::crash::MAX_AGE;
 use crate::job::JobPhase;
@@ -269,13 +270,21 @@
             alone: only_job && !sick,
             proven,
         };
+        let run = open.run;
         let Some(state) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task)) else {
             return;
         };
+        let was_suspect = is_suspect(&state.crashes);
         match state.crashes.iter_mut().find(|c| c.run == crash.run) {
             Some(known) => known.proven |= proven,
             None => state.crashes.push(crash),
         }
+        if is_suspect(&state.crashes) && !was_suspect {
+            let text = format!(
+                "{id} was lost under run {run} of {task}; its next run is kept apart from other jobs"
+            );
+            self.log(Some(&task.job), text);
+        }
         self.suspects.insert(task.clone());
         self.dirty.insert(task.job.clone());
     }
--- a/crates/batch/src/scheduler/overview.rs
+++ b/crates/batch/src/scheduler/overview.rs
@@ -114,6 +114,8 @@
     pub orgs: Map<OrgId, JobCounts>,
     /// Guarantees of the organisations that hold one.
     pub guarantees: Vec<GuaranteeOverview>,
+    /// Tasks under which workers were lost, since they last ran well.
+    pub suspects: Vec<TaskId>,
 }
 
 /// A run that may be active.
@@ -178,6 +180,7 @@
     pub fn overview(&self, now: Millis) -> SiteOverview {
         let mut site = SiteOverview {
             version: self.catalog.version,
+            suspects: self.suspects.iter().cloned().collect(),
             ..SiteOverview::default()
         };
         for worker in self.workers.values() {
--- a/crates/bronzetack/src/batch/operators.rs
+++ b/crates/bronzetack/src/batch/operators.rs
@@ -181,6 +181,7 @@
         workers: workers.collect(),
         accels: site.capacity.accels,
         free: site.free.accels,
+        suspects: site.suspects.iter().map(|t| t.to_string()).collect(),
         jobs: job_counts(&site),
         guarantees: site
             .guarantees
--- a/crates/conf/src/api/site.rs
+++ b/crates/conf/src/api/site.rs
@@ -52,6 +52,9 @@
     pub jobs: Vec<JobCount>,
     /// Guarantees and what fills them.
     pub guarantees: Vec<GuaranteeStatus>,
+    /// Tasks under which workers were lost, since they last ran well.
+    #[serde(default)]
+    pub suspects: Vec<String>,
 }
 
 /// Number of workers in one state.
--- a/crates/tackctl/src/cmd/site.rs
+++ b/crates/tackctl/src/cmd/site.rs
@@ -118,7 +118,12 @@
         .map(|g| vec![g.org.to_string(), g.accels.to_string(), g.used.to_string()]);
     let header = ["GUARANTEE", "ACCELS", "USED"];
     let guarantees = guarantees.collect::<Vec<_>>();
-    text + &format!("\n{}", render::table(&header, &guarantees))
+    text += &format!("\n{}", render::table(&header, &guarantees));
+    if !status.suspects.is_empty() {
+        let tasks = status.suspects.join(" ");
+        text += &format!("\nworkers were lost under these tasks: {tasks}\n");
+    }
+    text
 }
 
 fn job_text(job: &SiteJob) -> String {
