Bound the losses kept for a task, and split the recognition of crashes by job

A task on workers that are cut off again and again collected a loss a lease in its record, without an end; the eight latest are kept, those that are proven first (the_number_of_losses_kept_for_a_task_is_bounded).

The module of 419 lines is split: what is a crash (crashes), which losses were those of a failure domain or rack (losses), what is noted of a task (suspects).

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -25,6 +25,9 @@
 /// The same for crashes just after its start, if no other job ran on one of the workers.
 const MAX_START_CRASHES: usize = 2;
 
+/// Most losses kept for a task.
+const MAX_KEPT: usize = 8;
+
 /// A run that was open on a worker when the worker was lost.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Crash {
@@ -51,6 +54,20 @@
     }
 }
 
+/// Adds a loss, or what is new of one that is known. Beyond the most that are kept, the earliest that is not
+/// proven is dropped.
+pub fn add(crashes: &mut Vec<Crash>, crash: Crash) {
+    if let Some(known) = crashes.iter_mut().find(|c| c.run == crash.run) {
+        known.proven |= crash.proven;
+        return;
+    }
+    if crashes.len() >= MAX_KEPT {
+        let dropped = crashes.iter().position(|c| !c.proven).unwrap_or(0);
+        crashes.remove(dropped);
+    }
+    crashes.push(crash);
+}
+
 /// Whether the next run of a task is to be kept apart from other jobs.
 pub fn is_suspect(crashes: &[Crash]) -> bool {
     let at_start = crashes.iter().any(|c| c.proven && c.is_at_start());
--- a/crates/batch/src/plan/isolate.rs
+++ b/crates/batch/src/plan/isolate.rs
@@ -79,7 +79,7 @@
         let mut found: Vec<usize> = among.iter().filter(free_of_others).copied().collect();
         prefer(&mut found, |num| {
             let worker = self.workers.get(&pass.candidates[num].id);
-            worker.is_some_and(|w| !self.machines.has_crashed(&w.entry.address))
+            worker.is_some_and(|w| !self.losses.has_crashed(&w.entry.address))
         });
         prefer(&mut found, |num| self.has_peer(pass, num));
         Some(Isolation {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -39,6 +39,7 @@
 
 mod crashes;
 mod load;
+mod losses;
 mod measure;
 mod orgs;
 mod overview;
@@ -46,12 +47,13 @@
 mod report;
 mod requests;
 mod stall;
+mod suspects;
 mod throttle;
 mod time;
 mod upkeep;
 mod workers;
 
-use crashes::CrashedMachines;
+use losses::Losses;
 use orgs::Waits;
 
 pub use overview::GuaranteeOverview;
@@ -118,8 +120,8 @@
     pub(crate) unstored: Vec<SeenEnd>,
     /// Tasks under whose runs workers were lost, since they last ran well.
     pub(crate) suspects: BTreeSet<TaskId>,
-    /// Machines that have crashed lately.
-    pub(crate) machines: CrashedMachines,
+    /// Workers that were lost lately.
+    pub(crate) losses: Losses,
     /// Tasks whose open run is being stopped.
     pub(crate) stopping: BTreeSet<TaskId>,
     /// When open runs were last checked for expired leases and stalls.
@@ -181,7 +183,7 @@
             hosts: Map::default(),
             unstored: Vec::new(),
             suspects: BTreeSet::new(),
-            machines: CrashedMachines::default(),
+            losses: Losses::default(),
             stopping: BTreeSet::new(),
             checked_at: Millis::ZERO,
             dirty: BTreeSet::new(),
--- /dev/null
+++ b/crates/batch/src/scheduler/losses.rs
@@ -0,0 +1,132 @@
+//! Recent losses of workers: which of them were those of a failure domain or rack, and which machines
+//! have crashed.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use base::DomainId;
+use base::JobId;
+use base::Map;
+use base::Millis;
+use base::Set;
+use base::WorkerId;
+
+use super::Scheduler;
+use crate::worker::Worker;
+
+/// Time for which crashes of a machine and losses of workers are remembered.
+const MEMORY: Millis = Millis(60_000);
+
+/// Number of workers that must be lost together, if they are also most of a failure domain or of a
+/// rack, for the loss to be that of the domain or rack.
+const MIN_GROUP: usize = 3;
+
+/// A worker that was lost.
+struct Loss {
+    worker: WorkerId,
+    address: SocketAddr,
+    domain: DomainId,
+    rack: Option<String>,
+    /// When it last reported to this coordinator, if it did.
+    heard: Option<Millis>,
+    noted: Millis,
+}
+
+/// Recent losses of workers.
+#[derive(Default)]
+pub(crate) struct Losses {
+    /// Time of the last crash at each address, and the jobs that were running there.
+    crashes: Map<SocketAddr, (Millis, BTreeSet<JobId>)>,
+    all: Vec<Loss>,
+}
+
+impl Losses {
+    fn forget(&mut self, now: Millis) {
+        self.crashes.retain(|_, (at, _)| now.since(*at) <= MEMORY);
+        self.all.retain(|l| now.since(l.noted) <= MEMORY);
+    }
+
+    /// Adds the loss of a worker, once.
+    pub(super) fn add(&mut self, worker: &Worker, now: Millis) {
+        self.forget(now);
+        if !self.contains(&worker.entry.id, worker.last_report()) {
+            self.all.push(Loss {
+                worker: worker.entry.id.clone(),
+                address: worker.entry.address,
+                domain: worker.entry.domain.clone(),
+                rack: worker.entry.rack().map(str::to_string),
+                heard: worker.last_report(),
+                noted: now,
+            });
+        }
+    }
+
+    /// Whether the loss of a worker that last reported at `heard` is known.
+    pub(super) fn contains(&self, id: &WorkerId, heard: Option<Millis>) -> bool {
+        let mut losses = self.all.iter();
+        losses.any(|l| l.worker == *id && l.heard == heard)
+    }
+
+    /// Adds a crash of a machine under these jobs.
+    pub(super) fn add_crash(&mut self, address: SocketAddr, jobs: BTreeSet<JobId>, now: Millis) {
+        self.crashes.insert(address, (now, jobs));
+    }
+
+    /// Whether a machine has crashed lately.
+    pub(crate) fn has_crashed(&self, address: &SocketAddr) -> bool {
+        self.crashes.contains_key(address)
+    }
+
+    /// Whether a machine has crashed lately while this job was not running there.
+    pub(super) fn has_crashed_without(&self, address: &SocketAddr, job: &JobId) -> bool {
+        let crash = self.crashes.get(address);
+        crash.is_some_and(|(_, jobs)| !jobs.contains(job))
+    }
+
+    /// Forgets the crashes that a job has caused.
+    pub(super) fn forget_caused_by(&mut self, job: &JobId) {
+        self.crashes.retain(|_, (_, jobs)| !jobs.contains(job));
+    }
+}
+
+impl Scheduler {
+    /// Whether most workers of a worker's failure domain or rack were lost together with it.
+    pub(super) fn is_group_loss(&self, id: &WorkerId) -> bool {
+        let Some(lost) = self.workers.get(id) else {
+            return false;
+        };
+        let heard = lost.last_report();
+        // A worker is heard at least once in this time.
+        let window = self.times.poll_wait + self.times.poll_wait;
+        let together = |other: Option<Millis>| match (heard, other) {
+            (Some(a), Some(b)) => a.since(b).max(b.since(a)) <= window,
+            (a, b) => a == b,
+        };
+        // By address, as a worker and the one in its place count once.
+        let most = |in_group: &dyn Fn(&DomainId, Option<&str>) -> bool| {
+            let mut all: Set<SocketAddr> = Set::default();
+            let mut gone: Set<SocketAddr> = Set::default();
+            for worker in self.workers.values() {
+                let entry = &worker.entry;
+                if in_group(&entry.domain, entry.rack()) {
+                    all.insert(entry.address);
+                    if worker.is_lost() && together(worker.last_report()) {
+                        gone.insert(entry.address);
+                    }
+                }
+            }
+            for loss in &self.losses.all {
+                if in_group(&loss.domain, loss.rack.as_deref()) {
+                    all.insert(loss.address);
+                    if together(loss.heard) {
+                        gone.insert(loss.address);
+                    }
+                }
+            }
+            gone.len() >= MIN_GROUP && gone.len() * 2 > all.len()
+        };
+        let rack = lost.entry.rack();
+        most(&|domain, _| *domain == lost.entry.domain)
+            || rack.is_some() && most(&|_, other| other == rack)
+    }
+}
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -407,3 +407,17 @@
     // Other records are as they were before there was this field.
     assert!(!encoded(&later).contains("crashes"));
 }
+
+/// Guards against a record that grows with each cut link for as long as a job exists.
+#[test]
+fn the_number_of_losses_kept_for_a_task_is_bounded() {
+    let mut crashes = vec![crash_of(1, Some(0), false, true)];
+    for run in 2..50 {
+        crash::add(&mut crashes, crash_of(run, Some(0), false, false));
+    }
+    assert_eq!(crashes.len(), 8);
+    assert!(crashes[0].proven, "what is proven is kept");
+    crash::add(&mut crashes, crash_of(49, Some(0), false, true));
+    assert_eq!(crashes.len(), 8);
+    assert!(crashes.last().is_some_and(|c| c.proven));
+}
