Tell workers that crash in turn from a failure domain that is lost

Cause: workers counted as lost together if they were last heard within two polls of each other. A worker that is up is heard once a poll, so workers lost at the same moment are within one.

Change: one poll and 250 ms for what it takes beside its wait.

Evidence: workers_of_a_small_domain_that_crash_in_turn_are_not_lost_together failed before.

--- a/crates/batch/src/scheduler/losses.rs
+++ b/crates/batch/src/scheduler/losses.rs
@@ -21,6 +21,9 @@
 /// rack, for the loss to be that of the domain or rack.
 const MIN_GROUP: usize = 3;
 
+/// Time that a poll may take beside its wait.
+const POLL_SLACK: Millis = Millis(250);
+
 /// A worker that was lost.
 struct Loss {
     worker: WorkerId,
@@ -96,8 +99,8 @@
             return false;
         };
         let heard = lost.last_report();
-        // A worker is heard at least once in this time.
-        let window = self.times.poll_wait + self.times.poll_wait;
+        // A worker that is up is heard at least once in this time.
+        let window = self.times.poll_wait + POLL_SLACK;
         let together = |other: Option<Millis>| match (heard, other) {
             (Some(a), Some(b)) => a.since(b).max(b.since(a)) <= window,
             (a, b) => a == b,
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -274,6 +274,31 @@
     assert_eq!(crashing.phase(&id), Some(JobPhase::Completed));
 }
 
+/// Guards against crashes of several tasks that are taken for the loss of a small failure domain, so that
+/// none of the tasks is given up.
+#[test]
+fn workers_of_a_small_domain_that_crash_in_turn_are_not_lost_together() {
+    let mut crashing = Crashing::new(6, Back::SameId);
+    let now = crashing.site.now;
+    for num in 0..6 {
+        let whole = job(2, vec![step(1, 8, Millis(30_000))], now);
+        crashing.site.submit(&format!("whole-{num}"), whole);
+    }
+    crashing.run(Millis(300), |_| false);
+    let first = crashing.site.workers[0].domain.clone();
+    for num in (0..6).filter(|num| num % 2 == 0) {
+        assert_eq!(crashing.site.workers[num].domain, first);
+        crashing.crash(num);
+        crashing.run(Millis(700), |_| false);
+    }
+    crashing.run(DOWN_TIME, |_| false);
+    let suspects = crashing.site.scheduler.overview(crashing.site.now).suspects;
+    assert!(
+        !suspects.is_empty(),
+        "each of the three was taken for the domain"
+    );
+}
+
 /// Guards against a job that is given up for the crashes of one bad machine: it crashes whatever runs.
 #[test]
 fn a_machine_that_crashes_under_everything_takes_no_job_with_it() {
