Give a job up only for crashes that it alone can have caused

Cause: two tasks that crash workers had just started on the same worker. One crashed it, and the crash counted for both; after one more crash of its own, on a worker without other jobs, the second was given up. A crash beside others counted as much as one alone.

Change: a crash counts in full if only the job can be the cause: no other job ran there, or none that had just started while this one had. Two such crashes just after the start, or three at any age, give the job up; else five crashes, the most that the bound on starts allows. A task that shares its first crash with another costs one crash more, on a worker of its own.

The test for it showed a second fault: suspects of one crash start again together, so three of them on a rack of four were taken for the loss of the rack each time, without an end. Workers that a suspect may have crashed no longer speak for the loss of a domain or rack, and what is lost with one is noted, for isolation only.

Evidence: a_job_is_given_up_for_crashes_of_its_own_only failed before ("1 workers crashed"), and before the second change with three jobs (Running after 16 crashes each); it passes with two to eight such jobs.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -4,7 +4,7 @@
 //! other tasks run on it. A retry that is safe for such a task costs the site one worker after the other,
 //! and each of these takes sound tasks with it. All that ran on a crashed worker are suspects; those that
 //! had run well for a while are not likely to be the cause. A suspect runs next where no other job does:
-//! if that worker crashes as well, the task is the cause, and if it does not, the task is cleared.
+//! if that worker crashes as well, no other job can be the cause, and if it does not, the task is cleared.
 
 use std::net::SocketAddr;
 
@@ -19,12 +19,16 @@
 /// Age from which a run is not suspected: it has started well.
 pub(crate) const MAX_AGE: Millis = Millis(10_000);
 
-/// Number of crashes under a task, however they came about, after which it is the cause.
-const MAX_CRASHES: usize = 3;
-
-/// The same for crashes just after its start, if no other job ran on one of the workers.
+/// Number of crashes that only a task's job can have caused, just after its start, after which the task
+/// is the cause.
 const MAX_START_CRASHES: usize = 2;
 
+/// The same for crashes at any age.
+const MAX_SOLE_CRASHES: usize = 3;
+
+/// The same for crashes that other jobs may have caused as well.
+const MAX_CRASHES: usize = 5;
+
 /// Most losses kept for a task.
 const MAX_KEPT: usize = 8;
 
@@ -42,18 +46,26 @@
     /// Time for which the run is known to have been active before; `None` if an earlier coordinator
     /// started it.
     pub age: Option<Millis>,
-    /// Whether only its job ran there, on a machine that had not crashed under other jobs.
-    pub alone: bool,
+    /// Whether only its job can be the cause: no other job ran there, or none that had just started as
+    /// this one had, and the machine had not crashed under other jobs.
+    pub sole: bool,
+    /// Whether most of the worker's failure domain or rack was lost with it.
+    pub in_group: bool,
     /// Whether the worker is known to have crashed. Otherwise it may only be out of reach.
     pub proven: bool,
 }
 
 impl Crash {
     fn is_at_start(&self) -> bool {
-        self.age.is_some_and(|age| age < START_AGE)
+        is_start(self.age)
     }
 }
 
+/// Whether a run of this age had just started.
+pub(crate) fn is_start(age: Option<Millis>) -> bool {
+    age.is_some_and(|age| age < START_AGE)
+}
+
 /// Adds a loss, or what is new of one that is known. Beyond the most that are kept, the earliest that is not
 /// proven is dropped.
 pub fn add(crashes: &mut Vec<Crash>, crash: Crash) {
@@ -70,16 +82,18 @@
 
 /// Whether the next run of a task is to be kept apart from other jobs.
 pub fn is_suspect(crashes: &[Crash]) -> bool {
-    let at_start = crashes.iter().any(|c| c.proven && c.is_at_start());
-    at_start || crashes.len() > 1
+    let mut single = crashes.iter().filter(|c| c.proven && !c.in_group);
+    single.any(Crash::is_at_start) || crashes.len() > 1
 }
 
 /// Whether a task is the cause of the crashes under it, so that it must not start again.
 pub fn is_cause(crashes: &[Crash]) -> bool {
-    let proven = crashes.iter().filter(|c| c.proven);
-    let at_start = proven.clone().filter(|c| c.is_at_start());
-    proven.count() >= MAX_CRASHES
-        || at_start.clone().count() >= MAX_START_CRASHES && at_start.clone().any(|c| c.alone)
+    let proven = crashes.iter().filter(|c| c.proven && !c.in_group);
+    let sole = proven.clone().filter(|c| c.sole);
+    let at_start = sole.clone().filter(|c| c.is_at_start());
+    at_start.count() >= MAX_START_CRASHES
+        || sole.count() >= MAX_SOLE_CRASHES
+        || proven.count() >= MAX_CRASHES
 }
 
 /// Age at which a later run clears the task: it has survived its start for clearly longer than the runs
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -157,7 +157,8 @@
     born: u64,
     address: SocketAddr,
     age: Option<Millis>,
-    alone: bool,
+    sole: bool,
+    in_group: bool,
     proven: bool,
 }
 
@@ -241,7 +242,8 @@
                     born: crash.born,
                     address: crash.address,
                     age: crash.age,
-                    alone: crash.alone,
+                    sole: crash.sole,
+                    in_group: crash.in_group,
                     proven: crash.proven,
                 }));
             }
@@ -264,7 +266,8 @@
             born: self.born,
             address: self.address,
             age: self.age,
-            alone: self.alone,
+            sole: self.sole,
+            in_group: self.in_group,
             proven: self.proven,
         };
         if let Some(task) = job.task_mut(&task) {
--- a/crates/batch/src/scheduler/crashes.rs
+++ b/crates/batch/src/scheduler/crashes.rs
@@ -44,7 +44,7 @@
         if let Some(worker) = self.workers.remove(id) {
             self.remove_host(worker.entry.address, id);
             if !worker.is_leaving {
-                self.losses.add(&worker, now);
+                self.losses.add(&worker, false, now);
             }
         }
     }
--- a/crates/batch/src/scheduler/losses.rs
+++ b/crates/batch/src/scheduler/losses.rs
@@ -12,6 +12,7 @@
 use base::WorkerId;
 
 use super::Scheduler;
+use crate::crash::is_suspect;
 use crate::worker::Worker;
 
 /// Time for which crashes of a machine and losses of workers are remembered.
@@ -32,6 +33,8 @@
     rack: Option<String>,
     /// When it last reported to this coordinator, if it did.
     heard: Option<Millis>,
+    /// Whether a task suspected before ran there, which may be the cause.
+    had_suspect: bool,
     noted: Millis,
 }
 
@@ -50,7 +53,7 @@
     }
 
     /// Adds the loss of a worker, once.
-    pub(super) fn add(&mut self, worker: &Worker, now: Millis) {
+    pub(super) fn add(&mut self, worker: &Worker, had_suspect: bool, now: Millis) {
         self.forget(now);
         if !self.contains(&worker.entry.id, worker.last_report()) {
             self.all.push(Loss {
@@ -59,6 +62,7 @@
                 domain: worker.entry.domain.clone(),
                 rack: worker.entry.rack().map(str::to_string),
                 heard: worker.last_report(),
+                had_suspect,
                 noted: now,
             });
         }
@@ -93,7 +97,20 @@
 }
 
 impl Scheduler {
-    /// Whether most workers of a worker's failure domain or rack were lost together with it.
+    /// Whether a task that was suspected before its present run is open on a worker.
+    pub(super) fn has_suspect(&self, worker: &Worker) -> bool {
+        let mut suspects = worker.open.keys().filter(|t| self.suspects.contains(*t));
+        suspects.any(|task| {
+            let run = self.open_run(task).map(|o| o.run);
+            let state = self.jobs.get(&task.job).and_then(|j| j.task(task));
+            let crashes = state.into_iter().flat_map(|t| &t.crashes);
+            let before = crashes.filter(|c| Some(c.run) != run).cloned();
+            is_suspect(&before.collect::<Vec<_>>())
+        })
+    }
+
+    /// Whether most workers of a worker's failure domain or rack were lost together with it, those aside
+    /// that a suspect may have crashed: suspects of one crash start again together.
     pub(super) fn is_group_loss(&self, id: &WorkerId) -> bool {
         let Some(lost) = self.workers.get(id) else {
             return false;
@@ -113,7 +130,10 @@
                 let entry = &worker.entry;
                 if in_group(&entry.domain, entry.rack()) {
                     all.insert(entry.address);
-                    if worker.is_lost() && together(worker.last_report()) {
+                    let heard = worker.last_report();
+                    let is_noted = self.losses.contains(&entry.id, heard);
+                    if worker.is_lost() && together(heard) && !is_noted && !self.has_suspect(worker)
+                    {
                         gone.insert(entry.address);
                     }
                 }
@@ -121,7 +141,7 @@
             for loss in &self.losses.all {
                 if in_group(&loss.domain, loss.rack.as_deref()) {
                     all.insert(loss.address);
-                    if together(loss.heard) {
+                    if together(loss.heard) && !loss.had_suspect {
                         gone.insert(loss.address);
                     }
                 }
--- a/crates/batch/src/scheduler/suspects.rs
+++ b/crates/batch/src/scheduler/suspects.rs
@@ -12,6 +12,7 @@
 use crate::crash;
 use crate::crash::cleared_after;
 use crate::crash::is_cause;
+use crate::crash::is_start;
 use crate::crash::is_suspect;
 use crate::crash::Crash;
 use crate::crash::MAX_AGE;
@@ -19,28 +20,46 @@
 use crate::job::RunPhase;
 use crate::spec::TaskId;
 
+/// What the loss of a worker says of a run on it; see [`Crash`].
+#[derive(Clone, Copy)]
+struct Evidence {
+    sole: bool,
+    in_group: bool,
+    proven: bool,
+}
+
 impl Scheduler {
-    /// Notes the loss of a worker for the tasks that ran on it, unless its failure domain or rack was
-    /// lost, which no task has caused.
+    /// Notes the loss of a worker for the tasks that ran on it.
     pub(super) fn note_loss(&mut self, id: &WorkerId, runs: &[TaskId], proven: bool, now: Millis) {
         let is_group = self.is_group_loss(id);
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        self.losses.add(worker, now);
-        if is_group {
-            return;
-        }
+        self.losses.add(worker, self.has_suspect(worker), now);
         let address = worker.entry.address;
-        let sent = worker.open.keys().filter(|task| {
+        let heard = worker.last_report();
+        let mut jobs: BTreeSet<JobId> = BTreeSet::new();
+        let mut starting: BTreeSet<JobId> = BTreeSet::new();
+        for task in worker.open.keys() {
             let open = self.open_run(task);
-            open.is_some_and(|o| o.phase != RunPhase::Planned)
-        });
-        let jobs: BTreeSet<JobId> = sent.map(|t| t.job.clone()).collect();
+            let Some(open) = open.filter(|o| o.phase != RunPhase::Planned) else {
+                continue;
+            };
+            jobs.insert(task.job.clone());
+            if is_start(run_age(open, heard)) {
+                starting.insert(task.job.clone());
+            }
+        }
         for task in runs {
-            self.note_crash_under(task, id, jobs.len() == 1, proven);
+            let is_only_start = starting.len() == 1 && starting.contains(&task.job);
+            let evidence = Evidence {
+                sole: jobs.len() == 1 || is_only_start,
+                in_group: is_group,
+                proven,
+            };
+            self.note_crash_under(task, id, evidence);
         }
-        if proven {
+        if proven && !is_group {
             self.losses.add_crash(address, jobs, now);
         }
         for task in runs {
@@ -49,7 +68,7 @@
     }
 
     /// Notes the loss of a worker for the task of one of its runs.
-    fn note_crash_under(&mut self, task: &TaskId, id: &WorkerId, only_job: bool, proven: bool) {
+    fn note_crash_under(&mut self, task: &TaskId, id: &WorkerId, evidence: Evidence) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -68,8 +87,9 @@
             born: open.born,
             address,
             age,
-            alone: only_job && !sick,
-            proven,
+            sole: evidence.sole && !sick,
+            in_group: evidence.in_group,
+            proven: evidence.proven,
         };
         let run = open.run;
         let Some(state) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task)) else {
