--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -97,7 +97,7 @@
 }
 
 /// Age at which a later run clears the task: it has survived its start for clearly longer than the runs
-/// before. A run may have gone on for up to a poll after it was last heard of.
+/// before. A run may have gone on for up to a poll after its last report.
 pub fn cleared_after(crashes: &[Crash], poll_wait: Millis) -> Millis {
     let ages = crashes.iter().map(|c| c.age.unwrap_or(START_AGE));
     let longest = ages.max().unwrap_or_default();
--- a/crates/batch/src/scheduler/crashes.rs
+++ b/crates/batch/src/scheduler/crashes.rs
@@ -140,7 +140,7 @@
     }
 }
 
-/// Time for which a run is known to have been active when its worker was last heard; `None` if an
+/// Time for which a run is known to have been active at the last report of its worker; `None` if an
 /// earlier coordinator has started it.
 pub(super) fn run_age(open: &OpenRun, heard: Option<Millis>) -> Option<Millis> {
     if open.phase == RunPhase::Inherited {
--- a/crates/batch/src/scheduler/losses.rs
+++ b/crates/batch/src/scheduler/losses.rs
@@ -68,7 +68,7 @@
         }
     }
 
-    /// Whether the loss of a worker that last reported at `heard` is known.
+    /// Whether the loss of a worker with its last report at this time is known.
     pub(super) fn contains(&self, id: &WorkerId, heard: Option<Millis>) -> bool {
         let mut losses = self.all.iter();
         losses.any(|l| l.worker == *id && l.heard == heard)
@@ -116,7 +116,7 @@
             return false;
         };
         let heard = lost.last_report();
-        // A worker that is up is heard at least once in this time.
+        // A worker that is up reports at least once in this time.
         let window = self.times.poll_wait + POLL_SLACK;
         let together = |other: Option<Millis>| match (heard, other) {
             (Some(a), Some(b)) => a.since(b).max(b.since(a)) <= window,
--- a/crates/batch/tests/wave.rs
+++ b/crates/batch/tests/wave.rs
@@ -261,7 +261,7 @@
     assert!(!waves.is_active());
 }
 
-/// Guards against a wave that operators see as running for good: the store refused the write of its
+/// Guards against a wave that operators see as running without an end: the store refused the write of its
 /// end, and nothing wrote it again.
 #[test]
 fn a_wave_stays_active_until_its_end_is_recorded() {
--- a/crates/route/src/lost.rs
+++ b/crates/route/src/lost.rs
@@ -18,7 +18,7 @@
 /// Time for which a broken connection is remembered.
 const MEMORY: Millis = Millis(600_000);
 
-/// Most requests remembered; beyond it the one of which nothing was heard for longest is forgotten.
+/// Most requests remembered; beyond it the one whose last break is the oldest is forgotten.
 const MAX_REQUESTS: usize = 4_096;
 
 /// Connections that broke while an upstream worked on a request.
