--- a/crates/batch/tests/kit/mod.rs
+++ b/crates/batch/tests/kit/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod candidates;
+pub mod crashing;
 pub mod limits;
 pub mod shown;
 pub mod site;
