Compare incarnations before an entry counts as that of a draining worker

What callers saw: nothing yet; found by reading the fix before. A crash of a worker that had been drained and was back counted under no task. Cause: the entry of the former incarnation, which was draining, may still be listed when the next one answers. The mark that it leaves was taken over from that entry and stayed until the incarnation after. Change: an entry counts only if it is that of the incarnation that answers. Result: the_entry_of_a_drained_incarnation_hides_no_crash failed before (4 workers crashed, at most 3 wanted) and passes; the other tests of the crate pass.

--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -241,9 +241,11 @@
         self.is_draining |= self.shows_draining();
     }
 
-    /// Whether the entry shows that the worker is draining.
+    /// Whether the entry shows that the current incarnation is draining. It may still be that of the one
+    /// before, or already that of the next.
     pub fn shows_draining(&self) -> bool {
-        self.entry.state == WorkerState::Draining
+        let is_own = self.entry.born.is_none_or(|born| born == self.born);
+        is_own && self.entry.state == WorkerState::Draining
     }
 
     /// Whether the end of this incarnation was announced or requested, so that it is no crash.
--- a/crates/batch/tests/crash_upkeep.rs
+++ b/crates/batch/tests/crash_upkeep.rs
@@ -93,3 +93,25 @@
     crashing.run(Millis(60_000), |_| false);
     assert_eq!(crashing.phase(&lone), Some(JobPhase::Completed));
 }
+
+/// Guards against crashes that are taken for announced ends: the entry of the incarnation before, which
+/// was draining, is still listed when the next one answers.
+#[test]
+fn the_entry_of_a_drained_incarnation_hides_no_crash() {
+    let mut crashing = Crashing::new(8, Back::SameId);
+    let (_, guilty) = crashing.submit_pair(step(1, 1, SECOND));
+    let is_guilty = |task: &TaskId| task.job == guilty;
+    for worker in &mut crashing.site.workers {
+        worker.entry_lag = SECOND;
+        worker.draining = Some(worker.born);
+    }
+    crashing.run(Millis(200), is_guilty);
+    let now = crashing.site.now;
+    for worker in &mut crashing.site.workers {
+        worker.restart(now);
+    }
+    crashing.run(Millis(60_000), is_guilty);
+    let crashes = crashing.crashes.len();
+    assert!(crashes <= MAX_CRASHES, "{crashes} workers crashed");
+    assert_eq!(crashing.phase(&guilty), Some(JobPhase::Failed));
+}
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -48,6 +48,8 @@
     pub entry_lag: Millis,
     /// Incarnation that its entry shows.
     shown_born: Millis,
+    /// Incarnation whose entry shows that it is draining.
+    pub draining: Option<Millis>,
     pub up: bool,
     /// Whether requests and polls reach it.
     pub reachable: bool,
@@ -86,6 +88,7 @@
             born: now,
             entry_lag: Millis::ZERO,
             shown_born: now,
+            draining: None,
             up: true,
             reachable: true,
             listed: true,
@@ -114,7 +117,10 @@
             address: self.address,
             domain: self.domain.clone(),
             pool: super::pool(),
-            state: WorkerState::Ready,
+            state: match self.draining == Some(self.shown_born) {
+                true => WorkerState::Draining,
+                false => WorkerState::Ready,
+            },
             capacity: self.capacity,
             labels: vec!["a".to_string(), self.rack.clone()],
             cold: Millis::ZERO,
@@ -131,6 +137,7 @@
         self.speed = old.speed;
         self.entry_lag = old.entry_lag;
         self.shown_born = old.shown_born;
+        self.draining = old.draining;
     }
 
     fn clock_at(&self, now: Millis) -> Millis {
