Bound the crashes under a task whatever their evidence is worth

Cause: only crashes that were full evidence counted towards giving a job up, and on a small site with several such tasks hardly any is. Those before a hand-over looked like the loss of a failure domain, as the new coordinator had not heard any of its workers; those on machines that had crashed under other jobs within a minute counted among the five only. Change: five proven crashes are enough whatever the evidence, four if only this job can have caused one of them, and three alone on different machines, even if these had crashed under others. The record says whether the machine had; before, the two were one field.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 
 use base::Millis;
+use base::Set;
 use base::WorkerId;
 
 use crate::spec::RunNumber;
@@ -26,7 +27,14 @@
 /// The same for crashes at any age.
 const MAX_SOLE_CRASHES: usize = 3;
 
-/// The same for crashes that other jobs may have caused as well.
+/// The same for machines that had crashed under other jobs, counting each machine once.
+const MAX_UNSOUND: usize = 3;
+
+/// Number of crashes after which a task is the cause if only its job can have caused the last of them or
+/// an earlier one.
+const MAX_CRASHES_WITH_SOLE: usize = 4;
+
+/// Number of crashes of any kind after which a task is the cause.
 const MAX_CRASHES: usize = 5;
 
 /// Most losses kept for a task.
@@ -47,8 +55,10 @@
     /// started it.
     pub age: Option<Millis>,
     /// Whether only its job can be the cause: no other job ran there, or none that had just started as
-    /// this one had, and the machine had not crashed under other jobs.
+    /// this one had.
     pub sole: bool,
+    /// Whether the machine had crashed lately under other jobs.
+    pub unsound: bool,
     /// Whether most of the worker's failure domain or rack was lost with it.
     pub in_group: bool,
     /// Whether the worker is known to have crashed. Otherwise it may only be out of reach.
@@ -88,12 +98,19 @@
 
 /// Whether a task is the cause of the crashes under it, so that it must not start again.
 pub fn is_cause(crashes: &[Crash]) -> bool {
-    let proven = crashes.iter().filter(|c| c.proven && !c.in_group);
-    let sole = proven.clone().filter(|c| c.sole);
+    let proven = crashes.iter().filter(|c| c.proven);
+    let sole = proven.clone().filter(|c| c.sole && !c.in_group);
+    let sound = sole.clone().filter(|c| !c.unsound);
     let at_start = sole.clone().filter(|c| c.is_at_start());
-    at_start.count() >= MAX_START_CRASHES
-        || sole.count() >= MAX_SOLE_CRASHES
-        || proven.count() >= MAX_CRASHES
+    let machines: Set<SocketAddr> = at_start.map(|c| c.address).collect();
+    let most = match sole.count() {
+        0 => MAX_CRASHES,
+        _ => MAX_CRASHES_WITH_SOLE,
+    };
+    sound.clone().filter(|c| c.is_at_start()).count() >= MAX_START_CRASHES
+        || sound.count() >= MAX_SOLE_CRASHES
+        || machines.len() >= MAX_UNSOUND
+        || proven.count() >= most
 }
 
 /// Age at which a later run clears the task: it has survived its start for clearly longer than the runs
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -158,6 +158,8 @@
     address: SocketAddr,
     age: Option<Millis>,
     sole: bool,
+    #[serde(default)]
+    unsound: bool,
     in_group: bool,
     proven: bool,
 }
@@ -243,6 +245,7 @@
                     address: crash.address,
                     age: crash.age,
                     sole: crash.sole,
+                    unsound: crash.unsound,
                     in_group: crash.in_group,
                     proven: crash.proven,
                 }));
@@ -267,6 +270,7 @@
             address: self.address,
             age: self.age,
             sole: self.sole,
+            unsound: self.unsound,
             in_group: self.in_group,
             proven: self.proven,
         };
--- a/crates/batch/src/scheduler/suspects.rs
+++ b/crates/batch/src/scheduler/suspects.rs
@@ -80,14 +80,15 @@
             return;
         }
         let address = worker.entry.address;
-        let sick = self.losses.has_crashed_without(&address, &task.job);
+        let unsound = self.losses.has_crashed_without(&address, &task.job);
         let crash = Crash {
             run: open.run,
             worker: id.clone(),
             born: open.born,
             address,
             age,
-            sole: evidence.sole && !sick,
+            sole: evidence.sole,
+            unsound,
             in_group: evidence.in_group,
             proven: evidence.proven,
         };
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -301,6 +301,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], run as u16)),
         age: age.map(Millis),
         sole,
+        unsound: false,
         in_group: false,
         proven,
     }
