Count a run that crashed two incarnations of a worker twice

What callers saw: nothing yet; found by reading. One crash more than counted under a task. Cause: a start that was not answered may still reach the next incarnation of its worker, under the same run number, and losses were told apart by that number alone. Change: by number and incarnation, also where it is asked whether a task was a suspect before its present run. Result: a_run_that_crashed_two_incarnations_counts_twice failed before (one loss) and passes; the other tests of the crate pass.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -76,10 +76,15 @@
     age.is_some_and(|age| age < START_AGE)
 }
 
+/// Whether two losses are one. A run whose start was not answered may reach the next incarnation.
+fn is_same(a: &Crash, b: &Crash) -> bool {
+    (a.run, a.born) == (b.run, b.born)
+}
+
 /// Adds a loss, or what is new of one that is known. Beyond the most that are kept, the earliest that is not
 /// proven is dropped.
 pub fn add(crashes: &mut Vec<Crash>, crash: Crash) {
-    if let Some(known) = crashes.iter_mut().find(|c| c.run == crash.run) {
+    if let Some(known) = crashes.iter_mut().find(|c| is_same(c, &crash)) {
         known.proven |= crash.proven;
         return;
     }
--- a/crates/batch/src/scheduler/losses.rs
+++ b/crates/batch/src/scheduler/losses.rs
@@ -101,10 +101,10 @@
     pub(super) fn has_suspect(&self, worker: &Worker) -> bool {
         let mut suspects = worker.open.keys().filter(|t| self.suspects.contains(*t));
         suspects.any(|task| {
-            let run = self.open_run(task).map(|o| o.run);
+            let run = self.open_run(task).map(|o| (o.run, o.born));
             let state = self.jobs.get(&task.job).and_then(|j| j.task(task));
             let crashes = state.into_iter().flat_map(|t| &t.crashes);
-            let before = crashes.filter(|c| Some(c.run) != run).cloned();
+            let before = crashes.filter(|c| Some((c.run, c.born)) != run).cloned();
             is_suspect(&before.collect::<Vec<_>>())
         })
     }
--- a/crates/batch/src/scheduler/suspects.rs
+++ b/crates/batch/src/scheduler/suspects.rs
@@ -144,14 +144,14 @@
             let open = self.open_run(&task);
             let worker = open.and_then(|o| self.workers.get(&o.worker));
             let age = open.and_then(|o| run_age(o, worker?.last_report()));
-            let run = open.map(|o| o.run);
+            let run = open.map(|o| (o.run, o.born));
             let job = self.jobs.get_mut(&task.job).filter(|_| !ended);
             let Some(state) = job.and_then(|j| j.task_mut(&task)) else {
                 self.suspects.remove(&task);
                 continue;
             };
             let after = cleared_after(&state.crashes, poll_wait);
-            let is_new = state.crashes.iter().all(|c| Some(c.run) != run);
+            let is_new = state.crashes.iter().all(|c| Some((c.run, c.born)) != run);
             let is_cleared = is_new && age.is_some_and(|age| age >= after);
             if state.done || is_cleared || state.crashes.is_empty() {
                 if !std::mem::take(&mut state.crashes).is_empty() {
--- a/crates/batch/tests/crash_evidence.rs
+++ b/crates/batch/tests/crash_evidence.rs
@@ -146,3 +146,26 @@
     let crashes: Vec<Crash> = runs.zip(crashes).map(|(run, crash)| crash(run)).collect();
     assert_eq!(crash::is_cause(&crashes), is_cause);
 }
+
+/// Guards against two crashes that count once: a start that was not answered is sent again under its number,
+/// and reaches the next incarnation.
+#[test]
+fn a_run_that_crashed_two_incarnations_counts_twice() {
+    let mut crashes = vec![alone(1)];
+    crash::add(
+        &mut crashes,
+        Crash {
+            born: 1,
+            ..alone(1)
+        },
+    );
+    crash::add(
+        &mut crashes,
+        Crash {
+            born: 1,
+            ..alone(1)
+        },
+    );
+    assert_eq!(crashes.len(), 2);
+    assert!(crash::is_cause(&crashes));
+}
