Count no crash under runs that the present incarnation reports

Cause: a worker that is back within a second is asked to start runs before its first report. Start requests name no incarnation, so the new one carries them out; its first report then counted them as lost with the one before. Change: what the report lists as active or ended was not lost.

--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -91,7 +91,12 @@
             return;
         };
         let restarted = worker.clock.is_some();
-        let ended: Vec<TaskId> = self.runs_before(id, born);
+        let mut ended: Vec<TaskId> = self.runs_before(id, born);
+        // A start request names no incarnation: this one has carried out what it reports.
+        ended.retain(|task| {
+            let run = self.open_run(task).map(|o| o.run);
+            !run.is_some_and(|run| report.mentions(task, run))
+        });
         if restarted || !ended.is_empty() {
             self.note_crash(id, ended, "has restarted", now);
         }
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -129,6 +129,15 @@
     pub ended: Vec<EndedRun>,
 }
 
+impl Report {
+    /// Whether a run of this incarnation is listed, active or ended.
+    pub fn mentions(&self, task: &TaskId, run: RunNumber) -> bool {
+        let mut running = self.running.iter().map(|r| (&r.task, r.run));
+        let mut ended = self.ended.iter().map(|e| (&e.task, e.run));
+        running.any(|known| known == (task, run)) || ended.any(|known| known == (task, run))
+    }
+}
+
 /// A worker and its open runs, as the coordinator knows them.
 #[derive(Clone, Debug)]
 pub struct Worker {
--- a/crates/batch/tests/crash_evidence.rs
+++ b/crates/batch/tests/crash_evidence.rs
@@ -9,6 +9,7 @@
 use batch::crash;
 use batch::crash::Crash;
 use batch::JobPhase;
+use batch::LogKind;
 use batch::RunNumber;
 use batch::TaskId;
 use yare::parameterized;
@@ -169,3 +170,34 @@
     assert_eq!(crashes.len(), 2);
     assert!(crash::is_cause(&crashes));
 }
+
+/// Guards against a crash under a run that its worker started after its restart, and before it reported that.
+#[parameterized(
+    still_running = { 1_000 },
+    ended = { 30 },
+)]
+fn runs_of_the_present_incarnation_are_not_lost_with_the_one_before(work: u64) {
+    let mut crashing = Crashing::new(2, Back::SameId);
+    for worker in &mut crashing.site.workers {
+        worker.entry_lag = SECOND;
+    }
+    for num in 0..4 {
+        crashing.run(Millis(1_250), |_| false);
+        let now = crashing.site.now;
+        for worker in &mut crashing.site.workers {
+            worker.restart(now);
+        }
+        let small = job(2, vec![step(2, 8, Millis(work))], now);
+        crashing.site.submit(&format!("small-{num}"), small);
+        crashing.site.turn();
+        assert!(crashing.site.workers.iter().all(|w| !w.runs.is_empty()));
+        crashing.run(Millis(200), |_| false);
+        let log = crashing.site.scheduler.take_log();
+        let mut crashes = log.iter().filter(|e| e.kind == LogKind::WorkerCrashed);
+        assert!(
+            crashes.all(|e| e.text.contains("; 0 runs were open")),
+            "{log:#?}"
+        );
+        crashing.run(Millis(2_000), |_| false);
+    }
+}
