Let the soak's site settle after the last crash by a task

Cause: accepted jobs must end within 17 s of the end of load and faults. Change: the 17 s run from the last crash by a task, if that is later than the end of load.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -39,10 +39,6 @@
 /// Time before load and faults begin, in which the daemons start.
 const STARTUP_TIME: Millis = Millis(2_500);
 
-/// Time after the end of load and faults in which every accepted job must end. It is the platform's
-/// bound on the end of all work, and the time after which a disruption counts as over.
-const SETTLE_TIMEOUT: Millis = Millis(17_000);
-
 /// Number of daemons at a site of the default size.
 const DEFAULT_DAEMONS: usize = 4;
 
@@ -109,9 +105,9 @@
         actix_rt::spawn(growth::change(site.clone(), plan.seed, end));
         actix_rt::spawn(growth::probe(site.clone(), plan.seed, end));
     }
-    let load = load::run(site.clone(), plan.seed, end, end + SETTLE_TIMEOUT).await;
+    let load = load::run(site.clone(), plan.seed, end).await;
     faults.await.map_err(|e| SoakError::Task(e.to_string()))?;
-    while site.is_upkeep_pending() && site.now() < end + SETTLE_TIMEOUT {
+    while site.is_upkeep_pending() && site.now() < site.settled_by(end) {
         site.sleep(site::RENEWAL_PERIOD).await;
     }
     let history = site.finish(load).await;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -49,9 +49,10 @@
 /// Share of jobs with a task that crashes its workers, in thousandths.
 const DEADLY_PER_MILLE: u32 = 15;
 
-/// Submits jobs until `end` and queries each until it has ended, at the latest until `deadline`.
+/// Submits jobs until `end` and queries each until it has ended, at the latest until the site must have
+/// settled.
 /// The returned history has only calls and unfinished jobs.
-pub async fn run(site: Rc<Site>, seed: u64, end: Millis, deadline: Millis) -> History {
+pub async fn run(site: Rc<Site>, seed: u64, end: Millis) -> History {
     let maintenance = actix_rt::spawn(site.clone().maintain());
     let mut rng = Pcg64::seed_from_u64(seed ^ 0x10ad);
     let mut deadly_rng = Pcg64::seed_from_u64(seed ^ 0xdead);
@@ -74,7 +75,7 @@
             rng: Pcg64::seed_from_u64(rng.random()),
             id,
             submission,
-            deadline,
+            end,
         };
         caller_tasks.push(actix_rt::spawn(job_caller.run()));
         site.sleep(Millis(rng.random_range(SUBMIT_INTERVAL_MS) / site.scale()))
@@ -144,7 +145,7 @@
     rng: Pcg64,
     id: JobId,
     submission: Submission,
-    deadline: Millis,
+    end: Millis,
 }
 
 impl JobCaller {
@@ -157,7 +158,7 @@
             self.pause(0..800).await;
             self.cancel().await;
         }
-        while self.site.now() < self.deadline {
+        while self.site.now() < self.site.settled_by(self.end) {
             self.pause(QUERY_INTERVAL_MS).await;
             let outcome = self.call(Operation::Query).await;
             if matches!(outcome, Outcome::State(phase) if phase.is_final()) {
@@ -204,7 +205,7 @@
 
     /// Requests the cancellation until it is acknowledged, the job is unknown, or time is up.
     async fn cancel(&mut self) {
-        while self.site.now() < self.deadline {
+        while self.site.now() < self.site.settled_by(self.end) {
             match self.call(Operation::Cancel).await {
                 Outcome::Done | Outcome::NoJob => return,
                 _ => self.pause(RETRY_PAUSE_MS).await,
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -41,6 +41,10 @@
 /// Speeds of the workers in turn, in thousandths of what the steps' estimates are made for.
 const SPEEDS: [u64; 3] = [1_000, 600, 1_500];
 
+/// Time after the end of load and faults in which every accepted job must end. It is the platform's
+/// bound on the end of all work, and the time after which a disruption counts as over.
+const SETTLE_TIMEOUT: Millis = Millis(17_000);
+
 /// Attempts of a task, as [`FakeStore::configure`] sets them.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -346,6 +350,12 @@
         }
     }
 
+    /// When accepted jobs and waves must have ended, if faults are injected until `end`. A task that crashes
+    /// a worker after that is a fault as well.
+    pub fn settled_by(&self, end: Millis) -> Millis {
+        end.max(self.pool.last_crash_by_task()) + SETTLE_TIMEOUT
+    }
+
     /// Whether a requested wave of upkeep is not completed.
     pub fn is_upkeep_pending(&self) -> bool {
         let waves = self.waves.borrow();
