Take the entry of a worker that has not answered for its own

After a hand-over the announced end of a worker that was cut off counted as a crash of its runs. Cause: an entry counts as that of the incarnation that answered last, and none had answered the new coordinator. Change: until one has, the entry is that of the worker.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -30,11 +30,10 @@
 /// The same for machines that had crashed under other jobs, counting each machine once.
 const MAX_UNSOUND: usize = 3;
 
-/// Number of crashes after which a task is the cause if only its job can have caused the last of them or
-/// an earlier one.
+/// Number of crashes of any kind after which a task is the cause, if only its job can have caused one of them.
 const MAX_CRASHES_WITH_SOLE: usize = 4;
 
-/// Number of crashes of any kind after which a task is the cause.
+/// The same if other jobs may have caused each of them.
 const MAX_CRASHES: usize = 5;
 
 /// Most losses kept for a task.
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -145,7 +145,7 @@
     pub entry: WorkerEntry,
     /// Since when the entry has been missing.
     pub missing_since: Option<Millis>,
-    /// Incarnation that last answered (its start as Unix time).
+    /// Incarnation that last answered (its start as Unix time); zero if none has.
     pub born: u64,
     /// Whether the current incarnation has answered this coordinator.
     pub has_answered: bool,
@@ -253,8 +253,9 @@
     /// Whether the entry shows that the current incarnation is draining. It may still be that of the one
     /// before, or already that of the next.
     pub fn shows_draining(&self) -> bool {
+        let is_unknown = self.born == 0;
         let is_own = self.entry.born.is_none_or(|born| born == self.born);
-        is_own && self.entry.state == WorkerState::Draining
+        (is_own || is_unknown) && self.entry.state == WorkerState::Draining
     }
 
     /// Whether the end of this incarnation was announced or requested, so that it is no crash.
--- a/crates/batch/tests/crash_upkeep.rs
+++ b/crates/batch/tests/crash_upkeep.rs
@@ -10,12 +10,14 @@
 use batch::wave::UpkeepRequest;
 use batch::wave::UpkeepResponse;
 use batch::JobPhase;
+use batch::LogKind;
 use batch::TaskId;
 use yare::parameterized;
 
 use kit::crashing::Back;
 use kit::crashing::Crashing;
 use kit::crashing::DOWN_TIME;
+use kit::job;
 use kit::step;
 
 const SECOND: Millis = Millis(1_000);
@@ -115,3 +117,25 @@
     assert!(crashes <= MAX_CRASHES, "{crashes} workers crashed");
     assert_eq!(crashing.phase(&guilty), Some(JobPhase::Failed));
 }
+
+/// Guards against a job that is given up for announced ends: the worker has not answered the present
+/// coordinator when its entry shows that it is draining.
+#[test]
+fn the_end_of_a_drained_worker_is_no_crash_for_a_new_coordinator() {
+    let mut crashing = Crashing::new(2, Back::OtherId);
+    let long = job(2, vec![step(2, 8, Millis(5_000))], crashing.site.now);
+    crashing.site.submit("long", long);
+    crashing.run(SECOND, |_| false);
+    let worker = &mut crashing.site.workers[0];
+    worker.reachable = false;
+    crashing.site.take_over();
+    crashing.run(SECOND, |_| false);
+    let worker = &mut crashing.site.workers[0];
+    worker.draining = Some(worker.born);
+    crashing.run(SECOND, |_| false);
+    crashing.crash(0);
+    crashing.run(DOWN_TIME + SECOND, |_| false);
+    let log = crashing.site.scheduler.take_log();
+    let crashes = log.iter().filter(|e| e.kind == LogKind::WorkerCrashed);
+    assert_eq!(crashes.count(), 0, "{log:#?}");
+}
