Keep room under a limit for an urgent step that waits for workers

Cause: the gang lacked room on workers and room under its organisation's limit. While runs were being stopped for the one, other work of its organisation took the other; while the limit held it back, other organisations took the workers. Ruled out: workers kept for suspects (348 to 350 were eligible), a hand-over (none in that time). Change: an urgent step that finds no room on workers claims its part of the limit in that pass, as one that the limit holds back does.

--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -121,6 +121,7 @@
     ) -> bool {
         if self.finds_no_room(pass, at) {
             self.note_crowded(pass, at);
+            self.claim_limit(pass, at);
             return false;
         }
         let allowed = self.allowance(pass, at);
@@ -147,6 +148,7 @@
         if self.make_room(pass, at, &attempt, placed) == Outlook::LeavesRacks {
             return self.plan_step(pass, at, false, most);
         }
+        self.claim_limit(pass, at);
         false
     }
 
--- a/crates/batch/src/plan/limit.rs
+++ b/crates/batch/src/plan/limit.rs
@@ -122,6 +122,30 @@
         }
     }
 
+    /// Keeps room under its organisation's limit for an urgent step that waits for room on workers. Other work
+    /// of the organisation would take it before the workers have room, which others would take before there is
+    /// room under the limit again.
+    pub(super) fn claim_limit(&self, pass: &mut Pass, at: &WaitingStep) {
+        if !at.rank.may_preempt() || pass.held.contains_key(&at.step_id()) || !self.is_urgent(at) {
+            return;
+        }
+        let Some(job) = self.jobs.get(&at.job) else {
+            return;
+        };
+        let Some(org) = &job.submitted.org else {
+            return;
+        };
+        let Some(state) = job.open.get(&at.occurrence) else {
+            return;
+        };
+        let tasks = &state.steps[usize::from(at.step)].tasks;
+        let missing = tasks.iter().filter(|t| !t.done && t.open.is_none());
+        let need = &job.submitted.work.steps[usize::from(at.step)].need;
+        let need = need.times(missing.count() as u64);
+        *pass.claims.entry(org.clone()).or_default() += need;
+        pass.held.insert(at.step_id(), need);
+    }
+
     fn is_urgent(&self, at: &WaitingStep) -> bool {
         let job = self.jobs.get(&at.job);
         job.is_some_and(|j| j.submitted.priority == 0)
