Log where urgent jobs spend their time and what lost runs cost, and report it

Change: each urgent job keeps an account of its time (acceptance, room, grace, store, start, lost runs, slow workers and so on), each run that ends without a result has a cause, also the other members of its gang. Events 651 and 652, counters batch_jobs_ended, batch_late_urgent_ms and batch_lost_core_ms, and `tackctl report LOG...`. A log line that cannot be read is a finding, and no table is printed. The line of a start says what its two speeds are. No decision changes. Stops have a file of their own.

--- a/crates/batch/src/duration.rs
+++ b/crates/batch/src/duration.rs
@@ -54,7 +54,7 @@
 
     /// Measured duration of the tasks of a job's queue at the usual speed, relative to their
     /// estimates, in percent.
-    fn ratio(&self, job: &Job) -> u32 {
+    pub(crate) fn ratio(&self, job: &Job) -> u32 {
         let ratio = self.ratios.get(&job.submitted.queue);
         ratio.copied().unwrap_or(100)
     }
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -8,6 +8,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::account::Loss;
+use crate::account::Stage;
+use crate::account::Trace;
 use crate::crash::Crash;
 use crate::record::Submitted;
 use crate::spec::RunNumber;
@@ -75,6 +78,10 @@
     pub seen_at: Option<Millis>,
     /// When its progress last changed.
     pub progress_at: Millis,
+    /// When its progress was last saved.
+    pub saved_at: Option<Millis>,
+    /// Why it is being stopped or has ended without a result.
+    pub loss: Option<Loss>,
     /// Progress in percent, as last reported.
     pub percent: u32,
     /// Measurement of its rate of progress.
@@ -101,6 +108,8 @@
             stop_sent: None,
             seen_at: None,
             progress_at: now,
+            saved_at: None,
+            loss: None,
             percent: 0,
             meter: Meter::default(),
             restored: false,
@@ -143,6 +152,8 @@
     pub ready_at: Option<Millis>,
     /// No task of the step starts before this time.
     pub not_before: Millis,
+    /// What the step waited for in the last planning pass.
+    pub waits_for: Option<Stage>,
     /// Whether it was logged that the step waits long although a guarantee covers it.
     pub delay_logged: bool,
     /// Whether it was logged that the step waits because of its organisation's limit.
@@ -229,6 +240,12 @@
     pub excess: bool,
     /// Workers on which a task of the job has failed, without duplicates.
     pub failed_on: Vec<WorkerId>,
+    /// Whether an earlier coordinator may have planned it.
+    pub inherited: bool,
+    /// Account of its time; kept for urgent jobs only.
+    pub trace: Trace,
+    /// Number of runs that were stopped for it, and the work that they had done in core-milliseconds.
+    pub displaced: (usize, u64),
 }
 
 /// Number of workers on which a job must fail before the job itself is held responsible.
@@ -253,6 +270,9 @@
             ended: None,
             excess: false,
             failed_on: Vec::new(),
+            inherited: false,
+            trace: Trace::default(),
+            displaced: (0, 0),
         }
     }
 
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -5,6 +5,7 @@
 //! responses to requests), its outputs are the requests to send and the records to store. Nothing
 //! in this crate does I/O or reads a clock.
 
+pub mod account;
 mod admit;
 mod advice;
 mod bounds;
@@ -66,6 +67,7 @@
 pub use scheduler::GuaranteeOverview;
 pub use scheduler::JobCounts;
 pub use scheduler::JobOverview;
+pub use scheduler::LogDetail;
 pub use scheduler::LogEntry;
 pub use scheduler::LogKind;
 pub use scheduler::PendingWrite;
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -5,6 +5,7 @@
 use base::Millis;
 use base::WorkerId;
 
+use crate::account::Stage;
 use crate::job::OpenRun;
 use crate::rank::Rank;
 use crate::reserve;
@@ -58,6 +59,7 @@
 impl Scheduler {
     /// Plans starts and stops. The start requests are sent once they are recorded.
     pub fn plan(&mut self, now: Millis, wall: Millis) {
+        self.planned_at = Some(now);
         let live = &self.live;
         self.advice.begin_pass(|job| live.contains(job));
         self.waits.clear();
@@ -126,6 +128,7 @@
         }
         let allowed = self.allowance(pass, at);
         if allowed == Some(0) {
+            self.note_wait(at, Stage::Limit);
             return false;
         }
         let Some(mut attempt) = self.attempt(pass, at, keep_racks) else {
@@ -143,10 +146,14 @@
         }
         self.note_crowded(pass, at);
         if placed.is_held {
+            self.note_wait(at, Stage::Proof);
             return false;
         }
-        if self.make_room(pass, at, &attempt, placed) == Outlook::LeavesRacks {
-            return self.plan_step(pass, at, false, most);
+        match self.make_room(pass, at, &attempt, placed) {
+            Outlook::LeavesRacks => return self.plan_step(pass, at, false, most),
+            Outlook::Frees => self.note_wait(at, Stage::Grace),
+            Outlook::Waits if attempt.careful => self.note_wait(at, Stage::Proof),
+            Outlook::Waits => self.note_wait(at, Stage::Room),
         }
         self.claim_limit(pass, at);
         false
@@ -158,7 +165,18 @@
         let job = self.jobs.get_mut(&at.job);
         let state = job.and_then(|j| j.open.get_mut(&at.occurrence));
         if let Some(state) = state {
-            state.steps[usize::from(at.step)].ready_at = None;
+            let step = &mut state.steps[usize::from(at.step)];
+            step.ready_at = None;
+            step.waits_for = None;
+        }
+    }
+
+    /// Notes what a step waits for.
+    fn note_wait(&mut self, at: &WaitingStep, stage: Stage) {
+        let job = self.jobs.get_mut(&at.job);
+        let state = job.and_then(|j| j.open.get_mut(&at.occurrence));
+        if let Some(state) = state {
+            state.steps[usize::from(at.step)].waits_for = Some(stage);
         }
     }
 
--- a/crates/batch/src/plan/limit.rs
+++ b/crates/batch/src/plan/limit.rs
@@ -13,6 +13,8 @@
 use super::lost_by_stopping;
 use super::Pass;
 use super::WaitingStep;
+use crate::account::Loss;
+use crate::account::LossCause;
 use crate::job::RunPhase;
 use crate::preempt;
 use crate::scheduler::LogEntry;
@@ -103,6 +105,7 @@
                      configuration {version} and has {running}, {claimed} is kept for others{hint}",
                     at.step
                 ),
+                detail: None,
             });
         }
         if !fits {
@@ -194,7 +197,7 @@
         }
         let tasks: Vec<TaskId> = chosen.into_iter().flat_map(|c| c.tasks).collect();
         for task in &tasks {
-            self.stop_run(task);
+            self.stop_run(task, Loss::new(LossCause::Limit));
         }
         let names: Vec<String> = tasks.iter().map(TaskId::to_string).collect();
         let text = format!(
--- a/crates/batch/src/plan/make_room.rs
+++ b/crates/batch/src/plan/make_room.rs
@@ -22,6 +22,8 @@
 /// What becomes of a step whose tasks found no room.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Outlook {
+    /// It waits, while runs are being stopped for it.
+    Frees,
     /// It waits.
     Waits,
     /// No rack can be freed in time; elsewhere the step is slower, but it begins.
@@ -86,7 +88,7 @@
             }
             self.log_delay(at, &among, &attempted);
             if attempted == Preemption::Begun {
-                return Outlook::Waits;
+                return Outlook::Frees;
             }
             if known && !hopeless {
                 pass.unaffordable.push((failure, most));
--- a/crates/batch/src/plan/placement.rs
+++ b/crates/batch/src/plan/placement.rs
@@ -166,6 +166,10 @@
 
     /// Logs on workers of which speed a step starts, in a pool whose workers differ.
     fn log_speeds(&mut self, pass: &Pass, attempt: &Attempt, chosen: &[usize]) {
+        let speeds = chosen.iter().map(|&num| pass.candidates[num].speed);
+        if let (Some(speed), Some(job)) = (speeds.min(), self.jobs.get_mut(&attempt.step.job)) {
+            job.trace.set_speed(speed);
+        }
         let Some((least, ample)) = attempt.speed.least.filter(|_| !chosen.is_empty()) else {
             return;
         };
@@ -178,7 +182,8 @@
         let (lowest, id) = (slowest.speed, &slowest.id);
         let text = format!(
             "starting {} tasks of step {} on workers of speed {lowest} ({id}) to {highest}, \
-             {unknown} of them unknown; {least} to {ample} end within the objective",
+             {unknown} of them unknown; needs {least} to end within its objective, and {ample} to do \
+             so whatever its estimate is off by",
             chosen.len(),
             attempt.step.step,
         );
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -6,6 +6,8 @@
 use base::Set;
 use base::WorkerId;
 
+use crate::account::Loss;
+use crate::account::LossCause;
 use crate::job::Job;
 use crate::job::OpenRun;
 use crate::job::RunPhase;
@@ -195,7 +197,11 @@
         for victim in choice.victims {
             index.take(victim);
             for task in &tasks[victim] {
-                self.stop_run(task);
+                let loss = Loss {
+                    room_for: Some(at.job.clone()),
+                    ..Loss::new(LossCause::Urgent)
+                };
+                self.stop_run(task, loss);
                 stopped.push(task.to_string());
             }
         }
@@ -206,6 +212,10 @@
                 stopped.join(" ")
             );
             self.log(Some(&at.job), text);
+            if let Some(job) = self.jobs.get_mut(&at.job) {
+                job.displaced.0 += num;
+                job.displaced.1 += choice.loss;
+            }
         }
         Preemption::Begun
     }
@@ -238,6 +248,7 @@
                 "{} after its acceptance, {eligible} workers are eligible; {why}",
                 at.age
             ),
+            detail: None,
         });
     }
 }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -13,6 +13,10 @@
 use base::Set;
 use base::WorkerId;
 
+use crate::account::EndedJob;
+use crate::account::Loss;
+use crate::account::LossCause;
+use crate::account::LostRun;
 use crate::advice::Advice;
 use crate::advice::AdviceRequest;
 use crate::advice::AdviceResponse;
@@ -23,7 +27,6 @@
 use crate::health::EarlyFailures;
 use crate::job::Job;
 use crate::job::JobPhase;
-use crate::job::RunPhase;
 use crate::org::History;
 use crate::org::Ledger;
 use crate::org::Rates;
@@ -47,9 +50,11 @@
 mod report;
 mod requests;
 mod stall;
+mod stops;
 mod suspects;
 mod throttle;
 mod time;
+mod trace;
 mod upkeep;
 mod workers;
 
@@ -69,7 +74,7 @@
 pub use requests::SeenEnd;
 pub use requests::StartRequest;
 pub use requests::StartResponse;
-pub use requests::StopRequest;
+pub use stops::StopRequest;
 pub use throttle::ThrottleRequest;
 
 /// What an entry of the operators' log is about.
@@ -77,6 +82,10 @@
 pub enum LogKind {
     /// A decision about a job or a worker.
     Decision,
+    /// A job that has ended.
+    JobEnded,
+    /// A run that has ended without a result.
+    RunLost,
     /// A job inside its organisation's guarantee that has not started after half of its time.
     GuaranteeDelayed,
     /// A step that waits because of its organisation's limit.
@@ -100,6 +109,17 @@
     pub job: Option<JobId>,
     /// Text of the entry.
     pub text: String,
+    /// What has ended, if the entry is about that.
+    pub detail: Option<LogDetail>,
+}
+
+/// What has ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LogDetail {
+    /// A job.
+    EndedJob(EndedJob),
+    /// A run without a result.
+    LostRun(LostRun),
 }
 
 /// State of the scheduler during one coordinator's epoch.
@@ -131,6 +151,10 @@
     /// Starts whose jobs have to be stored before they are sent.
     pub(crate) planned: Vec<StartRequest>,
     pub(crate) log_entries: Vec<LogEntry>,
+    /// Steady and Unix time of the latest pass.
+    pub(crate) pass_at: (Millis, Millis),
+    /// When starts were last planned.
+    pub(crate) planned_at: Option<Millis>,
     /// Whether a request was refused because a later coordinator is active.
     pub(crate) fenced: bool,
     /// Measured duration of each queue's tasks relative to their estimates, in percent.
@@ -189,6 +213,8 @@
             dirty: BTreeSet::new(),
             planned: Vec::new(),
             log_entries: Vec::new(),
+            pass_at: (now, Millis::ZERO),
+            planned_at: None,
             fenced: false,
             ratios: Map::default(),
             deviations: Map::default(),
@@ -230,7 +256,12 @@
 
     pub(crate) fn log_kind(&mut self, kind: LogKind, job: Option<&JobId>, text: String) {
         let job = job.cloned();
-        self.log_entries.push(LogEntry { kind, job, text });
+        self.log_entries.push(LogEntry {
+            kind,
+            job,
+            text,
+            detail: None,
+        });
     }
 
     /// Applies a configuration if it is newer than the one in force.
@@ -269,6 +300,7 @@
             return;
         }
         let mut job = Job::new(id.clone(), submitted, now);
+        job.inherited = recorded.is_some() || self.planned_at.is_none();
         if recorded.is_some_and(|p| !p.restore(&mut job, now)) {
             self.log(
                 Some(&id),
@@ -332,9 +364,10 @@
         let open = job.open_tasks();
         self.dirty.insert(id.clone());
         for task in open {
-            self.stop_run(&task);
+            self.stop_run(&task, Loss::new(LossCause::Ended));
         }
         self.log(Some(id), format!("job ended: {phase:?}"));
+        self.log_ended(id, now);
     }
 
     /// The next request to the adviser, if one is due and none is in flight.
@@ -399,26 +432,6 @@
         step.tasks.get(usize::from(task.index))?.open.as_ref()
     }
 
-    /// Closes a run and releases its resources. Its task may start again.
-    pub(crate) fn close_run(&mut self, task: &TaskId, now: Millis) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let Some(spec) = job.spec(task).cloned() else {
-            return;
-        };
-        let Some(open) = job.task_mut(task).and_then(|t| t.open.take()) else {
-            return;
-        };
-        if let Some(worker) = self.workers.get_mut(&open.worker) {
-            worker.remove_run(task, &spec, open.phase == RunPhase::Stopping);
-        }
-        self.uncount_run(task);
-        self.stopping.remove(task);
-        self.dirty.insert(task.job.clone());
-        self.end_if_done(&task.job, now);
-    }
-
     /// Ends a job whose tasks are all done, and removes an ended job without runs from `live`.
     pub(crate) fn end_if_done(&mut self, id: &JobId, now: Millis) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -433,28 +446,6 @@
         }
     }
 
-    /// Marks a run to be stopped.
-    pub(crate) fn stop_run(&mut self, task: &TaskId) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let Some(spec) = job.spec(task).cloned() else {
-            return;
-        };
-        let Some(open) = job.task_mut(task).and_then(|t| t.open.as_mut()) else {
-            return;
-        };
-        if open.phase != RunPhase::Planned && open.phase != RunPhase::Stopping {
-            open.phase = RunPhase::Stopping;
-            open.absent_after = None;
-            open.stop_sent = None;
-            if let Some(worker) = self.workers.get_mut(&open.worker) {
-                worker.release_run(task, &spec);
-            }
-            self.stopping.insert(task.clone());
-        }
-    }
-
     /// Whether this run of the task is open on this worker.
     pub(crate) fn is_open(&self, task: &TaskId, run: RunNumber, worker: &WorkerId) -> bool {
         let open = self.open_run(task);
--- a/crates/batch/src/scheduler/crashes.rs
+++ b/crates/batch/src/scheduler/crashes.rs
@@ -10,6 +10,8 @@
 
 use super::LogKind;
 use super::Scheduler;
+use crate::account::Loss;
+use crate::account::LossCause;
 use crate::job::OpenRun;
 use crate::job::RunPhase;
 use crate::spec::TaskId;
@@ -90,8 +92,8 @@
         let Some(run) = open.filter(|o| o.phase != RunPhase::Planned).map(|o| o.run) else {
             return;
         };
-        self.close_run(task, now);
-        self.break_gang(task, run);
+        self.close_lost(task, LossCause::Worker, now);
+        self.break_gang(task, run, &Loss::new(LossCause::Worker));
     }
 
     /// Notes that a worker has crashed while these runs of it were open.
--- a/crates/batch/src/scheduler/orgs.rs
+++ b/crates/batch/src/scheduler/orgs.rs
@@ -174,6 +174,7 @@
                 kind: LogKind::LimitTooLow,
                 job: Some(job),
                 text: format!("configuration {version}: {why}; raise the limit or cancel the job"),
+                detail: None,
             });
         }
     }
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -7,10 +7,13 @@
 
 use super::Scheduler;
 use super::SeenEnd;
+use crate::account::Loss;
+use crate::account::LossCause;
 use crate::bounds::with_clock_drift;
 use crate::duration::FIRST_DEVIATION;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
+use crate::job::StepState;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
 use crate::speed::Evidence;
@@ -140,8 +143,8 @@
                 open.absent_after = None;
             } else {
                 let run = open.run;
-                self.close_run(&task, now);
-                self.break_gang(&task, run);
+                self.close_lost(&task, LossCause::Worker, now);
+                self.break_gang(&task, run, &Loss::new(LossCause::Worker));
             }
         }
     }
@@ -210,6 +213,7 @@
             return;
         };
         if !end.saved.is_empty() {
+            note_saved(step, &end.task, end.run, now);
             match gang {
                 true => step
                     .tasks
@@ -295,13 +299,20 @@
     /// Closes the ended run, and ends its job if this decides it.
     fn after_end(&mut self, id: &WorkerId, end: &EndedRun, now: Millis) {
         let job_id = &end.task.job;
+        let cause = match end.kind {
+            EndKind::Alone | EndKind::Broken => LossCause::Gang,
+            EndKind::Done => LossCause::Superseded,
+            EndKind::Failed => LossCause::Failed,
+            EndKind::Lapsed => LossCause::Lapsed,
+            EndKind::Stopped => LossCause::Predecessor,
+        };
         if self.is_open(&end.task, end.run, id) {
-            self.close_run(&end.task, now);
+            self.close_lost(&end.task, cause, now);
         } else if end.kind == EndKind::Done {
-            self.stop_run(&end.task);
+            self.stop_run(&end.task, Loss::new(cause));
         }
         if matches!(end.kind, EndKind::Failed | EndKind::Alone | EndKind::Lapsed) {
-            self.break_gang(&end.task, end.run);
+            self.break_gang(&end.task, end.run, &Loss::new(cause));
         }
         self.fail_if_exhausted(job_id, &end.task, now);
         self.end_if_done(job_id, now);
@@ -335,12 +346,17 @@
             return;
         };
         let done = task.done;
+        let mut is_saved = false;
         if !active.saved.is_empty() && task.saved != active.saved {
             task.saved = active.saved.clone();
+            is_saved = true;
         }
         let Some(open) = task.open.as_mut() else {
             return;
         };
+        if is_saved {
+            open.saved_at = Some(now);
+        }
         open.seen_at.get_or_insert(now);
         if open.percent != active.percent {
             open.percent = active.percent;
@@ -357,7 +373,7 @@
             self.dirty.insert(active.task.job.clone());
         }
         if final_phase || done {
-            self.stop_run(&active.task);
+            self.stop_run(&active.task, Loss::new(LossCause::Superseded));
         }
     }
 
@@ -403,8 +419,8 @@
                     Some(&task.job),
                     format!("run {run} of {task} closed: {id} does not report it"),
                 );
-                self.close_run(&task, now);
-                self.break_gang(&task, run);
+                self.close_lost(&task, LossCause::Unreported, now);
+                self.break_gang(&task, run, &Loss::new(LossCause::Unreported));
             }
         }
     }
@@ -442,6 +458,14 @@
     *mean += (off.min(MAX_DEVIATION) - *mean) / f64::from(AVERAGE_WEIGHT);
 }
 
+/// Notes that the progress of a run has been saved until now.
+fn note_saved(step: &mut StepState, task: &TaskId, run: RunNumber, now: Millis) {
+    let state = step.tasks.get_mut(usize::from(task.index));
+    if let Some(open) = state.and_then(|t| t.open.as_mut()).filter(|o| o.run == run) {
+        open.saved_at = Some(now);
+    }
+}
+
 /// Counts a failed run once, however often it is reported.
 fn note_failure(failed: &mut Vec<RunNumber>, run: RunNumber) {
     if !failed.contains(&run) {
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 
 use super::Scheduler;
+use crate::account::Loss;
+use crate::account::LossCause;
 use crate::bounds::with_clock_drift;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
@@ -24,10 +26,6 @@
 /// Age from which a planned start is cancelled, because the state that it was based on is outdated.
 const MAX_PLAN_AGE: Millis = Millis(1_500);
 
-/// Time after which a stop request without effect is repeated: one that was accepted, and one without
-/// an answer.
-const STOP_REPEAT_AFTER: (Millis, Millis) = (Millis(1_000), Millis(250));
-
 /// Pause before a step is retried after a start was refused or not answered.
 const STEP_PAUSE: Millis = Millis(100);
 
@@ -61,21 +59,6 @@
     pub planned_at: Millis,
 }
 
-/// A request to stop a run.
-#[derive(Clone, Debug, PartialEq)]
-pub struct StopRequest {
-    /// The task to stop.
-    pub task: TaskId,
-    /// Number of the run to stop.
-    pub run: RunNumber,
-    /// Id of the worker that may run it.
-    pub worker: WorkerId,
-    /// Address of the worker.
-    pub address: SocketAddr,
-    /// Epoch of the coordinator; the worker refuses requests of an earlier one.
-    pub epoch: Epoch,
-}
-
 /// A poll of a worker, which also renews its lease.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PollRequest {
@@ -136,6 +119,7 @@
     /// Takes all changes that have to be stored. They are then passed to
     /// [`Scheduler::records_stored`] or, if the write failed, to [`Scheduler::requeue`].
     pub fn take_pending(&mut self) -> PendingWrite {
+        self.trace_urgent();
         let ids = std::mem::take(&mut self.dirty);
         let records = ids.into_iter().filter_map(|id| {
             let progress = Progress::from(self.jobs.get(&id)?);
@@ -214,7 +198,7 @@
         }
     }
 
-    fn is_gang(&self, task: &TaskId) -> bool {
+    pub(super) fn is_gang(&self, task: &TaskId) -> bool {
         let job = self.jobs.get(&task.job);
         job.and_then(|j| j.spec(task)).is_some_and(|s| s.gang)
     }
@@ -320,8 +304,9 @@
             StartResponse::NoTicket => {
                 let step = request.task.step_id();
                 self.advice.drop_ticket(&step, &request.worker);
-                self.close_run(&request.task, now);
-                self.break_gang(&request.task, request.run);
+                self.close_lost(&request.task, LossCause::Refused, now);
+                let loss = Loss::new(LossCause::Refused);
+                self.break_gang(&request.task, request.run, &loss);
             }
             StartResponse::Refused(why) => self.refused(request, &why, now),
             StartResponse::Unknown(why) => self.unanswered(request, &why, now),
@@ -365,8 +350,8 @@
         );
         self.pause_worker(&request.worker, now);
         self.pause_step(task, now);
-        self.close_run(task, now);
-        self.break_gang(task, request.run);
+        self.close_lost(task, LossCause::Refused, now);
+        self.break_gang(task, request.run, &Loss::new(LossCause::Refused));
     }
 
     fn unanswered(&mut self, request: &StartRequest, why: &str, now: Millis) {
@@ -380,8 +365,9 @@
         );
         self.pause_worker(&request.worker, now);
         self.pause_step(task, now);
-        self.stop_run(task);
-        self.break_gang(task, request.run);
+        let loss = Loss::new(LossCause::Unanswered);
+        self.stop_run(task, loss.clone());
+        self.break_gang(task, request.run, &loss);
     }
 
     fn pause_worker(&mut self, id: &WorkerId, now: Millis) {
@@ -396,93 +382,6 @@
         }
     }
 
-    /// Stops the other members of a gang's run.
-    pub(crate) fn break_gang(&mut self, task: &TaskId, run: RunNumber) {
-        if !self.is_gang(task) {
-            return;
-        }
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let Some(step) = job.step_mut(task) else {
-            return;
-        };
-        let members = step
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(_, t)| t.open.as_ref().is_some_and(|o| o.run == run));
-        let members: Vec<u16> = members.map(|(index, _)| index as u16).collect();
-        for index in members {
-            self.stop_run(&TaskId {
-                index,
-                ..task.clone()
-            });
-        }
-    }
-
-    /// Stop requests to send now: new ones, and those due to be repeated.
-    pub fn stop_requests(&mut self, now: Millis) -> Vec<StopRequest> {
-        let mut out = Vec::new();
-        let epoch = self.epoch;
-        for task in &self.stopping {
-            let job = self.jobs.get_mut(&task.job);
-            let open = job
-                .and_then(|j| j.task_mut(task))
-                .and_then(|t| t.open.as_mut());
-            let Some(open) = open.filter(|o| o.phase == RunPhase::Stopping) else {
-                continue;
-            };
-            // A stop that the worker has accepted takes some time; one without an answer may be lost.
-            let repeat_after = match open.absent_after {
-                Some(_) => STOP_REPEAT_AFTER.0,
-                None => STOP_REPEAT_AFTER.1,
-            };
-            let is_due = open
-                .stop_sent
-                .is_none_or(|at| now.since(at) >= repeat_after);
-            let Some(worker) = self.workers.get(&open.worker).filter(|_| is_due) else {
-                continue;
-            };
-            open.stop_sent = Some(now);
-            out.push(StopRequest {
-                task: task.clone(),
-                run: open.run,
-                worker: open.worker.clone(),
-                address: worker.entry.address,
-                epoch,
-            });
-        }
-        for (id, worker) in &mut self.workers {
-            let address = worker.entry.address;
-            let strays = std::mem::take(&mut worker.stray_runs);
-            out.extend(strays.into_iter().map(|(task, run)| StopRequest {
-                task,
-                run,
-                worker: id.clone(),
-                address,
-                epoch,
-            }));
-        }
-        out
-    }
-
-    /// Processes an accepted stop request. `clock` is the reading of the worker's clock at which it
-    /// was accepted: the run cannot start after it, so a later report without the run proves that
-    /// it has ended.
-    pub fn stop_accepted(&mut self, request: &StopRequest, clock: u64) {
-        if !self.is_open(&request.task, request.run, &request.worker) {
-            return;
-        }
-        let Some(job) = self.jobs.get_mut(&request.task.job) else {
-            return;
-        };
-        let open = job.task_mut(&request.task).and_then(|t| t.open.as_mut());
-        if let Some(open) = open.filter(|o| o.phase == RunPhase::Stopping) {
-            open.absent_after = Some(clock);
-        }
-    }
-
     /// Whether tasks may be placed on a worker.
     pub(crate) fn is_usable(&self, worker: &crate::worker::Worker, now: Millis) -> bool {
         let entry = &worker.entry;
--- a/crates/batch/src/scheduler/stall.rs
+++ b/crates/batch/src/scheduler/stall.rs
@@ -7,6 +7,8 @@
 use base::Millis;
 
 use super::Scheduler;
+use crate::account::Loss;
+use crate::account::LossCause;
 use crate::job::RunPhase;
 use crate::spec::TaskId;
 
@@ -54,7 +56,8 @@
         if let Some(state) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task)) {
             state.avoid.push(id);
         }
-        self.stop_run(task);
-        self.break_gang(task, run);
+        let loss = Loss::new(LossCause::Stalled);
+        self.stop_run(task, loss.clone());
+        self.break_gang(task, run, &loss);
     }
 }
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -7,6 +7,7 @@
 use base::WorkerId;
 
 use super::Scheduler;
+use crate::account::LossCause;
 use crate::health::SURVIVED;
 use crate::job::RunPhase;
 use crate::spec::RunNumber;
@@ -23,6 +24,7 @@
     /// Applies changes caused by the passing of time: occurrences that fall due, expired leases,
     /// stalled runs, and workers that have been missing too long.
     pub fn tick(&mut self, now: Millis, wall: Millis) {
+        self.pass_at = (now, wall);
         self.refit(now);
         let check_runs = now.since(self.checked_at) >= CHECK_INTERVAL;
         if check_runs {
@@ -114,7 +116,7 @@
             return None;
         }
         self.note_lapse(&worker, now);
-        self.close_run(task, now);
+        self.close_lost(task, LossCause::Lapsed, now);
         Some((run, worker))
     }
 }
--- a/crates/batch/src/scheduler/upkeep.rs
+++ b/crates/batch/src/scheduler/upkeep.rs
@@ -4,6 +4,8 @@
 use base::WorkerId;
 
 use super::Scheduler;
+use crate::account::Loss;
+use crate::account::LossCause;
 use crate::job::RunPhase;
 use crate::plan::can_spare_one;
 use crate::plan::lost_by_stopping;
@@ -107,8 +109,9 @@
                 continue;
             };
             if !lasting || can_spare_one(job, &task) {
-                self.stop_run(&task);
-                self.break_gang(&task, run);
+                let loss = Loss::new(LossCause::Upkeep);
+                self.stop_run(&task, loss.clone());
+                self.break_gang(&task, run, &loss);
                 stopped += 1;
             }
         }
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -23,6 +23,7 @@
 mod calls;
 mod carrier;
 mod commit;
+mod decisions;
 mod delegates;
 mod dispatch;
 mod documents;
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -6,7 +6,6 @@
 use base::Millis;
 use base::Revision;
 use batch::Load;
-use batch::LogKind;
 use batch::StartRequest;
 use batch::StartResponse;
 use batch::StopRequest;
@@ -17,6 +16,7 @@
 use platform::TxnOutcome;
 
 use crate::batch::commit;
+use crate::batch::decisions;
 use crate::batch::delegates;
 use crate::batch::keys;
 use crate::batch::leadership::Leadership;
@@ -64,7 +64,7 @@
             pending
         };
         lead.pass_done.notify_one();
-        log_decisions(&shared, &lead);
+        decisions::log(&shared, &lead);
         if pending.is_empty() {
             let starts = lead
                 .scheduler
@@ -142,36 +142,6 @@
     current
 }
 
-fn log_decisions(shared: &Shared, lead: &Leadership) {
-    let entries = lead.scheduler.borrow_mut().take_log();
-    let now = shared.now();
-    for entry in entries {
-        if let Some(job) = &entry.job {
-            lead.history.borrow_mut().record(job, &entry.text, now);
-        }
-        let job = entry.job.map(|j| j.to_string()).unwrap_or_default();
-        let event = match entry.kind {
-            LogKind::Decision => Event::SchedulingDecision,
-            LogKind::GuaranteeDelayed => {
-                shared.guarantees_delayed.add(&[], 1);
-                Event::GuaranteeDelayed
-            }
-            LogKind::LimitReached => Event::OrgLimitReached,
-            LogKind::LimitTooLow => Event::OrgLimitTooLow,
-            LogKind::CapacityChanged => Event::CapacityChanged,
-            LogKind::JobGivenUp => {
-                shared.jobs_given_up.add(&[], 1);
-                Event::JobGivenUp
-            }
-            LogKind::WorkerCrashed => {
-                shared.worker_crashes.add(&[], 1);
-                Event::WorkerCrashed
-            }
-        };
-        obs::record(&shared.log, event, &[("job", &job), ("why", &entry.text)]);
-    }
-}
-
 async fn start(shared: Rc<Shared>, lead: Rc<Leadership>, request: StartRequest) {
     // By its own clock the daemon may no longer hold the lock, so another may be coordinator.
     let response = match shared.now() <= lead.lease_status.valid_until() {
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -43,6 +43,7 @@
 use rand_pcg::Pcg64;
 use slog::Logger;
 
+use crate::batch::decisions::EndMetrics;
 use crate::batch::leadership::Leadership;
 use crate::batch::orgs::OrgMetrics;
 use crate::batch::peers::Peer;
@@ -92,6 +93,8 @@
     pub stop_log: LogLimiter,
     /// What each organisation may have running, has, and waits for.
     pub orgs: OrgMetrics,
+    /// How jobs end, and what runs without a result have lost.
+    pub ends: EndMetrics,
     /// Registry of the metrics that operators can read.
     pub metrics: Metrics,
     /// Counts callers' calls by kind and answer.
@@ -232,6 +235,7 @@
                 "Workers known to have crashed, as another incarnation answers in their place",
             ),
             orgs: OrgMetrics::new(&metrics),
+            ends: EndMetrics::new(&metrics),
             starts: metrics.counter("batch_starts", "Orders to start a run by outcome"),
             store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
             slow_log: LogLimiter::default(),
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -119,5 +119,7 @@
     UpkeepRequested = 648, Info, "upkeep of a machine requested";
     UpkeepDelayed = 649, Warn, "upkeep is delayed";
     SettingsReloaded = 650, Info, "settings file reloaded";
+    JobEnded = 651, Info, "job ended";
+    RunLost = 652, Info, "run ended without a result";
     InputRefused = 700, Info, "malformed input refused";
 }
--- a/crates/tackctl/src/cmd/mod.rs
+++ b/crates/tackctl/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod job;
 pub mod load;
 pub mod org;
+pub mod report;
 pub mod settings;
 pub mod shape;
 pub mod site;
--- a/crates/tackctl/src/main.rs
+++ b/crates/tackctl/src/main.rs
@@ -3,7 +3,9 @@
 mod client;
 mod cmd;
 mod failure;
+mod log_line;
 mod render;
+mod report;
 mod session;
 
 use std::ffi::OsString;
@@ -23,6 +25,7 @@
     job         Submits, shows, lists and cancels jobs
     load        Sends requests at a fixed rate and reports latencies
     org         Creates, removes and lists organisations
+    report      Shows why jobs were late and work was lost, from the daemons' logs
     settings    Reads and changes the operators' settings
     shape       Adds, removes and lists guaranteed shapes
     site        Shows a site of `bronzetack batch`, its jobs and its workers
@@ -73,6 +76,7 @@
         "job" => cmd::job::run(args),
         "load" => cmd::load::run(args),
         "org" => cmd::org::run(args),
+        "report" => cmd::report::run(args),
         "settings" => cmd::settings::run(args),
         "shape" => cmd::shape::run(args),
         "site" => cmd::site::run(args),
@@ -92,6 +96,7 @@
         "job" => cmd::job::USAGE,
         "load" => cmd::load::USAGE,
         "org" => cmd::org::USAGE,
+        "report" => cmd::report::USAGE,
         "settings" => cmd::settings::USAGE,
         "shape" => cmd::shape::USAGE,
         "site" => cmd::site::USAGE,
--- a/crates/tackctl/tests/cmd/main.rs
+++ b/crates/tackctl/tests/cmd/main.rs
@@ -8,6 +8,7 @@
 mod job;
 mod load;
 mod org;
+mod report;
 mod settings;
 mod shape;
 mod site;
