Keep free what urgent jobs lately asked for within the time of a stop

Cause: what was kept free was one mean job and half a second of arrivals, and tasks that checkpoint could use it, so that it was mostly taken; stopping these costs the urgent job the same grace. Change: headroom.rs keeps, for each pool, the most that urgent jobs have asked for within one window (the grace of a stop and 700 ms) in the last 30 s. Other steps use it once they must start within 3 s, or after 2 s on a pool with less than 60 % in use.

--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -76,6 +76,9 @@
 /// worker's clock in a response is at most this old.
 pub const REQUEST_TIMEOUT: Millis = Millis(500);
 
+/// Time to notice the end of a stopped run and start its successor, beside the grace period.
+pub(crate) const STOP_TURNAROUND: Millis = Millis(700);
+
 /// Time from the decision on a start until the worker has begun it, at most, with a second attempt.
 const START_TIME: Millis = Millis(600);
 
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -43,7 +43,7 @@
     /// Set if it is reserved for a gang that is expected to start after this time. Tasks that end
     /// before then may still use it.
     pub reserved_until: Option<Millis>,
-    /// Whether its free resources are reserved for urgent jobs.
+    /// Whether its free resources are kept for urgent jobs.
     pub urgent_only: bool,
     /// Penalty in the choice between workers; those with a lower one are preferred.
     pub penalty: u32,
@@ -72,8 +72,8 @@
     pub rack: Option<&'a str>,
     /// Expected duration of a task.
     pub duration: Millis,
-    /// Whether resources reserved for urgent jobs may be used.
-    pub urgent: bool,
+    /// Whether resources kept for urgent jobs may be used.
+    pub uses_headroom: bool,
     /// Whether urgent work that no guarantee covers may be stopped.
     pub displaces_urgent: bool,
     /// The only workers allowed; `None` allows all.
@@ -169,7 +169,7 @@
         let open = candidate
             .reserved_until
             .is_none_or(|until| limits.duration <= until)
-            && (limits.urgent || !candidate.urgent_only);
+            && (limits.uses_headroom || !candidate.urgent_only);
         open && available[num].fits(&need)
             && limits.on_worker[num] < most
             && !limits.avoid.contains(&candidate.id)
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -8,7 +8,6 @@
 use crate::account::Stage;
 use crate::job::OpenRun;
 use crate::rank::Rank;
-use crate::reserve;
 use crate::scheduler::Scheduler;
 use crate::scheduler::StartRequest;
 use crate::spec::RunNumber;
@@ -17,6 +16,7 @@
 
 mod attempt;
 mod candidates;
+mod headroom;
 mod isolate;
 mod limit;
 mod make_room;
@@ -72,7 +72,7 @@
         }
         waiting.sort_by(|a, b| a.rank.cmp(&b.rank).then_with(|| a.job.cmp(&b.job)));
         let mut candidates = self.candidates(now);
-        reserve::reserve_urgent(&mut candidates, self.urgent.accels(now));
+        self.keep_headroom(&mut candidates, now);
         let mut pass = Pass::new(candidates, guaranteed, now);
         pass.isolated = self.isolated_workers(&pass);
         let shares = self.shares(&pass, &wanted);
--- a/crates/batch/src/plan/attempt.rs
+++ b/crates/batch/src/plan/attempt.rs
@@ -45,6 +45,8 @@
     pub(super) pressure: Pressure,
     /// Whether its job is of priority 0.
     pub(super) urgent: bool,
+    /// Whether it may use what is kept for urgent jobs.
+    pub(super) uses_headroom: bool,
     /// Whether workers on a rack other than that of the data are allowed.
     pub(super) remote: bool,
     /// Expected duration of a task.
@@ -67,8 +69,7 @@
             remote: self.remote,
             rack: None,
             duration: self.duration,
-            // A checkpointing task loses almost nothing when an urgent one preempts it.
-            urgent: self.urgent || self.spec.checkpoints,
+            uses_headroom: self.uses_headroom,
             displaces_urgent: self.pressure == Pressure::Last,
             allowed: self.allowed.as_ref(),
             speed: self.speed,
@@ -141,6 +142,7 @@
             waited,
             pressure: self.pressure(at, &spec, state, waited),
             urgent: job.submitted.priority == 0,
+            uses_headroom: self.uses_headroom(pass, at, waited),
             remote: spec.data_rack.is_none() || !keep_racks || waited > self.locality_wait(&spec),
             duration: self.expected(job, at.step),
             speed: self.speed_need(job, at.occurrence, at.age),
--- /dev/null
+++ b/crates/batch/src/plan/headroom.rs
@@ -0,0 +1,27 @@
+//! Which workers are kept for urgent jobs in a pass, and which steps may use them.
+
+use base::Millis;
+
+use super::Pass;
+use super::WaitingStep;
+use crate::headroom;
+use crate::place::Candidate;
+use crate::scheduler::Scheduler;
+
+impl Scheduler {
+    /// Marks the workers that are kept for urgent jobs.
+    pub(super) fn keep_headroom(&self, candidates: &mut [Candidate], now: Millis) {
+        for (pool, demand) in &self.urgent {
+            headroom::keep_free(candidates, pool, demand.accels(now));
+        }
+    }
+
+    /// Whether a step that has waited for `waited` may use what is kept for urgent jobs.
+    pub(super) fn uses_headroom(&self, pass: &Pass, at: &WaitingStep, waited: Millis) -> bool {
+        let Some(job) = self.jobs.get(&at.job) else {
+            return false;
+        };
+        let is_quiet = pass.quiet.contains(&self.pool_of(job));
+        job.submitted.priority == 0 || headroom::may_use(at.rank.slack, waited, is_quiet)
+    }
+}
--- a/crates/batch/src/plan/pass.rs
+++ b/crates/batch/src/plan/pass.rs
@@ -8,12 +8,22 @@
 use base::Set;
 
 use super::WaitingStep;
+use crate::headroom;
 use crate::place::Candidate;
 use crate::preempt::VictimIndex;
 use crate::spec::Resources;
 use crate::spec::StepId;
 use crate::spec::TaskId;
 
+fn is_quiet(candidates: &[Candidate], pool: &[usize]) -> bool {
+    let (mut capacity, mut free) = (Resources::default(), Resources::default());
+    for candidate in pool.iter().map(|&num| &candidates[num]) {
+        capacity += candidate.capacity;
+        free += candidate.free;
+    }
+    headroom::is_quiet(&capacity, &free)
+}
+
 /// A placement that failed in a pass. Until the next pass nothing becomes free, so whatever needs at
 /// least as much under the same constraints fails too.
 #[derive(Clone, Debug)]
@@ -23,7 +33,7 @@
     pub(super) count: usize,
     pub(super) duration: Millis,
     pub(super) one_rack: bool,
-    pub(super) urgent: bool,
+    pub(super) uses_headroom: bool,
 }
 
 impl Failure {
@@ -34,7 +44,7 @@
             && self.count <= other.count
             && self.duration <= other.duration
             && (!self.one_rack || other.one_rack)
-            && (self.urgent || !other.urgent)
+            && (self.uses_headroom || !other.uses_headroom)
     }
 }
 
@@ -63,6 +73,8 @@
     pub(super) held: Map<StepId, Resources>,
     /// Whether the steps planned now go beyond the shares of their organisations.
     pub(super) beyond_shares: bool,
+    /// Pools that are mostly idle.
+    pub(super) quiet: Set<ServiceId>,
     pub(super) now: Millis,
 }
 
@@ -78,7 +90,12 @@
                 }
             }
         }
+        let quiet = pools
+            .iter()
+            .filter(|(_, workers)| is_quiet(&candidates, workers));
+        let quiet = quiet.map(|(pool, _)| pool.clone()).collect();
         Pass {
+            quiet,
             free: candidates.iter().map(|c| c.free).collect(),
             candidates,
             pools,
--- a/crates/batch/src/plan/placement.rs
+++ b/crates/batch/src/plan/placement.rs
@@ -53,7 +53,7 @@
             count: if gang { attempt.missing.len() } else { 1 },
             duration: attempt.duration,
             one_rack: gang && attempt.spec.one_rack,
-            urgent: limits.urgent,
+            uses_headroom: limits.uses_headroom,
         };
         let futile = attempt.is_plain() && pass.failures.iter().any(|f| f.covers(&failure));
         let unplaced = match gang {
--- a/crates/batch/src/plan/prefetch.rs
+++ b/crates/batch/src/plan/prefetch.rs
@@ -19,7 +19,7 @@
 
 impl Scheduler {
     /// The pool that runs the job under the current configuration.
-    pub(super) fn pool_of(&self, job: &Job) -> ServiceId {
+    pub(crate) fn pool_of(&self, job: &Job) -> ServiceId {
         let queue = self.catalog.queue(&job.submitted.queue);
         queue.map_or(&job.submitted.pool, |q| &q.pool).clone()
     }
@@ -111,7 +111,7 @@
             remote: true,
             rack: None,
             duration: spec.estimate,
-            urgent: job.submitted.priority == 0,
+            uses_headroom: true,
             displaces_urgent: false,
             allowed: Some(&allowed),
             speed: SpeedNeed::default(),
--- a/crates/batch/src/plan/queue.rs
+++ b/crates/batch/src/plan/queue.rs
@@ -62,6 +62,7 @@
             && spec.data_rack.is_none()
             && spec.per_worker.is_none();
         let state = job.open.get(&at.occurrence);
+        let ready_at = state.and_then(|o| o.steps[usize::from(at.step)].ready_at);
         let sound = state.is_some_and(|o| o.steps[usize::from(at.step)].failures() == 0);
         if !plain || !sound || self.advice_rule(job).is_some() {
             return false;
@@ -72,7 +73,11 @@
             count: 1,
             duration: self.expected(job, at.step),
             one_rack: false,
-            urgent: spec.checkpoints,
+            uses_headroom: self.uses_headroom(
+                pass,
+                at,
+                pass.now.since(ready_at.unwrap_or(pass.now)),
+            ),
         };
         pass.failures.iter().any(|f| f.covers(&failure))
     }
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -8,6 +8,7 @@
 
 use crate::account::Loss;
 use crate::account::LossCause;
+use crate::bounds::STOP_TURNAROUND;
 use crate::job::Job;
 use crate::job::OpenRun;
 use crate::job::RunPhase;
@@ -64,9 +65,6 @@
 /// urgent work is stopped as well. Until then short urgent work often ends by itself.
 const LAST_PERCENT: u64 = 75;
 
-/// Time to notice the end of a stopped task and start its successor, beside the grace period.
-const TURNAROUND: Millis = Millis(700);
-
 impl Scheduler {
     /// Runs on the workers that no guarantee covers, each with the work that stopping it would lose,
     /// and the tasks of each. All members of a gang form one victim.
@@ -147,7 +145,7 @@
         let last = self
             .bounds
             .reclaim
-            .since(self.bounds.stop_grace + TURNAROUND);
+            .since(self.bounds.stop_grace + STOP_TURNAROUND);
         let first = spec.after.is_empty() && state.failures() == 0;
         let waited = match first {
             true => waited.max(at.age),
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -23,7 +23,9 @@
 use crate::bounds::with_clock_drift;
 use crate::bounds::Bounds;
 use crate::bounds::DerivedBounds;
+use crate::bounds::STOP_TURNAROUND;
 use crate::catalog::Catalog;
+use crate::headroom::UrgentDemand;
 use crate::health::EarlyFailures;
 use crate::job::Job;
 use crate::job::JobPhase;
@@ -32,7 +34,6 @@
 use crate::org::Rates;
 use crate::record::Progress;
 use crate::record::Submitted;
-use crate::reserve::UrgentArrivals;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
 use crate::speed::Level;
@@ -176,8 +177,8 @@
     pub(crate) cordoned: Set<WorkerId>,
     /// Recent early failures of runs.
     pub(crate) early_failures: EarlyFailures,
-    /// Recent arrivals of jobs of priority 0.
-    pub(crate) urgent: UrgentArrivals,
+    /// Recent arrivals of jobs of priority 0, by pool.
+    pub(crate) urgent: Map<ServiceId, UrgentDemand>,
     /// What may be running of each organisation.
     pub(crate) ledger: Ledger,
     /// Average use of each organisation.
@@ -226,7 +227,7 @@
             waves: Waves::default(),
             cordoned: Set::default(),
             early_failures: EarlyFailures::default(),
-            urgent: UrgentArrivals::default(),
+            urgent: Map::default(),
             ledger: Ledger::default(),
             history: Map::default(),
             rates: Rates::default(),
@@ -325,7 +326,9 @@
         if job.phase.is_final() {
             job.ended = Some(now);
         } else if job.submitted.priority == 0 {
-            self.urgent.record_arrival(job.accels(), now);
+            let window = self.bounds.stop_grace + STOP_TURNAROUND;
+            let demand = self.urgent.entry(self.pool_of(&job));
+            demand.or_default().record(job.accels(), window, now);
         }
         if !job.phase.is_final() || !job.open_tasks().is_empty() {
             self.live.insert(id.clone());
