Use the recorded speeds although workers answer a new coordinator in turn

Cause: the first estimate came as soon as the record was read, when only some of the workers had answered. These show no difference, so the pool counted as alike, and a recorded speed was looked up for a worker only where the pool does not. Change: the first estimate waits for one interval after the record is read, and recorded speeds are taken over whatever an estimate from part of the pool says. Why it works: when the estimate comes, the recorded levels of all workers that answer are in it. The new test fails on the code before (0 of 24 known).

--- a/crates/batch/src/scheduler/recall.rs
+++ b/crates/batch/src/scheduler/recall.rs
@@ -76,7 +76,9 @@
         for id in answered {
             self.recall_worker(&id, now);
         }
+        // The first estimate waits until the workers have answered: a few of them show no difference.
         self.new_evidence = true;
+        self.fitted_at = now;
     }
 
     /// Takes over the recorded speed of a worker that has answered.
@@ -84,25 +86,22 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let pool = &worker.entry.pool;
-        if self.fits.get(pool).is_none_or(|fit| !fit.differ) {
+        let evidence = &mut worker.evidence;
+        if evidence.level.is_some() {
             return;
         }
         let level = self.recorded.get(&worker_key(id, worker.born));
-        let evidence = &mut worker.evidence;
-        if evidence.level.is_none() {
+        if let Some(level) = level {
+            evidence.recorded = Some((level.log, level.deviation, now));
+            evidence.level = Some((level.log, level.deviation));
+        }
+        // An estimate from those that answered first may have found no difference yet.
+        let fit = self.fits.get(&worker.entry.pool);
+        if fit.is_some_and(|fit| fit.differ) {
             evidence.estimate = Estimate {
-                speed: Speed::USUAL,
-                known: false,
+                speed: level.map_or(Speed::USUAL, |level| Speed::from_log(level.log)),
+                known: evidence.is_known(),
             };
-            if let Some(level) = level {
-                evidence.recorded = Some((level.log, level.deviation, now));
-                evidence.level = Some((level.log, level.deviation));
-                evidence.estimate = Estimate {
-                    speed: Speed::from_log(level.log),
-                    known: evidence.is_known(),
-                };
-            }
         }
     }
 }
--- a/crates/batch/tests/speed_site.rs
+++ b/crates/batch/tests/speed_site.rs
@@ -83,6 +83,29 @@
     assert_eq!(in_time(&mut site, 2), 2);
 }
 
+/// Guards against a record that is dropped because an estimate is made when only some workers have answered
+/// the new coordinator: these show no difference, and the others are then not looked up.
+#[test]
+fn a_record_survives_workers_that_answer_one_after_the_other() {
+    let mut site = site(&[100, 100, 130], 1);
+    learn(&mut site);
+    learn(&mut site);
+    let known = site.scheduler.known_speeds();
+    assert!(known > 8, "{known} speeds are known");
+    let late: Vec<usize> = (4..site.workers.len()).collect();
+    for &num in &late {
+        site.workers[num].reachable = false;
+    }
+    site.take_over();
+    site.run(Millis(50));
+    for &num in &late {
+        site.workers[num].reachable = true;
+    }
+    site.run(Millis(150));
+    let recalled = site.scheduler.known_speeds();
+    assert!(recalled * 10 >= known * 9, "{recalled} of {known}");
+}
+
 /// The record is lost with the coordinator: the next one learns again, and nothing else goes wrong.
 #[test]
 fn a_lost_record_only_costs_learning() {
