Let tasks that last use what is kept for urgent jobs

Callers would see: a task of a long-running job that is not at work although a worker that fits it is free. Change: steps whose tasks last use what is kept at once. Evidence: the new test fails on the code before (one whole worker free, the task waits) and passes now. Steps without such tasks are decided as before.

--- a/crates/batch/src/plan/headroom.rs
+++ b/crates/batch/src/plan/headroom.rs
@@ -21,7 +21,9 @@
         let Some(job) = self.jobs.get(&at.job) else {
             return false;
         };
+        // A task that lasts has no end to be in time for, and is to be at work again soon.
+        let lasts = job.submitted.work.steps[usize::from(at.step)].lasting;
         let is_quiet = pass.quiet.contains(&self.pool_of(job));
-        job.submitted.priority == 0 || headroom::may_use(at.rank.slack, waited, is_quiet)
+        job.submitted.priority == 0 || lasts || headroom::may_use(at.rank.slack, waited, is_quiet)
     }
 }
--- a/crates/batch/tests/headroom.rs
+++ b/crates/batch/tests/headroom.rs
@@ -24,7 +24,7 @@
 const SECOND: Millis = Millis(1_000);
 const WINDOW: Millis = Millis(1_600);
 
-/// Guards against too little being kept for bursts, by their mean, and against keeping it for good.
+/// Guards against too little being kept for bursts, by their mean, and against keeping it forever.
 #[test]
 fn the_most_that_came_within_a_window_is_kept_for_a_while() {
     let mut demand = UrgentDemand::default();
@@ -114,7 +114,7 @@
     assert!(at_once * 20 >= all * 19, "{at_once} of {all}");
 }
 
-/// Guards against a job that waits for good beside free workers, because they are kept for urgent jobs.
+/// Guards against a job that waits forever beside free workers, because they are kept for urgent jobs.
 #[test]
 fn a_job_that_is_not_urgent_uses_what_is_kept_after_a_while() {
     let mut site = Site::new(4, 1, Faults::default());
@@ -135,3 +135,27 @@
     site.run(SECOND);
     assert!(runs(&site, &id), "for 2 s");
 }
+
+/// Guards against a task that lasts and is not at work, beside free workers that are kept for urgent jobs.
+#[test]
+fn a_task_that_lasts_does_not_wait_for_what_is_kept() {
+    let mut site = Site::new(4, 1, Faults::default());
+    site.run(SECOND);
+    // More than the rest of the site can hold, so that it is not quiet.
+    let loose = step(20, 1, Millis(60_000));
+    site.submit("loose", job_of("clinic", 2, vec![loose], site.now));
+    for round in 0..4 {
+        site.submit(
+            &format!("u{round}"),
+            job(0, vec![gang(1, 8, Millis(100))], site.now),
+        );
+        site.run(Millis(500));
+    }
+    let lasting = StepSpec {
+        lasting: true,
+        ..step(1, 8, Millis(600_000))
+    };
+    let id = site.submit("lasting", job_of("clinic", 1, vec![lasting], site.now));
+    site.run(Millis(100));
+    assert!(runs(&site, &id), "a whole worker is free");
+}
