Count what stopped runs had done, not the weight of urgent ones

Cause: the sum was taken from the choice of victims, in which urgent ones have a large weight added so that they come last. Change: the work is summed up as the stopped runs end, from what each is logged to have lost. The pairs of numbers in the job have names. Evidence: found by reading; the new test has such a job, and passes now. It was not run on the code before. No decision changes.

--- a/crates/batch/src/account.rs
+++ b/crates/batch/src/account.rs
@@ -329,7 +329,7 @@
     /// Speed of the slowest worker of its latest runs.
     pub speed: Speed,
     /// Number of runs that were stopped for it.
-    pub stopped: usize,
+    pub stopped_runs: usize,
     /// Work that these had done, in core-milliseconds.
-    pub displaced: u64,
+    pub stopped_work: u64,
 }
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -244,8 +244,10 @@
     pub inherited: bool,
     /// Account of its time; kept for urgent jobs only.
     pub trace: Trace,
-    /// Number of runs that were stopped for it, and the work that they had done in core-milliseconds.
-    pub displaced: (usize, u64),
+    /// Number of runs that were stopped for it.
+    pub stopped_runs: usize,
+    /// Work that those of them which have ended had done, in core-milliseconds.
+    pub stopped_work: u64,
 }
 
 /// Number of workers on which a job must fail before the job itself is held responsible.
@@ -272,7 +274,8 @@
             failed_on: Vec::new(),
             inherited: false,
             trace: Trace::default(),
-            displaced: (0, 0),
+            stopped_runs: 0,
+            stopped_work: 0,
         }
     }
 
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -211,8 +211,7 @@
             );
             self.log(Some(&at.job), text);
             if let Some(job) = self.jobs.get_mut(&at.job) {
-                job.displaced.0 += num;
-                job.displaced.1 += choice.loss;
+                job.stopped_runs += num;
             }
         }
         Preemption::Begun
--- a/crates/batch/src/scheduler/stops.rs
+++ b/crates/batch/src/scheduler/stops.rs
@@ -129,6 +129,10 @@
         if let Some(job) = self.jobs.get_mut(&lost.task.job) {
             job.trace.lose_runs(now);
         }
+        let room_for = lost.loss.room_for.as_ref();
+        if let Some(job) = room_for.and_then(|id| self.jobs.get_mut(id)) {
+            job.stopped_work += lost.work;
+        }
         self.log_entries.push(LogEntry {
             kind: LogKind::RunLost,
             job: Some(lost.task.job.clone()),
--- a/crates/batch/src/scheduler/trace.rs
+++ b/crates/batch/src/scheduler/trace.rs
@@ -70,8 +70,8 @@
             objective: submitted.objective,
             stages,
             speed: job.trace.speed(),
-            stopped: job.displaced.0,
-            displaced: job.displaced.1,
+            stopped_runs: job.stopped_runs,
+            stopped_work: job.stopped_work,
         };
         self.log_entries.push(LogEntry {
             kind: LogKind::JobEnded,
--- a/crates/batch/tests/account.rs
+++ b/crates/batch/tests/account.rs
@@ -93,6 +93,30 @@
     }
 }
 
+/// Guards against a sum of stopped work that holds the weight by which urgent work is stopped last.
+#[test]
+fn urgent_work_that_is_stopped_counts_as_what_it_is() {
+    let mut site = Site::new(3, 1, Faults::default());
+    site.run(SECOND);
+    for num in 0..3 {
+        let work = step(1, 8, Millis(20_000));
+        site.submit(
+            &format!("board{num}"),
+            job_of("board", 0, vec![work], site.now),
+        );
+    }
+    site.run(SECOND);
+    let claim = job_of("clinic", 0, vec![step(1, 8, SECOND)], site.now);
+    let claim = site.submit("claim", claim);
+    let accounts = run(&mut site, Millis(6_000));
+    let found = accounts.ended.iter().find(|(job, _)| *job == claim);
+    let (_, ended) = found.expect("it takes the room of the third one");
+    assert_eq!(ended.stopped_runs, 1);
+    // 2 cores and 8 accelerators, which count as 8 cores each, for some seconds.
+    let work = ended.stopped_work;
+    assert!((66_000..400_000).contains(&work), "{work}");
+}
+
 /// Guards against work lost with a gang that counts as if each member had failed by itself.
 #[test]
 fn members_of_a_broken_gang_are_told_from_the_one_that_failed() {
--- a/crates/bronzetack/src/batch/decisions.rs
+++ b/crates/bronzetack/src/batch/decisions.rs
@@ -111,7 +111,7 @@
 fn log_job(shared: &Shared, entry: &LogEntry, ended: &EndedJob) {
     shared.ends.count_job(ended);
     let job = job_name(entry.job.as_ref());
-    let work = ended.displaced / MS_PER_SECOND;
+    let work = ended.stopped_work / MS_PER_SECOND;
     let mut fields: Vec<(&'static str, &dyn Display)> = vec![
         ("job", &job),
         ("queue", &ended.queue),
@@ -120,7 +120,7 @@
         ("took_ms", &ended.took.0),
         ("objective_ms", &ended.objective.0),
         ("speed", &ended.speed.0),
-        ("stopped_runs", &ended.stopped),
+        ("stopped_runs", &ended.stopped_runs),
         ("stopped_core_s", &work),
     ];
     let stages = ended.stages.iter();
