--- a/review/standin.py
+++ b/review/standin.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -99,6 +100,8 @@
 
     def __init__(self, handler, port=0):
         self.handler, self.port, self.server, self.open = handler, port, None, set()
+        # Bytes a second that the link to the client carries, over all its connections.
+        self.rate, self.link = None, asyncio.Lock()
 
     async def start(self):
         self.server = await asyncio.start_server(
@@ -122,8 +125,8 @@
                 data = b"" if obj is None else json.dumps(obj).encode()
                 writer.write((f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}\r\n"
                               "Content-Type: application/json\r\n"
-                              f"Content-Length: {len(data)}\r\n\r\n").encode() + data)
-                await writer.drain()
+                              f"Content-Length: {len(data)}\r\n\r\n").encode())
+                await self.send(writer, data)
         except NoAnswer:
             try:
                 await asyncio.sleep(600)
@@ -138,6 +141,16 @@
             except Exception:
                 pass
 
+    async def send(self, writer, data):
+        part = 16_000
+        for start in range(0, len(data), part):
+            piece = data[start:start + part]
+            if self.rate:
+                async with self.link:
+                    await asyncio.sleep(len(piece) / self.rate)
+            writer.write(piece)
+        await writer.drain()
+
     def stop(self):
         """Closes the port and resets all connections, as a process that ends does."""
         if self.server:
@@ -366,13 +379,14 @@
 class Run:
     def __init__(self, task, run, spec, saved, now):
         self.task, self.run, self.spec, self.saved, self.began = task, run, spec, saved, now
-        self.stop_at = None
+        self.stop_at, self.steps = None, 0
         self.text = json.loads(spec)
 
 
 class Worker:
     """A worker. The text of a job's spec is JSON: `ms` is the time that a task works, and `lasts`
-    that it works until it is stopped, and is at work 100 ms after its start."""
+    that it works until it is stopped, and is at work 100 ms after its start; `saves` is the length of
+    its checkpoints."""
 
     def __init__(self, id, store, record, zone="za", rack="r0", service="pool",
                  capacity=(32000, 64000, 8)):
@@ -427,6 +441,11 @@
                 beat = now
                 self.register()
             for run in list(self.runs.values()):
+                # A new checkpoint with each 2 s of work, of the length that the job's text gives.
+                steps = int((now - run.began) / 2)
+                if run.text.get("saves") and steps > run.steps:
+                    run.steps = steps
+                    run.saved = f"{run.task}:{steps}:".ljust(run.text["saves"], "x")
                 if clock > self.lease_end:
                     self.end(run, "lapsed")
                 elif run.stop_at and now >= run.stop_at:
@@ -532,13 +551,18 @@
 
 
 def free_ports(number):
-    sockets = [socket.socket() for _ in range(number)]
-    for s in sockets:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
-    return ports
+    """Ports below the range of outgoing connections, so that none of those takes one meanwhile."""
+    found = []
+    while len(found) < number:
+        port = random.randrange(10_000, 32_000)
+        try:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 class Daemon:
@@ -605,13 +629,13 @@
         self.workers.append(worker)
         return worker
 
-    def configure(self, version, routes, tenants):
+    def configure(self, version, routes, tenants, target_ms=3000):
         """Routes are (name, priority) or (name, priority, attempts); tenants (name, key, gpus)."""
         self.store.write("op/config", {
             "version": version,
             "routes": [{"name": r[0], "host": HOST, "path-prefix": f"/{r[0]}/", "service": "pool",
                         "priority": r[1], "max-attempts": r[2] if len(r) > 2 else 3,
-                        "stretch": 3.0, "target-latency-ms": 3000} for r in routes],
+                        "stretch": 3.0, "target-latency-ms": target_ms} for r in routes],
             "services": [{"name": "pool", "admission-check": False}],
             "tenants": [{"name": n, "api-keys": [k], "guaranteed-gpus": g} for n, k, g in tenants],
             "limits": {"max-body-bytes": 262144},
