--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 
 
 async def case(site):
-    site.configure(1, [("work", 1)], [("alpha", "key-a", 0)])
+    site.configure(1, [("recon", 1)], [("alpha", "key-a", 0)])
     for num in range(2):
         await site.add_worker(f"w{num}", zone="za" if num == 0 else "zb")
     # The platform sets how long states are kept; a shorter time than 120 s fits the case into the
@@ -33,12 +33,12 @@
     body = {"spec": '{"ms":300}', "steps": [
         {"count": 1, "cpu": 1000, "mem-mb": 500, "estimated-ms": 300}]}
     for job in jobs:
-        if not await site.submit("work", job, "key-a", body):
+        if not await site.submit("recon", job, "key-a", body):
             raise standin.CannotRun(f"{job} was not accepted")
         await asyncio.sleep(0.9)
     await asyncio.sleep(3)
     for job in jobs:
-        state = await site.state("work", job, "key-a")
+        state = await site.state("recon", job, "key-a")
         if state != "completed":
             raise standin.CannotRun(f"{job} is {state}")
     # Ended jobs are removed every ten seconds. The outage begins two seconds before the next time.
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,7 +14,7 @@
 
 
 async def case(site):
-    site.configure(1, [("work", 1)], [("alpha", "key-a", 0)])
+    site.configure(1, [("recon", 1)], [("alpha", "key-a", 0)])
     for num in range(2):
         await site.add_worker(f"w{num}", zone="za" if num == 0 else "zb")
     await site.add_daemons(2)
@@ -40,20 +40,20 @@
 
     async def traffic():
         for num in range(40):
-            await site.submit("work", f"{num:015x}f", "key-a", small)
+            await site.submit("recon", f"{num:015x}f", "key-a", small)
             await asyncio.sleep(0.05)
 
     site.tasks.append(asyncio.ensure_future(traffic()))
     losing = standin.TROUBLE
     await asyncio.sleep(0.3)
-    await site.call("POST", "work", JOB, "key-a", body, site.daemons[0])
+    await site.call("POST", "recon", JOB, "key-a", body, site.daemons[0])
     losing = False
     if standin.TROUBLE:
         site.record(f"store    answers all calls again; {len(lost)} of {writes} writes had no answer")
     await asyncio.sleep(0.3)
     cancelled = None
     while cancelled not in (200, 410):
-        cancelled, _ = await site.call("DELETE", "work", JOB, "key-a", daemon=site.daemons[1])
+        cancelled, _ = await site.call("DELETE", "recon", JOB, "key-a", daemon=site.daemons[1])
     acked = site.record.now()
     # All writes have been carried out, and the store has been calm for `contact-ms` and for the
     # time within which a task of a cancelled job has to be gone.
@@ -61,7 +61,7 @@
     await asyncio.sleep(settled + 0.5 - site.record.now())
     starts = [start[0] for start, _ in site.starts(JOB)]
     if site.running(JOB) and starts[-1] > acked + CANCEL_S:
-        await site.call("GET", "work", JOB, "key-a", daemon=site.daemons[1])
+        await site.call("GET", "recon", JOB, "key-a", daemon=site.daemons[1])
         return (f"{JOB} was started {starts[-1] - acked:.1f} s after its cancelling was answered with "
                 f"{cancelled}, and still runs {site.record.now() - acked:.1f} s after it")
     return None
