Keep ended jobs known until the store holds none of their records

Callers saw jobs that had been completed for minutes run a second time after an outage of the store whose end dropped its history, with no call of theirs in between.

Cause: the scheduler dropped an ended job from memory before its records were removed, and a removal that failed was not repeated. When the watch on submissions got 410, the same coordinator listed them again and took the job, which it no longer knew, for a new one. Its first write met the old record, and the conflict was taken for a lost answer of its own. Evidence: the jobs that ran again are just those whose removal was refused; with removals alone refused by 503 or 429 or carried out late, and no outage, the tests show the same; with only the answer lost they do not.

Change: an expired job stays known until the watch or a listing shows that its submission is gone, so no reading that began before can bring it back. A job whose end is not stored does not expire. Records without a submission are removed after a take-over.

--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -56,6 +56,8 @@
     pub worker_wait: Millis,
     /// Greatest ages of the state on which a start depends.
     pub start_ages: StartAges,
+    /// Time between two removals of records that are no longer needed.
+    pub expire_interval: Millis,
 }
 
 /// Greatest ages, when a start is sent, of the state on which it depends: the time since that state
@@ -110,6 +112,9 @@
 /// Longest wait of a watch.
 const MAX_WATCH_WAIT: Millis = Millis(1_000);
 
+/// Longest time between two removals of records that are no longer needed.
+const MAX_EXPIRE_INTERVAL: Millis = Millis(10_000);
+
 /// Polls within [`Bounds::harm`]: enough to halve the share of best-effort tasks until they are
 /// suspended.
 const SHARED_POLLS: u64 = 16;
@@ -138,6 +143,7 @@
             watch_wait,
             worker_wait: worker_wait.max(MIN_WATCH_WAIT).min(watch_wait),
             start_ages,
+            expire_interval: MAX_EXPIRE_INTERVAL.min(Millis(self.status.0 / 2)),
         }
     }
 }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -149,6 +149,8 @@
     pub(crate) checked_at: Millis,
     /// Jobs with changes that are not stored yet.
     pub(crate) dirty: BTreeSet<JobId>,
+    /// Jobs whose changes are being stored.
+    pub(crate) storing: BTreeSet<JobId>,
     /// Starts whose jobs have to be stored before they are sent.
     pub(crate) planned: Vec<StartRequest>,
     pub(crate) log_entries: Vec<LogEntry>,
@@ -212,6 +214,7 @@
             stopping: BTreeSet::new(),
             checked_at: Millis::ZERO,
             dirty: BTreeSet::new(),
+            storing: BTreeSet::new(),
             planned: Vec::new(),
             log_entries: Vec::new(),
             pass_at: (now, Millis::ZERO),
@@ -409,20 +412,33 @@
             .apply_response(request, response, (sent, now), born);
     }
 
-    /// Drops ended jobs whose state is no longer needed, and returns their ids.
-    pub fn expire(&mut self, now: Millis) -> Vec<JobId> {
-        let retention = Millis(self.bounds.status.0 * 2);
-        let old = self.jobs.iter().filter(|(id, j)| {
-            j.ended.is_some_and(|at| now.since(at) > retention) && !self.live.contains(*id)
-        });
-        let old: Vec<JobId> = old.map(|(id, _)| id.clone()).collect();
-        for id in &old {
-            let job = self.jobs.remove(id);
-            if let Some((org, at)) = job.and_then(|j| Some((j.submitted.org?, j.submitted.at))) {
-                self.rates.remove(&org, at, id);
-            }
+    /// Ended jobs whose state is no longer needed. They stay known until [`Scheduler::forget`]: a job
+    /// that is not known is taken for a new one when its submission is read again.
+    pub fn expired(&self, now: Millis) -> Vec<JobId> {
+        let ids = self.jobs.keys().filter(|id| self.is_expired(id, now));
+        ids.cloned().collect()
+    }
+
+    /// Drops an expired job, once the store holds no record of it any more. Returns whether it was
+    /// dropped.
+    pub fn forget(&mut self, id: &JobId, now: Millis) -> bool {
+        if !self.is_expired(id, now) {
+            return false;
         }
-        old
+        let job = self.jobs.remove(id);
+        if let Some((org, at)) = job.and_then(|j| Some((j.submitted.org?, j.submitted.at))) {
+            self.rates.remove(&org, at, id);
+        }
+        true
+    }
+
+    fn is_expired(&self, id: &JobId, now: Millis) -> bool {
+        let retention = Millis(self.bounds.status.0 * 2);
+        let ended = self.jobs.get(id).and_then(|job| job.ended);
+        ended.is_some_and(|at| now.since(at) > retention)
+            && !self.live.contains(id)
+            && !self.dirty.contains(id)
+            && !self.storing.contains(id)
     }
 
     pub(crate) fn open_run(&self, task: &TaskId) -> Option<&crate::job::OpenRun> {
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -125,7 +125,8 @@
             let progress = Progress::from(self.jobs.get(&id)?);
             Some((id, progress))
         });
-        let records = records.collect();
+        let records: Vec<(JobId, Progress)> = records.collect();
+        self.storing = records.iter().map(|(id, _)| id.clone()).collect();
         let ends = self
             .workers
             .iter()
@@ -143,6 +144,7 @@
 
     /// Queues the records again after the write failed or its outcome is unknown.
     pub fn requeue(&mut self, pending: PendingWrite) {
+        self.storing.clear();
         self.dirty
             .extend(pending.records.into_iter().map(|(id, _)| id));
         self.planned.splice(0..0, pending.starts);
@@ -156,6 +158,7 @@
 
     /// Processes a successful write. Returns the start requests that may now be sent.
     pub fn records_stored(&mut self, pending: PendingWrite, now: Millis) -> Vec<StartRequest> {
+        self.storing.clear();
         for (id, born, end) in pending.ends {
             let worker = self.workers.get_mut(&id).filter(|w| w.born == born);
             if let Some(worker) = worker {
--- a/crates/batch/tests/absurd.rs
+++ b/crates/batch/tests/absurd.rs
@@ -143,7 +143,9 @@
     scheduler.poll(&worker_id(1), true, now);
     scheduler.stop_requests(now);
     scheduler.throttle_requests(now);
-    scheduler.expire(now);
+    for id in scheduler.expired(now) {
+        assert!(scheduler.forget(&id, now));
+    }
     scheduler.load();
     starts
 }
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -38,6 +38,7 @@
 mod orgs;
 mod peers;
 mod poll;
+mod removal;
 mod restore;
 mod shared;
 mod speeds;
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -1,5 +1,5 @@
 //! The coordinator's main loop, which plans, stores records and sends requests to workers, and its
-//! loops for stops, the published load and expired records.
+//! loops for stops and the published load.
 
 use std::rc::Rc;
 
@@ -38,9 +38,6 @@
 /// Time between two checks whether the load has changed and must be published.
 const PUBLISH_INTERVAL: Millis = Millis(500);
 
-/// Time between two removals of records that are no longer needed.
-const EXPIRE_INTERVAL: Millis = Millis(10_000);
-
 /// Runs planning passes until the leadership ends: plans, stores the records, and then sends the
 /// start requests that depend on them.
 pub async fn run(shared: Rc<Shared>, lead: Rc<Leadership>) {
@@ -240,11 +237,10 @@
     obs::record(&shared.log, Event::ThrottleRequested, fields);
 }
 
-/// Publishes the load when it has changed, and removes records that are no longer needed.
+/// Publishes the load when it has changed, until the leadership ends.
 pub async fn publish_loop(shared: Rc<Shared>, lead: Rc<Leadership>) {
     let mut published: Option<Load> = None;
     let mut revision: Option<Revision> = None;
-    let mut last_expiry = shared.now();
     while !lead.ended.get() {
         let load = lead.scheduler.borrow().load();
         shared.orgs.publish(&lead.scheduler.borrow());
@@ -257,10 +253,6 @@
                 None => revision = None,
             }
         }
-        if shared.now().since(last_expiry) > EXPIRE_INTERVAL {
-            last_expiry = shared.now();
-            expire(&shared, &lead).await;
-        }
         shared.sleep(PUBLISH_INTERVAL).await;
     }
     shared.orgs.end();
@@ -307,19 +299,3 @@
         }
     }
 }
-
-async fn expire(shared: &Shared, lead: &Leadership) {
-    let expired = lead.scheduler.borrow_mut().expire(shared.now());
-    for id in expired {
-        let txn = Txn {
-            conditions: vec![(keys::LOCK.to_string(), lead.lock_revision)],
-            puts: Vec::new(),
-            removes: vec![keys::job(&id), keys::cancel(&id), keys::run(&id)],
-        };
-        if let Err(error) = shared.store.commit(&txn).await {
-            // The records remain until a later coordinator reads and removes them.
-            shared.record_store_result(Err(&error));
-        }
-        lead.run_revisions.borrow_mut().remove(&id);
-    }
-}
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -10,6 +10,7 @@
 use base::Map;
 use base::Millis;
 use base::Revision;
+use base::Set;
 use batch::candidacy::Capacity;
 use batch::candidacy::HandoverReason;
 use batch::Catalog;
@@ -30,6 +31,7 @@
 use crate::batch::keeper::LeaseStatus;
 use crate::batch::keys;
 use crate::batch::poll;
+use crate::batch::removal;
 use crate::batch::restore::read_records;
 use crate::batch::restore::read_workers;
 use crate::batch::restore::watch_prefix;
@@ -60,8 +62,12 @@
     pub history: RefCell<History>,
     /// When it began.
     pub elected: Millis,
+    /// Revisions of the submissions of the jobs that the scheduler knows.
+    pub job_revisions: RefCell<Map<JobId, Revision>>,
     /// Revisions of the stored records of jobs.
     pub run_revisions: RefCell<Map<JobId, Revision>>,
+    /// Jobs of which only a cancellation or a coordinator's record is stored, which is to be removed.
+    pub orphans: RefCell<Set<JobId>>,
     /// Revisions of the stored records of upkeep waves.
     pub wave_revisions: RefCell<Map<u64, Revision>>,
     /// Send times of the latest watch calls on workers' entries and on callers' requests that were
@@ -132,7 +138,9 @@
         scheduler: RefCell::new(Scheduler::new(epoch, shared.bounds, catalog.clone(), now)),
         history: RefCell::default(),
         elected: now,
+        job_revisions: RefCell::default(),
         run_revisions: RefCell::default(),
+        orphans: RefCell::default(),
         wave_revisions: RefCell::default(),
         confirmed: Cell::new((now, now)),
         held_since: Cell::new(None),
@@ -229,6 +237,7 @@
     actix_rt::spawn(poll::run(shared.clone(), lead.clone()));
     actix_rt::spawn(dispatch::publish_loop(shared.clone(), lead.clone()));
     actix_rt::spawn(dispatch::stop_loop(shared.clone(), lead.clone()));
+    actix_rt::spawn(removal::run(shared.clone(), lead.clone()));
     actix_rt::spawn(upkeep::run(shared.clone(), lead.clone()));
     actix_rt::spawn(speeds::run(shared.clone(), lead.clone()));
     obs::record(
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -23,6 +23,7 @@
 use crate::batch::keys;
 use crate::batch::keys::RequestKey;
 use crate::batch::leadership::Leadership;
+use crate::batch::removal;
 use crate::batch::shared::Shared;
 use crate::batch::upkeep;
 
@@ -69,12 +70,13 @@
             _ => obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]),
         }
     }
+    removal::note_orphans(lead, &requests.items);
     let (jobs, cancels): (Vec<Item>, Vec<Item>) = requests
         .items
         .into_iter()
         .partition(|i| matches!(keys::parse_request(&i.key), Some(RequestKey::Job(_))));
     for item in jobs {
-        apply_job(shared, &mut scheduler, &item, &mut records, now);
+        apply_job(shared, lead, &mut scheduler, &item, &mut records, now);
     }
     for item in cancels {
         match keys::parse_request(&item.key) {
@@ -88,6 +90,7 @@
 
 fn apply_job(
     shared: &Shared,
+    lead: &Leadership,
     scheduler: &mut Scheduler,
     item: &Item,
     records: &mut Map<JobId, Progress>,
@@ -99,6 +102,12 @@
     match item.value.as_deref().map(JobRecord::decode) {
         Some(Ok(JobRecord::Accepted(submitted))) => {
             let progress = records.remove(&id);
+            if scheduler.contains(&id) {
+                return;
+            }
+            lead.orphans.borrow_mut().remove(&id);
+            let mut revisions = lead.job_revisions.borrow_mut();
+            revisions.insert(id.clone(), item.revision);
             scheduler.add(id, *submitted, progress, now);
         }
         Some(Ok(JobRecord::Refused(_))) => {}
@@ -183,6 +192,8 @@
             })
             .collect();
         scheduler.mark_unlisted(&listed, now);
+    } else {
+        removal::forget_unlisted(lead, &mut scheduler, &listing.items, now);
     }
     // By their keys, cancellations come before the jobs that they cancel.
     let (jobs, others): (Vec<Item>, Vec<Item>) = listing
@@ -190,7 +201,7 @@
         .into_iter()
         .partition(|i| matches!(keys::parse_request(&i.key), Some(RequestKey::Job(_))));
     for item in jobs.into_iter().chain(others) {
-        apply_change(shared, &mut scheduler, Change::Put(item), now);
+        apply_change(shared, lead, &mut scheduler, Change::Put(item), now);
     }
     Ok(listing.revision)
 }
@@ -199,21 +210,31 @@
     let now = shared.now();
     let mut scheduler = lead.scheduler.borrow_mut();
     for change in changes {
-        apply_change(shared, &mut scheduler, change, now);
+        apply_change(shared, lead, &mut scheduler, change, now);
     }
 }
 
-fn apply_change(shared: &Shared, scheduler: &mut Scheduler, change: Change, now: Millis) {
+fn apply_change(
+    shared: &Shared,
+    lead: &Leadership,
+    scheduler: &mut Scheduler,
+    change: Change,
+    now: Millis,
+) {
     match change {
         Change::Put(item) => match keys::parse_request(&item.key) {
             Some(RequestKey::Job(_)) => {
-                apply_job(shared, scheduler, &item, &mut Map::default(), now);
+                apply_job(shared, lead, scheduler, &item, &mut Map::default(), now);
             }
             Some(RequestKey::Cancel(id)) => scheduler.cancel(&id, now),
             Some(RequestKey::Ends) => apply_ends(shared, scheduler, &item, now),
             None => apply_worker(shared, scheduler, &item.key, item.value.as_deref(), now),
         },
-        Change::Removed { key, .. } => apply_worker(shared, scheduler, &key, None, now),
+        Change::Removed { key, .. } => match keys::parse_request(&key) {
+            Some(RequestKey::Job(id)) => removal::forget(lead, scheduler, &id, now),
+            Some(RequestKey::Cancel(_) | RequestKey::Ends) => {}
+            None => apply_worker(shared, scheduler, &key, None, now),
+        },
     }
 }
 
