Let a job that ends without a run expire

Cause: a job is live until its last run is closed, and nothing took a job off that list that ended without one, such as one cancelled while it waits. Its records stayed, and each planning pass looked at it, for as long as the leadership lasted. Change: a job without a run is not live once it has ended.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -369,6 +369,9 @@
         job.ended = Some(now);
         let open = job.open_tasks();
         self.dirty.insert(id.clone());
+        if open.is_empty() {
+            self.live.remove(id);
+        }
         for task in open {
             self.stop_run(&task, Loss::new(LossCause::Ended));
         }
