Leave a job alone whose recorded progress cannot be read

Cause: at a take-over a coordinator's record that cannot be decoded, such as one of a later build, was logged and dropped, and its job was started from its beginning, also if it had been completed.

--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -105,7 +105,16 @@
             if scheduler.contains(&id) {
                 return;
             }
-            lead.orphans.borrow_mut().remove(&id);
+            let is_orphan = lead.orphans.borrow_mut().remove(&id);
+            let recorded = lead.run_revisions.borrow().get(&id).copied();
+            let is_recorded = recorded.is_some_and(|at| at > Revision(0)) && !is_orphan;
+            if is_recorded && progress.is_none() {
+                let why = "the job is left alone, as its recorded progress cannot be read";
+                let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                    &[("key", &item.key), ("error", &why)];
+                obs::record(&shared.log, Event::InputRefused, fields);
+                return;
+            }
             let mut revisions = lead.job_revisions.borrow_mut();
             revisions.insert(id.clone(), item.revision);
             scheduler.add(id, *submitted, progress, now);
