Remove the record of a wave of upkeep with its request

Cause: nothing removed the coordinator's record of a wave, so that the records of all waves stayed in the store, and each take-over read them. Whether a wave that operators request again under an old number begins anew depended on whether the coordinator had changed meanwhile. Change: once operators have removed the request, the record is removed, under the condition that the request is not there and that the record has not changed. It is tried again until it is done.

--- a/crates/batch/src/wave.rs
+++ b/crates/batch/src/wave.rs
@@ -235,6 +235,11 @@
         self.restored.insert(number, record);
     }
 
+    /// Drops the record of a wave that is not requested any more.
+    pub fn forget(&mut self, number: u64) {
+        self.restored.remove(&number);
+    }
+
     /// Whether a wave still has upkeep to do, or a record to store.
     pub fn is_active(&self) -> bool {
         self.active
--- a/crates/bronzetack/src/batch/removal.rs
+++ b/crates/bronzetack/src/batch/removal.rs
@@ -59,7 +59,7 @@
         remove(shared, lead, part).await?;
         shared.sleep(PAUSE).await;
     }
-    Ok(())
+    remove_waves(shared, lead).await
 }
 
 fn due(shared: &Shared, lead: &Leadership) -> Vec<Removal> {
@@ -130,6 +130,35 @@
     Ok(())
 }
 
+/// Removes the records of waves that operators do not request any more.
+async fn remove_waves(shared: &Shared, lead: &Leadership) -> Result<(), StoreError> {
+    let recorded = lead.wave_revisions.borrow().clone();
+    for (number, revision) in recorded {
+        if lead.ended.get() || shared.documents.borrow().waves.contains_key(&number) {
+            continue;
+        }
+        // The documents may be older than a request, so the transaction makes sure that there is none.
+        let txn = Txn {
+            conditions: vec![
+                (keys::LOCK.to_string(), lead.lock_revision),
+                (platform::wave_request(number), Revision(0)),
+                (keys::wave(number), revision),
+            ],
+            removes: vec![keys::wave(number)],
+            ..Txn::default()
+        };
+        if let TxnOutcome::Done(_) = shared.store.commit(&txn).await? {
+            let mut revisions = lead.wave_revisions.borrow_mut();
+            if revisions.get(&number) == Some(&revision) {
+                revisions.remove(&number);
+            }
+            lead.scheduler.borrow_mut().waves().forget(number);
+        }
+        shared.sleep(PAUSE).await;
+    }
+    Ok(())
+}
+
 /// Notes that the records are gone. The scheduler forgets the job once the watch has shown that, as a
 /// reading that began before the removal may still deliver the submission.
 fn set_removed(lead: &Leadership, removal: &Removal) {
