Store a refusal before a cancellation is told that there is no job

A caller whose submission had no answer cancelled the job and was told 410; seconds later the job started and ran on.

Cause: a cancellation that found no job stored nothing. Submissions are written under the condition that the key has the revision that was seen, so the earlier write, without an answer so far, still found its condition met when the store carried it out. A refused submission stores a refusal for this very reason. Evidence: the start follows the first late write by 6 ms, the 410 came 4 s before it, and no cancellation was stored.

Change: a cancellation that finds no job stores a refusal under the id, in place of an earlier one, and only then answers 410; with that, no earlier write meets its condition. A later submission replaces the refusal, runs, and runs once. The refusal is bound to the lease of 60 s that other refusals have, so it is removed again. Cancellations of unknown ids and calls without a valid key may use half of the store's writes, shared evenly by the daemons; a cancellation beyond that waits and then gets 504. A changed record while a job is cancelled no longer counts as an outage.

--- a/crates/batch/src/rate_limit.rs
+++ b/crates/batch/src/rate_limit.rs
@@ -1,7 +1,7 @@
-//! Rate limit on requests that need no valid key.
+//! Rate limit on requests that need no valid key or job.
 //!
-//! Load pattern: callers without a valid key send more submissions than the store can record, and
-//! the store refuses the submissions of all other callers too.
+//! Load pattern: callers without a valid key send more submissions than the store can record, or
+//! callers cancel more unknown jobs, and the store refuses the submissions of all other callers too.
 
 use std::collections::VecDeque;
 
@@ -11,7 +11,7 @@
 const SPAN: Millis = Millis(1_000);
 
 /// A limit on events in any span of a second.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct RateLimit {
     limit: usize,
     /// Times of the latest allowed events, at most `limit` of them.
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Changes the limit to `limit` events per second.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
     /// Counts one event, if fewer than the limit were allowed in the last second. Returns whether it
     /// was allowed.
     pub fn allow(&mut self, now: Millis) -> bool {
--- a/crates/bronzetack/src/batch/load.rs
+++ b/crates/bronzetack/src/batch/load.rs
@@ -21,6 +21,10 @@
 /// can no longer take effect after this time.
 const REFUSAL_LEASE: Millis = Millis(60_000);
 
+/// Part of the store's rate of writes that all daemons together use for refusals of calls that need no
+/// valid key or job.
+const REFUSAL_PART: f64 = 0.5;
+
 /// New refusals are bound to a lease for its length divided by this; then another is requested.
 const REUSE_DIVISOR: u64 = 3;
 
@@ -91,6 +95,16 @@
     Ok(lease)
 }
 
+/// Counts a refusal against this daemon's part of the store's rate of writes. Returns whether it may be
+/// stored now.
+pub fn may_store_refusal(shared: &Shared) -> bool {
+    let daemons = shared.peers.borrow().len() + 1;
+    let rate = shared.settings.store.writes * REFUSAL_PART / daemons as f64;
+    let mut limit = shared.refusal_limit.borrow_mut();
+    limit.set_limit(rate.max(1.0) as usize);
+    limit.allow(shared.now())
+}
+
 /// Discards the lease of refusals after it has ended; the next refusal requests another.
 pub fn reset_refusal_lease(shared: &Shared) {
     shared.refusal_lease.set(None);
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -93,11 +93,13 @@
                 match load::verdict(shared, &submitted) {
                     Verdict::Accept => {
                         let record = JobRecord::Accepted(Box::new(submitted));
-                        submit(shared, &id, record, CallAnswer::Accepted, until).await
+                        let answer = CallAnswer::Accepted;
+                        submit(shared, &id, record, answer, until).await
                     }
                     Verdict::Late(after) | Verdict::NoWorker(after) => {
                         let record = JobRecord::Refused(shared.clock.wall());
-                        submit(shared, &id, record, CallAnswer::Refused(after), until).await
+                        let answer = CallAnswer::Refused(after);
+                        submit(shared, &id, record, answer, until).await
                     }
                 }
             }
@@ -118,7 +120,7 @@
     let Some(id) = id.filter(|_| call.kind == CallKind::Submit) else {
         return answer;
     };
-    if !shared.refusal_limit.borrow_mut().allow(shared.now()) {
+    if !load::may_store_refusal(shared) {
         return CallAnswer::Unknown(retry_after(shared));
     }
     let record = JobRecord::Refused(shared.clock.wall());
@@ -215,69 +217,91 @@
 }
 
 async fn find_phase(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
-    let read = retry(shared, until, || async {
+    let answer = retry(shared, until, || async {
         let run = shared.caller_store.get(&keys::run(id)).await?;
         let progress = run.and_then(|i| i.value).map(|v| Progress::decode(&v));
         if let Some(Ok(progress)) = progress {
-            return Ok(Some(progress.phase));
+            return Ok(Some(CallAnswer::State(progress.phase)));
         }
         let job = shared.caller_store.get(&keys::job(id)).await?;
-        Ok(job.filter(is_accepted).map(|_| JobPhase::Queued))
+        let accepted = job.is_some_and(|job| is_accepted(&job));
+        Ok(Some(match accepted {
+            true => CallAnswer::State(JobPhase::Queued),
+            false => CallAnswer::NoJob,
+        }))
     });
-    match read.await {
-        Some(Some(phase)) => CallAnswer::State(phase),
-        Some(None) => CallAnswer::NoJob,
-        None => CallAnswer::Unknown(retry_after(shared)),
-    }
+    answer.await
 }
 
+/// Cancels a job. If there is none, a refusal is stored before the caller is told so, as an earlier
+/// submission without an answer could still take effect. A later submission replaces the refusal.
 async fn cancel(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
-    let cancelled = retry(shared, until, || async {
-        let job = shared.caller_store.get(&keys::job(id)).await?;
-        let Some(job) = job.filter(is_accepted) else {
-            return Ok(false);
-        };
-        let key = keys::cancel(id);
-        let txn = Txn {
-            conditions: vec![(job.key, job.revision)],
-            puts: vec![Put {
-                key,
-                value: Vec::new(),
-                lease: Default::default(),
-            }],
-            removes: Vec::new(),
-        };
-        match shared.caller_store.commit(&txn).await? {
-            TxnOutcome::Done(_) => Ok(true),
-            TxnOutcome::Conflict(_) | TxnOutcome::LeaseEnded => Err(StoreError::Unknown(
-                "the job's record has changed".to_string(),
-            )),
+    let answer = retry(shared, until, || async {
+        let found = shared.caller_store.get(&keys::job(id)).await?;
+        match found {
+            Some(job) if is_accepted(&job) => mark_cancelled(shared, id, job.revision).await,
+            found => refuse_unknown(shared, id, found.map(|i| i.revision), until).await,
         }
     });
-    match cancelled.await {
-        Some(true) => CallAnswer::Cancelled,
-        Some(false) => CallAnswer::NoJob,
-        None => CallAnswer::Unknown(retry_after(shared)),
+    answer.await
+}
+
+/// Stores the cancellation of an accepted job; `None` if the job's record has changed.
+async fn mark_cancelled(
+    shared: &Shared,
+    id: &JobId,
+    accepted: Revision,
+) -> Result<Option<CallAnswer>, StoreError> {
+    let txn = Txn {
+        conditions: vec![(keys::job(id), accepted)],
+        puts: vec![Put {
+            key: keys::cancel(id),
+            value: Vec::new(),
+            lease: Default::default(),
+        }],
+        removes: Vec::new(),
+    };
+    let outcome = shared.caller_store.commit(&txn).await?;
+    Ok(matches!(outcome, TxnOutcome::Done(_)).then_some(CallAnswer::Cancelled))
+}
+
+/// Stores a refusal in place of the record at revision `found`, if any; `None` if that has changed.
+async fn refuse_unknown(
+    shared: &Shared,
+    id: &JobId,
+    found: Option<Revision>,
+    until: Millis,
+) -> Result<Option<CallAnswer>, StoreError> {
+    while !load::may_store_refusal(shared) {
+        if shared.now() >= until {
+            return Ok(None);
+        }
+        shared.sleep(STORE_RETRY_DELAY).await;
     }
+    let value = JobRecord::Refused(shared.clock.wall()).encode();
+    let value = value.map_err(|e| StoreError::Protocol(e.to_string()))?;
+    let expected = found.unwrap_or_default();
+    match store_job(shared, &keys::job(id), &value, expected, true).await? {
+        TxnOutcome::Done(_) => return Ok(Some(CallAnswer::NoJob)),
+        TxnOutcome::Conflict(_) => {}
+        TxnOutcome::LeaseEnded => load::reset_refusal_lease(shared),
+    }
+    Ok(None)
 }
 
-/// Repeats an attempt until it succeeds; `None` if it has not by `until`.
-async fn retry<T, F, R>(shared: &Shared, until: Millis, attempt: F) -> Option<T>
+/// Repeats an attempt, each time that it fails or has no answer yet, until `until`.
+async fn retry<F, R>(shared: &Shared, until: Millis, attempt: F) -> CallAnswer
 where
     F: Fn() -> R,
-    R: std::future::Future<Output = Result<T, StoreError>>,
+    R: std::future::Future<Output = Result<Option<CallAnswer>, StoreError>>,
 {
     while shared.now() < until {
-        match attempt().await {
-            Ok(found) => {
-                shared.record_store_result(Ok(()));
-                return Some(found);
-            }
-            Err(error) => {
-                shared.record_store_result(Err(&error));
-                shared.sleep(STORE_RETRY_DELAY).await;
-            }
+        let result = attempt().await;
+        shared.record_store_result(result.as_ref().map(|_| ()));
+        if let Ok(Some(answer)) = result {
+            return answer;
         }
+        shared.sleep(STORE_RETRY_DELAY).await;
     }
-    None
+    CallAnswer::Unknown(retry_after(shared))
 }
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -56,11 +56,6 @@
 /// response time, and leaves time for a second attempt if a response is lost.
 const CALLER_STORE_TIMEOUT: Millis = Millis(450);
 
-/// Largest number of refusals a second that a daemon records for calls that the configuration
-/// rejects. It is well above the rate of callers whose key or queue was just withdrawn, and well
-/// below the rate that the store takes from all daemons.
-const REFUSALS_PER_SECOND: usize = 20;
-
 /// The operators' documents as last read from the store.
 #[derive(Default)]
 pub struct Documents {
@@ -166,7 +161,8 @@
     pub reading_load: Cell<bool>,
     /// Capacity promised to callers that were asked to retry later.
     pub promised: RefCell<PromisedCapacity>,
-    /// Rate limit on refusals recorded for calls that the configuration rejects.
+    /// Rate limit on refusals recorded for calls that the configuration rejects and for cancellations
+    /// of unknown jobs.
     pub refusal_limit: RefCell<RateLimit>,
     /// Lease to which new refusals are bound, and the time at which it was requested.
     pub refusal_lease: Cell<Option<(LeaseId, Millis)>>,
@@ -284,7 +280,7 @@
             load: RefCell::default(),
             reading_load: Cell::new(false),
             promised: RefCell::default(),
-            refusal_limit: RefCell::new(RateLimit::new(REFUSALS_PER_SECOND)),
+            refusal_limit: RefCell::default(),
             metrics,
             refusal_lease: Cell::new(None),
             campaigned: Cell::new(false),
--- a/crates/conf/src/batch/mod.rs
+++ b/crates/conf/src/batch/mod.rs
@@ -75,12 +75,14 @@
 }
 
 /// Connection to the platform's store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StoreSettings {
     /// Address of the store.
     pub address: SocketAddr,
     /// Shortest lease that the store grants.
     pub min_ttl: Millis,
+    /// Writes per second that the store accepts from all daemons together.
+    pub writes: f64,
 }
 
 /// Connection to the service that lists machines and accepts orders for them.
--- a/crates/conf/src/batch/raw.rs
+++ b/crates/conf/src/batch/raw.rs
@@ -65,6 +65,9 @@
 
 const BYTES_PER_MB: u64 = 1_000_000;
 
+/// Default rate of writes to the store in writes a second.
+const DEFAULT_STORE_WRITES: f64 = 400.0;
+
 /// Default rate of each kind of call to the machine service; low enough for any deployment.
 const DEFAULT_MACHINE_CALLS_PER_SEC: f64 = 1.0;
 
@@ -80,7 +83,7 @@
     debug: Option<Located<bool>>,
     addresses: [OptionalText; 3],
     links: OptionalText,
-    store: [OptionalText; 2],
+    store: [OptionalText; 3],
     adviser: OptionalText,
     machines: [OptionalText; 3],
     resources: [OptionalText; 3],
@@ -104,6 +107,7 @@
         let store = [
             section.required_text("address", ADDRESS_REMEDY),
             section.text("min-ttl"),
+            section.text("writes"),
         ];
         section.finish();
         let adviser = non_empty(root.text("adviser"));
@@ -176,6 +180,7 @@
     let links = parse(&raw.links, ADDRESS_REMEDY, findings);
     let address = parse(&raw.store[0], ADDRESS_REMEDY, findings);
     let min_ttl = duration(&raw.store[1], Millis(1_000), findings);
+    let writes = amount(&raw.store[2], RATE_REMEDY, findings).unwrap_or(DEFAULT_STORE_WRITES);
     let bounds = bounds(raw, findings);
     let resources = resources(&raw.resources, findings);
     let [min_workers, workers_each] = &raw.delegates;
@@ -205,6 +210,7 @@
         store: StoreSettings {
             address: address?,
             min_ttl,
+            writes,
         },
         adviser,
         machines,
