Let only the first try of a submission replace a refusal

Cause: a daemon repeats a submission whose write has no answer, and passes it on when it has none by its own time. Each of these tries took a refusal under the id for an older one and replaced it, also if the caller had gone on to another daemon meanwhile, been refused or cancelled there, and been told that the job never runs. Change: a submission replaces a refusal that its first try finds, as the caller has then come again.

--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -54,10 +54,10 @@
     }
 }
 
-async fn serve(shared: Rc<Shared>, call: Call, reply: Sender<Reply>) {
+async fn serve(shared: Rc<Shared>, mut call: Call, reply: Sender<Reply>) {
     let started = shared.now();
     let age = started.since(shared.documents.borrow().confirmed);
-    let (answer, version) = answer(&shared, &call).await;
+    let (answer, version) = answer(&shared, &mut call).await;
     let (name, detail) = describe(&answer);
     let kind = match call.kind {
         CallKind::Cancel => "cancel",
@@ -111,7 +111,7 @@
 /// Answers a call from the store, or relays it to another daemon while the store does not answer
 /// this one or its configuration may be outdated. Returns the answer and the version of the
 /// configuration that decided it, or that this daemon holds if it decided nothing.
-async fn answer(shared: &Rc<Shared>, call: &Call) -> (CallAnswer, u64) {
+async fn answer(shared: &Rc<Shared>, call: &mut Call) -> (CallAnswer, u64) {
     let wait = call.deadline.unwrap_or(DEFAULT_DEADLINE);
     let started = shared.now();
     let until = started + Millis(wait.0 / STORE_DIVISOR);
@@ -127,7 +127,8 @@
         return (reject(shared, call, refused, until).await, 0);
     };
     // A caller has had an answer by this version, from this daemon or the relaying one.
-    let least = || shared.seen_version.get().max(call.relayed.unwrap_or(0));
+    let relayed = call.relayed.unwrap_or(0);
+    let least = || shared.seen_version.get().max(relayed);
     let store_down = shared.store_outage() > Millis::ZERO;
     let mut catalog = documents::current_catalog(shared, started, least());
     let mut until = until;
@@ -173,6 +174,7 @@
     if store_down || call.relayed.is_some() || !matches!(local, CallAnswer::Unknown(_)) {
         return (local, version);
     }
+    call.retried = true;
     match relay(shared, version, call, answer_by).await {
         // The write sent to the store may still take effect, so only a success is conclusive.
         Some(CallAnswer::Relayed {
@@ -214,7 +216,7 @@
 async fn relay(
     shared: &Shared,
     version: u64,
-    call: &Call,
+    call: &mut Call,
     answer_by: Millis,
 ) -> Option<CallAnswer> {
     let version = version.max(shared.seen_version.get());
@@ -233,11 +235,10 @@
         }
         let index = shared.random_up_to(Millis(group.len() as u64 - 1)).0 as usize;
         let peer = group.swap_remove(index);
-        match shared
-            .relay
-            .forward(peer, call, version, RELAY_TIMEOUT.min(left))
-            .await
-        {
+        let timeout = RELAY_TIMEOUT.min(left);
+        let sent = shared.relay.forward(peer, call, version, timeout).await;
+        call.retried = true;
+        match sent {
             Ok(Reply {
                 answer: CallAnswer::Unknown(_),
                 ..
