Store a refusal anew each time that a submission is refused

Cause: a submission that was refused under an id with an earlier refusal was answered by that, and nothing was written. A submission in between that had found the same refusal, and whose write had no answer, still met its condition and took effect after the last answer. A malformed submission stored nothing at all. Change: each refusal is written over the earlier one, which changes the key's revision, and malformed submissions store one, too.

--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -163,9 +163,10 @@
     let local = async {
         let found = answer_locally(shared, &catalog, call, until).await;
         match found {
-            CallAnswer::Forbidden | CallAnswer::NoQueue | CallAnswer::TooLarge => {
-                reject(shared, call, found, until).await
-            }
+            CallAnswer::Forbidden
+            | CallAnswer::Malformed(_)
+            | CallAnswer::NoQueue
+            | CallAnswer::TooLarge => reject(shared, call, found, until).await,
             found => found,
         }
     };
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -147,8 +147,8 @@
 
 /// Stores a job or its refusal, and returns `answer` once the record is known to be stored. A write
 /// without a response may still take effect, but it uses the same key, so a later attempt finds it
-/// by the job's id. A stored refusal keeps an earlier attempt from taking effect later. `retried` is
-/// whether this call may have been carried out already.
+/// by the job's id. A refusal is stored anew each time, so that no earlier attempt, whichever refusal
+/// it has found, takes effect later. `retried` is whether this call may have been carried out already.
 async fn submit(
     shared: &Shared,
     id: &JobId,
@@ -169,7 +169,7 @@
         let stored = store_job(shared, &key, &value, expected, refusal).await;
         // A refusal that the first try finds is from an earlier submission, and the caller has come
         // again. One that a later try finds may have answered a later submission or a cancellation.
-        let may_replace = !std::mem::replace(&mut is_retry, true);
+        let may_replace = refusal || !std::mem::replace(&mut is_retry, true);
         match stored {
             Ok(TxnOutcome::Done(_)) => {
                 shared.record_store_result(Ok(()));
@@ -179,7 +179,6 @@
                 shared.record_store_result(Ok(()));
                 match items.into_iter().find(|i| i.key == key) {
                     Some(item) if is_accepted(&item) => return CallAnswer::Accepted,
-                    Some(_) if refusal => return answer,
                     Some(item) if may_replace => expected = item.revision,
                     Some(_) => break,
                     None => expected = Revision(0),
