Let serve store an entry before it says that a job is missing or refused

Cause: a cancellation reported a job without a record as missing, and a submission was refused as "not run", while the write of an earlier submission without an answer could still create the record. Such a refusal was also given for a job that another daemon had accepted just before. A submission that did not reach the store was answered "not run", whatever had become of an earlier one. Change: an entry without a job, under a lease of 60 s, is stored under the id first, in place of an earlier one; a submission is written over what it has read. Errors of the store are unknown (504) for submissions; a record of a newer version is unknown, not missing.

--- a/crates/bronzetack/src/jobs.rs
+++ b/crates/bronzetack/src/jobs.rs
@@ -10,6 +10,7 @@
 mod records;
 mod scheduler;
 mod submit;
+mod void;
 
 pub use actor::start;
 pub use actor::Jobs;
--- a/crates/bronzetack/src/jobs/actor/api.rs
+++ b/crates/bronzetack/src/jobs/actor/api.rs
@@ -37,6 +37,7 @@
 use super::super::offers::offers;
 use super::super::records::decode;
 use super::super::submit::create_record;
+use super::super::submit::refuse;
 use super::super::submit::store_refusal;
 use super::Jobs;
 use super::JobsState;
@@ -166,19 +167,28 @@
             .records
             .get(&msg.0.id)
             .map(|(rec, _)| rec.domain.clone());
+        let spec = msg.0;
         let record = match known {
-            Some(domain) => Ok(JobRecord::new(msg.0, domain, self.context.clock.now())),
-            None => self.new_record(msg.0),
+            Some(domain) => {
+                let now = self.context.clock.now();
+                Ok(JobRecord::new(spec.clone(), domain, now))
+            }
+            None => self.new_record(spec.clone()),
         };
         let store = self.store.clone();
+        let voids = self.voids.clone();
         let creating = async move {
-            let record = record?;
-            let (submitted, revision) = create_record(store, record.clone()).await?;
-            Ok((submitted, record, revision))
+            match record {
+                Ok(record) => {
+                    let (submitted, revision) = create_record(store, record.clone()).await?;
+                    Ok((submitted, revision.map(|revision| (record, revision))))
+                }
+                Err(refusal) => Ok((refuse(&voids, &spec, refusal).await?, None)),
+            }
         };
         let done = creating.into_actor(self).map(|result, jobs, ctx| {
-            let (submitted, record, revision): (Submitted, JobRecord, _) = result?;
-            if let Some(revision) = revision {
+            let (submitted, created): (Submitted, Option<(JobRecord, base::Revision)>) = result?;
+            if let Some((record, revision)) = created {
                 obs::emit(
                     &jobs.context.log,
                     Event::JobAccepted,
@@ -248,8 +258,8 @@
             .into_iter()
             .map(|id| (id.clone(), known(&id)))
             .collect();
-        let store = self.store.clone();
-        async move { cancel(&store, jobs).await }.boxed_local()
+        let (store, voids) = (self.store.clone(), self.voids.clone());
+        async move { cancel(&store, &voids, jobs).await }.boxed_local()
     }
 }
 
--- a/crates/bronzetack/src/jobs/cancel.rs
+++ b/crates/bronzetack/src/jobs/cancel.rs
@@ -1,4 +1,5 @@
-//! Cancellation of jobs: sets a flag in their records, on which their coordinators act.
+//! Cancellation of jobs: sets a flag in their records, on which their coordinators act. A job that does
+//! not exist is reported as missing once no earlier submission of it can take effect.
 
 use base::JobId;
 use base::Millis;
@@ -14,6 +15,9 @@
 use super::records::decode;
 use super::records::encode;
 use super::submit::store_refusal;
+use super::void::find;
+use super::void::Found;
+use super::void::Voids;
 use crate::keys;
 
 /// Most attempts to set the flag of a job whose coordinator writes the record at the same time.
@@ -26,11 +30,12 @@
 /// a job if this daemon has it; otherwise the record is read from the store.
 pub async fn cancel(
     store: &Store,
+    voids: &Voids,
     jobs: Vec<(JobId, Option<(JobRecord, Revision)>)>,
 ) -> ApiResult<CancelReply> {
     let mut reply = CancelReply::default();
     for (id, known) in jobs {
-        let result = set_flag(store, &id, known).await;
+        let result = set_flag(store, voids, &id, known).await;
         let result = result.map_err(|error| match reply.cancelled.is_empty() {
             true => error,
             // The other jobs are cancelled.
@@ -53,18 +58,20 @@
 
 async fn set_flag(
     store: &Store,
+    voids: &Voids,
     id: &JobId,
     known: Option<(JobRecord, Revision)>,
 ) -> ApiResult<FlagResult> {
     let key = keys::job(id);
-    let mut known = match known {
-        Some(known) => Some(known),
-        None => read_record(store, &key).await?,
-    };
+    let mut known = known;
     // Whether an attempt without an answer may have set the flag.
     let mut may_be_set = false;
     for _ in 0..MAX_ATTEMPTS {
-        let Some((mut record, revision)) = known else {
+        let found = match known {
+            Some(found) => Some(found),
+            None => voids.put(id).await?,
+        };
+        let Some((mut record, revision)) = found else {
             return Ok(FlagResult::Missing);
         };
         if record.is_done() {
@@ -84,8 +91,10 @@
             }
             Err(error) if error.may_have_applied() => {
                 may_be_set = true;
-                let read = read_record(store, &key).await;
-                read.map_err(|e| ApiError::unknown(e.refusal.reason).retry_after(RETRY_AFTER))?
+                match find(store, id).await? {
+                    Found::Job(record, revision) => Some((*record, revision)),
+                    Found::Nothing | Found::Void(_) => None,
+                }
             }
             Err(error) if may_be_set => {
                 return Err(ApiError::unknown(error.to_string()).retry_after(error.retry_after()))
@@ -100,8 +109,3 @@
     };
     Err(error.retry_after(RETRY_AFTER))
 }
-
-async fn read_record(store: &Store, key: &str) -> ApiResult<Option<(JobRecord, Revision)>> {
-    let entry = store.get(key).await.map_err(|e| store_refusal(&e))?;
-    Ok(entry.and_then(|e| Some((decode(&e.value)?, e.revision))))
-}
--- a/crates/bronzetack/src/jobs/records.rs
+++ b/crates/bronzetack/src/jobs/records.rs
@@ -10,6 +10,7 @@
 use sched::JobRecord;
 use sched::RecordWire;
 
+use super::void;
 use crate::keys;
 
 /// Job records by id, each with the revision of its store entry.
@@ -106,6 +107,9 @@
     }
 
     fn apply_put(&mut self, entry: Entry, changed: &mut RecordChanges) {
+        if void::is_void(&entry.value) {
+            return;
+        }
         match decode(&entry.value) {
             Some(record) => {
                 if self.put(record.clone(), entry.revision) {
