Forget a job whose records are gone, whatever has changed since

Cause: a job with a change that was not stored counted as not expired, also when the watch showed that its submission was gone. Had an ended job changed once more after its records were removed, it would have stayed known until the next take-over, and a later job with its id would not have run. Change: whether all changes are stored decides about removing records only; a job whose submission is gone is forgotten either way.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -438,10 +438,13 @@
     fn is_expired(&self, id: &JobId, now: Millis) -> bool {
         let retention = Millis(self.bounds.status.0 * 2);
         let ended = self.jobs.get(id).and_then(|job| job.ended);
-        ended.is_some_and(|at| now.since(at) > retention)
-            && !self.live.contains(id)
-            && !self.dirty.contains(id)
-            && !self.storing.contains(id)
+        ended.is_some_and(|at| now.since(at) > retention) && !self.live.contains(id)
+    }
+
+    /// Whether all changes of a job are stored. The records of other jobs must not be removed, as a write
+    /// that is under way would leave a record behind.
+    pub fn is_stored(&self, id: &JobId) -> bool {
+        !self.dirty.contains(id) && !self.storing.contains(id)
     }
 
     pub(crate) fn open_run(&self, task: &TaskId) -> Option<&crate::job::OpenRun> {
--- a/crates/bronzetack/src/batch/removal.rs
+++ b/crates/bronzetack/src/batch/removal.rs
@@ -70,10 +70,12 @@
         submitted,
         id,
     };
-    let expired = lead.scheduler.borrow().expired(shared.now());
-    let expired = expired.into_iter().filter_map(|id| {
+    let scheduler = lead.scheduler.borrow();
+    let expired = scheduler.expired(shared.now()).into_iter();
+    let expired = expired.filter_map(|id| {
         let submitted = *submissions.get(&id)?;
-        Some(removal(id, Some(submitted)))
+        let is_stored = scheduler.is_stored(&id);
+        is_stored.then(|| removal(id, Some(submitted)))
     });
     let orphans = lead.orphans.borrow();
     let orphans = orphans.iter().map(|id| removal(id.clone(), None));
