Test the setting for the store's rate of writes

Cause: store.writes came without a test of its values. Change: an empty value, which a template leaves, counts as absent; 0 and what is no number are findings.

--- a/crates/conf/src/batch/raw.rs
+++ b/crates/conf/src/batch/raw.rs
@@ -107,7 +107,7 @@
         let store = [
             section.required_text("address", ADDRESS_REMEDY),
             section.text("min-ttl"),
-            section.text("writes"),
+            non_empty(section.text("writes")),
         ];
         section.finish();
         let adviser = non_empty(root.text("adviser"));
--- a/crates/conf/tests/batch.rs
+++ b/crates/conf/tests/batch.rs
@@ -92,6 +92,23 @@
     assert_eq!(settings.machines.address, None);
 }
 
+/// Failure: a store whose rate of writes is not one was taken for one of the default rate.
+#[parameterized(
+    absent = { "", Some(400.0) },
+    empty = { r#""writes": "","#, Some(400.0) },
+    given = { r#""writes": "250","#, Some(250.0) },
+    zero = { r#""writes": "0","#, None },
+    not_a_number = { r#""writes": "NaN","#, None },
+)]
+fn the_rate_of_writes_to_the_store_is_above_zero(field: &str, expected: Option<f64>) {
+    let text = file("").replace(r#""address""#, &format!(r#"{field} "address""#));
+    let found = load(&text, "f").map(|settings| settings.store.writes);
+    match expected {
+        Some(writes) => assert_eq!(found.ok(), Some(writes)),
+        None => assert!(found.expect_err("a finding").to_string().contains("range")),
+    }
+}
+
 #[test]
 fn a_factor_below_one_is_one() {
     let settings = load(&file(r#""remote-factor": "0""#), "f").expect("no findings");
