Soak: cancel jobs whose submission had no answer, and remove records under faults

Change: half of the jobs without an answer are given up and cancelled. No task may start after an answer that the job does not exist or was not taken, whatever faults there are. States are kept for 6 s, so that removals meet faults and dropped histories.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -17,6 +17,7 @@
 use platform_fakes::Outcome;
 
 use crate::crashes;
+use crate::denial;
 use crate::growth;
 use crate::history::Call;
 use crate::history::History;
@@ -66,7 +67,8 @@
 /// - `refused`: no task of a refused job starts.
 /// - `twice`: no task starts while it runs or after its completion was acknowledged.
 /// - `unasked`: tasks start only for submitted jobs and steps, with the submitted specification,
-///   from a checkpoint of their own step, and not long after a cancellation.
+///   from a checkpoint of their own step, not long after a cancellation, and not after an answer that
+///   the job does not exist or was not taken.
 pub fn check(history: &History) -> Vec<Finding> {
     let mut findings = Vec::new();
     let mut report = |invariant: &'static str, description: String| {
@@ -81,6 +83,7 @@
     check_waves(history, &mut report);
     growth::check(&history.probes, &mut report);
     crashes::check(history, &mut report);
+    denial::check(history, &mut report);
     findings.sort();
     findings.dedup();
     findings
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -29,6 +29,10 @@
 /// Longest duration of a planned stop, as written to the daemon's settings.
 pub const STOP_TIMEOUT: Millis = Millis(6_000);
 
+/// Time for which the state of an ended job stays known. Records are removed after twice this, which is
+/// short enough that removals meet the faults of a run.
+const STATUS_TIME: Millis = Millis(6_000);
+
 /// Additional time until the exit of the process is observed.
 const STOP_MARGIN: Millis = Millis(500);
 
@@ -349,10 +353,10 @@
   "machines": {{ "address": "{machines}", "orders": "60", "reads": "60" }},
   "bounds": {{
     "max-hold": "6s", "stop": "{}ms", "heartbeat": "300ms", "stop-grace": "400ms",
-    "upkeep": "300ms", "handover": "500ms",
+    "upkeep": "300ms", "handover": "500ms", "status": "{}ms",
   }},
 }}
 "#,
-        STOP_TIMEOUT.0
+        STOP_TIMEOUT.0, STATUS_TIME.0
     )
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod check;
 mod crashes;
 mod daemon;
+mod denial;
 mod error;
 mod faults;
 mod growth;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -43,6 +43,12 @@
 /// Share of jobs that are cancelled, in thousandths.
 const CANCELLED_PER_MILLE: u32 = 80;
 
+/// Share of submissions without an answer that are not sent again, in thousandths.
+const IMPATIENT_PER_MILLE: u32 = 200;
+
+/// Share of jobs that are cancelled if no submission of them was answered, in thousandths.
+const GIVEN_UP_PER_MILLE: u32 = 500;
+
 /// Share of jobs whose runs all fail, in thousandths.
 const POISONED_PER_MILLE: u32 = 30;
 
@@ -153,7 +159,11 @@
         let Some(accepted) = self.submit().await else {
             return;
         };
-        let cancels = self.rng.random_range(0..1_000) < CANCELLED_PER_MILLE;
+        let cancels = self.rng.random_range(0..1_000)
+            < match accepted {
+                true => CANCELLED_PER_MILLE,
+                false => GIVEN_UP_PER_MILLE,
+            };
         if cancels {
             self.pause(0..800).await;
             self.cancel().await;
@@ -196,6 +206,9 @@
                 Outcome::NotConnected => self.pause(RETRY_PAUSE_MS).await,
                 _ => {
                     refused = false;
+                    if self.rng.random_range(0..1_000) < IMPATIENT_PER_MILLE {
+                        break;
+                    }
                     self.pause(RETRY_PAUSE_MS).await;
                 }
             }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -195,6 +195,13 @@
         .insert(1, call(6_500, Operation::Cancel, Outcome::Done));
 }
 
+fn start_after_denial(history: &mut History) {
+    history.calls[0] = call(6_000, Operation::Submit, Outcome::Unknown);
+    history
+        .calls
+        .insert(1, call(6_500, Operation::Cancel, Outcome::NoJob));
+}
+
 fn start_of_refused_job(history: &mut History) {
     history.calls[0].outcome = Outcome::Refused(Duration::from_secs(1));
 }
@@ -333,6 +340,7 @@
     other_spec = { start_with_other_spec, "unasked" },
     foreign_checkpoint = { start_from_foreign_checkpoint, "unasked" },
     after_cancellation = { start_after_cancellation, "unasked" },
+    after_denial = { start_after_denial, "unasked" },
     refused_job = { start_of_refused_job, "refused" },
     incomplete_gang = { gang_timeout, "gang" },
     completed_early = { reported_completed_early, "mixed" },
