Treat a submission that is read after a stall as a late one

Cause: a daemon that was paused, or a VM that was suspended, finds submissions in its socket buffers whose callers have given up and have been told by another daemon that there is no such job, or that it never runs. Its first try found that refusal and replaced it. So did a submission that had waited for the end of an outage.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -28,6 +28,7 @@
 mod scheduler;
 mod spec;
 pub mod speed;
+pub mod stall;
 pub mod suit;
 pub mod throttle;
 pub mod wave;
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -101,6 +101,7 @@
         actix_rt::spawn(documents::run(shared.clone()));
         actix_rt::spawn(election::run(shared.clone()));
         actix_rt::spawn(calls::run(shared.clone(), received));
+        actix_rt::spawn(calls::watch_stalls(shared.clone()));
         actix_rt::spawn(operators::run(shared.clone(), asked));
         actix_rt::spawn(peers::run(shared.clone()));
         obs::record(
--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use base::Millis;
+use batch::stall::BEAT_INTERVAL;
 use batch::Catalog;
 use obs::Event;
 use platform::Call;
@@ -57,6 +58,7 @@
 async fn serve(shared: Rc<Shared>, mut call: Call, reply: Sender<Reply>) {
     let started = shared.now();
     let age = started.since(shared.documents.borrow().confirmed);
+    call.late |= shared.stalls.borrow_mut().beat(started);
     let (answer, version) = answer(&shared, &mut call).await;
     let (name, detail) = describe(&answer);
     let kind = match call.kind {
@@ -90,6 +92,14 @@
     }
 }
 
+/// Tells the detector of stalls that the daemon runs, until the daemon ends.
+pub async fn watch_stalls(shared: Rc<Shared>) {
+    loop {
+        shared.sleep(BEAT_INTERVAL).await;
+        shared.stalls.borrow_mut().beat(shared.now());
+    }
+}
+
 fn describe(answer: &CallAnswer) -> (&'static str, String) {
     match answer {
         CallAnswer::Accepted => ("accepted", String::new()),
@@ -147,6 +157,7 @@
         };
         let submits = call.kind == CallKind::Submit;
         let end = started + Millis(wait.0 / patience);
+        call.late = true;
         catalog = wait_until_current(shared, submits, started, end, least).await;
         if submits || !store_down {
             until = shared.now() + Millis(wait.0 / STORE_DIVISOR);
@@ -175,7 +186,7 @@
     if store_down || call.relayed.is_some() || !matches!(local, CallAnswer::Unknown(_)) {
         return (local, version);
     }
-    call.retried = true;
+    call.late = true;
     match relay(shared, version, call, answer_by).await {
         // The write sent to the store may still take effect, so only a success is conclusive.
         Some(CallAnswer::Relayed {
@@ -238,7 +249,7 @@
         let peer = group.swap_remove(index);
         let timeout = RELAY_TIMEOUT.min(left);
         let sent = shared.relay.forward(peer, call, version, timeout).await;
-        call.retried = true;
+        call.late = true;
         match sent {
             Ok(Reply {
                 answer: CallAnswer::Unknown(_),
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -81,25 +81,25 @@
             Ok(_) if queue.advice.is_some() && shared.adviser.is_none() => {
                 let record = JobRecord::Refused(shared.clock.wall());
                 let answer = CallAnswer::Refused(RETRY_AFTER_MAX);
-                submit(shared, &id, record, answer, call.retried, until).await
+                submit(shared, &id, record, answer, call.late, until).await
             }
             Ok(work) => {
                 let submitted = Submitted::new(queue, org, shared.clock.wall(), work);
                 if let Some(why) = catalog.over_limit(&submitted) {
                     let record = JobRecord::Refused(shared.clock.wall());
                     let answer = CallAnswer::OverLimit(why, LIMIT_RETRY_AFTER);
-                    return submit(shared, &id, record, answer, call.retried, until).await;
+                    return submit(shared, &id, record, answer, call.late, until).await;
                 }
                 match load::verdict(shared, &submitted) {
                     Verdict::Accept => {
                         let record = JobRecord::Accepted(Box::new(submitted));
                         let answer = CallAnswer::Accepted;
-                        submit(shared, &id, record, answer, call.retried, until).await
+                        submit(shared, &id, record, answer, call.late, until).await
                     }
                     Verdict::Late(after) | Verdict::NoWorker(after) => {
                         let record = JobRecord::Refused(shared.clock.wall());
                         let answer = CallAnswer::Refused(after);
-                        submit(shared, &id, record, answer, call.retried, until).await
+                        submit(shared, &id, record, answer, call.late, until).await
                     }
                 }
             }
@@ -124,7 +124,7 @@
         return CallAnswer::Unknown(retry_after(shared));
     }
     let record = JobRecord::Refused(shared.clock.wall());
-    match submit(shared, &id, record, answer, call.retried, until).await {
+    match submit(shared, &id, record, answer, call.late, until).await {
         // An earlier attempt was accepted, but this caller is not authorised to see that.
         CallAnswer::Accepted => CallAnswer::Unknown(retry_after(shared)),
         answer => answer,
@@ -148,13 +148,14 @@
 /// Stores a job or its refusal, and returns `answer` once the record is known to be stored. A write
 /// without a response may still take effect, but it uses the same key, so a later attempt finds it
 /// by the job's id. A refusal is stored anew each time, so that no earlier attempt, whichever refusal
-/// it has found, takes effect later. `retried` is whether this call may have been carried out already.
+/// it has found, takes effect later. `late` is whether a later call of the same caller may have been
+/// answered already.
 async fn submit(
     shared: &Shared,
     id: &JobId,
     record: JobRecord,
     answer: CallAnswer,
-    retried: bool,
+    late: bool,
     until: Millis,
 ) -> CallAnswer {
     let key = keys::job(id);
@@ -164,12 +165,12 @@
     };
     let refusal = matches!(record, JobRecord::Refused(_));
     let mut expected = Revision(0);
-    let mut is_retry = retried;
+    let mut is_late = late;
     while shared.now() < until {
         let stored = store_job(shared, &key, &value, expected, refusal).await;
-        // A refusal that the first try finds is from an earlier submission, and the caller has come
-        // again. One that a later try finds may have answered a later submission or a cancellation.
-        let may_replace = refusal || !std::mem::replace(&mut is_retry, true);
+        // A refusal that the first try finds is from an earlier call, and the caller has come again. One
+        // that a later try finds may have answered a later submission or a cancellation.
+        let may_replace = refusal || !std::mem::replace(&mut is_late, true);
         match stored {
             Ok(TxnOutcome::Done(_)) => {
                 shared.record_store_result(Ok(()));
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -13,6 +13,7 @@
 use base::VmId;
 use batch::candidacy::Capacity;
 use batch::candidacy::Handover;
+use batch::stall::StallDetector;
 use batch::wave::Wave;
 use batch::Bounds;
 use batch::Catalog;
@@ -166,6 +167,8 @@
     pub refusal_limit: RefCell<RateLimit>,
     /// Lease to which new refusals are bound, and the time at which it was requested.
     pub refusal_lease: Cell<Option<(LeaseId, Millis)>>,
+    /// Tells calls that may have waited while the daemon stood still.
+    pub stalls: RefCell<StallDetector>,
     /// Whether this process has campaigned for the lock or seen another daemon hold it. From then
     /// on it no longer reclaims a lock that another process of this VM holds.
     pub campaigned: Cell<bool>,
@@ -196,6 +199,7 @@
             min_ttl: settings.store.min_ttl,
         };
         let clock = Clock::System;
+        let stalls = StallDetector::new(clock.now());
         let instance = uuid::Uuid::new_v4().to_string();
         let metrics = Metrics::new();
         let seed = base::digest(instance.as_bytes());
@@ -283,6 +287,7 @@
             refusal_limit: RefCell::default(),
             metrics,
             refusal_lease: Cell::new(None),
+            stalls: RefCell::new(stalls),
             campaigned: Cell::new(false),
             stopping: Cell::new(false),
             outage_start: Cell::new(None),
