Pass no cancellation on that waits for the limit on refusals

Cause: a cancellation of an unknown job beyond the limit on refusals had no answer by its own time, and was passed on to two more daemons, which share the limit: a flood would have cost three times the reads. Change: without an outage of the store a cancellation is not passed on.

--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -183,7 +183,10 @@
     };
     let local = actix_rt::time::timeout(left, local).await;
     let local = local.unwrap_or_else(|_| CallAnswer::Unknown(retry_after(shared)));
-    if store_down || call.relayed.is_some() || !matches!(local, CallAnswer::Unknown(_)) {
+    // Without an outage, the limit on refusals has held the cancellation up. All daemons share it.
+    let is_limited = call.kind == CallKind::Cancel && shared.store_outage() == Millis::ZERO;
+    let is_known = !matches!(local, CallAnswer::Unknown(_));
+    if store_down || call.relayed.is_some() || is_limited || is_known {
         return (local, version);
     }
     call.late = true;
--- a/crates/bronzetack/src/jobs/cancel.rs
+++ b/crates/bronzetack/src/jobs/cancel.rs
@@ -60,10 +60,9 @@
     store: &Store,
     voids: &Voids,
     id: &JobId,
-    known: Option<(JobRecord, Revision)>,
+    mut known: Option<(JobRecord, Revision)>,
 ) -> ApiResult<FlagResult> {
     let key = keys::job(id);
-    let mut known = known;
     // Whether an attempt without an answer may have set the flag.
     let mut may_be_set = false;
     for _ in 0..MAX_ATTEMPTS {
