--- a/crates/batch/tests/stall.rs
+++ b/crates/batch/tests/stall.rs
@@ -6,8 +6,8 @@
 
 const START: Millis = Millis(1_000_000);
 
-/// Failure: a paused daemon read a submission after its caller had given up and had been told by another
-/// daemon that there was no such job, and stored it as if it had just been sent.
+/// Failure: a paused daemon read a submission after its caller had given up and another daemon had
+/// answered that there was no such job, and stored it as if it had just been sent.
 #[test]
 fn a_request_read_after_a_stall_may_have_waited() {
     let mut detector = StallDetector::new(START);
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -241,7 +241,7 @@
     answer.await
 }
 
-/// Cancels a job. If there is none, a refusal is stored before the caller is told so, as an earlier
+/// Cancels a job. If there is none, a refusal is stored before the answer says so, as an earlier
 /// submission without an answer could still take effect. A later submission replaces the refusal.
 async fn cancel(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
     let answer = retry(shared, until, || async {
--- a/crates/bronzetack/src/jobs.rs
+++ b/crates/bronzetack/src/jobs.rs
@@ -10,7 +10,7 @@
 mod records;
 mod scheduler;
 mod submit;
-mod void;
+mod tombstone;
 
 pub use actor::start;
 pub use actor::Jobs;
--- a/crates/bronzetack/src/jobs/actor.rs
+++ b/crates/bronzetack/src/jobs/actor.rs
@@ -51,7 +51,7 @@
 use super::scheduler::Action;
 use super::scheduler::DomainScheduler;
 use super::scheduler::Input;
-use super::void::Voids;
+use super::tombstone::Tombstones;
 use crate::context::DaemonContext;
 use crate::keys;
 use crate::store::STORE;
@@ -137,7 +137,7 @@
 pub struct Jobs {
     context: DaemonContext,
     store: Store,
-    voids: Rc<Voids>,
+    tombstones: Rc<Tombstones>,
     lock: Lock,
     election: Election,
     scheduler: DomainScheduler,
@@ -183,7 +183,7 @@
             tree: Arc::new(Tree::new()),
             guarantees: Vec::new(),
             last_offers: Millis::ZERO,
-            voids: Rc::new(Voids::new(&store, context.clock.clone())),
+            tombstones: Rc::new(Tombstones::new(&store, context.clock.clone())),
             context,
             store,
         }
--- a/crates/bronzetack/src/jobs/actor/api.rs
+++ b/crates/bronzetack/src/jobs/actor/api.rs
@@ -176,14 +176,14 @@
             None => self.new_record(spec.clone()),
         };
         let store = self.store.clone();
-        let voids = self.voids.clone();
+        let tombstones = self.tombstones.clone();
         let creating = async move {
             match record {
                 Ok(record) => {
                     let (submitted, revision) = create_record(store, record.clone()).await?;
                     Ok((submitted, revision.map(|revision| (record, revision))))
                 }
-                Err(refusal) => Ok((refuse(&voids, &spec, refusal).await?, None)),
+                Err(refusal) => Ok((refuse(&tombstones, &spec, refusal).await?, None)),
             }
         };
         let done = creating.into_actor(self).map(|result, jobs, ctx| {
@@ -258,8 +258,8 @@
             .into_iter()
             .map(|id| (id.clone(), known(&id)))
             .collect();
-        let (store, voids) = (self.store.clone(), self.voids.clone());
-        async move { cancel(&store, &voids, jobs).await }.boxed_local()
+        let (store, tombstones) = (self.store.clone(), self.tombstones.clone());
+        async move { cancel(&store, &tombstones, jobs).await }.boxed_local()
     }
 }
 
--- a/crates/bronzetack/src/jobs/cancel.rs
+++ b/crates/bronzetack/src/jobs/cancel.rs
@@ -15,9 +15,9 @@
 use super::records::decode;
 use super::records::encode;
 use super::submit::store_refusal;
-use super::void::find;
-use super::void::Found;
-use super::void::Voids;
+use super::tombstone::find;
+use super::tombstone::Found;
+use super::tombstone::Tombstones;
 use crate::keys;
 
 /// Most attempts to set the flag of a job whose coordinator writes the record at the same time.
@@ -30,12 +30,12 @@
 /// a job if this daemon has it; otherwise the record is read from the store.
 pub async fn cancel(
     store: &Store,
-    voids: &Voids,
+    tombstones: &Tombstones,
     jobs: Vec<(JobId, Option<(JobRecord, Revision)>)>,
 ) -> ApiResult<CancelReply> {
     let mut reply = CancelReply::default();
     for (id, known) in jobs {
-        let result = set_flag(store, voids, &id, known).await;
+        let result = set_flag(store, tombstones, &id, known).await;
         let result = result.map_err(|error| match reply.cancelled.is_empty() {
             true => error,
             // The other jobs are cancelled.
@@ -58,7 +58,7 @@
 
 async fn set_flag(
     store: &Store,
-    voids: &Voids,
+    tombstones: &Tombstones,
     id: &JobId,
     mut known: Option<(JobRecord, Revision)>,
 ) -> ApiResult<FlagResult> {
@@ -68,7 +68,7 @@
     for _ in 0..MAX_ATTEMPTS {
         let found = match known {
             Some(found) => Some(found),
-            None => voids.put(id).await?,
+            None => tombstones.put(id).await?,
         };
         let Some((mut record, revision)) = found else {
             return Ok(FlagResult::Missing);
@@ -92,7 +92,7 @@
                 may_be_set = true;
                 match find(store, id).await? {
                     Found::Job(record, revision) => Some((*record, revision)),
-                    Found::Nothing | Found::Void(_) => None,
+                    Found::Nothing | Found::Tombstone(_) => None,
                 }
             }
             Err(error) if may_be_set => {
--- a/crates/bronzetack/src/jobs/records.rs
+++ b/crates/bronzetack/src/jobs/records.rs
@@ -10,7 +10,7 @@
 use sched::JobRecord;
 use sched::RecordWire;
 
-use super::void;
+use super::tombstone;
 use crate::keys;
 
 /// Job records by id, each with the revision of its store entry.
@@ -107,7 +107,7 @@
     }
 
     fn apply_put(&mut self, entry: Entry, changed: &mut RecordChanges) {
-        if void::is_void(&entry.value) {
+        if tombstone::is_tombstone(&entry.value) {
             return;
         }
         match decode(&entry.value) {
--- a/crates/bronzetack/src/jobs/submit.rs
+++ b/crates/bronzetack/src/jobs/submit.rs
@@ -14,11 +14,11 @@
 use super::info::job_info;
 use super::records::decode;
 use super::records::encode;
-use super::void::find;
-use super::void::is_void;
-use super::void::unknown;
-use super::void::Found;
-use super::void::Voids;
+use super::tombstone::find;
+use super::tombstone::is_tombstone;
+use super::tombstone::unknown;
+use super::tombstone::Found;
+use super::tombstone::Tombstones;
 use crate::keys;
 
 /// Creates the record of a job, or finds the record created earlier under the same id. Returns
@@ -30,14 +30,14 @@
     let id = &record.spec.id;
     let expect = match find(&store, id).await? {
         Found::Job(known, _) => return existing_job(&record.spec, &known).map(|job| (job, None)),
-        Found::Void(revision) => Expect::At(revision),
+        Found::Tombstone(revision) => Expect::At(revision),
         Found::Nothing => Expect::Absent,
     };
     let key = keys::job(id);
     let put = store.put_resolved(&key, expect, encode(&record), None);
     match put.await {
         Ok(WriteOutcome::Done(revision)) => Ok((created_job(&record), Some(revision))),
-        Ok(WriteOutcome::Conflict(Some(entry))) if is_void(&entry.value) => {
+        Ok(WriteOutcome::Conflict(Some(entry))) if is_tombstone(&entry.value) => {
             let why = "the job was cancelled meanwhile; submit it again";
             Err(ApiError::not_run(503, why))
         }
@@ -57,8 +57,12 @@
 }
 
 /// Refuses a job, unless an earlier submission of it has taken effect.
-pub async fn refuse(voids: &Voids, spec: &JobSpec, refusal: ApiError) -> ApiResult<Submitted> {
-    match voids.put(&spec.id).await? {
+pub async fn refuse(
+    tombstones: &Tombstones,
+    spec: &JobSpec,
+    refusal: ApiError,
+) -> ApiResult<Submitted> {
+    match tombstones.put(&spec.id).await? {
         Some((known, _)) => existing_job(spec, &known),
         None => Err(refusal),
     }
--- a/crates/bronzetack/src/jobs/void.rs
+++ b/crates/bronzetack/src/jobs/tombstone.rs
@@ -1,8 +1,8 @@
-//! Entries that stand in place of a job that does not exist.
+//! Tombstones: entries that stand in place of a job that does not exist.
 //!
-//! A submission whose answer was lost may still create its record. Before a caller is told that a job
-//! does not exist or was not taken, an entry is stored under its id, on which such a submission fails.
-//! The entry is bound to a lease, so it is removed again. A later submission replaces it.
+//! A submission whose answer was lost may still create its record. Before the answer that a job does not
+//! exist or was not accepted, a tombstone is stored under its id, on which such a submission fails. It is
+//! bound to a lease, so it is removed again. A later submission replaces it.
 
 use std::cell::Cell;
 
@@ -26,14 +26,14 @@
 use super::records::decode;
 use crate::keys;
 
-/// Length of the lease to which an entry is bound. A submission made before the entry can no longer
+/// Length of the lease to which a tombstone is bound. A submission made before it can no longer
 /// take effect after this time.
 const LEASE: Millis = Millis(60_000);
 
-/// New entries are bound to a lease for its length divided by this; then another is requested.
+/// New tombstones are bound to a lease for its length divided by this; then another is requested.
 const REUSE_DIVISOR: u64 = 3;
 
-/// Most attempts to store an entry while the key keeps changing.
+/// Most attempts to store a tombstone while the key keeps changing.
 const MAX_ATTEMPTS: usize = 5;
 
 /// Time after which a caller is asked to try again.
@@ -45,23 +45,23 @@
     Nothing,
     /// A job's record and its revision.
     Job(Box<JobRecord>, Revision),
-    /// The entry of a job that does not exist, and its revision.
-    Void(Revision),
+    /// A tombstone and its revision.
+    Tombstone(Revision),
 }
 
-/// Stores entries in place of jobs that do not exist.
-pub struct Voids {
+/// Stores tombstones.
+pub struct Tombstones {
     /// Its calls leave the store's rate to those of the coordinator.
     store: Store,
     clock: Clock,
-    /// Lease to which new entries are bound, and the time at which it was requested.
+    /// Lease to which new tombstones are bound, and the time at which it was requested.
     lease: Cell<Option<(LeaseId, Millis)>>,
 }
 
-impl Voids {
-    /// Stores entries through `store`.
-    pub fn new(store: &Store, clock: Clock) -> Voids {
-        Voids {
+impl Tombstones {
+    /// Stores tombstones through `store`.
+    pub fn new(store: &Store, clock: Clock) -> Tombstones {
+        Tombstones {
             store: store.with_priority(Priority::Rest),
             clock,
             lease: Cell::new(None),
@@ -75,8 +75,8 @@
         for _ in 0..MAX_ATTEMPTS {
             let expect = match find(&self.store, id).await? {
                 Found::Job(record, revision) => return Ok(Some((*record, revision))),
-                // A submission may have found this entry, so it is replaced.
-                Found::Void(revision) => Expect::At(revision),
+                // A submission may have found this one, so it is replaced.
+                Found::Tombstone(revision) => Expect::At(revision),
                 Found::Nothing => Expect::Absent,
             };
             let lease = self.lease().await.map_err(|e| unknown(&e))?;
@@ -113,8 +113,8 @@
     let Some(entry) = entry else {
         return Ok(Found::Nothing);
     };
-    if is_void(&entry.value) {
-        return Ok(Found::Void(entry.revision));
+    if is_tombstone(&entry.value) {
+        return Ok(Found::Tombstone(entry.revision));
     }
     match decode(&entry.value) {
         Some(record) => Ok(Found::Job(Box::new(record), entry.revision)),
@@ -130,21 +130,21 @@
     ApiError::unknown(error.to_string()).retry_after(error.retry_after())
 }
 
-/// Stored form of an entry.
+/// Stored form of a tombstone.
 #[derive(Deserialize, Serialize)]
-struct VoidWire {
-    /// Random id that tells the entries under one key apart.
-    void: String,
+struct TombstoneWire {
+    /// Random id that distinguishes the tombstones under one key.
+    tombstone: String,
 }
 
-/// Whether the value of a store entry stands in place of a job that does not exist.
-pub fn is_void(value: &[u8]) -> bool {
-    serde_json::from_slice::<VoidWire>(value).is_ok()
+/// Whether the value of a store entry is a tombstone.
+pub fn is_tombstone(value: &[u8]) -> bool {
+    serde_json::from_slice::<TombstoneWire>(value).is_ok()
 }
 
 fn encode() -> Bytes {
-    let wire = VoidWire {
-        void: uuid::Uuid::new_v4().to_string(),
+    let wire = TombstoneWire {
+        tombstone: uuid::Uuid::new_v4().to_string(),
     };
     serde_json::to_vec(&wire).unwrap_or_default().into()
 }
--- a/crates/bronzetack/tests/late_writes.rs
+++ b/crates/bronzetack/tests/late_writes.rs
@@ -57,8 +57,8 @@
     std::thread::sleep(end.saturating_duration_since(Instant::now()) + Duration::from_secs(2));
 }
 
-/// Failure: a caller whose submission had no answer cancelled the job and was told that there was none.
-/// The submission then took effect, and the job ran.
+/// Failure: a caller whose submission had no answer cancelled the job, and the answer was that there was
+/// none. The submission then took effect, and the job ran.
 #[parameterized(
     same_daemon = { "late-same", 0 },
     another_daemon = { "late-other", 1 },
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -68,7 +68,7 @@
 /// - `twice`: no task starts while it runs or after its completion was acknowledged.
 /// - `unasked`: tasks start only for submitted jobs and steps, with the submitted specification,
 ///   from a checkpoint of their own step, not long after a cancellation, and not after an answer that
-///   the job does not exist or was not taken.
+///   the job does not exist or was not accepted.
 pub fn check(history: &History) -> Vec<Finding> {
     let mut findings = Vec::new();
     let mut report = |invariant: &'static str, description: String| {
--- a/crates/soak/src/denial.rs
+++ b/crates/soak/src/denial.rs
@@ -1,5 +1,4 @@
-//! Checks that no task starts of a job of which a caller was told that it does not exist or was not
-//! taken.
+//! Checks that no task starts of a job after an answer that it does not exist or was not accepted.
 //!
 //! Such an answer to a cancellation, or to the last submission, promises that no earlier submission takes
 //! effect, whatever faults there are. Callers do not submit a job again after they have cancelled it.
@@ -30,7 +29,7 @@
     }
 }
 
-/// Time of the first answer, by job, that says that the job does not exist or was not taken.
+/// Time of the first answer, by job, that says that the job does not exist or was not accepted.
 fn denied_at(history: &History) -> BTreeMap<&JobId, Millis> {
     let mut jobs = BTreeMap::new();
     for call in history.calls_of(Operation::Submit) {
