Let a burst of new connections wait for a daemon that stands still

What callers saw: a connection that was not made for a second or more, and so no answer within a short deadline, when many callers connected at once to a daemon that stood still or had no processor time for a moment. Cause: std's TcpListener::bind has a queue of 128 connections. The kernel drops the first packet of each further one, and the client sends it again after 1 s, then 3 s. The same queue stands before the ports for links, where all daemons of a large site connect at once. Evidence: ss showed a queue of 128 on each port of a release daemon. With the process stopped by SIGSTOP, connection 128 to the callers' port timed out after 0.8 s, and connection 129 to the links' port with only the callers' port mended. Change: one function listens for both, with a queue of 4,096. The kernel cuts it to its own limit, 4,096 here.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types that all other crates share: identifiers, sizes, rates, time, findings and jobs.
 //!
-//! Nothing here does I/O, and only [`Clock::System`] reads the clock of the operating system.
+//! Only [`listen`] opens a socket and only [`Clock::System`] reads the clock of the operating system;
+//! nothing else here does I/O.
 
 mod backoff;
 mod clock;
@@ -8,6 +9,7 @@
 mod finding;
 mod ids;
 mod job;
+mod listen;
 mod map;
 mod outcome;
 mod size;
@@ -40,6 +42,7 @@
 pub use job::Spread;
 pub use job::TaskPlace;
 pub use job::WorkerSpec;
+pub use listen::listen;
 pub use map::Map;
 pub use map::Set;
 pub use outcome::Outcome;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -49,7 +49,7 @@
         F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
     {
         let listeners: std::io::Result<Vec<TcpListener>> =
-            addresses.iter().map(TcpListener::bind).collect();
+            addresses.iter().copied().map(base::listen).collect();
         let listeners = listeners?;
         let Some(first) = listeners.first() else {
             return Err(std::io::Error::from(std::io::ErrorKind::InvalidInput));
--- a/crates/link/src/links.rs
+++ b/crates/link/src/links.rs
@@ -59,7 +59,7 @@
         clock: Clock,
         on_event: impl Fn(LinkEvent) + 'static,
     ) -> io::Result<Links> {
-        let listener = std::net::TcpListener::bind(config.listen)?;
+        let listener = base::listen(config.listen)?;
         listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
         let listener = TcpListener::from_std(listener)?;
