Release what the test relay has closed, and run all relays on one thread

Seen: a soak of 16 daemons and 80 workers reached 20,000 descriptors and panicked. Cause: the relay kept a clone of both streams of each connection until it was closed itself, and two threads for each open one.

A connection is now one task that owns its two sockets, so nothing else can keep them; the relay's requests reach it through a watch channel, without polling. An end of a blackholed connection that closes is released at once, while the other end goes on in silence.

--- a/crates/fakes/src/fault_relay.rs
+++ b/crates/fakes/src/fault_relay.rs
@@ -1,52 +1,85 @@
 //! A TCP relay that can blackhole, reset, close, delay or pause its connections.
+//!
+//! All relays of a process share one thread.
 
-use std::io::ErrorKind;
+use std::future::pending;
 use std::io::Read;
-use std::io::Write;
 use std::net::Shutdown;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::TcpStream;
-use std::sync::atomic::AtomicBool;
+use std::net::TcpListener as StdListener;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::thread;
-use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::future::join;
 use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::runtime::Builder;
+use tokio::runtime::Handle;
+use tokio::sync::watch;
+use tokio::time::sleep;
 
 const BUFFER_BYTES: usize = 64 * 1024;
 
-/// Read timeout, after which a connection checks whether it has been reset.
-const READ_TIMEOUT: Duration = Duration::from_millis(20);
-
-/// Period at which a paused connection checks whether it may continue.
-const PAUSE_POLL_PERIOD: Duration = Duration::from_millis(5);
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
+/// What the owner of a relay has requested. Connections are numbered from 0.
 #[derive(Debug, Default)]
-struct RelayState {
-    /// Connections accepted so far. They are numbered from 0.
-    accepted: AtomicU64,
+struct Controls {
     /// Connections with a lower number are blackholed.
-    blackholed: AtomicU64,
+    blackholed: u64,
     /// Connections with a lower number have been reset.
-    reset: AtomicU64,
-    /// Bytes forwarded so far, in both directions together.
-    bytes: AtomicU64,
+    reset: u64,
+    /// Connections with a lower number have been closed.
+    disconnected: u64,
     /// Whether the relay has been closed.
-    closed: AtomicBool,
+    closed: bool,
     /// Whether new connections are closed immediately.
-    refusing: AtomicBool,
-    /// Delay of all bytes in milliseconds.
-    delay: AtomicU64,
+    refusing: bool,
+    /// Delay of the bytes of each read.
+    delay: Duration,
     /// Whether bytes to the target, and bytes from the target, are paused.
-    paused: [AtomicBool; 2],
-    streams: Mutex<Vec<TcpStream>>,
+    paused: [bool; 2],
+}
+
+/// How a connection stops forwarding at the owner's request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stop {
+    Blackhole,
+    Close,
+    Reset,
+}
+
+impl Controls {
+    fn stop(&self, number: u64) -> Option<Stop> {
+        match () {
+            () if number < self.reset => Some(Stop::Reset),
+            () if self.closed || number < self.disconnected => Some(Stop::Close),
+            () if number < self.blackholed => Some(Stop::Blackhole),
+            () => None,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct RelayState {
+    /// Connections accepted so far.
+    accepted: AtomicU64,
+    /// Bytes forwarded so far, in both directions together.
+    bytes: AtomicU64,
+    controls: watch::Sender<Controls>,
     /// When the target accepted no connection.
     refusals: Mutex<Vec<Instant>>,
 }
@@ -56,21 +89,28 @@
         self.refusals.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    fn streams(&self) -> MutexGuard<'_, Vec<TcpStream>> {
-        self.streams.lock().unwrap_or_else(|e| e.into_inner())
+    /// Waits until the controls satisfy the condition.
+    async fn wait_for(&self, condition: impl FnMut(&Controls) -> bool) {
+        // The sender is part of this state, so the wait cannot fail.
+        let _ = self.controls.subscribe().wait_for(condition).await;
     }
 
-    fn is_reset(&self, number: u64) -> bool {
-        number < self.reset.load(Ordering::SeqCst)
+    /// Waits until a connection must stop; a blackholed one does so only to be closed or reset.
+    async fn stopped(&self, number: u64, blackholed: bool) -> Stop {
+        let stop = |c: &Controls| c.stop(number);
+        let stop = |c: &Controls| stop(c).filter(|s| !blackholed || *s != Stop::Blackhole);
+        self.wait_for(|c| stop(c).is_some()).await;
+        stop(&self.controls.borrow()).unwrap_or(Stop::Close)
     }
 }
 
-/// A running relay in front of one target address. It runs on its own threads.
+/// A running relay in front of one target address. It is closed when it is dropped.
 #[derive(Debug)]
 pub struct Relay {
     addr: SocketAddr,
     shared: Arc<RelayState>,
-    thread: JoinHandle<()>,
+    /// Disconnected once the listening socket and all connections are closed.
+    open: mpsc::Receiver<()>,
 }
 
 impl Relay {
@@ -81,18 +121,17 @@
     /// If no loopback port can be bound.
     pub fn start(target: SocketAddr) -> Relay {
         let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
-        let listener = TcpListener::bind(loopback).expect("a free port");
+        let listener = StdListener::bind(loopback).expect("a free port");
         let addr = listener
             .local_addr()
             .expect("a bound socket has an address");
+        listener
+            .set_nonblocking(true)
+            .expect("a socket can be made non-blocking");
         let shared = Arc::new(RelayState::default());
-        let state = shared.clone();
-        let thread = thread::spawn(move || accept(&listener, target, &state));
-        Relay {
-            addr,
-            shared,
-            thread,
-        }
+        let (held, open) = mpsc::channel();
+        runtime().spawn(accept(listener, target, shared.clone(), held));
+        Relay { addr, shared, open }
     }
 
     /// Address to connect to.
@@ -116,146 +155,203 @@
         self.shared.refusals().clone()
     }
 
-    /// Blackholes all open connections for good: bytes are discarded, and the end of a stream is
-    /// not forwarded.
+    /// Blackholes all open connections until they are closed: bytes are discarded, and the end of a
+    /// stream is not forwarded. An end that closes its connection has it closed by the relay as well.
     pub fn blackhole(&self) {
-        self.shared
-            .blackholed
-            .store(self.accepted(), Ordering::SeqCst);
+        let accepted = self.accepted();
+        self.control(|c| c.blackholed = accepted);
     }
 
     /// Closes all open connections.
     pub fn disconnect(&self) {
-        for stream in self.shared.streams().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        let accepted = self.accepted();
+        self.control(|c| c.disconnected = accepted);
     }
 
     /// Resets all open connections (TCP RST).
     pub fn reset(&self) {
-        self.shared.reset.store(self.accepted(), Ordering::SeqCst);
-        for stream in self.shared.streams().drain(..) {
-            // Setting the option fails for a connection already closed, which needs no reset.
-            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-        }
+        let accepted = self.accepted();
+        self.control(|c| c.reset = accepted);
     }
 
     /// Sets whether bytes to the target, and bytes from the target, are paused.
     pub fn set_paused(&self, to_target: bool, from_target: bool) {
-        self.shared.paused[0].store(to_target, Ordering::SeqCst);
-        self.shared.paused[1].store(from_target, Ordering::SeqCst);
+        self.control(|c| c.paused = [to_target, from_target]);
     }
 
     /// Delays the bytes of each read by this much, which also limits the throughput.
     pub fn set_delay(&self, delay: Duration) {
-        let millis = delay.as_millis() as u64;
-        self.shared.delay.store(millis, Ordering::SeqCst);
+        self.control(|c| c.delay = delay);
     }
 
     /// Sets whether new connections are closed immediately.
     pub fn set_refusing(&self, refusing: bool) {
-        self.shared.refusing.store(refusing, Ordering::SeqCst);
+        self.control(|c| c.refusing = refusing);
     }
 
     /// Closes all connections and the listening socket.
     pub fn close(self) {
-        self.shared.closed.store(true, Ordering::SeqCst);
-        self.set_paused(false, false);
-        let _ = TcpStream::connect(self.addr);
-        let _ = self.thread.join();
-        for stream in self.shared.streams().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        self.control(|c| c.closed = true);
+        // Nothing is ever sent: the error is that the last socket has been closed.
+        let _ = self.open.recv();
+    }
+
+    fn control(&self, change: impl FnOnce(&mut Controls)) {
+        self.shared.controls.send_modify(change);
     }
 }
 
-fn accept(listener: &TcpListener, target: SocketAddr, shared: &Arc<RelayState>) {
-    for stream in listener.incoming() {
-        if shared.closed.load(Ordering::SeqCst) {
-            return;
-        }
-        let Ok(client) = stream else {
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.control(|c| c.closed = true);
+    }
+}
+
+/// The runtime of all relays, on a thread of its own.
+fn runtime() -> &'static Handle {
+    static RUNTIME: OnceLock<Handle> = OnceLock::new();
+    RUNTIME.get_or_init(|| {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.expect("a runtime can be created");
+        let handle = runtime.handle().clone();
+        thread::spawn(move || runtime.block_on(pending::<()>()));
+        handle
+    })
+}
+
+async fn accept(
+    listener: StdListener,
+    target: SocketAddr,
+    shared: Arc<RelayState>,
+    held: mpsc::Sender<()>,
+) {
+    let listener = TcpListener::from_std(listener).expect("a bound listener");
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = shared.wait_for(|c| c.closed) => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((client, _)) = accepted else {
+            sleep(ACCEPT_RETRY).await;
             continue;
         };
-        if shared.refusing.load(Ordering::SeqCst) {
+        if shared.controls.borrow().refusing {
             continue;
         }
         let number = shared.accepted.fetch_add(1, Ordering::SeqCst);
-        let Ok(server) = TcpStream::connect(target) else {
-            // Recorded before the client can notice that its connection is closed.
-            shared.refusals().push(Instant::now());
-            continue;
-        };
-        let _ = relay(client, server, number, shared);
+        let (shared, held) = (shared.clone(), held.clone());
+        tokio::spawn(async move {
+            connect(client, target, number, &shared).await;
+            drop(held);
+        });
     }
 }
 
-fn relay(
-    client: TcpStream,
-    server: TcpStream,
-    number: u64,
-    shared: &Arc<RelayState>,
-) -> std::io::Result<()> {
-    for stream in [&client, &server] {
-        stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(READ_TIMEOUT))?;
+async fn connect(client: TcpStream, target: SocketAddr, number: u64, shared: &RelayState) {
+    let server = tokio::select! {
+        biased;
+        () = shared.wait_for(|c| c.closed) => return end(client, Stop::Close),
+        server = TcpStream::connect(target) => server,
+    };
+    let Ok(server) = server else {
+        // Recorded before the client can notice that its connection is closed.
+        shared.refusals().push(Instant::now());
+        return;
+    };
+    relay(client, server, number, shared).await;
+}
+
+/// Forwards bytes until both ends have closed the connection or it must stop.
+async fn relay(mut client: TcpStream, mut server: TcpStream, number: u64, shared: &RelayState) {
+    // An error means that the connection has already ended, which the first read shows.
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let (from_client, to_client) = client.split();
+    let (from_server, to_server) = server.split();
+    let stop = tokio::select! {
+        biased;
+        stop = shared.stopped(number, false) => stop,
+        _ = join(
+            forward(from_client, to_server, 0, shared),
+            forward(from_server, to_client, 1, shared),
+        ) => return,
+    };
+    if stop == Stop::Blackhole {
+        let client = discard(client, number, shared);
+        join(client, discard(server, number, shared)).await;
+    } else {
+        end(client, stop);
+        end(server, stop);
     }
-    let mut streams = shared.streams();
-    streams.push(client.try_clone()?);
-    streams.push(server.try_clone()?);
-    drop(streams);
-    let state = shared.clone();
-    let (from, to) = (client.try_clone()?, server.try_clone()?);
-    thread::spawn(move || forward(from, to, number, 0, &state));
-    let state = shared.clone();
-    thread::spawn(move || forward(server, client, number, 1, &state));
-    Ok(())
 }
 
 /// Forwards bytes from one stream to the other until either ends. `direction` is the index into
-/// `RelayState::paused`.
-fn forward(
-    mut from: TcpStream,
-    mut to: TcpStream,
-    number: u64,
-    direction: usize,
-    shared: &RelayState,
-) {
-    let mut buffer = vec![0; BUFFER_BYTES];
+/// `Controls::paused`.
+async fn forward(from: ReadHalf<'_>, mut to: WriteHalf<'_>, direction: usize, shared: &RelayState) {
     loop {
-        let len = match from.read(&mut buffer) {
-            Ok(len) => len,
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                match shared.is_reset(number) {
-                    true => return,
-                    false => continue,
-                }
-            }
-            Err(_) => 0,
-        };
-        let delay = shared.delay.load(Ordering::SeqCst);
-        if delay > 0 {
-            thread::sleep(Duration::from_millis(delay));
-        }
-        while shared.paused[direction].load(Ordering::SeqCst) && !shared.is_reset(number) {
-            thread::sleep(PAUSE_POLL_PERIOD);
+        let buffer = read(&from).await;
+        let delay = shared.controls.borrow().delay;
+        if !delay.is_zero() {
+            sleep(delay).await;
         }
-        if shared.is_reset(number) {
+        shared.wait_for(|c| !c.paused[direction]).await;
+        if buffer.is_empty() {
+            // Fails if the other end has closed the connection as well.
+            let _ = to.shutdown().await;
             return;
         }
-        let blackholed = number < shared.blackholed.load(Ordering::SeqCst);
-        if len == 0 {
-            if !blackholed {
-                let _ = to.shutdown(Shutdown::Write);
-            }
+        if to.write_all(&buffer).await.is_err() {
             return;
         }
-        if blackholed {
-            continue;
+        shared
+            .bytes
+            .fetch_add(buffer.len() as u64, Ordering::SeqCst);
+    }
+}
+
+/// Reads what has arrived; empty at the end of the stream. A buffer is held only while it has bytes, as most
+/// connections are idle.
+async fn read(from: &ReadHalf<'_>) -> Vec<u8> {
+    loop {
+        if from.readable().await.is_err() {
+            return Vec::new();
         }
-        if to.write_all(&buffer[..len]).is_err() {
-            return;
+        let mut buffer = vec![0; BUFFER_BYTES];
+        match from.try_read(&mut buffer) {
+            Ok(len) => {
+                buffer.truncate(len);
+                return buffer;
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return Vec::new(),
         }
-        shared.bytes.fetch_add(len as u64, Ordering::SeqCst);
     }
 }
+
+/// Discards the bytes of one end of a blackholed connection until that end closes it.
+async fn discard(mut stream: TcpStream, number: u64, shared: &RelayState) {
+    let (from, _) = stream.split();
+    let stop = tokio::select! {
+        biased;
+        stop = shared.stopped(number, true) => stop,
+        () = async { while !read(&from).await.is_empty() {} } => Stop::Close,
+    };
+    end(stream, stop);
+}
+
+/// Closes or resets a connection.
+fn end(stream: TcpStream, stop: Stop) {
+    // Errors mean that the connection has already ended.
+    if stop == Stop::Reset {
+        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        return;
+    }
+    let Ok(mut stream) = stream.into_std() else {
+        return;
+    };
+    let _ = stream.shutdown(Shutdown::Both);
+    // Closing a socket with unread bytes would reset the connection.
+    let mut buffer = vec![0; BUFFER_BYTES];
+    while stream.read(&mut buffer).is_ok_and(|len| len > 0) {}
+}
--- /dev/null
+++ b/crates/fakes/tests/relay.rs
@@ -0,0 +1,195 @@
+//! Faults of a relay as both ends of a connection see them.
+
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use fakes::fault_relay::Relay;
+
+/// Time in which bytes arrive that are not held up.
+const ARRIVAL: Duration = Duration::from_millis(1_000);
+
+/// Time for which nothing may arrive.
+const SILENCE: Duration = Duration::from_millis(150);
+
+struct Ends {
+    relay: Relay,
+    target: TcpListener,
+    client: TcpStream,
+    server: TcpStream,
+}
+
+impl Ends {
+    fn open() -> Ends {
+        let target = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let relay = Relay::start(target.local_addr().expect("a bound socket"));
+        let (client, server) = connect(&relay, &target);
+        Ends {
+            relay,
+            target,
+            client,
+            server,
+        }
+    }
+}
+
+fn connect(relay: &Relay, target: &TcpListener) -> (TcpStream, TcpStream) {
+    let client = TcpStream::connect(relay.addr()).expect("the relay listens");
+    let (server, _) = target.accept().expect("the relay connects");
+    (client, server)
+}
+
+/// What arrives within this time: bytes, nothing at the end of the stream, or an error.
+fn receive(stream: &mut TcpStream, time: Duration) -> Result<Vec<u8>, ErrorKind> {
+    stream.set_read_timeout(Some(time)).expect("a valid time");
+    let mut buffer = [0; 64];
+    let len = stream.read(&mut buffer).map_err(|e| e.kind())?;
+    Ok(buffer[..len].to_vec())
+}
+
+fn send(stream: &mut TcpStream, bytes: &[u8]) {
+    stream.write_all(bytes).expect("an open connection");
+}
+
+fn expect_exchange(client: &mut TcpStream, server: &mut TcpStream) {
+    send(client, b"question");
+    assert_eq!(receive(server, ARRIVAL), Ok(b"question".to_vec()));
+    send(server, b"answer");
+    assert_eq!(receive(client, ARRIVAL), Ok(b"answer".to_vec()));
+}
+
+const NOTHING: Result<Vec<u8>, ErrorKind> = Err(ErrorKind::WouldBlock);
+
+const END: Result<Vec<u8>, ErrorKind> = Ok(Vec::new());
+
+#[test]
+fn bytes_and_ends_of_streams_are_forwarded() {
+    let mut ends = Ends::open();
+    expect_exchange(&mut ends.client, &mut ends.server);
+    let half = ends.client.shutdown(std::net::Shutdown::Write);
+    half.expect("an open connection");
+    assert_eq!(receive(&mut ends.server, ARRIVAL), END);
+    send(&mut ends.server, b"late answer");
+    let answer = receive(&mut ends.client, ARRIVAL);
+    assert_eq!(answer, Ok(b"late answer".to_vec()));
+    drop(ends.server);
+    assert_eq!(receive(&mut ends.client, ARRIVAL), END);
+    assert_eq!(ends.relay.accepted(), 1);
+    assert_eq!(ends.relay.bytes(), 25);
+}
+
+#[test]
+fn reset_resets_open_connections_only() {
+    let mut ends = Ends::open();
+    ends.relay.reset();
+    let reset = Err(ErrorKind::ConnectionReset);
+    assert_eq!(receive(&mut ends.client, ARRIVAL), reset);
+    assert_eq!(receive(&mut ends.server, ARRIVAL), reset);
+    let (mut client, mut server) = connect(&ends.relay, &ends.target);
+    expect_exchange(&mut client, &mut server);
+}
+
+#[test]
+fn disconnect_ends_open_connections_only() {
+    let mut ends = Ends::open();
+    ends.relay.disconnect();
+    assert_eq!(receive(&mut ends.client, ARRIVAL), END);
+    assert_eq!(receive(&mut ends.server, ARRIVAL), END);
+    let (mut client, mut server) = connect(&ends.relay, &ends.target);
+    expect_exchange(&mut client, &mut server);
+}
+
+#[test]
+fn blackholed_connections_are_silent_until_they_are_reset() {
+    let mut ends = Ends::open();
+    ends.relay.blackhole();
+    send(&mut ends.client, b"question");
+    send(&mut ends.server, b"answer");
+    assert_eq!(receive(&mut ends.server, SILENCE), NOTHING);
+    assert_eq!(receive(&mut ends.client, SILENCE), NOTHING);
+    let (mut client, mut server) = connect(&ends.relay, &ends.target);
+    expect_exchange(&mut client, &mut server);
+    drop(ends.client);
+    assert_eq!(receive(&mut ends.server, SILENCE), NOTHING);
+    ends.relay.reset();
+    let reset = Err(ErrorKind::ConnectionReset);
+    assert_eq!(receive(&mut ends.server, ARRIVAL), reset);
+    assert_eq!(receive(&mut client, ARRIVAL), reset);
+}
+
+#[test]
+fn paused_bytes_arrive_after_the_pause() {
+    let mut ends = Ends::open();
+    ends.relay.set_paused(true, false);
+    send(&mut ends.client, b"question");
+    send(&mut ends.server, b"answer");
+    let answer = receive(&mut ends.client, ARRIVAL);
+    assert_eq!(answer, Ok(b"answer".to_vec()));
+    assert_eq!(receive(&mut ends.server, SILENCE), NOTHING);
+    ends.relay.set_paused(false, false);
+    let question = receive(&mut ends.server, ARRIVAL);
+    assert_eq!(question, Ok(b"question".to_vec()));
+    ends.relay.set_paused(false, true);
+    drop(ends.server);
+    assert_eq!(receive(&mut ends.client, SILENCE), NOTHING);
+    ends.relay.set_paused(false, false);
+    assert_eq!(receive(&mut ends.client, ARRIVAL), END);
+}
+
+#[test]
+fn paused_connections_can_be_reset() {
+    let mut ends = Ends::open();
+    ends.relay.set_paused(true, true);
+    send(&mut ends.client, b"question");
+    thread::sleep(SILENCE);
+    ends.relay.reset();
+    let reset = Err(ErrorKind::ConnectionReset);
+    assert_eq!(receive(&mut ends.client, ARRIVAL), reset);
+}
+
+#[test]
+fn delay_holds_up_each_read() {
+    let mut ends = Ends::open();
+    ends.relay.set_delay(SILENCE * 2);
+    let start = Instant::now();
+    expect_exchange(&mut ends.client, &mut ends.server);
+    assert!(start.elapsed() >= SILENCE * 4);
+    ends.relay.set_delay(Duration::ZERO);
+    expect_exchange(&mut ends.client, &mut ends.server);
+}
+
+#[test]
+fn refusing_closes_new_connections_only() {
+    let mut ends = Ends::open();
+    ends.relay.set_refusing(true);
+    let mut refused = TcpStream::connect(ends.relay.addr()).expect("the relay listens");
+    assert_eq!(receive(&mut refused, ARRIVAL), END);
+    expect_exchange(&mut ends.client, &mut ends.server);
+    assert!(ends.relay.refusals().is_empty());
+}
+
+#[test]
+fn refusals_of_the_target_are_recorded() {
+    let ends = Ends::open();
+    drop(ends.target);
+    let mut refused = TcpStream::connect(ends.relay.addr()).expect("the relay listens");
+    assert_eq!(receive(&mut refused, ARRIVAL), END);
+    assert_eq!(ends.relay.refusals().len(), 1);
+}
+
+#[test]
+fn close_ends_connections_and_listening() {
+    let mut ends = Ends::open();
+    let address = ends.relay.addr();
+    ends.relay.set_paused(true, true);
+    send(&mut ends.client, b"question");
+    ends.relay.close();
+    assert_eq!(receive(&mut ends.server, ARRIVAL), END);
+    assert_eq!(receive(&mut ends.client, ARRIVAL), END);
+    assert!(TcpStream::connect(address).is_err());
+}
