Let no daemon outlive the soak, however it ends

Seen: the soak panicked ("a daemon can be restarted", too many open files) and left its daemons running, which join the next site with their ports. Cause: the release profile aborts on a panic, so nothing was dropped; a process that had started before its log could be opened was kept by nobody; and one that started while a signal was handled was missed.

Before, with the daemon's program removed after the start: "panicked at crates/soak/src/faults.rs:152:18: a daemon can be restarted", status 134, 7 daemons left.

Processes are started and registered under one lock, which the end of the soak takes: on SIGTERM, SIGINT or a panic of any thread, it kills all of them, starts no more and names the seeds. What the system can reach is now an error of the run with its seed and place (a restart, a task of the soak that panicked, a relay's or a daemon's port), ends the run at once and kills its daemons.

--- a/crates/bronzetack/tests/soak.rs
+++ b/crates/bronzetack/tests/soak.rs
@@ -71,7 +71,7 @@
 }
 
 fn expect_no_findings(plan: Plan) {
-    soak::kill_daemons_on_signal();
+    soak::kill_daemons_on_signal().expect("signals can be received");
     let report = actix_rt::System::new().block_on(soak::run(&plan));
     let report = report.expect("the soak test can run");
     let logs = plan.dir.display();
--- a/crates/fakes/src/fault_relay.rs
+++ b/crates/fakes/src/fault_relay.rs
@@ -3,6 +3,7 @@
 //! All relays of a process share one thread.
 
 use std::future::pending;
+use std::io;
 use std::io::Read;
 use std::net::Shutdown;
 use std::net::SocketAddr;
@@ -120,18 +121,18 @@
     ///
     /// If no loopback port can be bound.
     pub fn start(target: SocketAddr) -> Relay {
-        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
-        let listener = StdListener::bind(loopback).expect("a free port");
-        let addr = listener
-            .local_addr()
-            .expect("a bound socket has an address");
-        listener
-            .set_nonblocking(true)
-            .expect("a socket can be made non-blocking");
+        Relay::open(target).expect("a free port")
+    }
+
+    /// Starts a relay like [`Relay::start`]. Fails if no loopback port can be bound.
+    pub fn open(target: SocketAddr) -> io::Result<Relay> {
+        let listener = StdListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        listener.set_nonblocking(true)?;
         let shared = Arc::new(RelayState::default());
         let (held, open) = mpsc::channel();
         runtime().spawn(accept(listener, target, shared.clone(), held));
-        Relay { addr, shared, open }
+        Ok(Relay { addr, shared, open })
     }
 
     /// Address to connect to.
@@ -323,7 +324,7 @@
                 buffer.truncate(len);
                 return buffer;
             }
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(_) => return Vec::new(),
         }
     }
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -1,6 +1,5 @@
 //! Runs a daemon as a child process: starts and signals it, and checks its log output and exit.
 
-use std::collections::BTreeSet;
 use std::fs;
 use std::io;
 use std::io::BufRead;
@@ -14,8 +13,6 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
 use std::thread;
 use std::thread::JoinHandle;
 
@@ -23,8 +20,8 @@
 use nix::sys::signal::kill;
 use nix::sys::signal::Signal;
 use nix::unistd::Pid;
-use tokio::signal::unix::signal;
-use tokio::signal::unix::SignalKind;
+
+use crate::processes;
 
 /// Longest duration of a planned stop, as written to the daemon's settings.
 pub const STOP_TIMEOUT: Millis = Millis(6_000);
@@ -69,44 +66,6 @@
     pub machines: SocketAddr,
 }
 
-/// Process ids of running daemons, which [`kill_all`] kills so that none outlives the soak.
-static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
-
-fn running() -> MutexGuard<'static, BTreeSet<u32>> {
-    RUNNING.lock().unwrap_or_else(|e| e.into_inner())
-}
-
-/// Kills all daemons that this program started and that still run.
-fn kill_all() {
-    for id in std::mem::take(&mut *running()) {
-        // An error means that the process has already ended.
-        let _ = kill(Pid::from_raw(id as i32), Signal::SIGKILL);
-    }
-}
-
-/// Installs a handler that kills all daemons and exits with code 1 on SIGTERM or SIGINT.
-pub fn kill_daemons_on_signal() {
-    thread::spawn(|| match wait_for_signal() {
-        Ok(()) => {
-            kill_all();
-            std::process::exit(1);
-        }
-        Err(error) => eprintln!("cannot install the signal handler: {error}"),
-    });
-}
-
-fn wait_for_signal() -> io::Result<()> {
-    actix_rt::System::new().block_on(async {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        Ok(())
-    })
-}
-
 /// A running or paused process of a daemon.
 struct Process {
     child: Child,
@@ -125,9 +84,7 @@
 /// that uses the same addresses.
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        running().remove(&self.child.id());
+        processes::end(&mut self.child);
     }
 }
 
@@ -170,34 +127,43 @@
         self.process.as_ref().map(|p| p.child.id())
     }
 
-    /// Starts a process unless one runs.
-    pub fn start(&mut self, program: &Path) -> io::Result<()> {
+    /// Starts a process of a run with this seed, unless one runs.
+    pub fn start(&mut self, program: &Path, seed: u64) -> io::Result<()> {
         if self.process.is_some() {
             return Ok(());
         }
-        let mut child = Command::new(program)
+        let file = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
+        let mut command = Command::new(program);
+        command
             .arg("batch")
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
-            .stderr(Stdio::inherit())
-            .spawn()?;
-        running().insert(child.id());
-        let out = child.stdout.take();
-        let out = out.ok_or_else(|| io::Error::other("the process has no standard output"))?;
-        let file = fs::File::options()
-            .create(true)
-            .append(true)
-            .open(&self.log)?;
-        self.process = Some(Process {
+            .stderr(Stdio::inherit());
+        let child = processes::start(&mut command, seed)?;
+        let process = self.process.insert(Process {
             child,
-            reader: Some(thread::spawn(move || copy_output(out, file))),
+            reader: None,
             stop_requested: None,
             killed: false,
             paused: false,
             paused_total: Millis::ZERO,
         });
+        let reader = match process.child.stdout.take() {
+            Some(out) => thread::Builder::new().spawn(move || copy_output(out, file)),
+            None => Err(io::Error::other("the process has no standard output")),
+        };
+        match reader {
+            Ok(reader) => process.reader = Some(reader),
+            Err(error) => {
+                self.process = None;
+                return Err(error);
+            }
+        }
         Ok(())
     }
 
@@ -217,6 +183,11 @@
         self.signal(Signal::SIGKILL);
     }
 
+    /// Kills the process and waits for its end, which is no part of the history.
+    pub fn abandon(&mut self) {
+        self.process = None;
+    }
+
     /// Pauses the process with SIGSTOP.
     pub fn pause(&mut self) {
         if let Some(process) = &mut self.process {
--- a/crates/soak/src/error.rs
+++ b/crates/soak/src/error.rs
@@ -18,3 +18,10 @@
         }
     }
 }
+
+impl SoakError {
+    /// Error of a task that could not be joined.
+    pub(crate) fn task(error: impl ToString) -> SoakError {
+        SoakError::Task(error.to_string())
+    }
+}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,9 +1,13 @@
 //! Injects faults from outside the daemons. The seed determines their order, and they overlap.
 
+use std::future::pending;
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_rt::task::JoinHandle;
 use base::Millis;
+use futures_util::stream::FuturesUnordered;
+use futures_util::StreamExt;
 use platform_fakes::FaultRates;
 use platform_fakes::StoreFault;
 use rand::RngExt;
@@ -11,6 +15,7 @@
 use rand_pcg::Pcg64;
 use serde::Deserialize;
 
+use crate::error::SoakError;
 use crate::site::Site;
 
 /// Time from one fault to the next, in milliseconds, for a site of the default size.
@@ -26,14 +31,19 @@
 /// Time between two outages of the store in a row.
 const STORE_RETURN: Millis = Millis(300);
 
-/// Injects faults until `end`, and waits until the last of them is over.
-pub async fn run(site: Rc<Site>, seed: u64, end: Millis) {
+/// Injects faults until `end`, and waits until the last of them is over. Fails as soon as one cannot be
+/// injected or ended.
+pub async fn run(site: Rc<Site>, seed: u64, end: Millis) -> Result<(), SoakError> {
     let mut rng = Pcg64::seed_from_u64(seed ^ 0xfa);
     let mut version = 1;
-    let mut tasks = Vec::new();
+    let mut tasks = FaultTasks::new();
     loop {
-        site.sleep(Millis(rng.random_range(FAULT_INTERVAL_MS) / site.scale()))
-            .await;
+        let interval = site.sleep(Millis(rng.random_range(FAULT_INTERVAL_MS) / site.scale()));
+        let failed = first_failure(&mut tasks);
+        tokio::select! {
+            () = interval => {}
+            error = failed => return Err(error),
+        }
         let now = site.now();
         if now >= end {
             break;
@@ -51,9 +61,22 @@
         let kind = rng.random_range(0..FAULT_KINDS);
         tasks.push(actix_rt::spawn(fault.inject(kind, version)));
     }
-    for task in tasks {
-        task.await.expect("a fault task panicked");
+    while let Some(result) = tasks.next().await {
+        result.map_err(SoakError::task)??;
+    }
+    Ok(())
+}
+
+type FaultTasks = FuturesUnordered<JoinHandle<Result<(), SoakError>>>;
+
+/// Waits until one of the tasks fails.
+async fn first_failure(tasks: &mut FaultTasks) -> SoakError {
+    while let Some(result) = tasks.next().await {
+        if let Err(error) = result.map_err(SoakError::task).and_then(|r| r) {
+            return error;
+        }
     }
+    pending().await
 }
 
 /// Number of kinds of faults that [`Fault::inject`] distinguishes.
@@ -77,12 +100,12 @@
 }
 
 impl Fault {
-    async fn inject(self, kind: u32, version: u64) {
+    async fn inject(self, kind: u32, version: u64) -> Result<(), SoakError> {
         match kind {
-            0 => self.kill_daemon(self.daemon).await,
-            1 | 2 => self.kill_daemon(self.coordinator()).await,
-            3 | 4 => self.stop_daemon(self.daemon).await,
-            5 => self.stop_daemon(self.coordinator()).await,
+            0 => return self.kill_daemon(self.daemon).await,
+            1 | 2 => return self.kill_daemon(self.coordinator()).await,
+            3 | 4 => return self.stop_daemon(self.daemon).await,
+            5 => return self.stop_daemon(self.coordinator()).await,
             6 => self.pause_daemon(self.daemon).await,
             7 => self.pause_daemon(self.coordinator()).await,
             8 => self.reload_settings(),
@@ -119,6 +142,7 @@
             25 => self.request_upkeep(version),
             _ => self.change_configuration(version).await,
         }
+        Ok(())
     }
 
     fn record(&self, planned: bool, duration: Millis, description: String) {
@@ -141,26 +165,29 @@
     }
 
     /// Waits for the restart delay and for the end of this process, and starts the daemon again.
-    async fn restart_daemon(&self, daemon: usize, old_process: Option<u32>) {
+    async fn restart_daemon(
+        &self,
+        daemon: usize,
+        old_process: Option<u32>,
+    ) -> Result<(), SoakError> {
         self.site.sleep(self.restart_delay).await;
         while old_process.is_some() && self.process_id(daemon) == old_process {
             self.site.sleep(Millis(20)).await;
         }
-        if self.process_id(daemon).is_none() {
-            self.site
-                .start_daemon(daemon)
-                .expect("a daemon can be restarted");
+        match self.process_id(daemon) {
+            Some(_) => Ok(()),
+            None => self.site.start_daemon(daemon),
         }
     }
 
-    async fn kill_daemon(&self, daemon: usize) {
+    async fn kill_daemon(&self, daemon: usize) -> Result<(), SoakError> {
         self.record(false, self.restart_delay, format!("daemon {daemon} killed"));
         let process_id = self.process_id(daemon);
         self.site.daemons.borrow_mut()[daemon].daemon.kill();
-        self.restart_daemon(daemon, process_id).await;
+        self.restart_daemon(daemon, process_id).await
     }
 
-    async fn stop_daemon(&self, daemon: usize) {
+    async fn stop_daemon(&self, daemon: usize) -> Result<(), SoakError> {
         self.record(
             true,
             self.restart_delay,
@@ -169,7 +196,7 @@
         let now = self.site.now();
         let process_id = self.process_id(daemon);
         self.site.daemons.borrow_mut()[daemon].daemon.stop(now);
-        self.restart_daemon(daemon, process_id).await;
+        self.restart_daemon(daemon, process_id).await
     }
 
     async fn pause_daemon(&self, daemon: usize) {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,13 +13,13 @@
 mod growth;
 mod history;
 mod load;
+mod processes;
 mod quota;
 mod shrink;
 mod site;
 
 pub use check::check;
 pub use check::Finding;
-pub use daemon::kill_daemons_on_signal;
 pub use daemon::Exit;
 pub use error::SoakError;
 pub use growth::Probe;
@@ -28,12 +28,15 @@
 pub use history::History;
 pub use history::Operation;
 pub use history::WaveResult;
+pub use processes::kill_daemons_on_panic;
+pub use processes::kill_daemons_on_signal;
 
 use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
 
 use base::Millis;
+use futures_util::future::try_join;
 
 use crate::site::Site;
 
@@ -97,21 +100,36 @@
 /// the history. Fails if the run could not be carried out; violations are findings of the report.
 pub async fn run(plan: &Plan) -> Result<Report, SoakError> {
     let site = Rc::new(Site::start(plan)?);
+    let result = play(&site, plan).await;
+    if result.is_err() {
+        site.abandon();
+    }
+    result
+}
+
+async fn play(site: &Rc<Site>, plan: &Plan) -> Result<Report, SoakError> {
+    let mut background = vec![actix_rt::spawn(site.clone().maintain())];
     site.sleep(STARTUP_TIME).await;
     let end = site.now() + plan.duration;
-    let faults = actix_rt::spawn(faults::run(site.clone(), plan.seed, end));
-    actix_rt::spawn(quota::change(site.clone(), plan.seed, end));
-    actix_rt::spawn(shrink::run(site.clone(), plan.seed, end));
+    background.push(actix_rt::spawn(quota::change(site.clone(), plan.seed, end)));
+    background.push(actix_rt::spawn(shrink::run(site.clone(), plan.seed, end)));
     if plan.slow_links {
-        actix_rt::spawn(growth::change(site.clone(), plan.seed, end));
-        actix_rt::spawn(growth::probe(site.clone(), plan.seed, end));
+        background.push(actix_rt::spawn(growth::change(
+            site.clone(),
+            plan.seed,
+            end,
+        )));
+        background.push(actix_rt::spawn(growth::probe(site.clone(), plan.seed, end)));
     }
-    let load = load::run(site.clone(), plan.seed, end).await;
-    faults.await.map_err(|e| SoakError::Task(e.to_string()))?;
+    let faults = faults::run(site.clone(), plan.seed, end);
+    let (load, ()) = try_join(load::run(site.clone(), plan.seed, end), faults).await?;
     while site.is_upkeep_pending() && site.now() < site.settled_by(end) {
         site.sleep(site::RENEWAL_PERIOD).await;
     }
     let history = site.finish(load).await;
+    for task in background {
+        task.await.map_err(SoakError::task)?;
+    }
     let findings = check(&history);
     let report = Report {
         jobs: (history.jobs.len(), history.accepted().len()),
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -17,6 +17,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
+use crate::error::SoakError;
 use crate::history::Call;
 use crate::history::History;
 use crate::history::Operation;
@@ -58,8 +59,7 @@
 /// Submits jobs until `end` and queries each until it has ended, at the latest until the site must have
 /// settled.
 /// The returned history has only calls and unfinished jobs.
-pub async fn run(site: Rc<Site>, seed: u64, end: Millis) -> History {
-    let maintenance = actix_rt::spawn(site.clone().maintain());
+pub async fn run(site: Rc<Site>, seed: u64, end: Millis) -> Result<History, SoakError> {
     let mut rng = Pcg64::seed_from_u64(seed ^ 0x10ad);
     let mut deadly_rng = Pcg64::seed_from_u64(seed ^ 0xdead);
     let history = Rc::new(RefCell::new(History::default()));
@@ -88,11 +88,9 @@
             .await;
     }
     for caller_task in caller_tasks {
-        caller_task.await.expect("a caller task panicked");
+        caller_task.await.map_err(SoakError::task)?;
     }
-    // Dropping the handle detaches the maintenance task, which runs until the site is finished.
-    drop(maintenance);
-    Rc::try_unwrap(history).map_or_else(|s| s.borrow().clone(), RefCell::into_inner)
+    Ok(Rc::try_unwrap(history).map_or_else(|s| s.borrow().clone(), RefCell::into_inner))
 }
 
 fn step(rng: &mut Pcg64, count: u32, accels: u64, duration_ms: std::ops::Range<u64>) -> StepSpec {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -46,27 +46,29 @@
         Ok(args) => args,
         Err(error) => error.exit(),
     };
-    soak::kill_daemons_on_signal();
+    soak::kill_daemons_on_panic();
+    if let Err(error) = soak::kill_daemons_on_signal() {
+        eprintln!("cannot install the signal handler: {error}");
+        return ExitCode::FAILURE;
+    }
     let first = args.seed.unwrap_or(1);
     let seeds: Vec<u64> = (first..first + args.seeds.unwrap_or(1)).collect();
     let mut failed = 0;
     for batch in seeds.chunks(args.jobs.unwrap_or(4).max(1)) {
         let runs = batch.iter().map(|seed| {
             let plan = plan(&args, *seed);
-            let thread = std::thread::spawn(move || {
+            // A panic is reported with the name of its thread.
+            let thread = std::thread::Builder::new().name(format!("seed {seed}"));
+            let thread = thread.spawn(move || {
                 let system = actix_rt::System::new();
                 system.block_on(soak::run(&plan))
             });
-            (*seed, thread)
+            (*seed, thread.expect("a thread can be started"))
         });
         for (seed, thread) in runs.collect::<Vec<_>>() {
-            match thread.join() {
-                Ok(result) => failed += u32::from(!print_result(seed, result)),
-                Err(_) => {
-                    println!("seed {seed}: the soak program panicked");
-                    failed += 1;
-                }
-            }
+            let panicked = |_| Err(SoakError::Task("the thread of the run".to_string()));
+            let result = thread.join().unwrap_or_else(panicked);
+            failed += u32::from(!print_result(seed, result));
         }
     }
     println!("{} seeds, {failed} with findings", seeds.len());
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -153,7 +153,7 @@
             finished: RefCell::new(false),
         };
         for worker in workers {
-            let relay = Relay::start(worker.address());
+            let relay = Relay::open(worker.address()).map_err(io_error("a worker's relay"))?;
             site.workers.borrow_mut().push(WorkerHandle {
                 worker,
                 relay,
@@ -177,19 +177,20 @@
     fn new_daemon(&self, num: usize) -> io::Result<DaemonHandle> {
         let store_endpoint = self.store.endpoint()?;
         store_endpoint.set_fault(self.usual_fault(num));
-        let store_relay = Relay::start(store_endpoint.address());
+        let store_relay = Relay::open(store_endpoint.address())?;
+        let delegates = uses_delegates(self.plan.seed);
         let addresses = Addresses {
-            callers: free_address(),
-            ready: free_address(),
-            operators: free_address(),
-            links: uses_delegates(self.plan.seed).then(free_address),
+            callers: free_address()?,
+            ready: free_address()?,
+            operators: free_address()?,
+            links: delegates.then(free_address).transpose()?,
             store: store_relay.addr(),
             adviser: self.adviser.address(),
             machines: self.machines.address(),
         };
         Ok(DaemonHandle {
             daemon: Daemon::new(num, &self.plan.dir, &addresses)?,
-            caller_relay: Relay::start(addresses.callers),
+            caller_relay: Relay::open(addresses.callers)?,
             store_relay,
             store_endpoint,
         })
@@ -206,8 +207,9 @@
         // A child inherits open sockets until its exec, so a port that `free_address` probes
         // meanwhile would stay in use. The lock keeps probes and starts apart.
         let _guard = LAST_PORT.lock().unwrap_or_else(|e| e.into_inner());
-        let started = daemons[num].daemon.start(program);
-        started.map_err(io_error(&program.display().to_string()))
+        let started = daemons[num].daemon.start(program, self.plan.seed);
+        let subject = || format!("daemon {num}, program {}", program.display());
+        started.map_err(|e| SoakError::Io(subject(), e))
     }
 
     /// Time since the start of the site.
@@ -372,6 +374,7 @@
             handle.daemon.stop(now);
         }
         while self.daemons.borrow().iter().any(|d| d.daemon.is_up()) {
+            self.reap();
             self.sleep(Millis(RENEWAL_PERIOD.0 / 3)).await;
         }
         *self.finished.borrow_mut() = true;
@@ -395,6 +398,14 @@
         history
     }
 
+    /// Kills the daemons of a run that has failed.
+    pub fn abandon(&self) {
+        *self.finished.borrow_mut() = true;
+        for handle in self.daemons.borrow_mut().iter_mut() {
+            handle.daemon.abandon();
+        }
+    }
+
     /// Times at which daemons' ports for callers accepted no connection.
     fn refusals(&self) -> Vec<(usize, Millis)> {
         let now = self.now();
@@ -437,15 +448,17 @@
 }
 
 /// Returns a loopback address whose port is free. Processes start at different ports.
-fn free_address() -> SocketAddr {
+fn free_address() -> io::Result<SocketAddr> {
     let offset = std::process::id() * 97 % PORTS;
     let mut last = LAST_PORT.lock().unwrap_or_else(|e| e.into_inner());
     loop {
         *last += 1;
         let port = FIRST_PORT + (offset + *last) % PORTS;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() {
-            return address;
+        match TcpListener::bind(address) {
+            Ok(_) => return Ok(address),
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => {}
+            Err(error) => return Err(error),
         }
     }
 }
