Drop log lines that cannot be written instead of ending the daemon

What callers saw: a daemon ended by itself, and with it every call in progress, as soon as its log could not be written: a reader that was gone, a full device, or a full pipe that does not block. While the pipe was full and nobody read it, a planned stop did not end.

Cause: `fuse()` on the JSON drain panics on a failed write, on the thread of the log, and the release profile aborts on a panic. A line was written in parts through the buffer of the standard library, so that what was left of a failed line came out later. Dropping the logger joins its thread, which has no bound while a write blocks. The level was checked behind the queue, so that lines of level Debug took room in it.

Change: the drain behind slog-async's core cannot fail. A line goes out in one write without a buffer; the rest of a line of which a part was written goes out before any other. Lines that the output refuses or that exceed the queue are counted, in event 108 before the next line that is written and in the metric log_lines_dropped. An output that does not block is tried again on the log's thread. The end of the process waits for the log for at most 400 ms, and a forced end waits for its own line as well.

Why it works: nothing that the output does reaches a panic or a thread that answers calls, and each wait for it has a bound.

--- a/crates/bronzetack/examples/site/start.rs
+++ b/crates/bronzetack/examples/site/start.rs
@@ -174,7 +174,7 @@
     let thread = std::thread::spawn(move || {
         actix_rt::System::new().block_on(async move {
             let log = match std::env::var_os("BRONZETACK_LOG") {
-                Some(_) => obs::to_stderr(slog::o!(), true),
+                Some(_) => obs::Log::to_stderr(slog::o!(), true).logger().clone(),
                 None => obs::discard(),
             };
             let daemon = Daemon::start(node, log).await.expect("daemon starts");
--- a/crates/bronzetack/src/cmd/batch.rs
+++ b/crates/bronzetack/src/cmd/batch.rs
@@ -8,6 +8,7 @@
 use conf::batch;
 use conf::batch::BatchConfig;
 use obs::Event;
+use obs::Log;
 use tokio::signal::unix::signal;
 use tokio::signal::unix::SignalKind;
 
@@ -50,7 +51,14 @@
 }
 
 async fn serve(settings: BatchConfig, path: &Path) -> Result<(), CliError> {
-    let log = obs::to_stdout(slog::o!(), settings.debug);
+    let output = Log::to_stdout(slog::o!(), settings.debug);
+    let result = run_daemon(settings, path, &output).await;
+    output.close();
+    result
+}
+
+async fn run_daemon(settings: BatchConfig, path: &Path, output: &Log) -> Result<(), CliError> {
+    let log = output.logger();
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -61,14 +69,16 @@
             _ = interrupt.recv() => break,
             _ = hangup.recv() => match load_batch(path) {
                 Ok(settings) => daemon.reload(&settings),
-                Err(error) => obs::emit(&log, Event::SettingsRefused, &error.to_string()),
+                Err(error) => obs::emit(log, Event::SettingsRefused, &error.to_string()),
             },
         }
     }
-    let stop_log = log.clone();
+    let output = output.clone();
     actix_rt::spawn(async move {
         interrupt.recv().await;
-        obs::emit(&stop_log, Event::StopForced, "SIGINT during the stop");
+        let text = "SIGINT during the stop";
+        obs::emit(output.logger(), Event::StopForced, text);
+        output.close();
         exit(i32::from(EXIT_START));
     });
     daemon.close().await;
--- a/crates/bronzetack/src/cmd/serve.rs
+++ b/crates/bronzetack/src/cmd/serve.rs
@@ -6,7 +6,7 @@
 use bronzetack::Daemon;
 use conf::node::NodeConfig;
 use obs::Event;
-use slog::Logger;
+use obs::Log;
 use tokio::signal::unix::signal;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -43,23 +43,30 @@
 }
 
 async fn serve(node: NodeConfig) -> Result<(), CliError> {
-    let log = obs::to_stderr(slog::o!(), node.log.debug);
+    let output = Log::to_stderr(slog::o!(), node.log.debug);
+    let result = run_daemon(node, &output).await;
+    output.close();
+    result
+}
+
+async fn run_daemon(node: NodeConfig, output: &Log) -> Result<(), CliError> {
     let mut signals = StopSignals::new()?;
-    let daemon = Daemon::start(node, log.clone()).await?;
+    let daemon = Daemon::start(node, output.logger().clone()).await?;
     let ports = daemon.ports();
     print(&format!(
         "callers {} operators {} peers {}\n",
         ports.callers, ports.operators, ports.peers
     ))?;
     signals.next().await;
-    actix_rt::spawn(exit_on_second(signals, log));
+    actix_rt::spawn(exit_on_second(signals, output.clone()));
     daemon.close().await;
     Ok(())
 }
 
-async fn exit_on_second(mut signals: StopSignals, log: Logger) {
+async fn exit_on_second(mut signals: StopSignals, output: Log) {
     signals.next().await;
-    obs::emit(&log, Event::StopForced, "second signal");
+    obs::emit(output.logger(), Event::StopForced, "second signal");
+    output.close();
     exit(i32::from(EXIT_START));
 }
 
--- /dev/null
+++ b/crates/bronzetack/tests/process.rs
@@ -0,0 +1,116 @@
+//! Daemons as processes of their own: what they do when their output cannot be written.
+
+mod process_kit;
+
+use std::fs::File;
+use std::io::Read;
+use std::io::Write;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::process::Stdio;
+use std::thread;
+
+use nix::sys::signal::Signal;
+use serde_json::Map;
+use serde_json::Value;
+use yare::parameterized;
+
+use process_kit::Process;
+use process_kit::Program;
+
+/// Metric that counts log lines that were not written.
+const DROPPED: &str = "bronzetack_log_lines_dropped_total";
+
+/// Numbers of log events.
+const DAEMON_STOPPED: u64 = 103;
+const CALL_ANSWERED: u64 = 640;
+
+/// Calls that a test makes, each of which is logged.
+const CALLS: usize = 50;
+
+/// Asserts that each line is a whole JSON object, and returns them.
+fn parse_lines(text: &str) -> Vec<Map<String, Value>> {
+    let parse = |line: &str| {
+        serde_json::from_str(line).unwrap_or_else(|e| panic!("torn log line: {e}: {line}"))
+    };
+    text.lines().filter(|l| !l.is_empty()).map(parse).collect()
+}
+
+fn read_all(mut from: impl Read) -> String {
+    let mut text = String::new();
+    from.read_to_string(&mut text).expect("cannot read the log");
+    text
+}
+
+/// Output that nobody reads any more.
+fn broken_pipe() -> Stdio {
+    let (out, reader) = UnixStream::pair().expect("cannot make a pair of sockets");
+    drop(reader);
+    OwnedFd::from(out).into()
+}
+
+/// Output that takes nothing until somebody reads the empty lines in it. Writes to it fail at once if
+/// it does not block.
+fn full_pipe(blocks: bool) -> (Stdio, UnixStream) {
+    let (mut out, reader) = UnixStream::pair().expect("cannot make a pair of sockets");
+    out.set_nonblocking(true).expect("cannot set the mode");
+    while out.write(b"\n").is_ok() {}
+    out.set_nonblocking(!blocks).expect("cannot set the mode");
+    (OwnedFd::from(out).into(), reader)
+}
+
+/// Output to a device without space.
+fn full_device() -> Stdio {
+    let file = File::options().write(true).open("/dev/full");
+    file.expect("cannot open /dev/full").into()
+}
+
+/// Failure: a log line that could not be written ended the daemon, with all that it was answering.
+#[parameterized(
+    batch_broken_pipe = { Program::Batch, broken_pipe },
+    batch_full_device = { Program::Batch, full_device },
+    serve_broken_pipe = { Program::Serve, broken_pipe },
+    serve_full_device = { Program::Serve, full_device },
+)]
+fn a_log_that_cannot_be_written_ends_no_daemon(program: Program, output: fn() -> Stdio) {
+    let mut process = Process::start(program, output());
+    for _ in 0..10 {
+        process.call();
+    }
+    process.wait_for_metric(DROPPED, |count| count > 0);
+    let status = process.stop(Signal::SIGTERM);
+    assert_eq!(status.code(), Some(0), "{status}");
+}
+
+/// Failure: a log to a full pipe that does not block ended the daemon, and tore the line that was
+/// being written.
+#[test]
+fn a_log_to_a_full_pipe_that_does_not_block_stays_whole() {
+    let (out, reader) = full_pipe(false);
+    let mut process = Process::start(Program::Batch, out);
+    for _ in 0..CALLS {
+        process.call();
+    }
+    let text = thread::spawn(move || read_all(reader));
+    let status = process.stop(Signal::SIGTERM);
+    assert_eq!(status.code(), Some(0), "{status}");
+    let lines = parse_lines(&text.join().expect("the reader failed"));
+    let answers = lines.iter().filter(|l| l["event"] == CALL_ANSWERED).count();
+    assert_eq!(answers, CALLS);
+    assert!(lines.iter().any(|l| l["event"] == DAEMON_STOPPED));
+}
+
+/// Failure: a planned stop did not end while the log was blocked by a reader that does not read.
+#[parameterized(
+    batch = { Program::Batch },
+    serve = { Program::Serve },
+)]
+fn a_planned_stop_ends_while_nobody_reads_the_log(program: Program) {
+    let (out, _reader) = full_pipe(true);
+    let mut process = Process::start(program, out);
+    for _ in 0..CALLS {
+        process.call();
+    }
+    let status = process.stop(Signal::SIGTERM);
+    assert_eq!(status.code(), Some(0), "{status}");
+}
--- /dev/null
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -0,0 +1,191 @@
+//! Starts a daemon as a child process, calls it and signals it.
+
+use std::env::temp_dir;
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::thread::sleep;
+use std::time::Duration;
+use std::time::Instant;
+
+use nix::sys::signal::kill;
+use nix::sys::signal::Signal;
+use nix::unistd::Pid;
+
+/// Longest wait for what a test expects.
+const WAIT: Duration = Duration::from_secs(30);
+
+/// Time between two looks.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Longest time for a response.
+const RESPONSE: Duration = Duration::from_secs(10);
+
+/// Method and path of the metrics.
+const METRICS: &str = "GET /metrics";
+
+/// The two kinds of daemon. `batch` logs to standard output, `serve` to standard error.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Program {
+    Batch,
+    Serve,
+}
+
+/// A daemon's process, which is killed when it is dropped.
+pub struct Process {
+    pub child: Child,
+    program: Program,
+    callers: SocketAddr,
+    operators: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Errors mean that the process has ended or that the file is gone.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("cannot bind a port");
+    listener.local_addr().expect("no address")
+}
+
+impl Process {
+    /// Starts a daemon whose log goes to `log`, and waits until it answers.
+    pub fn start(program: Program, log: Stdio) -> Process {
+        let mut process = Process::spawn(program, log);
+        process.wait_until_up();
+        process
+    }
+
+    /// Starts a daemon whose log goes to `log`. The store that its settings name does not exist.
+    pub fn spawn(program: Program, log: Stdio) -> Process {
+        Process::spawn_from(program, log, |path, text| {
+            fs::write(path, text).expect("cannot write the settings");
+        })
+    }
+
+    /// As [`Process::spawn`]; `write` makes the settings file from its path and text.
+    pub fn spawn_from(program: Program, log: Stdio, write: impl FnOnce(&PathBuf, &str)) -> Process {
+        let [callers, ready, operators, store] = [(); 4].map(|()| free_address());
+        let name = format!("process-{}-{}.jsonc", std::process::id(), operators.port());
+        let settings = temp_dir().join(name);
+        let text = match program {
+            Program::Batch => format!(
+                r#"{{ "vm": "e0", "domain": "d0",
+                "addresses": {{ "callers": "{callers}", "ready": "{ready}", "operators": "{operators}" }},
+                "store": {{ "address": "{store}" }}, "bounds": {{ "stop": "3s" }} }}"#
+            ),
+            Program::Serve => format!(
+                r#"{{ "domain": "d0", "domains": ["d0"], "log": {{ "debug": true }},
+                "addresses": {{ "callers": "{callers}", "peers": "127.0.0.1:0", "operators": "{operators}" }},
+                "platform": {{ "store": ["http://{store}"], "vms": "http://{store}", "calls": 200 }} }}"#
+            ),
+        };
+        write(&settings, &text);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bronzetack"));
+        let command = match program {
+            Program::Batch => command.arg("batch").stdout(log).stderr(Stdio::null()),
+            Program::Serve => command.arg("serve").stdout(Stdio::null()).stderr(log),
+        };
+        let command = command.arg("--settings").arg(&settings);
+        let child = command.stdin(Stdio::null()).spawn();
+        Process {
+            child: child.expect("cannot start the daemon"),
+            program,
+            callers,
+            operators,
+            settings,
+        }
+    }
+
+    /// Waits until the daemon answers.
+    pub fn wait_until_up(&mut self) {
+        let end = Instant::now() + WAIT;
+        while call(self.operators, METRICS).is_none() {
+            let ended = self.child.try_wait().expect("cannot look at the process");
+            assert_eq!(ended, None, "the daemon has ended");
+            assert!(Instant::now() < end, "the daemon does not answer");
+            sleep(POLL);
+        }
+    }
+
+    /// Makes a call that the daemon logs.
+    pub fn call(&mut self) {
+        let line = match self.program {
+            Program::Batch => "GET /q/00000000000000a1",
+            Program::Serve => "POST /v1/requests/a",
+        };
+        let answered = call(self.callers, line).is_some();
+        let ended = self.child.try_wait().expect("cannot look at the process");
+        assert_eq!(ended, None, "the daemon has ended");
+        assert!(answered, "a call was not answered");
+    }
+
+    /// Value of a metric without labels.
+    pub fn metric(&self, name: &str) -> Option<u64> {
+        let text = call(self.operators, METRICS)?;
+        let value = text.lines().find_map(|l| l.strip_prefix(name))?;
+        value.trim().parse().ok()
+    }
+
+    /// Waits until a metric has an expected value.
+    pub fn wait_for_metric(&mut self, name: &str, expected: impl Fn(u64) -> bool) {
+        let end = Instant::now() + WAIT;
+        while !self.metric(name).is_some_and(&expected) {
+            let ended = self.child.try_wait().expect("cannot look at the process");
+            assert_eq!(ended, None, "the daemon has ended");
+            let value = self.metric(name);
+            assert!(Instant::now() < end, "{name} is {value:?}");
+            sleep(POLL);
+        }
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("cannot signal the process");
+    }
+
+    /// Sends a signal and waits for the end of the process.
+    pub fn stop(&mut self, signal: Signal) -> ExitStatus {
+        self.signal(signal);
+        self.wait_for_end()
+    }
+
+    /// Waits for the end of the process.
+    pub fn wait_for_end(&mut self) -> ExitStatus {
+        let end = Instant::now() + WAIT;
+        loop {
+            let ended = self.child.try_wait().expect("cannot look at the process");
+            if let Some(status) = ended {
+                return status;
+            }
+            assert!(Instant::now() < end, "the daemon does not end");
+            sleep(POLL);
+        }
+    }
+}
+
+/// Body of the response to a request; `None` without a whole response.
+fn call(to: SocketAddr, line: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(RESPONSE)).ok()?;
+    let request =
+        format!("{line} HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (_, body) = text.split_once("\r\n\r\n")?;
+    Some(body.to_string())
+}
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -4,6 +4,7 @@
 mod log;
 mod log_limiter;
 mod metrics;
+mod output;
 mod span;
 
 pub use event::Event;
@@ -11,8 +12,7 @@
 pub use log::discard;
 pub use log::emit;
 pub use log::record;
-pub use log::to_stderr;
-pub use log::to_stdout;
+pub use log::Log;
 pub use log_limiter::LogLimiter;
 pub use metrics::Counter;
 pub use metrics::CounterSeries;
--- a/crates/obs/src/metrics.rs
+++ b/crates/obs/src/metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::Histogram as PromHistogram;
 use prometheus_client::registry::Registry;
 
+use crate::output::DROPPED_LINES;
+
 /// Labels of a series: pairs of name and value.
 type Labels = Vec<(String, String)>;
 
@@ -120,10 +122,17 @@
 }
 
 impl Metrics {
-    /// An empty registry. It prefixes the names of its metrics with `bronzetack_`.
+    /// A registry with the metrics of the process's log. It prefixes the names of its metrics with
+    /// `bronzetack_`.
     pub fn new() -> Metrics {
+        let mut registry = Registry::with_prefix("bronzetack");
+        registry.register(
+            "log_lines_dropped",
+            "Log lines that could not be written",
+            DROPPED_LINES.family.clone(),
+        );
         Metrics {
-            registry: Arc::new(Mutex::new(Registry::with_prefix("bronzetack"))),
+            registry: Arc::new(Mutex::new(registry)),
         }
     }
 
