Log what keeps work from running beside free room

After the incident nothing could say why jobs had nothing running beside free room: each pause, limit and preference is short by itself, and only their sum is seen outside. The account of stages (651) covers urgent jobs only, and only once they have ended.

The scheduler now checks every 500 ms which jobs have nothing running, and which tasks that last are not, though they are due. After 2 s beside room for twice as much (and, unless the work lasts, with at most half of the pool in use) it logs event 633 once a wait: the job, what it waits for by the stages of 651, since when, and the workers with room by state (paused, silent, cordoned, usable). `batch_waits_beside_room` counts the waits by stage. Lines are limited to one a second and count those held back.

The kit plays tasks that last. Decisions are unchanged.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -139,6 +139,8 @@
     pub crashes: Vec<Crash>,
     /// Since when it has been waiting for a worker without other jobs.
     pub held_since: Option<Millis>,
+    /// Since when a task that lasts has not been running.
+    pub idle_since: Option<Millis>,
 }
 
 /// State of one step of an occurrence.
@@ -158,6 +160,10 @@
     pub delay_logged: bool,
     /// Whether it was logged that the step waits because of its organisation's limit.
     pub hold_logged: bool,
+    /// Since when it has had nothing running; if it lasts, since when one of its tasks has not been.
+    pub idle_since: Option<Millis>,
+    /// Whether it was logged since then that it waits beside free room.
+    pub idle_logged: bool,
 }
 
 impl StepState {
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -67,6 +67,7 @@
 pub use record::RecordError;
 pub use record::Submitted;
 pub use scheduler::GuaranteeOverview;
+pub use scheduler::IdleWait;
 pub use scheduler::JobCounts;
 pub use scheduler::JobOverview;
 pub use scheduler::LogDetail;
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -328,6 +328,7 @@
             avoid: Vec::new(),
             crashes: Vec::new(),
             held_since: None,
+            idle_since: None,
         }
     }
 }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -42,6 +42,7 @@
 use crate::worker::Worker;
 
 mod crashes;
+mod idle;
 mod load;
 mod losses;
 mod measure;
@@ -62,6 +63,7 @@
 use losses::Losses;
 use orgs::Waits;
 
+pub use idle::IdleWait;
 pub use overview::GuaranteeOverview;
 pub use overview::JobCounts;
 pub use overview::JobOverview;
@@ -99,6 +101,8 @@
     WorkerCrashed,
     /// A job that is given up because workers crash under one of its tasks.
     JobGivenUp,
+    /// Work that waits beside free room.
+    WaitsBesideRoom,
 }
 
 /// An entry for the operators' log.
@@ -110,15 +114,17 @@
     pub job: Option<JobId>,
     /// Text of the entry.
     pub text: String,
-    /// What has ended, if the entry is about that.
+    /// What has ended or waits, if the entry is about that.
     pub detail: Option<LogDetail>,
 }
 
-/// What has ended.
+/// What has ended or waits.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LogDetail {
     /// A job.
     EndedJob(EndedJob),
+    /// Work that waits beside free room.
+    IdleWait(IdleWait),
     /// A run without a result.
     LostRun(LostRun),
 }
@@ -147,6 +153,8 @@
     pub(crate) stopping: BTreeSet<TaskId>,
     /// When open runs were last checked for expired leases and stalls.
     pub(crate) checked_at: Millis,
+    /// When it was last checked what waits beside free room.
+    pub(crate) idle_checked_at: Millis,
     /// Jobs with changes that are not stored yet.
     pub(crate) dirty: BTreeSet<JobId>,
     /// Jobs whose changes are being stored.
@@ -213,6 +221,7 @@
             losses: Losses::default(),
             stopping: BTreeSet::new(),
             checked_at: Millis::ZERO,
+            idle_checked_at: Millis::ZERO,
             dirty: BTreeSet::new(),
             storing: BTreeSet::new(),
             planned: Vec::new(),
--- a/crates/batch/src/scheduler/overview.rs
+++ b/crates/batch/src/scheduler/overview.rs
@@ -283,7 +283,7 @@
         all
     }
 
-    fn usability(&self, worker: &Worker, now: Millis) -> Usability {
+    pub(super) fn usability(&self, worker: &Worker, now: Millis) -> Usability {
         match worker {
             w if self.is_usable(w, now) => Usability::Usable,
             w if w.missing_since.is_some() => Usability::Missing,
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -68,6 +68,7 @@
             self.drop_lapsed_strays(now);
             self.review_suspects(now);
         }
+        self.note_idle(now);
         let is_expired = |w: &Worker| {
             let missing = w
                 .missing_since
--- a/crates/batch/src/scheduler/trace.rs
+++ b/crates/batch/src/scheduler/trace.rs
@@ -23,7 +23,7 @@
     /// Notes what each urgent job does from now on.
     pub(super) fn trace_urgent(&mut self) {
         let (now, wall) = self.pass_at;
-        let is_held = self.planned_at.is_none_or(|at| now.since(at) > HELD_AFTER);
+        let is_held = is_held(self.planned_at, now);
         for id in &self.live {
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
@@ -82,6 +82,11 @@
     }
 }
 
+/// Whether starts are held, as nothing has been planned for a while.
+pub(super) fn is_held(planned_at: Option<Millis>, now: Millis) -> bool {
+    planned_at.is_none_or(|at| now.since(at) > HELD_AFTER)
+}
+
 fn is_traced(job: &Job) -> bool {
     job.submitted.priority == 0 && job.submitted.work.schedule.is_none()
 }
@@ -99,7 +104,8 @@
         .unwrap_or(Activity::Running)
 }
 
-fn waits_for(state: &StepState, spec: &StepSpec, now: Millis) -> Option<Stage> {
+/// What a step waits for, if anything.
+pub(super) fn waits_for(state: &StepState, spec: &StepSpec, now: Millis) -> Option<Stage> {
     let open = || state.tasks.iter().filter_map(|t| t.open.as_ref());
     let any = |phase: RunPhase| open().any(|o| o.phase == phase);
     let is_missing = state.tasks.iter().any(|t| !t.done && t.open.is_none());
--- a/crates/batch/tests/account.rs
+++ b/crates/batch/tests/account.rs
@@ -39,7 +39,7 @@
                     self.ended.push((entry.job.expect("a job"), ended));
                 }
                 Some(LogDetail::LostRun(lost)) => self.lost.push(lost),
-                None => {}
+                Some(LogDetail::IdleWait(_)) | None => {}
             }
         }
     }
--- a/crates/batch/tests/capacity.rs
+++ b/crates/batch/tests/capacity.rs
@@ -143,6 +143,7 @@
         work: Millis(20_000),
         need: shrunk(8),
         stopping: None,
+        lasting: false,
         fails: false,
     };
     site.workers[0].runs.insert(task, late);
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -205,7 +205,7 @@
         }
     }
 
-    fn poll(&mut self) {
+    pub fn poll(&mut self) {
         for (id, _) in self.scheduler.poll_targets() {
             let due = self
                 .last_polls
@@ -302,6 +302,7 @@
             work: Millis(spec.estimate.0 * 100 / self.workers[num].speed),
             need: spec.occupies(),
             stopping: None,
+            lasting: spec.lasting,
             fails: fails
                 || self.workers[num].fails
                 || self.always_failing.contains(&request.task.job),
@@ -380,7 +381,7 @@
                     () if !whole && now.since(run.started) > GANG_TIMEOUT => EndKind::Alone,
                     () if worker.hangs || !whole => continue,
                     () if run.fails && now.since(run.started).0 > run.work.0 / 2 => EndKind::Failed,
-                    () if now.since(run.started) > work => EndKind::Done,
+                    () if !run.lasting && now.since(run.started) > work => EndKind::Done,
                     () => continue,
                 };
                 ends.push((num, task.clone(), kind));
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -22,6 +22,9 @@
 
 use super::BOUNDS;
 
+/// Time after its start from which a task that lasts is at work.
+const STARTUP: Millis = Millis(100);
+
 /// An active run.
 #[derive(Clone, Debug)]
 pub struct FakeRun {
@@ -34,6 +37,8 @@
     /// When it ends after a stop request.
     pub stopping: Option<Millis>,
     pub fails: bool,
+    /// Whether it works until it is stopped.
+    pub lasting: bool,
 }
 
 /// A simulated worker, with switches for faults.
@@ -216,6 +221,7 @@
             saved: String::new(),
             percent: match hangs {
                 true => 0,
+                false if run.lasting => 100 * u32::from(now.since(run.started) >= STARTUP),
                 // A member of a gang that is done stands at 100 until the last one is.
                 false => {
                     let most = if run.gang.is_some() { 100 } else { 99 };
--- a/crates/bronzetack/src/batch/decisions.rs
+++ b/crates/bronzetack/src/batch/decisions.rs
@@ -6,6 +6,7 @@
 use batch::account::EndedJob;
 use batch::account::LostRun;
 use batch::account::Outcome;
+use batch::IdleWait;
 use batch::LogDetail;
 use batch::LogEntry;
 use batch::LogKind;
@@ -19,11 +20,12 @@
 /// Core-milliseconds in a core-second.
 const MS_PER_SECOND: u64 = 1_000;
 
-/// Metrics of jobs and of runs without a result.
+/// Metrics of jobs, of runs without a result, and of waits beside free room.
 pub struct EndMetrics {
     jobs: Counter,
     late: Counter,
     lost: Counter,
+    idle: Counter,
 }
 
 impl EndMetrics {
@@ -39,6 +41,10 @@
                 "batch_lost_core_ms",
                 "Work of runs without a result, by cause",
             ),
+            idle: metrics.counter(
+                "batch_waits_beside_room",
+                "Waits of work beside free room, by what it waited for",
+            ),
         }
     }
 
@@ -71,6 +77,7 @@
     for entry in entries {
         match &entry.detail {
             Some(LogDetail::EndedJob(ended)) => log_job(shared, &entry, ended),
+            Some(LogDetail::IdleWait(idle)) => log_idle(shared, &entry, idle),
             Some(LogDetail::LostRun(lost)) => log_run(shared, lost),
             None => log_decision(shared, lead, &entry),
         }
@@ -88,6 +95,7 @@
             shared.guarantees_delayed.add(&[], 1);
             Event::GuaranteeDelayed
         }
+        LogKind::WaitsBesideRoom => Event::WaitsBesideRoom,
         LogKind::LimitReached => Event::OrgLimitReached,
         LogKind::LimitTooLow => Event::OrgLimitTooLow,
         LogKind::CapacityChanged => Event::CapacityChanged,
@@ -128,6 +136,23 @@
     obs::record(&shared.log, Event::JobEnded, &fields);
 }
 
+fn log_idle(shared: &Shared, entry: &LogEntry, idle: &IdleWait) {
+    let stage = idle.stage.name();
+    shared.ends.idle.add(&[("stage", stage)], 1);
+    let Some(suppressed) = shared.idle_log.admit(shared.now()) else {
+        return;
+    };
+    let job = job_name(entry.job.as_ref());
+    let fields: &[(&'static str, &dyn Display)] = &[
+        ("job", &job),
+        ("stage", &stage),
+        ("waited_ms", &idle.waited.0),
+        ("why", &entry.text),
+        ("more", &suppressed),
+    ];
+    obs::record(&shared.log, Event::WaitsBesideRoom, fields);
+}
+
 fn log_run(shared: &Shared, lost: &LostRun) {
     shared.ends.count_run(lost);
     let room_for = job_name(lost.loss.room_for.as_ref());
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -87,6 +87,8 @@
     pub slow_log: LogLimiter,
     /// Rate limit of log lines about stop requests without a response.
     pub stop_log: LogLimiter,
+    /// Limits log lines about work that waits beside free room.
+    pub idle_log: LogLimiter,
     /// What each organisation may have running, has, and waits for.
     pub orgs: OrgMetrics,
     /// How jobs end, and what runs without a result have lost.
@@ -240,6 +242,7 @@
             store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
             slow_log: LogLimiter::default(),
             stop_log: LogLimiter::default(),
+            idle_log: LogLimiter::default(),
             clock,
             caller_store: store.with_timeout(CALLER_STORE_TIMEOUT),
             store,
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -109,6 +109,7 @@
     DomainOut = 630, Info, "failure domain taken out of service";
     DomainBack = 631, Info, "failure domain back in service";
     CapacityChanged = 632, Info, "capacity of a worker has changed";
+    WaitsBesideRoom = 633, Warn, "work waits beside free room";
     CallAnswered = 640, Info, "call answered";
     RunRequested = 641, Info, "worker asked to start a run";
     SchedulingDecision = 642, Info, "scheduling decision about a job or worker";
