Log a panic with its place and reason before the process ends

What operators saw: after a panic the log simply ended, as after a kill. The text of the panic went to standard error, not as JSON, and among the lines of `serve`; with RUST_BACKTRACE it was a page. Lines still in the queue of the log were lost.

Cause: no panic hook; the process aborts at once.

It takes no lock, and nothing goes to standard error.

Why it works: an end without 103, 104 and 107 is a kill from outside or a log that could not be written.

--- a/crates/bronzetack/src/cmd/batch.rs
+++ b/crates/bronzetack/src/cmd/batch.rs
@@ -52,6 +52,10 @@
 
 async fn serve(settings: BatchConfig, path: &Path) -> Result<(), CliError> {
     let output = Log::to_stdout(slog::o!(), settings.debug);
+    output.log_panics(slog::o!(
+        "vm" => settings.vm.to_string(),
+        "domain" => settings.domain.to_string()
+    ));
     let result = run_daemon(settings, path, &output).await;
     output.close();
     result
--- a/crates/bronzetack/src/cmd/serve.rs
+++ b/crates/bronzetack/src/cmd/serve.rs
@@ -44,6 +44,7 @@
 
 async fn serve(node: NodeConfig) -> Result<(), CliError> {
     let output = Log::to_stderr(slog::o!(), node.log.debug);
+    output.log_panics(slog::o!("domain" => node.domain.to_string()));
     let result = run_daemon(node, &output).await;
     output.close();
     result
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -57,6 +57,7 @@
     StopForced = 104, Warn, "planned stop ended early with work in progress";
     ServiceFailed = 105, Error, "service failed to start";
     DaemonNotReady = 106, Warn, "daemon is not ready for callers";
+    ProcessPanicked = 107, Error, "daemon ends after a panic";
     LogLinesDropped = 108, Warn, "log lines were dropped";
     SpanClosed = 110, Debug, "span closed";
     StoreUnreachable = 200, Warn, "platform store does not answer";
--- a/crates/obs/src/log.rs
+++ b/crates/obs/src/log.rs
@@ -8,7 +8,11 @@
 use std::io::stdout;
 use std::io::Write;
 use std::mem::forget;
+use std::panic;
+use std::panic::PanicHookInfo;
+use std::process::abort;
 use std::sync::Arc;
+use std::thread;
 use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
@@ -112,11 +116,47 @@
     /// Waits until the lines logged so far are written. The wait is bounded, as the output may be
     /// blocked.
     pub fn close(self) {
+        self.wait_until_written();
+    }
+
+    fn wait_until_written(&self) {
         let end = Instant::now() + CLOSE_TIMEOUT;
         while !self.backlog.is_empty() && Instant::now() < end {
             sleep(CLOSE_POLL_INTERVAL);
         }
     }
+
+    /// From now on a panic on any thread is logged with its place and its reason, and ends the
+    /// process. `fields` are added to those of the log.
+    pub fn log_panics<T>(&self, fields: OwnedKV<T>)
+    where
+        T: SendSyncRefUnwindSafeKV + 'static,
+    {
+        let log = Log {
+            logger: self.logger.new(fields),
+            backlog: self.backlog.clone(),
+        };
+        panic::set_hook(Box::new(move |panic| log.end_by(panic)));
+    }
+
+    /// Logs a panic and ends the process, in a build that unwinds as well: without the task or the
+    /// thread that panicked it would go on in part. Nothing goes to standard error, which may be
+    /// blocked.
+    fn end_by(&self, panic: &PanicHookInfo<'_>) -> ! {
+        let thread = thread::current();
+        let place = panic.location().map(|l| l.to_string());
+        let payload = panic.payload();
+        let text = payload.downcast_ref::<String>().map(String::as_str);
+        let reason = text.or_else(|| payload.downcast_ref::<&str>().copied());
+        let fields: [(&'static str, &dyn Display); 3] = [
+            ("place", &place.as_deref().unwrap_or("unknown")),
+            ("reason", &reason.unwrap_or("unknown")),
+            ("thread", &thread.name().unwrap_or("unnamed")),
+        ];
+        record(&self.logger, Event::ProcessPanicked, &fields);
+        self.wait_until_written();
+        abort()
+    }
 }
 
 /// The queue of the thread that writes the lines.
