End a daemon whose port has no server, with the reason in its log

What callers saw: a daemon that ran out of descriptors while it started went on without a server on one of its ports: connections were refused, while it could hold the lock and plan. When it could not bind a port, its log did not say why it ended; the reason was on standard error only.

Cause: the future of the HTTP server opens the poll and starts the threads when it is first polled, in a spawned task that dropped its error. `batch` did not log event 105, as `serve` does.

Evidence, before, 19 and 20 descriptors: callers and ready answer, operators "Connection refused", the process goes on. The test: "9 descriptors: []" (no line of the log has a reason); with 105 logged and the server as before: "not all ports listen".

Change: the server is polled once before it is spawned, and its error is the error of the start. `batch` logs 105.

The test plays 9 to 25 descriptors and passes.

Why it works: the first poll runs all of the start that can fail.

--- a/crates/bronzetack/src/cmd/batch.rs
+++ b/crates/bronzetack/src/cmd/batch.rs
@@ -66,7 +66,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let daemon = BatchDaemon::start(settings, log.clone())?;
+    let daemon = BatchDaemon::start(settings, log.clone())
+        .inspect_err(|error| obs::emit(log, Event::ServiceFailed, &error.to_string()))?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/bronzetack/tests/process.rs
+++ b/crates/bronzetack/tests/process.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::Read;
 use std::io::Write;
+use std::ops::RangeInclusive;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::process::Stdio;
@@ -21,8 +22,13 @@
 /// Metric that counts log lines that were not written.
 const DROPPED: &str = "bronzetack_log_lines_dropped_total";
 
+/// Limits on the descriptors of a process, from too few for its first port to enough to listen.
+const FEW_DESCRIPTORS: RangeInclusive<u32> = 9..=25;
+
 /// Numbers of log events.
 const DAEMON_STOPPED: u64 = 103;
+const SERVICE_FAILED: u64 = 105;
+const PANICKED: u64 = 107;
 const CALL_ANSWERED: u64 = 640;
 
 /// Calls that a test makes, each of which is logged.
@@ -114,3 +120,22 @@
     let status = process.stop(Signal::SIGTERM);
     assert_eq!(status.code(), Some(0), "{status}");
 }
+
+/// Failure: a daemon that ran out of descriptors while it started went on without one of its ports,
+/// or ended without a reason in its log.
+#[test]
+fn a_daemon_without_descriptors_listens_or_ends_with_a_reason() {
+    for descriptors in FEW_DESCRIPTORS {
+        let mut process = Process::spawn_limited(Program::Batch, Stdio::piped(), descriptors);
+        let log = process.child.stdout.take().expect("no log");
+        let Some(status) = process.wait_until_up_or_ended() else {
+            continue;
+        };
+        assert!(!status.success(), "{descriptors} descriptors: {status}");
+        let lines = parse_lines(&read_all(log));
+        let has_reason = lines
+            .iter()
+            .any(|l| l["event"] == SERVICE_FAILED || l["event"] == PANICKED);
+        assert!(has_reason, "{descriptors} descriptors: {lines:?}");
+    }
+}
--- a/crates/bronzetack/tests/process_kit/mod.rs
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -29,6 +29,9 @@
 /// Longest time for a response.
 const RESPONSE: Duration = Duration::from_secs(10);
 
+/// The program of the daemons.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_bronzetack");
+
 /// Method and path of the metrics.
 const METRICS: &str = "GET /metrics";
 
@@ -44,6 +47,7 @@
     pub child: Child,
     program: Program,
     callers: SocketAddr,
+    ready: SocketAddr,
     operators: SocketAddr,
     settings: PathBuf,
 }
@@ -77,8 +81,27 @@
         })
     }
 
+    /// Starts a daemon that may open so many descriptors.
+    pub fn spawn_limited(program: Program, log: Stdio, descriptors: u32) -> Process {
+        let mut command = Command::new("sh");
+        let limited = format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"");
+        command.args(["-c", &limited, PROGRAM]);
+        Process::run(command, program, log, |path, text| {
+            fs::write(path, text).expect("cannot write the settings");
+        })
+    }
+
     /// As [`Process::spawn`]; `write` makes the settings file from its path and text.
     pub fn spawn_from(program: Program, log: Stdio, write: impl FnOnce(&PathBuf, &str)) -> Process {
+        Process::run(Command::new(PROGRAM), program, log, write)
+    }
+
+    fn run(
+        mut command: Command,
+        program: Program,
+        log: Stdio,
+        write: impl FnOnce(&PathBuf, &str),
+    ) -> Process {
         let [callers, ready, operators, store] = [(); 4].map(|()| free_address());
         let name = format!("process-{}-{}.jsonc", std::process::id(), operators.port());
         let settings = temp_dir().join(name);
@@ -95,7 +118,6 @@
             ),
         };
         write(&settings, &text);
-        let mut command = Command::new(env!("CARGO_BIN_EXE_bronzetack"));
         let command = match program {
             Program::Batch => command.arg("batch").stdout(log).stderr(Stdio::null()),
             Program::Serve => command.arg("serve").stdout(Stdio::null()).stderr(log),
@@ -106,6 +128,7 @@
             child: child.expect("cannot start the daemon"),
             program,
             callers,
+            ready,
             operators,
             settings,
         }
@@ -122,6 +145,26 @@
         }
     }
 
+    /// Waits until the daemon answers on all its ports, or ends.
+    pub fn wait_until_up_or_ended(&mut self) -> Option<ExitStatus> {
+        let end = Instant::now() + WAIT;
+        loop {
+            let ended = self.child.try_wait().expect("cannot look at the process");
+            if ended.is_some() {
+                return ended;
+            }
+            let ports = [self.callers, self.ready, self.operators];
+            if ports
+                .into_iter()
+                .all(|port| TcpStream::connect(port).is_ok())
+            {
+                return None;
+            }
+            assert!(Instant::now() < end, "not all ports listen");
+            sleep(POLL);
+        }
+    }
+
     /// Makes a call that the daemon logs.
     pub fn call(&mut self) {
         let line = match self.program {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -12,6 +12,7 @@
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
 use base::Millis;
+use futures_util::FutureExt;
 
 use crate::answer::error_response;
 use crate::ops::ApiError;
@@ -70,8 +71,12 @@
         for listener in listeners {
             server = server.listen(listener)?;
         }
-        let server = server.run();
+        let mut server = server.run();
         let handle = server.handle();
+        // The first poll starts its threads; an error would otherwise leave the ports without a server.
+        if let Some(ended) = (&mut server).now_or_never() {
+            ended?;
+        }
         actix_rt::spawn(server);
         Ok(Server { address, handle })
     }
