--- a/crates/bronzetack/src/cmd/batch.rs
+++ b/crates/bronzetack/src/cmd/batch.rs
@@ -52,6 +52,10 @@
 
 async fn serve(settings: BatchConfig, path: &Path) -> Result<(), CliError> {
     let output = Log::to_stdout(slog::o!(), settings.debug);
+    output.log_panics(slog::o!(
+        "vm" => settings.vm.to_string(),
+        "domain" => settings.domain.to_string()
+    ));
     let result = run_daemon(settings, path, &output).await;
     output.close();
     result
@@ -62,7 +66,8 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let daemon = BatchDaemon::start(settings, log.clone())?;
+    let daemon = BatchDaemon::start(settings, log.clone())
+        .inspect_err(|error| obs::emit(log, Event::ServiceFailed, &error.to_string()))?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
