Read each row of a worker's report by itself

Callers saw: one row that could not be read in the replies of a worker, and no job with a task there ended any more: the whole report was refused, so the ends in it were neither applied nor acknowledged. A clock or start time of 2^64-1 was taken, and so was an end with such a number. Cause: the report was decoded as one value. Evidence, before: jobs_on_a_worker_with_odd_rows_complete, with a real daemon, 2 of 4 cases failed after 20 s: "did not become completed in time"; 27 cases of odd_entries failed, such as "the report was refused". Change: rows are decoded one by one. One that cannot be read is kept with its task, run and possible numbers, as far as these can be read, and is passed on between daemons in a message of its own. - A run that it may stand for is not closed. If the row names the task, it counts as active. Otherwise the run is stopped after 3 s, and closed when the worker has accepted that and `stop-grace` has passed on its clock, so the task never runs twice at a time. - Ends after it take effect at once; none from it on is acknowledged. A list of 500 is acknowledged as a whole, as nothing after it would come otherwise. Numbers that do not fit between their neighbours are wrong. - A worker that checks no capacity gets no task for up to `max-hold` while it lists more unreadable runs than there are open ones to be them. - Saved progress that cannot be read costs only that progress. - A report, or an answer to a start or stop, with an impossible clock or start time counts as none. One log line a worker and minute names the first row. The test a_report_with_a_malformed_row_is_an_error demanded the refusal. It becomes a_malformed_row_is_not_skipped: the same rows must be kept as unreadable, and odd_rows shows for each what the scheduler does with them. Measured: all tests of batch and delegate pass, and decode, absurd, odd_entries and odd_daemon of platform. Why it works: what a row may stand for is bounded by its task and its neighbours' numbers, and each step waits for proof from the worker.

--- a/crates/batch/examples/load/world.rs
+++ b/crates/batch/examples/load/world.rs
@@ -17,6 +17,7 @@
 use batch::EndKind;
 use batch::EndedRun;
 use batch::Load;
+use batch::OddRows;
 use batch::Report;
 use batch::Resources;
 use batch::RunNumber;
@@ -339,6 +340,7 @@
             clock: now.0,
             running: running.collect(),
             ended: std::mem::take(&mut worker.ended),
+            odd: OddRows::default(),
         };
         let id = worker.entry.id.clone();
         // A poll also renews the worker's lease.
--- a/crates/batch/src/catalog.rs
+++ b/crates/batch/src/catalog.rs
@@ -134,6 +134,12 @@
         })
     }
 
+    /// Whether the workers of a pool themselves refuse tasks that exceed their capacity.
+    pub fn checks_capacity(&self, pool: &ServiceId) -> bool {
+        let pool = self.pools.iter().find(|p| p.name == *pool);
+        pool.is_some_and(|p| p.checks_capacity)
+    }
+
     /// The queue with this name.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|q| q.name == name)
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -72,6 +72,8 @@
     /// Reading of the worker's clock. A later report that does not list the run proves that it has
     /// ended.
     pub absent_after: Option<u64>,
+    /// Since when its worker has listed rows that cannot be read, one of which may stand for it.
+    pub hidden_since: Option<Millis>,
     /// When a stop request was last sent.
     pub stop_sent: Option<Millis>,
     /// When it was first known to have started.
@@ -105,6 +107,7 @@
             phase: RunPhase::Planned,
             planned_at: now,
             absent_after: None,
+            hidden_since: None,
             stop_sent: None,
             seen_at: None,
             progress_at: now,
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -45,6 +45,7 @@
 mod load;
 mod losses;
 mod measure;
+mod odd;
 mod orgs;
 mod overview;
 mod recall;
--- a/crates/batch/src/scheduler/orgs.rs
+++ b/crates/batch/src/scheduler/orgs.rs
@@ -47,7 +47,12 @@
             .running
             .iter()
             .filter(|r| !self.is_open(&r.task, r.run, id));
-        let strays: Vec<&TaskId> = strays.map(|r| &r.task).collect();
+        let odd = report.odd.running.iter().filter_map(|r| r.task.as_ref());
+        let odd = odd.filter(|task| {
+            let open = self.open_run(task);
+            open.is_none_or(|o| o.worker != *id)
+        });
+        let strays: Vec<&TaskId> = strays.map(|r| &r.task).chain(odd).collect();
         let mut occupied = Resources::default();
         for task in &strays {
             let spec = self.jobs.get(&task.job).and_then(|j| j.spec(task));
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -67,10 +67,11 @@
         if worker.clock.is_none_or(|(clock, _)| clock <= report.clock) {
             worker.clock = Some((report.clock, now));
         }
-        let truncated = report.ended.len() >= MAX_REPORTED_ENDS;
+        let truncated = report.ended.len() + report.odd.ended.len() >= MAX_REPORTED_ENDS;
         for end in &report.ended {
             self.apply_end(id, end, now);
         }
+        self.acknowledge(id, &report, truncated);
         if was_silent || is_first {
             self.settle_losses(id, now);
         }
@@ -83,6 +84,8 @@
             self.close_missing(id, &report, now);
         }
         self.count_strays(id, &report);
+        self.stop_odd_strays(id, &report);
+        self.pause_if_unknown(id, &report, now);
         self.apply_latencies(id, &report, now);
     }
 
@@ -113,6 +116,7 @@
         worker.upkeep_at = None;
         worker.clock = None;
         worker.reported_end = 0;
+        worker.read_ends.clear();
         worker.stored_end = 0;
         worker.failed_jobs.clear();
         worker.throttle = Throttle::default();
@@ -137,6 +141,7 @@
                 .running
                 .iter()
                 .any(|r| r.task == task && r.run == open.run);
+            let listed = listed || report.odd.names(&task);
             let unanswered = open.seen_at.is_none() && open.phase != RunPhase::Inherited;
             if listed || unanswered {
                 open.born = born;
@@ -168,10 +173,9 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if end.number <= worker.reported_end {
+        if end.number <= worker.reported_end || !worker.read_ends.insert(end.number) {
             return;
         }
-        worker.reported_end = end.number;
         self.unstored.push(SeenEnd {
             worker: id.clone(),
             end: end.clone(),
@@ -378,7 +382,7 @@
     }
 
     /// Queues a stop for a run that the coordinator does not want on this worker.
-    fn queue_stray_stop(&mut self, id: &WorkerId, task: &TaskId, run: RunNumber) {
+    pub(super) fn queue_stray_stop(&mut self, id: &WorkerId, task: &TaskId, run: RunNumber) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.stray_runs.push((task.clone(), run));
         }
@@ -406,12 +410,17 @@
             {
                 continue;
             }
-            let ended = match open.phase {
+            let phase = open.phase;
+            let absent_after = open.absent_after;
+            if self.is_hidden(id, &task, report, now) {
+                continue;
+            }
+            let ended = match phase {
                 // Started by an earlier coordinator, whose requests the worker refuses from now on.
                 RunPhase::Inherited => true,
                 RunPhase::Planned | RunPhase::Sent => false,
                 RunPhase::Running | RunPhase::Stopping => {
-                    open.absent_after.is_some_and(|clock| report.clock > clock)
+                    absent_after.is_some_and(|clock| report.clock > clock)
                 }
             };
             if ended {
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -1,5 +1,6 @@
 //! State of a worker, and what it reports.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -14,6 +15,7 @@
 
 use crate::bounds::with_clock_drift;
 use crate::bounds::REQUEST_TIMEOUT;
+use crate::odd::OddRows;
 use crate::spec::Resources;
 use crate::spec::RunNumber;
 use crate::spec::StepSpec;
@@ -127,14 +129,17 @@
     pub running: Vec<ActiveRun>,
     /// Ended runs that have not been acknowledged.
     pub ended: Vec<EndedRun>,
+    /// Rows of both lists that cannot be read.
+    pub odd: OddRows,
 }
 
 impl Report {
     /// Whether a run of this incarnation is listed, active or ended.
     pub fn mentions(&self, task: &TaskId, run: RunNumber) -> bool {
-        let mut running = self.running.iter().map(|r| (&r.task, r.run));
-        let mut ended = self.ended.iter().map(|e| (&e.task, e.run));
-        running.any(|known| known == (task, run)) || ended.any(|known| known == (task, run))
+        let running = self.running.iter().map(|r| (&r.task, r.run));
+        let ended = self.ended.iter().map(|e| (&e.task, e.run));
+        let is_read = running.chain(ended).any(|known| known == (task, run));
+        is_read || self.odd.names(task)
     }
 }
 
@@ -163,10 +168,14 @@
     pub last_answer: Millis,
     /// Last reading of the worker's clock, and when it arrived.
     pub clock: Option<(u64, Millis)>,
-    /// Highest sequence number of an ended run that was reported.
+    /// Highest sequence number of an ended run up to which all were reported and read.
     pub reported_end: u64,
+    /// Sequence numbers of the ended runs beyond it that were read.
+    pub read_ends: BTreeSet<u64>,
     /// Highest sequence number of an ended run whose effect is stored.
     pub stored_end: u64,
+    /// Since when it has listed more unreadable active runs than there can be open ones among them.
+    pub unknown_since: Option<Millis>,
     /// Latest time at which the worker's lease can expire.
     pub lease_end: Millis,
     /// Labels of the entry, shared with the planner's view of the worker.
@@ -224,6 +233,8 @@
             last_answer: Millis::ZERO,
             clock: None,
             reported_end: 0,
+            read_ends: BTreeSet::new(),
+            unknown_since: None,
             stored_end: 0,
             lease_end: Millis::ZERO,
             used: Resources::default(),
--- a/crates/batch/tests/absurd.rs
+++ b/crates/batch/tests/absurd.rs
@@ -14,6 +14,7 @@
 use batch::EndKind;
 use batch::EndedRun;
 use batch::JobRecord;
+use batch::OddRows;
 use batch::Org;
 use batch::OrgLimit;
 use batch::PromisedCapacity;
@@ -87,6 +88,7 @@
         clock,
         running,
         ended,
+        odd: OddRows::default(),
     }
 }
 
--- a/crates/batch/tests/handed_ends.rs
+++ b/crates/batch/tests/handed_ends.rs
@@ -8,6 +8,7 @@
 use base::WorkerId;
 use batch::EndKind;
 use batch::EndedRun;
+use batch::OddRows;
 use batch::Progress;
 use batch::Report;
 use batch::RunNumber;
@@ -63,6 +64,7 @@
         clock: clock.0,
         running: Vec::new(),
         ended,
+        odd: OddRows::default(),
     }
 }
 
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -9,6 +9,7 @@
 use batch::ActiveRun;
 use batch::EndKind;
 use batch::EndedRun;
+use batch::OddRows;
 use batch::PollRequest;
 use batch::Report;
 use batch::Resources;
@@ -229,6 +230,7 @@
             clock: self.clock_at(now).0,
             running: rows.collect(),
             ended: self.ended.iter().map(|(e, _, _)| e.clone()).collect(),
+            odd: OddRows::default(),
         })
     }
 
--- a/crates/batch/tests/limits.rs
+++ b/crates/batch/tests/limits.rs
@@ -7,6 +7,7 @@
 use batch::ActiveRun;
 use batch::JobPhase;
 use batch::LogKind;
+use batch::OddRows;
 use batch::Report;
 use batch::Resources;
 use batch::RunNumber;
@@ -268,6 +269,7 @@
         clock: (now - worker.1).0,
         running,
         ended: Vec::new(),
+        odd: OddRows::default(),
     };
     let mut starts = |running: Vec<ActiveRun>| {
         let now = site.now;
--- a/crates/batch/tests/silence.rs
+++ b/crates/batch/tests/silence.rs
@@ -11,6 +11,7 @@
 use base::Set;
 use base::WorkerId;
 use batch::ActiveRun;
+use batch::OddRows;
 use batch::Progress;
 use batch::Report;
 use batch::RunNumber;
@@ -82,6 +83,7 @@
         clock: at.0,
         running: running.into_iter().collect(),
         ended: Vec::new(),
+        odd: OddRows::default(),
     };
     scheduler.poll(&worker_id(num), true, at);
     scheduler.report(&worker_id(num), report, at, at);
--- a/crates/batch/tests/throttle.rs
+++ b/crates/batch/tests/throttle.rs
@@ -9,6 +9,7 @@
 use batch::throttle::ThrottleBounds;
 use batch::ActiveRun;
 use batch::JobPhase;
+use batch::OddRows;
 use batch::Report;
 use batch::StepSpec;
 
@@ -156,6 +157,7 @@
         clock: site.now.since(site.workers[0].born).0,
         running: vec![row(&task(&serves), tail), row(&task(&fills), 9)],
         ended: Vec::new(),
+        odd: OddRows::default(),
     };
     assert_eq!(site.scheduler.throttle_requests(site.now), []);
     let (now, high) = (site.now, report(&site, 400));
--- a/crates/bronzetack/src/batch/poll.rs
+++ b/crates/bronzetack/src/batch/poll.rs
@@ -7,6 +7,7 @@
 use base::Millis;
 use base::Set;
 use base::WorkerId;
+use batch::OddRows;
 use obs::Event;
 use platform::PollResponse;
 
@@ -23,6 +24,12 @@
 /// Longest time for which the next poll waits until ended runs are stored.
 const STORED_TIMEOUT: Millis = Millis(300);
 
+/// Delay after a report with an unreadable end, which the worker lists until it can be acknowledged.
+const ODD_END_DELAY: Millis = Millis(100);
+
+/// Shortest time between two log lines about unreadable rows of one worker.
+const ODD_LOG_INTERVAL: Millis = Millis(60_000);
+
 /// Polls every worker until the leadership ends.
 pub async fn run(shared: Rc<Shared>, lead: Rc<Leadership>) {
     let polled: Rc<RefCell<Set<WorkerId>>> = Rc::default();
@@ -53,6 +60,7 @@
 ) {
     let mut delay = RETRY_DELAY;
     let mut failing = false;
+    let mut odd_noted: Option<Millis> = None;
     while !lead.ended.get() {
         let sent = shared.now();
         let renew = sent <= lead.lease_status.valid_until() + shared.times.offline_renewal;
@@ -65,11 +73,16 @@
         let error = match response {
             Ok(PollResponse::Report(report)) => {
                 let any_ended = !report.ended.is_empty();
+                let any_odd = !report.odd.ended.is_empty();
+                note_odd(&shared, &id, &report.odd, &mut odd_noted);
                 lead.scheduler
                     .borrow_mut()
                     .report(&id, report, sent, shared.now());
                 lead.wake.notify_one();
-                if any_ended {
+                if any_odd {
+                    // The worker answers at once while it lists an end that is not acknowledged.
+                    shared.sleep(ODD_END_DELAY).await;
+                } else if any_ended {
                     wait_stored(&shared, &lead).await;
                 }
                 None
@@ -103,6 +116,19 @@
     polled.borrow_mut().remove(&id);
 }
 
+/// Logs what is wrong with the first row of a report that cannot be read.
+fn note_odd(shared: &Shared, id: &WorkerId, odd: &OddRows, noted: &mut Option<Millis>) {
+    let Some(why) = odd.first() else { return };
+    let now = shared.now();
+    if noted.is_some_and(|at| now.since(at) < ODD_LOG_INTERVAL) {
+        return;
+    }
+    *noted = Some(now);
+    let fields: &[(&'static str, &dyn std::fmt::Display)] =
+        &[("worker", id), ("rows", &odd.count()), ("error", &why)];
+    obs::record(&shared.log, Event::InputRefused, fields);
+}
+
 /// Waits until the ends of runs in the last report are stored, so that the next poll can
 /// acknowledge them.
 async fn wait_stored(shared: &Shared, lead: &Leadership) {
--- a/crates/delegate/src/message.rs
+++ b/crates/delegate/src/message.rs
@@ -8,6 +8,9 @@
 use batch::ActiveRun;
 use batch::EndKind;
 use batch::EndedRun;
+use batch::OddEnd;
+use batch::OddRows;
+use batch::OddRun;
 use batch::PollRequest;
 use batch::Report;
 use batch::RunNumber;
@@ -140,6 +143,16 @@
     /// Incarnation, clock, active runs and ended runs.
     #[serde(rename = "r")]
     Report(Option<u64>, u64, Vec<ActiveWire>, Vec<EndedWire>),
+    /// The same and the rows of both lists that cannot be read.
+    #[serde(rename = "ro")]
+    OddReport(
+        Option<u64>,
+        u64,
+        Vec<ActiveWire>,
+        Vec<EndedWire>,
+        Vec<OddRunWire>,
+        Vec<OddEndWire>,
+    ),
     #[serde(rename = "a")]
     Accepted(u64),
     #[serde(rename = "sf")]
@@ -164,6 +177,14 @@
 #[derive(Deserialize, Serialize)]
 struct EndedWire(u64, TaskWire, u32, KindWire, String);
 
+/// Task, run and what is wrong with the row.
+#[derive(Deserialize, Serialize)]
+struct OddRunWire(Option<TaskWire>, Option<u32>, String);
+
+/// Lowest and highest number, task and what is wrong with the row.
+#[derive(Deserialize, Serialize)]
+struct OddEndWire(u64, u64, Option<TaskWire>, String);
+
 #[derive(Deserialize, Serialize)]
 enum KindWire {
     #[serde(rename = "a")]
@@ -295,12 +316,7 @@
             Response::Failed(why, unsent) => ResponseWire::Failed(why.clone(), *unsent),
             Response::Fenced => ResponseWire::Fenced,
             Response::Refused(status) => ResponseWire::Refused(*status),
-            Response::Report(report) => ResponseWire::Report(
-                report.born,
-                report.clock,
-                report.running.iter().map(ActiveWire::from).collect(),
-                report.ended.iter().map(EndedWire::from).collect(),
-            ),
+            Response::Report(report) => report_wire(report),
             Response::Started(StartResponse::Accepted(clock)) => ResponseWire::Accepted(*clock),
             Response::Started(StartResponse::Fenced) => ResponseWire::StartFenced,
             Response::Started(StartResponse::NoTicket) => ResponseWire::NoTicket,
@@ -327,7 +343,20 @@
                 clock,
                 running: running.into_iter().map(ActiveRun::from).collect(),
                 ended: ended.into_iter().map(EndedRun::from).collect(),
+                odd: OddRows::default(),
             }),
+            ResponseWire::OddReport(born, clock, running, ended, odd_runs, odd_ends) => {
+                Response::Report(Report {
+                    born,
+                    clock,
+                    running: running.into_iter().map(ActiveRun::from).collect(),
+                    ended: ended.into_iter().map(EndedRun::from).collect(),
+                    odd: OddRows {
+                        running: odd_runs.into_iter().map(OddRun::from).collect(),
+                        ended: odd_ends.into_iter().map(OddEnd::from).collect(),
+                    },
+                })
+            }
             ResponseWire::Accepted(clock) => Response::Started(StartResponse::Accepted(clock)),
             ResponseWire::StartFenced => Response::Started(StartResponse::Fenced),
             ResponseWire::NoTicket => Response::Started(StartResponse::NoTicket),
@@ -339,6 +368,59 @@
     }
 }
 
+fn report_wire(report: &Report) -> ResponseWire {
+    let running = report.running.iter().map(ActiveWire::from).collect();
+    let ended = report.ended.iter().map(EndedWire::from).collect();
+    if report.odd.count() == 0 {
+        return ResponseWire::Report(report.born, report.clock, running, ended);
+    }
+    ResponseWire::OddReport(
+        report.born,
+        report.clock,
+        running,
+        ended,
+        report.odd.running.iter().map(OddRunWire::from).collect(),
+        report.odd.ended.iter().map(OddEndWire::from).collect(),
+    )
+}
+
+impl From<&OddRun> for OddRunWire {
+    fn from(row: &OddRun) -> OddRunWire {
+        let task = row.task.as_ref().map(TaskWire::from);
+        OddRunWire(task, row.run.map(|run| run.0), row.why.clone())
+    }
+}
+
+impl From<OddRunWire> for OddRun {
+    fn from(wire: OddRunWire) -> OddRun {
+        let OddRunWire(task, run, why) = wire;
+        OddRun {
+            task: task.map(TaskId::from),
+            run: run.map(RunNumber),
+            why,
+        }
+    }
+}
+
+impl From<&OddEnd> for OddEndWire {
+    fn from(row: &OddEnd) -> OddEndWire {
+        let task = row.task.as_ref().map(TaskWire::from);
+        OddEndWire(row.first, row.last, task, row.why.clone())
+    }
+}
+
+impl From<OddEndWire> for OddEnd {
+    fn from(wire: OddEndWire) -> OddEnd {
+        let OddEndWire(first, last, task, why) = wire;
+        OddEnd {
+            first,
+            last,
+            task: task.map(TaskId::from),
+            why,
+        }
+    }
+}
+
 impl From<&ActiveRun> for ActiveWire {
     fn from(run: &ActiveRun) -> ActiveWire {
         let task = TaskWire::from(&run.task);
--- a/crates/delegate/tests/messages.rs
+++ b/crates/delegate/tests/messages.rs
@@ -5,6 +5,9 @@
 use batch::ActiveRun;
 use batch::EndKind;
 use batch::EndedRun;
+use batch::OddEnd;
+use batch::OddRows;
+use batch::OddRun;
 use batch::PollRequest;
 use batch::Report;
 use batch::RunNumber;
@@ -114,13 +117,35 @@
             load: Some(1_200),
         }],
         ended: ended.collect(),
+        odd: OddRows::default(),
     })
 }
 
+fn odd_report() -> Response {
+    let Response::Report(sound) = report(vec![EndKind::Done]) else {
+        panic!("not a report")
+    };
+    let odd = OddRows {
+        running: vec![OddRun {
+            task: None,
+            run: Some(RunNumber(3)),
+            why: "no task".to_string(),
+        }],
+        ended: vec![OddEnd {
+            first: 4,
+            last: u64::MAX,
+            task: Some(task()),
+            why: "no kind".to_string(),
+        }],
+    };
+    Response::Report(Report { odd, ..sound })
+}
+
 #[parameterized(
     failed = { Response::Failed("why".to_string(), true) },
     fenced = { Response::Fenced },
     refused = { Response::Refused(421) },
+    odd_rows = { odd_report() },
     reported = { report(vec![
         EndKind::Alone, EndKind::Broken, EndKind::Done, EndKind::Failed, EndKind::Lapsed,
         EndKind::Stopped,
@@ -152,6 +177,23 @@
     }
 }
 
+/// Guards against a message nested so deep that it uses up the stack.
+#[test]
+fn deeply_nested_messages_are_errors() {
+    let nested = |start: u8| [vec![0x82, 0x01], vec![start; 1 << 20]].concat();
+    // Arrays of one element, tables of one field, and tags.
+    for start in [0x81, 0xa1, 0xc1] {
+        let data = nested(start);
+        let thread = std::thread::Builder::new().stack_size(512 << 10);
+        let decoded = thread.spawn(move || {
+            let call = Envelope::decode(&data).is_err();
+            call && Response::decode(&data).is_err() && Response::decode(&data[2..]).is_err()
+        });
+        let decoded = decoded.expect("a thread").join();
+        assert_eq!(decoded.ok(), Some(true), "{start:x}");
+    }
+}
+
 /// Failure: a delegate that was suspended for seconds started tasks whose coordinator had long
 /// given up on them.
 #[test]
