--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -46,6 +46,7 @@
 mod load;
 mod losses;
 mod measure;
+mod odd;
 mod orgs;
 mod overview;
 mod recall;
