Answer look-ups from stale reads at the store's limit on reads

What callers saw: after a final fault, thousands of jobs were asked for at once, and many callers had no answer within four tries (504 each time). The coordinator lost its lock meanwhile.

Cause: a daemon repeated a read that the store had refused with 429 each 80 ms, for each caller by itself. Refused reads kept the store at its limit, and the renewals of the lock and the watches were refused with them. Each refusal also counted as an outage of the store, so that calls were relayed to another daemon, which read the same keys again.

Change: a read of the store may be marked as one that may be seconds old, which is outside the limit on reads. A phase is answered from them; that there is no job is answered only from a current read, and a limit is no outage. Below the limit the reads are those of before.

Why it works: what is repeated at the limit no longer counts toward it, so that refused reads cannot keep the store at its limit.

--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -224,23 +224,65 @@
     matches!(record, Some(Ok(JobRecord::Accepted(_))))
 }
 
+/// Looks a job up. While the store refuses reads because of its limit, a phase that may be some seconds
+/// old is an answer; that there is no job is one only if it is current.
 async fn find_phase(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
     let answer = retry(shared, until, || async {
-        let run = shared.caller_store.get(&keys::run(id)).await?;
-        let progress = run.and_then(|i| i.value).map(|v| Progress::decode(&v));
-        if let Some(Ok(progress)) = progress {
-            return Ok(Some(CallAnswer::State(progress.phase)));
+        if !shared.read_limit.borrow().is_paused(shared.now()) {
+            if let Some(answer) = read_phase(shared, id, false).await? {
+                return Ok(Some(answer));
+            }
+        }
+        match read_phase(shared, id, true).await? {
+            Some(CallAnswer::NoJob) | None => read_phase(shared, id, false).await,
+            found => Ok(found),
         }
-        let job = shared.caller_store.get(&keys::job(id)).await?;
-        let accepted = job.is_some_and(|job| is_accepted(&job));
-        Ok(Some(match accepted {
-            true => CallAnswer::State(JobPhase::Queued),
-            false => CallAnswer::NoJob,
-        }))
     });
     answer.await
 }
 
+/// Reads a job's phase, which may be some seconds old if `stale` is set. Returns `None` if the store
+/// refuses the read because of its limit.
+async fn read_phase(
+    shared: &Shared,
+    id: &JobId,
+    stale: bool,
+) -> Result<Option<CallAnswer>, StoreError> {
+    let result = read_records(shared, id, stale).await;
+    let mut limit = shared.read_limit.borrow_mut();
+    match result {
+        Ok(found) => {
+            if !stale {
+                limit.answer(shared.now());
+            }
+            Ok(Some(found))
+        }
+        Err(error) if !stale && error.is_rate_limit() => {
+            limit.refuse(shared.now());
+            Ok(None)
+        }
+        Err(error) => Err(error),
+    }
+}
+
+async fn read_records(shared: &Shared, id: &JobId, stale: bool) -> Result<CallAnswer, StoreError> {
+    let store = &shared.caller_store;
+    let read = async |key: String| match stale {
+        true => store.get_stale(&key).await,
+        false => store.get(&key).await,
+    };
+    let run = read(keys::run(id)).await?;
+    let progress = run.and_then(|i| i.value).map(|v| Progress::decode(&v));
+    if let Some(Ok(progress)) = progress {
+        return Ok(CallAnswer::State(progress.phase));
+    }
+    let job = read(keys::job(id)).await?;
+    Ok(match job.is_some_and(|job| is_accepted(&job)) {
+        true => CallAnswer::State(JobPhase::Queued),
+        false => CallAnswer::NoJob,
+    })
+}
+
 /// Cancels a job. If there is none, a refusal is stored before the answer says so, as an earlier
 /// submission without an answer could still take effect. A later submission replaces the refusal.
 async fn cancel(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -21,6 +21,7 @@
 use batch::Load;
 use batch::PromisedCapacity;
 use batch::RateLimit;
+use batch::ReadLimit;
 use batch::REQUEST_TIMEOUT;
 use conf::batch::BatchConfig;
 use delegate::AgeFilter;
@@ -165,6 +166,8 @@
     /// Rate limit on refusals recorded for calls that the configuration rejects and for cancellations
     /// of unknown jobs.
     pub refusal_limit: RefCell<RateLimit>,
+    /// Pauses callers' reads at the store's limit.
+    pub read_limit: RefCell<ReadLimit>,
     /// Lease to which new refusals are bound, and the time at which it was requested.
     pub refusal_lease: Cell<Option<(LeaseId, Millis)>>,
     /// Tells calls that may have waited while the daemon stood still.
@@ -285,6 +288,7 @@
             reading_load: Cell::new(false),
             promised: RefCell::default(),
             refusal_limit: RefCell::default(),
+            read_limit: RefCell::default(),
             metrics,
             refusal_lease: Cell::new(None),
             stalls: RefCell::new(stalls),
