--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -317,6 +317,7 @@
             return;
         }
         let now = self.now();
+        let mut renewed = Vec::new();
         for handle in self.workers.borrow_mut().iter_mut() {
             let renewing = handle.renewing && !handle.worker.is_crashed();
             if renewing
@@ -329,9 +330,7 @@
                     false => "ready",
                 };
                 let relay = handle.relay.addr();
-                let (key, entry) = handle.worker.registration_at(relay, "pool", state);
-                self.store.write(&key, &entry);
-                handle.worker.record_capacity();
+                renewed.push(handle.worker.registration_at(relay, "pool", state));
                 handle.last_renewal = Some(now);
             }
             let is_silent = |at: Millis| now.since(at).0 > MAX_MISSED_RENEWALS * RENEWAL_PERIOD.0;
@@ -341,6 +340,12 @@
                 handle.last_renewal = None;
             }
         }
+        self.store.write_all(&renewed);
+        for handle in self.workers.borrow().iter() {
+            if handle.last_renewal == Some(now) {
+                handle.worker.record_capacity();
+            }
+        }
     }
 
     fn reap(&self) {
