--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -17,11 +17,11 @@
 
 use crate::history::FaultWindow;
 use crate::history::History;
-use crate::site::RENEWAL_PERIOD;
+use crate::site::DEFAULT_HEARTBEAT;
 
-/// Time after which a shrunken capacity binds: the time in which a daemon may be out of touch, and a
-/// renewal of the worker's registration.
-const SHRINK_GRACE: Millis = Millis(3_000 + RENEWAL_PERIOD.0);
+/// Time in which a daemon may be out of touch. A shrunken capacity binds after this and a renewal of the
+/// worker's registration.
+const OUT_OF_TOUCH: Millis = Millis(3_000);
 
 /// Workers that may crash under a task until its later starts count.
 const CRASHES: usize = 3;
@@ -126,7 +126,7 @@
 /// What a worker may be taken to offer when this event happens: in each resource the most that its
 /// registration has shown lately.
 pub fn capacity(history: &History, event: &Event) -> Resources {
-    let since = event.at - SHRINK_GRACE;
+    let since = event.at - OUT_OF_TOUCH - history.heartbeat.max(DEFAULT_HEARTBEAT);
     let mut most = CAPACITY;
     for shown in history.events.iter().filter(|e| e.worker == event.worker) {
         let EventKind::CapacityShown(capacity) = shown.kind else {
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -106,14 +106,19 @@
 
 impl Daemon {
     /// Writes the settings file to `dir`, without starting a process.
-    pub fn new(number: usize, dir: &Path, addresses: &Addresses) -> io::Result<Daemon> {
+    pub fn new(
+        number: usize,
+        dir: &Path,
+        addresses: &Addresses,
+        heartbeat: Millis,
+    ) -> io::Result<Daemon> {
         let daemon = Daemon {
             number,
             settings: dir.join(format!("e{number}.jsonc")),
             log: dir.join(format!("e{number}.log")),
             process: None,
         };
-        fs::write(&daemon.settings, settings(number, addresses))?;
+        fs::write(&daemon.settings, settings(number, addresses, heartbeat))?;
         Ok(daemon)
     }
 
@@ -289,7 +294,7 @@
     lines
 }
 
-fn settings(number: usize, addresses: &Addresses) -> String {
+fn settings(number: usize, addresses: &Addresses, heartbeat: Millis) -> String {
     let Addresses {
         callers,
         ready,
@@ -323,11 +328,11 @@
   "store": {{ "address": "{store}" }}, "adviser": "{adviser}",
   "machines": {{ "address": "{machines}", "orders": "60", "reads": "60" }},
   "bounds": {{
-    "max-hold": "6s", "stop": "{}ms", "heartbeat": "300ms", "stop-grace": "400ms",
+    "max-hold": "6s", "stop": "{}ms", "heartbeat": "{}ms", "stop-grace": "400ms",
     "upkeep": "300ms", "handover": "500ms", "status": "{}ms",
   }},
 }}
 "#,
-        STOP_TIMEOUT.0, STATUS_TIME.0
+        STOP_TIMEOUT.0, heartbeat.0, STATUS_TIME.0
     )
 }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -78,6 +78,8 @@
     pub jobs: BTreeMap<JobId, Submission>,
     /// Number of attempts that each task has.
     pub max_attempts: u32,
+    /// Period in which workers renew their registrations.
+    pub heartbeat: Millis,
     /// Calls in the order in which they ended.
     pub calls: Vec<Call>,
     /// Events of the workers, in order.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -61,6 +61,8 @@
     pub duration: Millis,
     /// Directory for settings and logs, removed after a run without findings.
     pub dir: PathBuf,
+    /// Period in which workers renew their registrations, as the daemons' settings state it.
+    pub heartbeat: Millis,
     /// Whether most daemons have slow links to the store while the configuration grows.
     pub slow_links: bool,
 }
@@ -76,6 +78,7 @@
             workers: 6,
             duration: Millis::from_secs(12),
             dir: logs.join(format!("soak-{}-{seed}", std::process::id())),
+            heartbeat: site::DEFAULT_HEARTBEAT,
             slow_links: false,
         }
     }
@@ -124,7 +127,7 @@
     let faults = faults::run(site.clone(), plan.seed, end);
     let (load, ()) = try_join(load::run(site.clone(), plan.seed, end), faults).await?;
     while site.is_upkeep_pending() && site.now() < site.settled_by(end) {
-        site.sleep(site::RENEWAL_PERIOD).await;
+        site.sleep(site::DEFAULT_HEARTBEAT).await;
     }
     let history = site.finish(load).await;
     for task in background {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -29,6 +29,8 @@
             optional --daemons daemons: usize
             /// Number of workers; default 6.
             optional --workers workers: usize
+            /// Period in which workers renew their registrations, in milliseconds; default 300.
+            optional --heartbeat heartbeat: u64
             /// Give most daemons slow links to the store while the configuration grows.
             optional --slow-links
             /// Path of the daemon's executable; default `bronzetack` in the directory of this
@@ -85,6 +87,7 @@
     Plan {
         daemons: args.daemons.unwrap_or(defaults.daemons).max(1),
         workers: args.workers.unwrap_or(defaults.workers).max(1),
+        heartbeat: args.heartbeat.map_or(defaults.heartbeat, Millis),
         slow_links: args.slow_links,
         duration: args.seconds.map_or(defaults.duration, Millis::from_secs),
         ..defaults
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -32,8 +32,9 @@
 use crate::Plan;
 use crate::Report;
 
-/// Period in which workers renew their registrations. Processes are checked three times as often.
-pub const RENEWAL_PERIOD: Millis = Millis(300);
+/// Period in which workers renew their registrations, unless the plan sets another. Processes are checked three
+/// times as often.
+pub const DEFAULT_HEARTBEAT: Millis = Millis(300);
 
 /// Missed renewals after which a worker's registration is removed.
 const MAX_MISSED_RENEWALS: u64 = 3;
@@ -146,6 +147,7 @@
             daemons: RefCell::default(),
             history: RefCell::new(History {
                 max_attempts: MAX_ATTEMPTS,
+                heartbeat: plan.heartbeat,
                 caps: vec![(Millis::ZERO, quota::NO_CAP)],
                 ..History::default()
             }),
@@ -189,7 +191,7 @@
             machines: self.machines.address(),
         };
         Ok(DaemonHandle {
-            daemon: Daemon::new(num, &self.plan.dir, &addresses)?,
+            daemon: Daemon::new(num, &self.plan.dir, &addresses, self.plan.heartbeat)?,
             caller_relay: Relay::open(addresses.callers)?,
             store_relay,
             store_endpoint,
@@ -308,7 +310,7 @@
         while !*self.finished.borrow() {
             self.update_registrations();
             self.reap();
-            self.sleep(Millis(RENEWAL_PERIOD.0 / 3)).await;
+            self.sleep(Millis(DEFAULT_HEARTBEAT.0 / 3)).await;
         }
     }
 
@@ -316,14 +318,14 @@
         if !*self.renewals_enabled.borrow() {
             return;
         }
-        let now = self.now();
+        let (now, heartbeat) = (self.now(), self.plan.heartbeat);
         let mut renewed = Vec::new();
         for handle in self.workers.borrow_mut().iter_mut() {
             let renewing = handle.renewing && !handle.worker.is_crashed();
             if renewing
                 && handle
                     .last_renewal
-                    .is_none_or(|at| now.since(at) >= RENEWAL_PERIOD)
+                    .is_none_or(|at| now.since(at) >= heartbeat)
             {
                 let state = match handle.draining {
                     true => "draining",
@@ -333,7 +335,7 @@
                 renewed.push(handle.worker.registration_at(relay, "pool", state));
                 handle.last_renewal = Some(now);
             }
-            let is_silent = |at: Millis| now.since(at).0 > MAX_MISSED_RENEWALS * RENEWAL_PERIOD.0;
+            let is_silent = |at: Millis| now.since(at).0 > MAX_MISSED_RENEWALS * heartbeat.0;
             if !renewing && handle.last_renewal.is_some_and(is_silent) {
                 self.store
                     .remove(&handle.worker.registration("pool", "ready").0);
@@ -380,7 +382,7 @@
         }
         while self.daemons.borrow().iter().any(|d| d.daemon.is_up()) {
             self.reap();
-            self.sleep(Millis(RENEWAL_PERIOD.0 / 3)).await;
+            self.sleep(Millis(DEFAULT_HEARTBEAT.0 / 3)).await;
         }
         *self.finished.borrow_mut() = true;
         let requested = self.waves.borrow().clone();
