Keep callers' look-ups off the coordinator's connections to the store

What callers saw: while many callers asked for jobs and the store was a little slow, submissions had 504, and the tasks of accepted jobs did not start for seconds, beside free workers.

Cause: all calls of a daemon to the store went through one client with 100 connections. Look-ups of hundreds of callers took all of them. The coordinator's records and watches, the watch on the configuration and submissions waited behind them until they timed out.

Change: calls on which callers wait have a client, and so connections, of their own. At most 50 look-ups use it at a time; the others wait in turn within the caller's time.

Why it works: the number of callers no longer bounds how long the calls of the daemon itself wait for a connection.

--- a/crates/bronzetack/src/batch/documents.rs
+++ b/crates/bronzetack/src/batch/documents.rs
@@ -16,6 +16,7 @@
 use platform::OPERATOR_PREFIX;
 
 use crate::batch::shared::Shared;
+use crate::batch::shared::CALLER_STORE_TIMEOUT;
 
 /// Delay after a failed call, and the largest random delay added to it.
 const RETRY_DELAY: Millis = Millis(150);
@@ -65,14 +66,14 @@
 
 /// Watches for changes after `after` until the documents have to be listed again.
 async fn watch(shared: &Rc<Shared>, mut after: base::Revision) -> WatchEnd {
+    let store = shared.store.with_timeout(CALLER_STORE_TIMEOUT);
     loop {
         let sent = shared.now();
         let wait = match shared.store_outage() > Millis::ZERO {
             true => OUTAGE_WATCH_WAIT,
             false => shared.times.watch_wait,
         };
-        let watched = shared
-            .caller_store
+        let watched = store
             .watch_within(OPERATOR_PREFIX, after, wait, MAX_WATCH_BYTES)
             .await;
         match watched {
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -227,6 +227,10 @@
 /// Looks a job up. While the store refuses reads because of its limit, a phase that may be some seconds
 /// old is an answer; that there is no job is one only if it is current.
 async fn find_phase(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
+    let wait = until.since(shared.now()).duration();
+    let Ok(Ok(_permit)) = actix_rt::time::timeout(wait, shared.look_ups.acquire()).await else {
+        return CallAnswer::Unknown(retry_after(shared));
+    };
     let answer = retry(shared, until, || async {
         if !shared.read_limit.borrow().is_paused(shared.now()) {
             if let Some(answer) = read_phase(shared, id, false).await? {
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -44,6 +44,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use slog::Logger;
+use tokio::sync::Semaphore;
 
 use crate::batch::decisions::EndMetrics;
 use crate::batch::leadership::Leadership;
@@ -56,7 +57,11 @@
 
 /// Time-out of a call to the store for which a caller waits. It is longer than a slow store's
 /// response time, and leaves time for a second attempt if a response is lost.
-const CALLER_STORE_TIMEOUT: Millis = Millis(450);
+pub const CALLER_STORE_TIMEOUT: Millis = Millis(450);
+
+/// Most look-ups of jobs that read the store at a time. The client has 100 connections; the others are
+/// left to submissions and cancellations.
+const MAX_LOOK_UPS: usize = 50;
 
 /// The operators' documents as last read from the store.
 #[derive(Default)]
@@ -116,8 +121,11 @@
     pub clock: Clock,
     /// Client of the platform's store.
     pub store: Store,
-    /// Client of the same store with the shorter time-out, for calls on which a caller waits.
+    /// Client of the same store for calls on which a caller waits. It has connections of its own, as
+    /// many callers would otherwise keep the daemon's own calls waiting for a free one.
     pub caller_store: Store,
+    /// Limits the look-ups that use the connections for callers at a time.
+    pub look_ups: Semaphore,
     /// Client that relays calls to other daemons.
     pub relay: Relay,
     /// Address at which this daemon answers callers.
@@ -244,7 +252,8 @@
             slow_log: LogLimiter::default(),
             stop_log: LogLimiter::default(),
             clock,
-            caller_store: store.with_timeout(CALLER_STORE_TIMEOUT),
+            caller_store: Store::new(settings.store.address, CALLER_STORE_TIMEOUT),
+            look_ups: Semaphore::new(MAX_LOOK_UPS),
             store,
             callers: Cell::new(settings.addresses.callers),
             relay: Relay::default(),
