Never pause most workers, and count no old or refuted failures

Cause: a worker was paused after failures of two different jobs "in a row", for 3 s, doubled with each further job up to 48 s. Only an end `done` cleared the list. Tasks that last never end so: on workers that run services failures added up for the life of the worker, however far apart and however well the other work went, until all were paused. Nothing related the failures of a worker to those of the others, and nothing bounded how long a task waits for a pause. A pause also outlived the evidence: when a job was found to be responsible itself, the pause that it had caused stayed.

Change, in health.rs: - A failure counts for 96 s, twice the longest pause, and only until work that was started after it goes well: an end `done`, or a task that lasts and is at work. Before, an end of an older run cleared newer failures. - A task that lasts, was at work and then fails says nothing of its worker. - The pause follows from the failures that still count, so it ends with them; during an alarm pauses stay when a job is found responsible, as then a sound job meets several failing workers. - At most half of the usable workers of a pool are paused. Those on which the fewest jobs have failed are used first, behind all others. - A step that finds no other room is tried on paused workers: after 500 ms if it lasts (its tries are not limited), else after 2 s on a pool of which at most 60% is in use.

Paused workers are candidates that placement skips, so preemption, reservation, tickets and shares treat them as before.

Why it works: whatever the pattern of failures, half of the pool stays in use, and the wait for a pause is bounded below the 3 s of the promise.

--- a/crates/batch/src/headroom.rs
+++ b/crates/batch/src/headroom.rs
@@ -90,7 +90,7 @@
     }
     let mut racks: Map<Option<Arc<str>>, (u64, Vec<usize>)> = Map::default();
     for (num, candidate) in candidates.iter().enumerate() {
-        if candidate.free.accels > 0 && candidate.pool == *pool {
+        if candidate.free.accels > 0 && !candidate.paused && candidate.pool == *pool {
             let rack = racks.entry(candidate.rack.clone()).or_default();
             rack.0 += candidate.free.accels;
             rack.1.push(num);
--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -47,6 +47,8 @@
     pub urgent_only: bool,
     /// Penalty in the choice between workers; those with a lower one are preferred.
     pub penalty: u32,
+    /// Whether it is paused after failures.
+    pub paused: bool,
     /// Whether a serving task runs on it.
     pub has_serving: bool,
     /// Its speed; while that is not known, one that most workers of its pool reach.
@@ -74,6 +76,8 @@
     pub duration: Millis,
     /// Whether resources kept for urgent jobs may be used.
     pub uses_headroom: bool,
+    /// Whether paused workers may be used.
+    pub paused: bool,
     /// Whether urgent work that no guarantee covers may be stopped.
     pub displaces_urgent: bool,
     /// The only workers allowed; `None` allows all.
@@ -104,7 +108,9 @@
     let below = step
         .per_worker
         .is_none_or(|most| limits.on_worker[num] < most);
+    let rested = limits.paused || !candidate.paused;
     labelled
+        && rested
         && in_rack
         && near
         && below
--- a/crates/batch/src/plan/attempt.rs
+++ b/crates/batch/src/plan/attempt.rs
@@ -47,6 +47,8 @@
     pub(super) urgent: bool,
     /// Whether it may use what is kept for urgent jobs.
     pub(super) uses_headroom: bool,
+    /// Whether it is tried on paused workers too.
+    pub(super) paused: bool,
     /// Whether workers on a rack other than that of the data are allowed.
     pub(super) remote: bool,
     /// Expected duration of a task.
@@ -70,6 +72,7 @@
             rack: None,
             duration: self.duration,
             uses_headroom: self.uses_headroom,
+            paused: self.paused,
             displaces_urgent: self.pressure == Pressure::Last,
             allowed: self.allowed.as_ref(),
             speed: self.speed,
@@ -143,6 +146,7 @@
             pressure: self.pressure(at, &spec, state, waited),
             urgent: job.submitted.priority == 0,
             uses_headroom: self.uses_headroom(pass, at, waited),
+            paused: self.uses_paused(pass, at, waited),
             remote: spec.data_rack.is_none() || !keep_racks || waited > self.locality_wait(&spec),
             duration: self.expected(job, at.step),
             speed: self.speed_need(job, at.occurrence, at.age),
--- a/crates/batch/src/plan/headroom.rs
+++ b/crates/batch/src/plan/headroom.rs
@@ -1,10 +1,11 @@
-//! Which workers are kept for urgent jobs in a pass, and which steps may use them.
+//! Which workers are kept for urgent jobs or paused in a pass, and which steps may use them.
 
 use base::Millis;
 
 use super::Pass;
 use super::WaitingStep;
 use crate::headroom;
+use crate::health::tries_paused;
 use crate::place::Candidate;
 use crate::scheduler::Scheduler;
 
@@ -26,4 +27,13 @@
         let is_quiet = pass.quiet.contains(&self.pool_of(job));
         job.submitted.priority == 0 || lasts || headroom::may_use(at.rank.slack, waited, is_quiet)
     }
+
+    /// Whether a step that has waited for `waited` is tried on paused workers too.
+    pub(super) fn uses_paused(&self, pass: &Pass, at: &WaitingStep, waited: Millis) -> bool {
+        let Some(job) = self.jobs.get(&at.job) else {
+            return false;
+        };
+        let lasts = job.submitted.work.steps[usize::from(at.step)].lasting;
+        tries_paused(waited, lasts, pass.quiet.contains(&self.pool_of(job)))
+    }
 }
--- a/crates/batch/src/plan/pass.rs
+++ b/crates/batch/src/plan/pass.rs
@@ -34,6 +34,7 @@
     pub(super) duration: Millis,
     pub(super) one_rack: bool,
     pub(super) uses_headroom: bool,
+    pub(super) paused: bool,
 }
 
 impl Failure {
@@ -45,6 +46,7 @@
             && self.duration <= other.duration
             && (!self.one_rack || other.one_rack)
             && (self.uses_headroom || !other.uses_headroom)
+            && (self.paused || !other.paused)
     }
 }
 
--- a/crates/batch/src/plan/placement.rs
+++ b/crates/batch/src/plan/placement.rs
@@ -54,6 +54,7 @@
             duration: attempt.duration,
             one_rack: gang && attempt.spec.one_rack,
             uses_headroom: limits.uses_headroom,
+            paused: limits.paused,
         };
         let futile = attempt.is_plain() && pass.failures.iter().any(|f| f.covers(&failure));
         let unplaced = match gang {
--- a/crates/batch/src/plan/prefetch.rs
+++ b/crates/batch/src/plan/prefetch.rs
@@ -111,6 +111,7 @@
             remote: true,
             rack: None,
             duration: spec.estimate,
+            paused: false,
             uses_headroom: true,
             displaces_urgent: false,
             allowed: Some(&allowed),
--- a/crates/batch/src/plan/queue.rs
+++ b/crates/batch/src/plan/queue.rs
@@ -67,17 +67,15 @@
         if !plain || !sound || self.advice_rule(job).is_some() {
             return false;
         }
+        let waited = pass.now.since(ready_at.unwrap_or(pass.now));
         let failure = Failure {
             pool: self.pool_of(job),
             need: spec.occupies(),
             count: 1,
             duration: self.expected(job, at.step),
             one_rack: false,
-            uses_headroom: self.uses_headroom(
-                pass,
-                at,
-                pass.now.since(ready_at.unwrap_or(pass.now)),
-            ),
+            uses_headroom: self.uses_headroom(pass, at, waited),
+            paused: self.uses_paused(pass, at, waited),
         };
         pass.failures.iter().any(|f| f.covers(&failure))
     }
--- a/crates/batch/src/plan/share.rs
+++ b/crates/batch/src/plan/share.rs
@@ -27,7 +27,8 @@
             return None;
         }
         let mut capacity = Resources::default();
-        pass.candidates.iter().for_each(|c| capacity += c.capacity);
+        let usable = pass.candidates.iter().filter(|c| !c.paused);
+        usable.for_each(|c| capacity += c.capacity);
         let mut orgs: Vec<&OrgId> = Vec::new();
         let mut demands: Vec<Demand> = Vec::new();
         for org in &self.catalog.orgs {
--- a/crates/batch/src/scheduler/overview.rs
+++ b/crates/batch/src/scheduler/overview.rs
@@ -285,12 +285,13 @@
 
     pub(super) fn usability(&self, worker: &Worker, now: Millis) -> Usability {
         match worker {
-            w if self.is_usable(w, now) => Usability::Usable,
+            w if self.is_usable(w, now) && !w.is_paused(now) => Usability::Usable,
             w if w.missing_since.is_some() => Usability::Missing,
             w if w.entry.state == WorkerState::Draining => Usability::Draining,
             w if self.excluded.contains(&w.entry.domain) => Usability::DomainOut,
             w if self.cordoned.contains(&w.entry.id) => Usability::Cordoned,
-            w if w.has_answered && !w.unresponsive && now < w.not_before => Usability::Paused,
+            w if w.is_lost() => Usability::Silent,
+            w if w.is_paused(now) || now < w.not_before => Usability::Paused,
             _ => Usability::Silent,
         }
     }
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -27,14 +27,8 @@
 /// Most ended runs in one report. A report with this many may be incomplete.
 const MAX_REPORTED_ENDS: usize = 500;
 
-/// Number of different jobs that fail in a row on a worker before it is paused.
-const FAILURES_BEFORE_PAUSE: usize = 2;
-
-/// First pause of a worker on which jobs fail in a row. It doubles with each further job.
-const FIRST_PAUSE: Millis = Millis(3_000);
-
-/// Limit on how often the pause doubles.
-const MAX_DOUBLINGS: usize = 4;
+/// Progress in percent of a task that lasts and is at work.
+const AT_WORK: u32 = 100;
 
 impl Scheduler {
     /// Processes a worker's report. `sent` is when the poll was sent.
@@ -114,7 +108,7 @@
         worker.clock = None;
         worker.reported_end = 0;
         worker.stored_end = 0;
-        worker.failed_jobs.clear();
+        worker.failures.clear();
         worker.throttle = Throttle::default();
         if restarted || worker.evidence.born != born {
             worker.evidence = Evidence::default();
@@ -190,9 +184,13 @@
     }
 
     fn apply_effect(&mut self, id: &WorkerId, end: &EndedRun, now: Millis) {
+        let open = self.open_run(&end.task).filter(|o| o.run == end.run);
+        let planned_at = open.map(|o| o.planned_at);
         if let Some(worker) = self.workers.get_mut(id) {
             if end.kind == EndKind::Done {
-                worker.failed_jobs.clear();
+                worker
+                    .failures
+                    .refute_before(planned_at.unwrap_or_default());
             }
         }
         let Some(job) = self.jobs.get_mut(&end.task.job) else {
@@ -241,6 +239,7 @@
             .filter(|o| o.run == end.run)
             .and_then(|o| o.seen_at);
         let restored = task.open.as_ref().is_some_and(|o| o.restored);
+        let percent = task.open.as_ref().map(|o| o.percent);
         if end.kind == EndKind::Done && !lasting {
             task.done = true;
             if let Some(started) = started.filter(|_| estimate > Millis::ZERO) {
@@ -258,7 +257,10 @@
             }
             task.avoid.push(id.clone());
             let age = started.map_or(Millis::MAX, |at| now.since(at));
-            self.attribute_failure(id, &end.task.job, age, now);
+            // The worker did what it can do for a task that lasts once that was at work.
+            if !(lasting && percent.is_some_and(|p| p >= AT_WORK)) {
+                self.attribute_failure(id, &end.task.job, age, now);
+            }
         }
         self.dirty.insert(end.task.job.clone());
         self.after_end(id, end, now);
@@ -274,9 +276,10 @@
             job.failed_on.push(id.clone());
         }
         if job.is_suspect() {
+            let is_alarm = self.early_failures.alarm(now).is_some();
             for other in job.failed_on.clone() {
                 if let Some(worker) = self.workers.get_mut(&other) {
-                    worker.failed_jobs.retain(|failed| failed != job_id);
+                    worker.failures.exonerate(job_id, is_alarm);
                 }
             }
             return;
@@ -285,15 +288,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let jobs = worker.add_failed_job(job_id);
-        if alarming {
-            worker.not_before = worker.not_before.max(now + FIRST_PAUSE);
-        }
-        if jobs >= FAILURES_BEFORE_PAUSE {
-            let doublings = (jobs - FAILURES_BEFORE_PAUSE).min(MAX_DOUBLINGS);
-            let until = now + Millis(FIRST_PAUSE.0 << doublings);
-            worker.not_before = worker.not_before.max(until);
-        }
+        worker.failures.record(job_id, alarming, now);
     }
 
     /// Closes the ended run, and ends its job if this decides it.
@@ -342,6 +337,7 @@
             return;
         };
         let final_phase = job.phase.is_final();
+        let lasts = job.spec(&active.task).is_some_and(|s| s.lasting);
         let Some(task) = job.task_mut(&active.task) else {
             return;
         };
@@ -368,6 +364,11 @@
         if open.phase == RunPhase::Running {
             open.absent_after.get_or_insert(clock);
         }
+        if lasts && open.percent >= AT_WORK {
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.failures.refute_before(open.planned_at);
+            }
+        }
         if job.phase == JobPhase::Queued {
             job.phase = JobPhase::Running;
             self.dirty.insert(active.task.job.clone());
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -216,7 +216,9 @@
         let Some(worker) = self.workers.get(id) else {
             return Some(format!("{id} is gone"));
         };
-        if worker.born != start.born || worker.clock.is_none() || !self.is_usable(worker, now) {
+        let has_failed = worker.is_paused(now) && worker.failures.latest() > start.planned_at;
+        let is_same = worker.born == start.born && worker.clock.is_some();
+        if !is_same || has_failed || !self.is_usable(worker, now) {
             return Some(format!("{id} is not usable any more"));
         }
         let age = now.since(start.planned_at);
@@ -385,7 +387,7 @@
         }
     }
 
-    /// Whether tasks may be placed on a worker.
+    /// Whether tasks may be placed on a worker, pauses after failures aside.
     pub(crate) fn is_usable(&self, worker: &crate::worker::Worker, now: Millis) -> bool {
         let entry = &worker.entry;
         let fresh = now.since(worker.last_answer) <= Millis(self.times.poll_wait.0 * 2);
--- a/crates/batch/src/scheduler/stall.rs
+++ b/crates/batch/src/scheduler/stall.rs
@@ -49,8 +49,7 @@
         if lasting || fills || !polled || worker.last_answer.since(progress_at) <= limit {
             return;
         }
-        worker.add_failed_job(&task.job);
-        worker.not_before = worker.not_before.max(now + STALL_PAUSE);
+        worker.failures.record_stall(&task.job, STALL_PAUSE, now);
         let text = format!("run {run} of {task} makes no progress on {id}; stopping it");
         self.log(Some(&task.job), text);
         if let Some(state) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task)) {
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use base::DomainId;
-use base::JobId;
 use base::Map;
 use base::Millis;
 use base::ServiceId;
@@ -14,6 +13,7 @@
 
 use crate::bounds::with_clock_drift;
 use crate::bounds::REQUEST_TIMEOUT;
+use crate::health::WorkerFailures;
 use crate::spec::Resources;
 use crate::spec::RunNumber;
 use crate::spec::StepSpec;
@@ -185,11 +185,11 @@
     pub open: Map<TaskId, RunNumber>,
     /// Runs that the worker reports but that are not wanted there; they are to be stopped.
     pub stray_runs: Vec<(TaskId, RunNumber)>,
-    /// Jobs of which a task has failed here since the last success, without duplicates.
-    pub failed_jobs: Vec<JobId>,
+    /// Failures since work last went well here.
+    pub failures: WorkerFailures,
     /// Start of the latest run that is known to have survived its start.
     pub proved_at: Millis,
-    /// No task is placed here before this time.
+    /// No task is placed here before this time, as a start was refused or not answered.
     pub not_before: Millis,
     /// Processor share of the best-effort tasks on it.
     pub throttle: Throttle,
@@ -232,7 +232,7 @@
             serving: 0,
             open: Map::default(),
             stray_runs: Vec::new(),
-            failed_jobs: Vec::new(),
+            failures: WorkerFailures::default(),
             proved_at: Millis::ZERO,
             not_before: Millis::ZERO,
             throttle: Throttle::default(),
@@ -319,18 +319,15 @@
 
     /// Penalty in the choice between workers; those with a lower one are preferred. `alarm` is the
     /// time from which a worker must have proved itself, if there is one.
-    pub fn penalty(&self, alarm: Option<Millis>) -> u32 {
+    pub fn penalty(&self, alarm: Option<Millis>, now: Millis) -> u32 {
         let unproved = alarm.is_some_and(|since| self.proved_at < since);
-        let failed = self.failed_jobs.len() >= MIN_PENALTY_JOBS;
+        let failed = self.failures.jobs(now) >= MIN_PENALTY_JOBS;
         u32::from(unproved) * UNPROVED_PENALTY + u32::from(failed) * FAILED_PENALTY
     }
 
-    /// Records that a task of the job has failed here. Returns the number of jobs that have.
-    pub fn add_failed_job(&mut self, job: &JobId) -> usize {
-        if !self.failed_jobs.contains(job) {
-            self.failed_jobs.push(job.clone());
-        }
-        self.failed_jobs.len()
+    /// Whether it is paused, as runs have failed here.
+    pub fn is_paused(&self, now: Millis) -> bool {
+        now < self.failures.paused_until()
     }
 
     /// Resources that its runs occupy.
