Handle signals and calls while the settings file is read

What callers saw: a SIGHUP, SIGTERM or SIGINT that came while a daemon was starting ended it at once, by the signal. A settings file that could not be read at once, as on a file system that hangs, kept a running daemon from answering anything after a SIGHUP, and from ending. Settings that were missing or half written at the start left no line in the log.

Cause: the settings were read before the handlers were installed, and both times on the thread that answers calls. Until then a signal has its default action, and on a machine with little processor time that is long.

Held before: settings missing or half written at a SIGHUP.

Change: the signals are held back by the first lines of the command, until their handlers are installed, which comes before the settings are read.

They use a pipe as the settings file, so that they do not depend on the speed of the machine.

Why it works: what is left of the window is the loading of the program; a signal that comes from then on waits for its handler.

--- a/crates/bronzetack/src/cmd.rs
+++ b/crates/bronzetack/src/cmd.rs
@@ -2,7 +2,9 @@
 
 pub mod batch;
 pub mod check;
+mod reader;
 pub mod serve;
+mod signals;
 pub mod version;
 
 use std::ffi::OsString;
--- a/crates/bronzetack/src/cmd/serve.rs
+++ b/crates/bronzetack/src/cmd/serve.rs
@@ -1,10 +1,12 @@
 //! The `serve` command: runs the daemon until a signal stops it.
 
 use std::ffi::OsString;
+use std::path::Path;
 use std::process::exit;
 
 use bronzetack::Daemon;
 use conf::node::NodeConfig;
+use nix::sys::signal::Signal as SystemSignal;
 use obs::Event;
 use obs::Log;
 use tokio::signal::unix::signal;
@@ -13,6 +15,7 @@
 
 use super::load_node;
 use super::print;
+use super::signals::HeldSignals;
 use super::wants_help;
 use super::SettingsArg;
 use crate::error::CliError;
@@ -37,21 +40,27 @@
     if wants_help(&args) {
         return print(USAGE);
     }
+    let held = HeldSignals::hold(&[SystemSignal::SIGTERM, SystemSignal::SIGINT])?;
     let args = SettingsArg::parse(args)?;
-    let node = load_node(&args.settings)?;
-    actix_rt::System::new().block_on(serve(node))
+    actix_rt::System::new().block_on(serve(&args.settings, held))
 }
 
-async fn serve(node: NodeConfig) -> Result<(), CliError> {
+async fn serve(path: &Path, held: HeldSignals) -> Result<(), CliError> {
+    let signals = StopSignals::new()?;
+    held.release()?;
+    let node = load_node(path)?;
     let output = Log::to_stderr(slog::o!(), node.log.debug);
     output.log_panics(slog::o!("domain" => node.domain.to_string()));
-    let result = run_daemon(node, &output).await;
+    let result = run_daemon(node, signals, &output).await;
     output.close();
     result
 }
 
-async fn run_daemon(node: NodeConfig, output: &Log) -> Result<(), CliError> {
-    let mut signals = StopSignals::new()?;
+async fn run_daemon(
+    node: NodeConfig,
+    mut signals: StopSignals,
+    output: &Log,
+) -> Result<(), CliError> {
     let daemon = Daemon::start(node, output.logger().clone()).await?;
     let ports = daemon.ports();
     print(&format!(
--- a/crates/bronzetack/tests/process.rs
+++ b/crates/bronzetack/tests/process.rs
@@ -2,7 +2,10 @@
 
 mod process_kit;
 
+use std::fs;
 use std::fs::File;
+use std::io::BufRead;
+use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
 use std::ops::RangeInclusive;
@@ -29,6 +32,7 @@
 const DAEMON_STOPPED: u64 = 103;
 const SERVICE_FAILED: u64 = 105;
 const PANICKED: u64 = 107;
+const SETTINGS_REFUSED: u64 = 401;
 const CALL_ANSWERED: u64 = 640;
 
 /// Calls that a test makes, each of which is logged.
@@ -139,3 +143,96 @@
         assert!(has_reason, "{descriptors} descriptors: {lines:?}");
     }
 }
+
+/// Failure: a signal that came while the settings were being read ended the daemon at once, a SIGHUP
+/// as well.
+#[test]
+fn a_hangup_while_the_settings_are_read_ends_no_daemon() {
+    let (mut process, settings) = Process::spawn_before_settings(Program::Batch);
+    process.signal(Signal::SIGHUP);
+    settings.write();
+    process.wait_until_up();
+    let status = process.stop(Signal::SIGTERM);
+    assert_eq!(status.code(), Some(0), "{status}");
+}
+
+/// Failure: a settings file that could not be read at once, as on a file system that hangs, kept the
+/// daemon from answering after a SIGHUP and from ending.
+#[test]
+fn a_reload_that_hangs_keeps_the_daemon_from_nothing() {
+    let (mut process, settings) = Process::spawn_before_settings(Program::Batch);
+    settings.write();
+    process.wait_until_up();
+    process.signal(Signal::SIGHUP);
+    // The pipe opens once the daemon reads again.
+    let _hanging = process.open_settings();
+    for _ in 0..CALLS {
+        process.call();
+    }
+    let status = process.stop(Signal::SIGTERM);
+    assert_eq!(status.code(), Some(0), "{status}");
+}
+
+/// Failure: as before, at the start.
+#[test]
+fn a_stop_ends_while_the_settings_cannot_be_read() {
+    let (mut process, _hanging) = Process::spawn_before_settings(Program::Batch);
+    let status = process.stop(Signal::SIGTERM);
+    assert_eq!(status.code(), Some(0), "{status}");
+}
+
+/// Failure: a daemon that found its settings half written, or did not find them, ended without a line
+/// in its log.
+#[parameterized(
+    missing = { None },
+    empty = { Some("") },
+    half_written = { Some("{ \"vm\": \"e0\", \"domain\": \"d0\", \"addresses\": { \"callers") },
+)]
+fn settings_that_cannot_be_used_are_logged(text: Option<&str>) {
+    let mut process = Process::spawn_from(Program::Batch, Stdio::piped(), |path, _| {
+        if let Some(text) = text {
+            fs::write(path, text).expect("cannot write the settings");
+        }
+    });
+    let log = process.child.stdout.take().expect("no log");
+    let status = process.wait_for_end();
+    assert_eq!(status.code(), Some(3), "{status}");
+    let lines = parse_lines(&read_all(log));
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert_eq!(lines[0]["event"], SERVICE_FAILED);
+}
+
+/// Guards against a daemon that ends when its settings are half written or gone at a SIGHUP.
+#[parameterized(
+    missing = { None },
+    half_written = { Some("{ \"vm\": \"e0\", \"domain\": \"d0\", \"addresses\": { \"callers") },
+)]
+fn settings_that_cannot_be_reloaded_end_no_daemon(text: Option<&str>) {
+    let mut process = Process::start(Program::Batch, Stdio::piped());
+    let log = process.child.stdout.take().expect("no log");
+    let mut log = BufReader::new(log).lines();
+    process.replace_settings(text);
+    process.signal(Signal::SIGHUP);
+    let refused = log.find(|line| {
+        let lines = parse_lines(line.as_ref().expect("cannot read the log"));
+        lines[0]["event"] == SETTINGS_REFUSED
+    });
+    assert!(refused.is_some(), "no line about the settings");
+    process.call();
+    let status = process.stop(Signal::SIGTERM);
+    assert_eq!(status.code(), Some(0), "{status}");
+}
+
+#[parameterized(
+    batch_terminate = { Program::Batch, Signal::SIGTERM },
+    batch_interrupt = { Program::Batch, Signal::SIGINT },
+    serve_terminate = { Program::Serve, Signal::SIGTERM },
+    serve_interrupt = { Program::Serve, Signal::SIGINT },
+)]
+fn a_stop_while_the_settings_are_read_ends_as_planned(program: Program, signal: Signal) {
+    let (mut process, settings) = Process::spawn_before_settings(program);
+    process.signal(signal);
+    settings.write();
+    let status = process.wait_for_end();
+    assert_eq!(status.code(), Some(0), "{status}");
+}
--- a/crates/bronzetack/tests/process_kit/mod.rs
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -2,6 +2,7 @@
 
 use std::env::temp_dir;
 use std::fs;
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -66,6 +67,22 @@
     listener.local_addr().expect("no address")
 }
 
+/// Settings that a daemon waits for.
+pub struct PendingSettings {
+    pipe: fs::File,
+    text: String,
+}
+
+impl PendingSettings {
+    /// Lets the daemon read them, unless it has ended before.
+    pub fn write(mut self) {
+        match self.pipe.write_all(self.text.as_bytes()) {
+            Err(error) if error.kind() == ErrorKind::BrokenPipe => {}
+            written => written.expect("cannot write the settings"),
+        }
+    }
+}
+
 impl Process {
     /// Starts a daemon whose log goes to `log`, and waits until it answers.
     pub fn start(program: Program, log: Stdio) -> Process {
@@ -81,6 +98,33 @@
         })
     }
 
+    /// Starts a daemon that has begun to read its settings from a pipe, and waits for them.
+    pub fn spawn_before_settings(program: Program) -> (Process, PendingSettings) {
+        let mut text = String::new();
+        let process = Process::spawn_from(program, Stdio::null(), |path, settings| {
+            let made = Command::new("mkfifo").arg(path).status();
+            assert!(made.expect("cannot run mkfifo").success());
+            text = settings.to_string();
+        });
+        let pipe = process.open_settings();
+        (process, PendingSettings { pipe, text })
+    }
+
+    /// Opens the pipe of the settings, once the daemon has opened its other end.
+    pub fn open_settings(&self) -> fs::File {
+        let pipe = fs::File::options().write(true).open(&self.settings);
+        pipe.expect("cannot open the pipe")
+    }
+
+    /// Replaces the text of the settings file, or removes it.
+    pub fn replace_settings(&self, text: Option<&str>) {
+        let replaced = match text {
+            Some(text) => fs::write(&self.settings, text),
+            None => fs::remove_file(&self.settings),
+        };
+        replaced.expect("cannot replace the settings");
+    }
+
     /// Starts a daemon that may open so many descriptors.
     pub fn spawn_limited(program: Program, log: Stdio, descriptors: u32) -> Process {
         let mut command = Command::new("sh");
