Print to a closed or full output without a panic

`serve` ended when it could not print its ports.

Cause: `println!`, `print!`, `eprintln!` and `eprint!` panic on a failed write, and the error of the print of the ports was that of the daemon.

Change: a reader that has closed standard output wants no more, and the exit code is that of the command. Other errors have a text with a remedy; in `tackctl` they have exit code 7: the command was carried out. A failure to write to standard error leaves the exit code to speak. `serve` logs event 109 and goes on.

Why it works: no macro that panics on a failed write is left in the two programs.

--- a/crates/bronzetack/src/cmd.rs
+++ b/crates/bronzetack/src/cmd.rs
@@ -10,6 +10,7 @@
 use std::ffi::OsString;
 use std::fs;
 use std::io;
+use std::io::ErrorKind;
 use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
@@ -19,10 +20,20 @@
 
 use crate::error::CliError;
 
-/// Writes a text to standard output, without adding a newline.
+/// Writes a text to standard output, without adding a newline. A reader that has closed it, as `head`
+/// does, wants no more.
 pub fn print(text: &str) -> Result<(), CliError> {
-    io::stdout().write_all(text.as_bytes())?;
-    Ok(())
+    let mut out = io::stdout().lock();
+    let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
+    match written {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => Err(CliError::Output(error)),
+        _ => Ok(()),
+    }
+}
+
+/// Writes a line to standard error. If that fails, the exit code still says what happened.
+pub fn print_error(text: &str) {
+    let _ = writeln!(io::stderr(), "{text}");
 }
 
 /// Whether the arguments contain a help flag.
--- a/crates/bronzetack/src/cmd/serve.rs
+++ b/crates/bronzetack/src/cmd/serve.rs
@@ -63,10 +63,14 @@
 ) -> Result<(), CliError> {
     let daemon = Daemon::start(node, output.logger().clone()).await?;
     let ports = daemon.ports();
-    print(&format!(
-        "callers {} operators {} peers {}\n",
+    let text = format!(
+        "callers {} operators {} peers {}",
         ports.callers, ports.operators, ports.peers
-    ))?;
+    );
+    if let Err(error) = print(&format!("{text}\n")) {
+        let detail = format!("{text}: {error}");
+        obs::emit(output.logger(), Event::PortsNotPrinted, &detail);
+    }
     signals.next().await;
     actix_rt::spawn(exit_on_second(signals, output.clone()));
     daemon.close().await;
--- a/crates/bronzetack/src/error.rs
+++ b/crates/bronzetack/src/error.rs
@@ -43,6 +43,10 @@
             from()
             display("{error}")
         }
+        /// Standard output could not be written.
+        Output(error: io::Error) {
+            display("cannot write to standard output: {error}: free it or choose another")
+        }
         /// A settings file could not be read. Holds its path.
         Read(file: String, error: io::Error) {
             display("{file}: {error}: name a readable file")
@@ -55,7 +59,7 @@
     pub fn code(&self) -> u8 {
         match self {
             CliError::Args(_) | CliError::Command(_) => EXIT_USAGE,
-            CliError::Daemon(_) | CliError::Io(_) => EXIT_START,
+            CliError::Daemon(_) | CliError::Io(_) | CliError::Output(_) => EXIT_START,
             CliError::Findings(_) | CliError::Read(..) => EXIT_FINDINGS,
         }
     }
--- a/crates/bronzetack/src/main.rs
+++ b/crates/bronzetack/src/main.rs
@@ -27,7 +27,7 @@
 fn main() -> ExitCode {
     let mut args: Vec<_> = std::env::args_os().skip(1).collect();
     if args.is_empty() {
-        eprint!("{USAGE}");
+        cmd::print_error(USAGE.trim_end());
         return ExitCode::from(error::EXIT_USAGE);
     }
     let command = args.remove(0);
@@ -42,7 +42,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("bronzetack: {error}");
+            cmd::print_error(&format!("bronzetack: {error}"));
             ExitCode::from(error.code())
         }
     }
--- a/crates/bronzetack/tests/process.rs
+++ b/crates/bronzetack/tests/process.rs
@@ -11,6 +11,7 @@
 use std::ops::RangeInclusive;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
+use std::process::Command;
 use std::process::Stdio;
 use std::thread;
 
@@ -32,6 +33,7 @@
 const DAEMON_STOPPED: u64 = 103;
 const SERVICE_FAILED: u64 = 105;
 const PANICKED: u64 = 107;
+const PORTS_NOT_PRINTED: u64 = 109;
 const SETTINGS_REFUSED: u64 = 401;
 const CALL_ANSWERED: u64 = 640;
 
@@ -236,3 +238,35 @@
     let status = process.wait_for_end();
     assert_eq!(status.code(), Some(0), "{status}");
 }
+
+/// Failure: `serve` ended when it could not print its ports.
+#[test]
+fn serve_goes_on_without_its_standard_output() {
+    let mut process = Process::start_serve(Stdio::piped(), full_device());
+    let log = process.child.stderr.take().expect("no log");
+    process.call();
+    let status = process.stop(Signal::SIGTERM);
+    assert_eq!(status.code(), Some(0), "{status}");
+    let lines = parse_lines(&read_all(log));
+    let is_logged = |l: &Map<String, Value>| l.get("event") == Some(&PORTS_NOT_PRINTED.into());
+    assert!(lines.iter().any(is_logged), "{lines:?}");
+}
+
+/// Failure: a text for a reader that had seen enough, or that could not be written, ended the program
+/// by an error without a remedy or by a panic.
+#[parameterized(
+    help_to_closed_pipe = { &["--help"], broken_pipe, 0 },
+    help_to_full_device = { &["--help"], full_device, 1 },
+    usage_to_closed_pipe = { &[], broken_pipe, 2 },
+    unknown_to_closed_pipe = { &["fly"], broken_pipe, 2 },
+)]
+fn an_output_that_cannot_be_written_keeps_the_exit_code(
+    args: &[&str],
+    output: fn() -> Stdio,
+    code: i32,
+) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_bronzetack"));
+    let command = command.args(args).stdout(output()).stderr(broken_pipe());
+    let status = command.status().expect("cannot run the program");
+    assert_eq!(status.code(), Some(code), "{status}");
+}
--- a/crates/bronzetack/tests/process_kit/mod.rs
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -93,9 +93,16 @@
 
     /// Starts a daemon whose log goes to `log`. The store that its settings name does not exist.
     pub fn spawn(program: Program, log: Stdio) -> Process {
-        Process::spawn_from(program, log, |path, text| {
-            fs::write(path, text).expect("cannot write the settings");
-        })
+        Process::spawn_from(program, log, write_settings)
+    }
+
+    /// As [`Process::start`] for `serve`, with this standard output.
+    pub fn start_serve(log: Stdio, output: Stdio) -> Process {
+        let mut command = Command::new(PROGRAM);
+        command.arg("serve").stdout(output).stderr(log);
+        let mut process = Process::run(command, Program::Serve, write_settings);
+        process.wait_until_up();
+        process
     }
 
     /// Starts a daemon that has begun to read its settings from a pipe, and waits for them.
@@ -130,22 +137,18 @@
         let mut command = Command::new("sh");
         let limited = format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"");
         command.args(["-c", &limited, PROGRAM]);
-        Process::run(command, program, log, |path, text| {
-            fs::write(path, text).expect("cannot write the settings");
-        })
+        add_command(&mut command, program, log);
+        Process::run(command, program, write_settings)
     }
 
     /// As [`Process::spawn`]; `write` makes the settings file from its path and text.
     pub fn spawn_from(program: Program, log: Stdio, write: impl FnOnce(&PathBuf, &str)) -> Process {
-        Process::run(Command::new(PROGRAM), program, log, write)
+        let mut command = Command::new(PROGRAM);
+        add_command(&mut command, program, log);
+        Process::run(command, program, write)
     }
 
-    fn run(
-        mut command: Command,
-        program: Program,
-        log: Stdio,
-        write: impl FnOnce(&PathBuf, &str),
-    ) -> Process {
+    fn run(mut command: Command, program: Program, write: impl FnOnce(&PathBuf, &str)) -> Process {
         let [callers, ready, operators, store] = [(); 4].map(|()| free_address());
         let name = format!("process-{}-{}.jsonc", std::process::id(), operators.port());
         let settings = temp_dir().join(name);
@@ -162,10 +165,6 @@
             ),
         };
         write(&settings, &text);
-        let command = match program {
-            Program::Batch => command.arg("batch").stdout(log).stderr(Stdio::null()),
-            Program::Serve => command.arg("serve").stdout(Stdio::null()).stderr(log),
-        };
         let command = command.arg("--settings").arg(&settings);
         let child = command.stdin(Stdio::null()).spawn();
         Process {
@@ -264,6 +263,18 @@
     }
 }
 
+/// Adds the command that runs a daemon, with its log.
+fn add_command(command: &mut Command, program: Program, log: Stdio) {
+    match program {
+        Program::Batch => command.arg("batch").stdout(log).stderr(Stdio::null()),
+        Program::Serve => command.arg("serve").stdout(Stdio::null()).stderr(log),
+    };
+}
+
+fn write_settings(path: &PathBuf, text: &str) {
+    fs::write(path, text).expect("cannot write the settings");
+}
+
 /// Body of the response to a request; `None` without a whole response.
 fn call(to: SocketAddr, line: &str) -> Option<String> {
     let mut stream = TcpStream::connect(to).ok()?;
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -59,6 +59,7 @@
     DaemonNotReady = 106, Warn, "daemon is not ready for callers";
     ProcessPanicked = 107, Error, "daemon ends after a panic";
     LogLinesDropped = 108, Warn, "log lines were dropped";
+    PortsNotPrinted = 109, Warn, "ports of the daemon could not be printed";
     SpanClosed = 110, Debug, "span closed";
     StoreUnreachable = 200, Warn, "platform store does not answer";
     StoreReachable = 201, Info, "platform store answers again";
--- a/crates/tackctl/src/cmd/check.rs
+++ b/crates/tackctl/src/cmd/check.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 
 use crate::failure::Failure;
+use crate::output;
 use crate::parse_args;
 
 pub const USAGE: &str = "\
@@ -36,9 +37,7 @@
         return Err(Failure::Findings(findings));
     }
     if args.json {
-        println!("{{\"findings\":[]}}");
-    } else {
-        println!("{name}: no findings");
+        return output::print("{\"findings\":[]}\n");
     }
-    Ok(())
+    output::print(&format!("{name}: no findings\n"))
 }
--- a/crates/tackctl/src/cmd/domain.rs
+++ b/crates/tackctl/src/cmd/domain.rs
@@ -66,6 +66,6 @@
     };
     let path = format!("/v1/domains/{domain}/{verb}");
     let reply: ChangeReply = session.send_change(&path, &request, &request.op)?;
-    session.print(&reply, render::change);
+    session.print(&reply, render::change)?;
     Ok(())
 }
--- a/crates/tackctl/src/cmd/job.rs
+++ b/crates/tackctl/src/cmd/job.rs
@@ -111,7 +111,7 @@
         ArgsCmd::Get(get) => {
             let path = format!("/v1/jobs/{}", get.id);
             let reply: JobInfo = session.client.get(&path, &())?;
-            session.print(&reply, text);
+            session.print(&reply, text)?;
             Ok(())
         }
         ArgsCmd::List(list) => list_jobs(&session, list),
@@ -139,7 +139,7 @@
         payload: submit.payload.unwrap_or_default(),
     };
     let reply: JobInfo = session.client.post("/v1/jobs", &spec)?;
-    session.print(&reply, text);
+    session.print(&reply, text)?;
     Ok(())
 }
 
@@ -158,7 +158,7 @@
             ""
         };
         table(&reply.jobs) + more
-    });
+    })?;
     Ok(())
 }
 
@@ -181,7 +181,7 @@
             render::comma_list(&reply.ended),
             render::comma_list(&reply.missing)
         )
-    });
+    })?;
     if reply.missing.is_empty() {
         return Ok(());
     }
--- a/crates/tackctl/src/cmd/load.rs
+++ b/crates/tackctl/src/cmd/load.rs
@@ -13,6 +13,7 @@
 use base::ServiceId;
 
 use crate::failure::Failure;
+use crate::output;
 use crate::parse_args;
 
 use report::Report;
@@ -68,12 +69,15 @@
     let json = args.json;
     let plan = build_plan(args)?;
     let report = actix_rt::System::new().block_on(sender::run(Rc::new(plan)));
-    if json {
-        println!("{}", serde_json::to_string(&report).unwrap_or_default());
+    let text = if json {
+        let json = serde_json::to_string(&report).unwrap_or_default();
+        format!("{json}\n")
     } else {
-        print!("{}", report.text());
-    }
-    check_outcomes(&report)
+        report.text()
+    };
+    let printed = output::print(&text);
+    check_outcomes(&report)?;
+    printed
 }
 
 fn build_plan(args: Args) -> Result<Plan, Failure> {
--- a/crates/tackctl/src/cmd/org.rs
+++ b/crates/tackctl/src/cmd/org.rs
@@ -94,6 +94,6 @@
             ]
         });
         render::table(&["ORG", "WEIGHT", "GUARANTEED"], &rows.collect::<Vec<_>>())
-    });
+    })?;
     Ok(())
 }
--- a/crates/tackctl/src/cmd/report.rs
+++ b/crates/tackctl/src/cmd/report.rs
@@ -8,6 +8,7 @@
 
 use crate::failure::Failure;
 use crate::log_line;
+use crate::output;
 use crate::parse_args;
 use crate::report;
 use crate::report::Report;
@@ -49,16 +50,15 @@
         return Err(Failure::Findings(findings));
     }
     if let Some(job) = args.job {
-        print!("{}", report::job_text(&lines, &job.to_string()));
-        return Ok(());
+        return output::print(&report::job_text(&lines, &job.to_string()));
     }
     let report = Report::new(&lines);
     match args.json {
         true => {
             let text = serde_json::to_string(&report);
-            println!("{}", text.map_err(|e| Failure::not_run(e.to_string()))?);
+            let text = text.map_err(|e| Failure::not_run(e.to_string()))?;
+            output::print(&format!("{text}\n"))
         }
-        false => print!("{}", report.text()),
+        false => output::print(&report.text()),
     }
-    Ok(())
 }
--- a/crates/tackctl/src/cmd/settings.rs
+++ b/crates/tackctl/src/cmd/settings.rs
@@ -118,7 +118,7 @@
             vec![s.key.to_string(), s.value.to_string(), from]
         });
         render::table(&["SETTING", "VALUE", "FROM"], &rows.collect::<Vec<_>>())
-    });
+    })?;
     Ok(())
 }
 
@@ -141,7 +141,7 @@
         });
         let summary = format!("{} = {}\n", reply.key, reply.value);
         summary + &render::table(&["PLACE", "VALUE", ""], &rows.collect::<Vec<_>>())
-    });
+    })?;
     Ok(())
 }
 
@@ -152,6 +152,6 @@
         limit: history.limit,
     };
     let reply: HistoryReply = session.client.get("/v1/settings/history", &query)?;
-    session.print(&reply, |reply| render::records(&reply.records));
+    session.print(&reply, |reply| render::records(&reply.records))?;
     Ok(())
 }
--- a/crates/tackctl/src/cmd/shape.rs
+++ b/crates/tackctl/src/cmd/shape.rs
@@ -127,7 +127,7 @@
         domain: list.domain,
     };
     let reply: ShapesReply = session.client.get("/v1/shapes", &query)?;
-    session.print(&reply, text);
+    session.print(&reply, text)?;
     Ok(())
 }
 
--- a/crates/tackctl/src/cmd/site.rs
+++ b/crates/tackctl/src/cmd/site.rs
@@ -60,18 +60,18 @@
             let reply: SiteJob = session
                 .client
                 .get(&format!("/v1/site/jobs/{}", job.id), &())?;
-            session.print(&reply, job_text);
+            session.print(&reply, job_text)?;
         }
         ArgsCmd::Status(_) => {
             let reply: SiteStatus = session.client.get("/v1/site/status", &())?;
-            session.print(&reply, status_text);
+            session.print(&reply, status_text)?;
         }
         ArgsCmd::Workers(workers) => {
             let mut reply: SiteWorkers = session.client.get("/v1/site/workers", &())?;
             if let Some(state) = workers.state {
                 reply.workers.retain(|w| w.state == state);
             }
-            session.print(&reply, workers_text);
+            session.print(&reply, workers_text)?;
         }
     }
     Ok(())
--- a/crates/tackctl/src/cmd/status.rs
+++ b/crates/tackctl/src/cmd/status.rs
@@ -38,7 +38,7 @@
     let args = parse_args!(Args, args)?;
     let session = Session::new(args.at, args.json, args.timeout, args.who)?;
     let reply: Status = session.client.get("/v1/status", &())?;
-    session.print(&reply, text);
+    session.print(&reply, text)?;
     Ok(())
 }
 
--- a/crates/tackctl/src/cmd/worker.rs
+++ b/crates/tackctl/src/cmd/worker.rs
@@ -49,7 +49,7 @@
         domain: list.domain,
     };
     let reply: WorkersReply = session.client.get("/v1/workers", &query)?;
-    session.print(&reply, text);
+    session.print(&reply, text)?;
     Ok(())
 }
 
--- a/crates/tackctl/src/failure.rs
+++ b/crates/tackctl/src/failure.rs
@@ -1,11 +1,14 @@
 //! The ways in which a command can fail, with their exit codes.
 
+use std::io;
 use std::process::ExitCode;
 
 use base::Findings;
 use base::Outcome;
 use conf::api::Refusal;
 
+use crate::output;
+
 /// Why a command failed.
 #[derive(Debug)]
 pub enum Failure {
@@ -14,6 +17,8 @@
     Incomplete(Outcome, String),
     /// The input is invalid; nothing was sent.
     Findings(Findings),
+    /// The command was carried out, but its output could not be written.
+    Output(io::Error),
     /// A daemon refused the call.
     Refused(Box<Refusal>),
     /// The command may have been executed. Holds the reason.
@@ -47,6 +52,7 @@
                 ..Refusal::not_run("the input has findings")
             },
             Failure::Incomplete(_, reason) => Refusal::not_run(reason.as_str()),
+            Failure::Output(error) => Refusal::not_run(output_text(error)),
             Failure::Refused(refusal) => refusal.as_ref().clone(),
             Failure::Unknown(reason) => Refusal::unknown(reason.as_str()),
             Failure::Unreachable(reason) => Refusal::not_run(reason.as_str()),
@@ -65,46 +71,58 @@
             Failure::Findings(_) => 3,
             Failure::Unreachable(_) => 5,
             Failure::Unknown(_) => 6,
+            Failure::Output(_) => 7,
         })
     }
 
     /// Prints the failure to standard error and returns its exit code. With `json`, also prints it
     /// as a [`Refusal`] to standard output, unless a reply was printed there before.
     pub fn report(self, json: bool) -> ExitCode {
-        if json && !matches!(self, Failure::Incomplete(..)) {
+        if json && !matches!(self, Failure::Incomplete(..) | Failure::Output(_)) {
             let refusal = serde_json::to_string(&self.refusal());
-            println!("{}", refusal.unwrap_or_default());
+            let line = format!("{}\n", refusal.unwrap_or_default());
+            if let Err(Failure::Output(error)) = output::print(&line) {
+                output::print_error(&output_text(&error));
+            }
         }
         match &self {
-            Failure::Findings(found) => eprintln!("{found}"),
-            Failure::Incomplete(outcome, reason) => eprintln!("{outcome}: {reason}"),
+            Failure::Findings(found) => output::print_error(&found.to_string()),
+            Failure::Incomplete(outcome, reason) => {
+                output::print_error(&format!("{outcome}: {reason}"))
+            }
+            Failure::Output(error) => output::print_error(&output_text(error)),
             Failure::Refused(refusal) => print_refusal(refusal),
-            Failure::Unknown(reason) => eprintln!("unknown: {reason}"),
-            Failure::Unreachable(reason) => eprintln!("not run: {reason}"),
-            Failure::Usage(text) => eprintln!("{text}"),
+            Failure::Unknown(reason) => output::print_error(&format!("unknown: {reason}")),
+            Failure::Unreachable(reason) => output::print_error(&format!("not run: {reason}")),
+            Failure::Usage(text) => output::print_error(text),
         }
         self.exit_code()
     }
 }
 
+fn output_text(error: &io::Error) -> String {
+    format!("done, but cannot write to standard output: {error}: free it or choose another")
+}
+
 fn print_refusal(refusal: &Refusal) {
     let outcome = match refusal.outcome {
         Outcome::NotRun => "not run",
         Outcome::Ran => "ran",
         Outcome::Unknown => "unknown",
     };
-    eprintln!("{outcome}: {}", refusal.reason);
+    output::print_error(&format!("{outcome}: {}", refusal.reason));
     for finding in refusal.findings.iter() {
-        eprintln!("  {finding}");
+        output::print_error(&format!("  {finding}"));
     }
     if let Some(conflict) = &refusal.conflict {
-        eprintln!(
-            "  revision {} is in force; unseen changes:",
-            conflict.revision
-        );
-        eprint!("{}", crate::render::records(&conflict.records));
+        let revision = conflict.revision;
+        let records = crate::render::records(&conflict.records);
+        output::print_error(&format!(
+            "  revision {revision} is in force; unseen changes:\n{}",
+            records.trim_end_matches('\n')
+        ));
     }
     if let Some(retry) = refusal.retry {
-        eprintln!("  come back in {retry}");
+        output::print_error(&format!("  come back in {retry}"));
     }
 }
--- a/crates/tackctl/src/main.rs
+++ b/crates/tackctl/src/main.rs
@@ -4,6 +4,7 @@
 mod cmd;
 mod failure;
 mod log_line;
+mod output;
 mod render;
 mod report;
 mod session;
@@ -48,6 +49,7 @@
     5 no daemon was reached; nothing was changed
     6 unknown: the change may have taken effect; repeat it with the --op shown or, for a job
       submission, with the same job id
+    7 done, but the reply could not be written; a reader that closes the output is no error
 
 Example:
     tackctl status --at 127.0.0.1:7002";
@@ -55,7 +57,7 @@
 fn main() -> ExitCode {
     let mut args: Vec<OsString> = std::env::args_os().skip(1).collect();
     if args.is_empty() {
-        eprintln!("{USAGE}");
+        output::print_error(USAGE);
         return Failure::Usage(String::new()).exit_code();
     }
     let name = args.remove(0);
@@ -104,6 +106,5 @@
         "worker" => cmd::worker::USAGE,
         _ => return Err(Failure::Usage(format!("unknown command {name}"))),
     };
-    println!("{usage}");
-    Ok(())
+    output::print(&format!("{usage}\n"))
 }
--- a/crates/tackctl/src/session.rs
+++ b/crates/tackctl/src/session.rs
@@ -17,6 +17,7 @@
 
 use crate::client::Client;
 use crate::failure::Failure;
+use crate::output;
 use crate::render;
 
 /// Daemon that is called without `--at`.
@@ -66,7 +67,7 @@
     ) -> Result<R, Failure> {
         let result = self.client.post(path, body);
         if result.as_ref().is_err_and(Failure::is_unknown) {
-            eprintln!("repeat with --op {op}");
+            output::print_error(&format!("repeat with --op {op}"));
         }
         result
     }
@@ -86,17 +87,21 @@
             edits,
         };
         let reply: ChangeReply = self.send_change("/v1/settings", &request, &request.op)?;
-        self.print(&reply, render::change);
+        self.print(&reply, render::change)?;
         Ok(())
     }
 
     /// Prints a reply as JSON if asked for with `--json`, otherwise as `text` renders it.
-    pub fn print<T: Serialize>(&self, reply: &T, text: impl Fn(&T) -> String) {
+    pub fn print<T: Serialize>(
+        &self,
+        reply: &T,
+        text: impl Fn(&T) -> String,
+    ) -> Result<(), Failure> {
         if self.json {
-            println!("{}", serde_json::to_string(reply).unwrap_or_default());
-        } else {
-            print!("{}", text(reply));
+            let json = serde_json::to_string(reply).unwrap_or_default();
+            return output::print(&format!("{json}\n"));
         }
+        output::print(&text(reply))
     }
 }
 
--- a/crates/tackctl/tests/cmd/main.rs
+++ b/crates/tackctl/tests/cmd/main.rs
@@ -8,6 +8,7 @@
 mod job;
 mod load;
 mod org;
+mod output;
 mod report;
 mod settings;
 mod shape;
