Find jobs with nothing running beside free room, and late answers, in the soak

The soak saw a job that had nothing running only if it did not end in 17 s, and never a call that a daemon left without an answer for the caller's whole time. Both are forms of LOST.

`dropped` also reports a call that got no answer in time without a disruption. tests/idle.rs and tests/check.rs show that both can fail, and when they must not.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -9,7 +9,6 @@
 use base::WorkerId;
 use batch::EndKind;
 use batch::JobPhase;
-use batch::Resources;
 use batch::RunNumber;
 use batch::TaskId;
 use platform_fakes::Event;
@@ -22,6 +21,7 @@
 use crate::history::Call;
 use crate::history::History;
 use crate::history::Operation;
+use crate::idle;
 use crate::quota;
 
 /// Time after a disruption in which a missed time bound is still excused.
@@ -53,12 +53,12 @@
 /// - `answer`: calls are answered only with the statuses that callers expect.
 /// - `budget`: no task starts after acknowledged failures have used up its attempts, nor goes on
 ///   crashing workers.
-/// - `dropped`: without a disruption, a request that a daemon has read is answered.
+/// - `dropped`: without a disruption, a request that a daemon has read is answered, and in time.
 /// - `gang`: without a disruption, the members of a gang do not time out waiting for each other.
 /// - `late`: requested waves of upkeep are completed.
 /// - `limit`: neither a worker's capacity nor the cap of a wave is exceeded.
-/// - `lost`: accepted jobs stay known and end, but for those under which workers crashed, and none is reported as cancelled or failed without
-///   a reason.
+/// - `lost`: accepted jobs stay known and end, but for those under which workers crashed, and none is reported
+///   as cancelled or failed without a reason; in calm times, none has nothing running beside free room.
 /// - `mixed`: a job is reported as completed only after all its tasks are done.
 /// - `order`: a task starts only after the steps that its step depends on are done.
 /// - `outdated`: no call is decided by a configuration that a change has replaced for longer than it
@@ -84,6 +84,7 @@
     growth::check(&history.probes, &mut report);
     crashes::check(history, &mut report);
     denial::check(history, &mut report);
+    idle::check(history, &mut report);
     findings.sort();
     findings.dedup();
     findings
@@ -307,10 +308,10 @@
     let mut used = step.need;
     let concurrent = state.running.keys().filter(|(w, _)| **w == event.worker);
     for (_, other) in concurrent.filter(|(_, t)| *t != task) {
-        used += need_of(history, other);
+        used += history.need_of(other);
     }
     let others = state.running.keys().filter(|(_, t)| *t != task);
-    let others = others.map(|(_, other)| need_of(history, other));
+    let others = others.map(|(_, other)| history.need_of(other));
     quota::check(history, event, others, step.need, report);
     if !crashes::capacity(history, event).fits(&used) {
         report(
@@ -323,12 +324,6 @@
     }
 }
 
-fn need_of(history: &History, task: &TaskId) -> Resources {
-    let job = history.jobs.get(&task.job);
-    let step = job.and_then(|j| j.steps.get(usize::from(task.step)));
-    step.map_or(Resources::default(), |s| s.need)
-}
-
 /// Jobs whose submissions were all refused or not sent.
 fn refused_jobs(history: &History) -> BTreeSet<&JobId> {
     let mut jobs: BTreeMap<&JobId, bool> = BTreeMap::new();
@@ -415,13 +410,16 @@
     }
 }
 
-/// Checks that a connection did not end without an answer, unless the daemon's port was closed.
-/// Requests that were read before a planned stop must be answered as well.
+/// Checks that a call got an answer: its connection did not end without one, unless the daemon's port was
+/// closed, and no daemon kept its caller waiting. Requests that were read before a planned stop must be answered
+/// as well.
 fn check_unanswered(history: &History, call: &Call, report: &mut ReportFn<'_>) {
-    if call.outcome != Outcome::Disconnected
-        || history.is_disrupted(call.sent - DISRUPTION_GRACE, call.at)
-        || history.was_closed(call)
-    {
+    let what = match call.outcome {
+        Outcome::Disconnected => "ended the connection without an answer",
+        Outcome::TimedOut => "gave no answer in time",
+        _ => return,
+    };
+    if history.is_disrupted(call.sent - DISRUPTION_GRACE, call.at) || history.was_closed(call) {
         return;
     }
     let mut exits = history.exits.iter().filter(|e| e.daemon == call.daemon);
@@ -430,8 +428,8 @@
         report(
             "dropped",
             format!(
-                "{}: daemon {} ended the connection without an answer at {}",
-                call.job, call.daemon, call.at
+                "{}: daemon {} {what}, sent at {}, given up at {}",
+                call.job, call.daemon, call.sent, call.at
             ),
         );
     }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -7,6 +7,7 @@
 use base::Millis;
 use batch::Resources;
 use batch::Submission;
+use batch::TaskId;
 use platform_fakes::Event;
 use platform_fakes::EventKind;
 use platform_fakes::Outcome;
@@ -121,6 +122,13 @@
         self.calls.iter().filter(move |c| c.operation == operation)
     }
 
+    /// What a task needs while it runs.
+    pub fn need_of(&self, task: &TaskId) -> Resources {
+        let job = self.jobs.get(&task.job);
+        let step = job.and_then(|j| j.steps.get(usize::from(task.step)));
+        step.map_or(Resources::default(), |s| s.need)
+    }
+
     /// Number of runs that workers started.
     pub fn starts(&self) -> usize {
         let started = |f: &&Event| matches!(f.kind, EventKind::Started { .. });
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod faults;
 mod growth;
 mod history;
+mod idle;
 mod load;
 mod processes;
 mod quota;
--- a/crates/soak/src/quota.rs
+++ b/crates/soak/src/quota.rs
@@ -97,6 +97,11 @@
     }
 }
 
+/// Whether no cap may be in force that sets a limit.
+pub fn is_unlimited(history: &History, at: Millis) -> bool {
+    caps_in_force(history, at).iter().all(|cap| *cap == NO_CAP)
+}
+
 /// The caps that may be in force: the last one, and those replaced only a short time ago.
 fn caps_in_force(history: &History, at: Millis) -> Vec<Resources> {
     let since = at - CONFIG_APPLY - START_TIME;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -46,6 +46,10 @@
 /// bound on the end of all work, and the time after which a disruption counts as over.
 const SETTLE_TIMEOUT: Millis = Millis(17_000);
 
+/// Limit on [`Site::scale`], so that a coordinator, which a quarter of the faults hit, lives for long enough to do
+/// its work.
+const MAX_SCALE: u64 = 8;
+
 /// Attempts of a task, as [`FakeStore::configure`] sets them.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -278,10 +282,11 @@
         before.next_back().copied()
     }
 
-    /// Size of the site relative to the default one, by number of daemons and at least 1. Load and
+    /// Size of the site relative to the default one, by number of daemons, within bounds. Load and
     /// faults are that many times more frequent.
     pub fn scale(&self) -> u64 {
-        (self.plan.daemons / crate::DEFAULT_DAEMONS).max(1) as u64
+        let size = self.plan.daemons / crate::DEFAULT_DAEMONS;
+        (size as u64).clamp(1, MAX_SCALE)
     }
 
     /// Registers a job with the workers and records it in the history.
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -245,6 +245,11 @@
         .push(call(10_600, Operation::Query, Outcome::Disconnected));
 }
 
+fn no_answer_in_time(history: &mut History) {
+    no_answer(history);
+    history.calls[2].outcome = Outcome::TimedOut;
+}
+
 fn no_answer_before_exit(history: &mut History) {
     no_answer(history);
     history.exits.push(exit(11_600));
@@ -350,6 +355,7 @@
     unfinished = { unfinished_job, "lost" },
     status = { unexpected_status, "answer" },
     connection_ended = { no_answer, "dropped" },
+    answer_overdue = { no_answer_in_time, "dropped" },
     connection_ended_before_exit = { no_answer_before_exit, "dropped" },
     connection_ended_after_restart = { no_answer_after_restart, "dropped" },
     org_cap = { exceed_cap, "quota" },
@@ -374,6 +380,7 @@
     after_cancellation = { start_after_cancellation, true },
     incomplete_gang = { gang_timeout, true },
     connection_ended = { no_answer, true },
+    answer_overdue = { no_answer_in_time, true },
     running_task = { start_while_running, false },
     refused_job = { start_of_refused_job, false },
 )]
