Let no order reach a later incarnation of a stand-in worker on an old connection

- The relay took the bytes of a client before it was connected to the target (a lost SYN is sent again after 1 s and 3 s), and sent them although the client had given up or died.
Before: relay.rs, the order arrives.

The check stays as it is: PROTOCOL.md lets a call be executed late, but "after a crash, the worker runs nothing", and the product names the worker's id in every order.

--planned plays planned work only (stops, reloads, upkeep and changes of the configuration, in series and overlapping), where nothing excuses a call without an answer or a late end.

--- a/crates/fakes/src/fault_relay.rs
+++ b/crates/fakes/src/fault_relay.rs
@@ -20,8 +20,10 @@
 use std::time::Instant;
 
 use futures_util::future::join;
+use futures_util::FutureExt;
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
+use tokio::io::Interest;
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
 use tokio::net::TcpListener;
@@ -260,6 +262,11 @@
         shared.refusals().push(Instant::now());
         return;
     };
+    // Without a relay, a client that gave up before it was connected would have sent nothing.
+    let ready = client.ready(Interest::READABLE).now_or_never();
+    if ready.is_some_and(|r| r.is_ok_and(|r| r.is_read_closed())) {
+        return;
+    }
     relay(client, server, number, shared).await;
 }
 
--- a/crates/fakes/tests/relay.rs
+++ b/crates/fakes/tests/relay.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::thread;
@@ -10,6 +11,9 @@
 use std::time::Instant;
 
 use fakes::fault_relay::Relay;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 /// Time in which bytes arrive that are not held up.
 const ARRIVAL: Duration = Duration::from_millis(1_000);
@@ -182,6 +186,42 @@
     assert_eq!(ends.relay.refusals().len(), 1);
 }
 
+/// A target that accepts connections late, as one that has many others to accept.
+fn full_target() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any.into()).expect("a free port");
+    socket.listen(0).expect("a bound socket");
+    let target = TcpListener::from(socket);
+    let address = target.local_addr().expect("a bound socket");
+    let mut waiting = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, SILENCE) {
+        waiting.push(stream);
+    }
+    (target, waiting)
+}
+
+/// The order of a coordinator that had given it up, and died, reached a worker seconds later: the relay had taken
+/// the bytes long before it was connected.
+#[test]
+fn nothing_is_sent_for_a_client_that_gives_up_before_the_target_is_connected() {
+    let (target, waiting) = full_target();
+    let relay = Relay::start(target.local_addr().expect("a bound socket"));
+    let mut patient = TcpStream::connect(relay.addr()).expect("the relay listens");
+    send(&mut patient, b"question");
+    let mut impatient = TcpStream::connect(relay.addr()).expect("the relay listens");
+    send(&mut impatient, b"order");
+    thread::sleep(SILENCE);
+    drop(impatient);
+    let mut received: Vec<Result<Vec<u8>, ErrorKind>> = Vec::new();
+    for _ in 0..waiting.len() + 2 {
+        let (mut server, _) = target.accept().expect("a connection");
+        received.push(receive(&mut server, SILENCE));
+    }
+    assert!(received.contains(&Ok(b"question".to_vec())), "{received:?}");
+    assert!(!received.contains(&Ok(b"order".to_vec())), "{received:?}");
+}
+
 #[test]
 fn close_ends_connections_and_listening() {
     let mut ends = Ends::open();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -17,6 +17,7 @@
 
 use crate::error::SoakError;
 use crate::site::Site;
+use crate::Plan;
 
 /// Time from one fault to the next, in milliseconds, for a site of the default size.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 200..1_400;
@@ -33,8 +34,8 @@
 
 /// Injects faults until `end`, and waits until the last of them is over. Fails as soon as one cannot be
 /// injected or ended.
-pub async fn run(site: Rc<Site>, seed: u64, end: Millis) -> Result<(), SoakError> {
-    let mut rng = Pcg64::seed_from_u64(seed ^ 0xfa);
+pub async fn run(site: Rc<Site>, plan: &Plan, end: Millis) -> Result<(), SoakError> {
+    let mut rng = Pcg64::seed_from_u64(plan.seed ^ 0xfa);
     let mut version = 1;
     let mut tasks = FaultTasks::new();
     loop {
@@ -58,7 +59,10 @@
             parameter: rng.random_range(0..1_000),
         };
         version += 1;
-        let kind = rng.random_range(0..FAULT_KINDS);
+        let kind = match plan.planned {
+            true => PLANNED_KINDS[rng.random_range(0..PLANNED_KINDS.len())],
+            false => rng.random_range(0..FAULT_KINDS),
+        };
         tasks.push(actix_rt::spawn(fault.inject(kind, version)));
     }
     while let Some(result) = tasks.next().await {
@@ -82,6 +86,10 @@
 /// Number of kinds of faults that [`Fault::inject`] distinguishes.
 const FAULT_KINDS: u32 = 27;
 
+/// Those that are planned work: stops, of the coordinator among them, reloads, upkeep and changes of the
+/// configuration.
+const PLANNED_KINDS: [u32; 6] = [3, 4, 5, 8, 25, 26];
+
 /// Value of the coordinator's lock in the store.
 #[derive(Deserialize)]
 struct LockHolder {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -64,6 +64,8 @@
     pub dir: PathBuf,
     /// Period in which workers renew their registrations, as the daemons' settings state it.
     pub heartbeat: Millis,
+    /// Whether faults are planned work only: stops, reloads, upkeep and changes of the configuration.
+    pub planned: bool,
     /// Whether most daemons have slow links to the store while the configuration grows.
     pub slow_links: bool,
 }
@@ -80,6 +82,7 @@
             duration: Millis::from_secs(12),
             dir: logs.join(format!("soak-{}-{seed}", std::process::id())),
             heartbeat: site::DEFAULT_HEARTBEAT,
+            planned: false,
             slow_links: false,
         }
     }
@@ -125,8 +128,8 @@
         )));
         background.push(actix_rt::spawn(growth::probe(site.clone(), plan.seed, end)));
     }
-    let faults = faults::run(site.clone(), plan.seed, end);
-    let (load, ()) = try_join(load::run(site.clone(), plan.seed, end), faults).await?;
+    let faults = faults::run(site.clone(), plan, end);
+    let (load, ()) = try_join(load::run(site.clone(), plan, end), faults).await?;
     while site.is_upkeep_pending() && site.now() < site.settled_by(end) {
         site.sleep(site::DEFAULT_HEARTBEAT).await;
     }
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -22,6 +22,7 @@
 use crate::history::History;
 use crate::history::Operation;
 use crate::site::Site;
+use crate::Plan;
 
 /// Queues that jobs are submitted to, as the fake store configures them.
 const QUEUES: [&str; 4] = ["q0", "q1", "q2", ADVISED_QUEUE];
@@ -59,7 +60,8 @@
 /// Submits jobs until `end` and queries each until it has ended, at the latest until the site must have
 /// settled.
 /// The returned history has only calls and unfinished jobs.
-pub async fn run(site: Rc<Site>, seed: u64, end: Millis) -> Result<History, SoakError> {
+pub async fn run(site: Rc<Site>, plan: &Plan, end: Millis) -> Result<History, SoakError> {
+    let seed = plan.seed;
     let mut rng = Pcg64::seed_from_u64(seed ^ 0x10ad);
     let mut deadly_rng = Pcg64::seed_from_u64(seed ^ 0xdead);
     let history = Rc::new(RefCell::new(History::default()));
@@ -70,7 +72,8 @@
         let id = format!("{:08x}{number:08x}", seed as u32);
         let id: JobId = id.parse().expect("sixteen hexadecimal digits");
         number += 1;
-        let deadly = deadly_rng.random_range(0..1_000) < DEADLY_PER_MILLE;
+        // A crash by a task is no planned work.
+        let deadly = deadly_rng.random_range(0..1_000) < DEADLY_PER_MILLE && !plan.planned;
         let submission = job(&mut rng, deadly);
         let queue = rng.random_range(0..QUEUES.len());
         site.register(&id, &submission, QUEUES[queue] == ADVISED_QUEUE);
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -31,6 +31,8 @@
             optional --workers workers: usize
             /// Period in which workers renew their registrations, in milliseconds; default 300.
             optional --heartbeat heartbeat: u64
+            /// Inject planned work only: stops, reloads, upkeep and changes of the configuration.
+            optional --planned
             /// Give most daemons slow links to the store while the configuration grows.
             optional --slow-links
             /// Path of the daemon's executable; default `bronzetack` in the directory of this
@@ -88,6 +90,7 @@
         daemons: args.daemons.unwrap_or(defaults.daemons).max(1),
         workers: args.workers.unwrap_or(defaults.workers).max(1),
         heartbeat: args.heartbeat.map_or(defaults.heartbeat, Millis),
+        planned: args.planned,
         slow_links: args.slow_links,
         duration: args.seconds.map_or(defaults.duration, Millis::from_secs),
         ..defaults
