Read each change and item of the store by itself

Callers saw: jobs stayed `queued` beside free workers, once the watch of the workers had returned an event that cannot be decoded: the coordinator asked for the same revision again and again and saw no later change. Cause: pages and changes were decoded as one value, and a watch that failed was repeated unless the store had compacted its history. Changes beyond the size limit were an error without a remedy for the same reason. Change: rows are decoded one by one. One with a readable key stands for a key whose value cannot be read; any other is logged under its prefix. A body, or a revision of the store, that makes no sense is an error of its own; after it, and after changes that are too large, the keys are listed again. Input that cannot be read is logged once a minute a key. Why it works: no answer leads to the same question for ever, and what is left out of a list is always known by its key or logged.

--- a/crates/bronzetack/src/batch/documents.rs
+++ b/crates/bronzetack/src/batch/documents.rs
@@ -15,6 +15,7 @@
 use platform::StoreError;
 use platform::OPERATOR_PREFIX;
 
+use crate::batch::restore::refuse_rows;
 use crate::batch::shared::Shared;
 
 /// Delay after a failed call, and the largest random delay added to it.
@@ -39,6 +40,7 @@
             Ok(listing) => {
                 shared.record_store_result(Ok(()));
                 let revision = listing.revision;
+                refuse_rows(&shared, OPERATOR_PREFIX, &listing.refused);
                 apply_listing(&shared, listing, sent);
                 update_ready(&shared);
                 if watch(&shared, revision).await == WatchEnd::TooLarge {
@@ -59,6 +61,8 @@
 enum WatchEnd {
     /// The store has compacted the history that is needed.
     Compacted,
+    /// The changes cannot be read.
+    Malformed,
     /// The changes are larger than what they have led to.
     TooLarge,
 }
@@ -79,6 +83,7 @@
             Ok(watched) => {
                 shared.record_store_result(Ok(()));
                 after = watched.revision.max(after);
+                refuse_rows(shared, OPERATOR_PREFIX, &watched.refused);
                 for change in &watched.changes {
                     apply_change(shared, change, sent);
                 }
@@ -90,6 +95,11 @@
             }
             Err(StoreError::Compacted) => return WatchEnd::Compacted,
             Err(StoreError::TooLarge) => return WatchEnd::TooLarge,
+            Err(error @ StoreError::Malformed(_)) => {
+                shared.record_store_result(Err(&error));
+                shared.refuse(OPERATOR_PREFIX, &error);
+                return WatchEnd::Malformed;
+            }
             Err(error) => {
                 shared.record_store_result(Err(&error));
                 update_ready(shared);
@@ -180,11 +190,7 @@
                 documents.catalog = Some(Rc::new(*catalog));
             }
         }
-        StoreEntry::Catalog(Err(why)) => {
-            let fields: &[(&'static str, &dyn std::fmt::Display)] =
-                &[("key", key), ("error", &why)];
-            obs::record(&shared.log, Event::InputRefused, fields);
-        }
+        StoreEntry::Catalog(Err(why)) => shared.refuse(key, &why),
         StoreEntry::DomainOut(domain) => exclude_domain(shared, &domain, !removed),
         StoreEntry::Wave(number, Ok(wave)) => {
             let mut documents = shared.documents.borrow_mut();
@@ -204,9 +210,7 @@
         }
         StoreEntry::Wave(number, Err(why)) => {
             if !removed {
-                let fields: &[(&'static str, &dyn std::fmt::Display)] =
-                    &[("key", key), ("error", &why)];
-                obs::record(&shared.log, Event::InputRefused, fields);
+                shared.refuse(key, &why);
             }
             shared.documents.borrow_mut().waves.remove(&number);
         }
--- a/crates/bronzetack/src/batch/load.rs
+++ b/crates/bronzetack/src/batch/load.rs
@@ -7,7 +7,6 @@
 use batch::Load;
 use batch::Submitted;
 use batch::Verdict;
-use obs::Event;
 use platform::LeaseId;
 use platform::StoreError;
 
@@ -42,11 +41,7 @@
             Ok(load) => load,
             Err(error) => {
                 let error: ciborium::de::Error<std::io::Error> = error;
-                obs::record(
-                    &shared.log,
-                    Event::InputRefused,
-                    &[("key", &keys::LOAD), ("error", &error)],
-                );
+                shared.refuse(keys::LOAD, &error);
                 Load::default()
             }
         },
--- a/crates/bronzetack/src/batch/peers.rs
+++ b/crates/bronzetack/src/batch/peers.rs
@@ -9,7 +9,6 @@
 use base::VmId;
 use batch::candidacy::Capacity;
 use link::Links;
-use obs::Event;
 use platform::LeaseId;
 use platform::Put;
 use platform::StoreError;
@@ -94,7 +93,7 @@
             Some(Ok(peer)) if peer.callers != own => peers.push(peer),
             Some(Ok(_)) => {}
             Some(Err(_)) | None => {
-                obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]);
+                shared.refuse(&item.key, &"the entry of a daemon cannot be read");
             }
         }
     }
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -27,17 +27,20 @@
 use crate::batch::shared::Shared;
 use crate::batch::upkeep;
 
+/// What is wrong with an item without a value.
+const UNREADABLE: &str = "a field cannot be read, or the value is not valid base64";
+
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Millis = Millis(150);
 
 /// Reads the workers' entries. Returns the revision from which to watch them.
 pub async fn read_workers(shared: &Shared, lead: &Leadership) -> Result<Revision, StoreError> {
     let workers = shared.store.list(WORKER_PREFIX).await?;
+    refuse_rows(shared, WORKER_PREFIX, &workers.refused);
     let now = shared.now();
     let mut scheduler = lead.scheduler.borrow_mut();
     for item in &workers.items {
-        let value = item.value.as_deref();
-        apply_worker(shared, &mut scheduler, &item.key, value, now);
+        apply_worker(shared, &mut scheduler, item, now);
     }
     Ok(workers.revision)
 }
@@ -67,9 +70,12 @@
             Some(Ok(progress)) => {
                 records.insert(id, progress);
             }
-            _ => obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]),
+            Some(Err(error)) => shared.refuse(&item.key, &error),
+            None => shared.refuse(&item.key, &UNREADABLE),
         }
     }
+    refuse_rows(shared, keys::RUNS, &runs.refused);
+    refuse_rows(shared, keys::REQUESTS, &requests.refused);
     removal::note_orphans(lead, &requests.items);
     let (jobs, cancels): (Vec<Item>, Vec<Item>) = requests
         .items
@@ -110,19 +116,15 @@
             let is_recorded = recorded.is_some_and(|at| at > Revision(0)) && !is_orphan;
             if is_recorded && progress.is_none() {
                 let why = "the job is left alone, as its recorded progress cannot be read";
-                let fields: &[(&'static str, &dyn std::fmt::Display)] =
-                    &[("key", &item.key), ("error", &why)];
-                obs::record(&shared.log, Event::InputRefused, fields);
-                return;
+                return shared.refuse(&item.key, &why);
             }
             let mut revisions = lead.job_revisions.borrow_mut();
             revisions.insert(id.clone(), item.revision);
             scheduler.add(id, *submitted, progress, now);
         }
         Some(Ok(JobRecord::Refused(_))) => {}
-        Some(Err(_)) | None => {
-            obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]);
-        }
+        Some(Err(error)) => shared.refuse(&item.key, &error),
+        None => shared.refuse(&item.key, &UNREADABLE),
     }
 }
 
@@ -144,6 +146,7 @@
                 shared.record_store_result(Ok(()));
                 lead.confirm(prefix, sent);
                 after = watched.revision.max(after);
+                refuse_rows(&shared, prefix, &watched.refused);
                 if !watched.changes.is_empty() && !lead.ended.get() {
                     apply_changes(&shared, &lead, watched.changes);
                     lead.wake.notify_one();
@@ -155,8 +158,16 @@
                     shared.sleep(shared.times.gather_time).await;
                 }
             }
-            Err(StoreError::Compacted) => {
-                obs::record(&shared.log, Event::WatchCompacted, &[("prefix", &prefix)]);
+            // Changes that are too large or cannot be read would be the same the next time.
+            Err(
+                error @ (StoreError::Compacted | StoreError::Malformed(_) | StoreError::TooLarge),
+            ) => {
+                let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                    &[("prefix", &prefix), ("error", &error)];
+                obs::record(&shared.log, Event::WatchCompacted, fields);
+                if error != StoreError::Compacted {
+                    shared.sleep(RETRY_DELAY).await;
+                }
                 match read_again(&shared, &lead, prefix).await {
                     Ok(revision) => {
                         after = revision;
@@ -188,6 +199,7 @@
 ) -> Result<Revision, StoreError> {
     let sent = shared.now();
     let listing = shared.store.list(prefix).await?;
+    refuse_rows(shared, prefix, &listing.refused);
     lead.confirm(prefix, sent);
     let now = shared.now();
     let mut scheduler = lead.scheduler.borrow_mut();
@@ -237,44 +249,49 @@
             }
             Some(RequestKey::Cancel(id)) => scheduler.cancel(&id, now),
             Some(RequestKey::Ends) => apply_ends(shared, scheduler, &item, now),
-            None => apply_worker(shared, scheduler, &item.key, item.value.as_deref(), now),
+            None => apply_worker(shared, scheduler, &item, now),
         },
         Change::Removed { key, .. } => match keys::parse_request(&key) {
             Some(RequestKey::Job(id)) => removal::forget(lead, scheduler, &id, now),
             Some(RequestKey::Cancel(_) | RequestKey::Ends) => {}
-            None => apply_worker(shared, scheduler, &key, None, now),
+            None => {
+                if let StoreEntry::Worker(id, _) = decode_entry(&key, None) {
+                    scheduler.mark_missing(&id, now);
+                }
+            }
         },
     }
 }
 
 /// Applies the ends that a former coordinator has seen and could not record.
 fn apply_ends(shared: &Shared, scheduler: &mut Scheduler, item: &Item, now: Millis) {
-    let seen: Option<Result<Vec<SeenEnd>, _>> = item.value.as_deref().map(ciborium::from_reader);
+    let seen = item.value.as_deref();
+    let seen: Option<Result<Vec<SeenEnd>, ciborium::de::Error<std::io::Error>>> =
+        seen.map(ciborium::from_reader);
     match seen {
         Some(Ok(seen)) => scheduler.apply_seen(&seen, now),
-        Some(Err(_)) | None => {
-            obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]);
-        }
+        Some(Err(error)) => shared.refuse(&item.key, &error),
+        None => shared.refuse(&item.key, &UNREADABLE),
     }
 }
 
-fn apply_worker(
-    shared: &Shared,
-    scheduler: &mut Scheduler,
-    key: &str,
-    value: Option<&[u8]>,
-    now: Millis,
-) {
-    match decode_entry(key, value) {
+fn apply_worker(shared: &Shared, scheduler: &mut Scheduler, item: &Item, now: Millis) {
+    match decode_entry(&item.key, item.value.as_deref()) {
         StoreEntry::Worker(_, Ok(view)) => scheduler.update_worker(*view),
         StoreEntry::Worker(id, Err(why)) => {
-            if value.is_some() {
-                let fields: &[(&'static str, &dyn std::fmt::Display)] =
-                    &[("key", &key), ("error", &why)];
-                obs::record(&shared.log, Event::InputRefused, fields);
-            }
+            shared.refuse(&item.key, &why);
             scheduler.mark_missing(&id, now);
         }
+        StoreEntry::Other if item.key.starts_with(WORKER_PREFIX) => {
+            shared.refuse(&item.key, &"the key names no worker");
+        }
         _ => {}
     }
 }
+
+/// Logs the first of the rows under a prefix that cannot be read and have no readable key.
+pub fn refuse_rows(shared: &Shared, prefix: &str, refused: &[String]) {
+    if let Some(why) = refused.first() {
+        shared.refuse(prefix, why);
+    }
+}
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -33,6 +33,7 @@
 use obs::Histogram;
 use obs::LogLimiter;
 use obs::Metrics;
+use obs::SubjectLimiter;
 use platform::Adviser;
 use platform::LeaseId;
 use platform::Machines;
@@ -87,6 +88,8 @@
     pub slow_log: LogLimiter,
     /// Rate limit of log lines about stop requests without a response.
     pub stop_log: LogLimiter,
+    /// Rate limit of log lines about input that cannot be read.
+    pub refused_log: SubjectLimiter,
     /// What each organisation may have running, has, and waits for.
     pub orgs: OrgMetrics,
     /// How jobs end, and what runs without a result have lost.
@@ -240,6 +243,7 @@
             store_errors: metrics.counter("batch_store_errors", "Failed calls to the store"),
             slow_log: LogLimiter::default(),
             stop_log: LogLimiter::default(),
+            refused_log: SubjectLimiter::default(),
             clock,
             caller_store: store.with_timeout(CALLER_STORE_TIMEOUT),
             store,
@@ -316,6 +320,15 @@
             .filter(|lead| !lead.ended.get())
     }
 
+    /// Logs that something under a key cannot be read, unless that was logged a short time ago.
+    pub fn refuse(&self, key: &str, why: &dyn std::fmt::Display) {
+        if self.refused_log.admit(key, self.now()) {
+            let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                &[("key", &key), ("error", why)];
+            obs::record(&self.log, Event::InputRefused, fields);
+        }
+    }
+
     /// Counts a failed call to the store, and logs the start and the end of an outage.
     pub fn record_store_result(&self, result: Result<(), &StoreError>) {
         if let Err(error) = result {
@@ -324,6 +337,7 @@
                 StoreError::NotSent(_) => "not-sent",
                 StoreError::Unknown(_) => "no-answer",
                 StoreError::Compacted => "history",
+                StoreError::Malformed(_) => "malformed",
                 StoreError::TooLarge => "too-large",
                 StoreError::Protocol(_) => "protocol",
             };
@@ -331,7 +345,7 @@
         }
         let up = matches!(
             result,
-            Ok(()) | Err(StoreError::Compacted | StoreError::TooLarge)
+            Ok(()) | Err(StoreError::Compacted | StoreError::Malformed(_) | StoreError::TooLarge)
         );
         if up == self.outage_start.get().is_none() {
             return;
--- a/crates/bronzetack/src/batch/upkeep.rs
+++ b/crates/bronzetack/src/batch/upkeep.rs
@@ -210,7 +210,10 @@
                     .insert(number, item.revision);
                 found.push((number, record));
             }
-            _ => obs::record(&shared.log, Event::InputRefused, &[("key", &item.key)]),
+            _ => shared.refuse(
+                &item.key,
+                &"the number or the record of the wave cannot be read",
+            ),
         }
     }
     Ok(found)
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -14,6 +14,7 @@
 pub use log::to_stderr;
 pub use log::to_stdout;
 pub use log_limiter::LogLimiter;
+pub use log_limiter::SubjectLimiter;
 pub use metrics::Counter;
 pub use metrics::CounterSeries;
 pub use metrics::Gauge;
--- a/crates/obs/src/log_limiter.rs
+++ b/crates/obs/src/log_limiter.rs
@@ -1,7 +1,9 @@
 //! Rate limit for log lines that would otherwise be written many times per second.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 
+use base::Map;
 use base::Millis;
 
 /// Shortest time between two lines. The count of suppressed lines shows readers of the log that
@@ -32,3 +34,34 @@
         Some(self.suppressed.replace(0))
     }
 }
+
+/// Shortest time between two lines about the same subject.
+const SUBJECT_INTERVAL: Millis = Millis(60_000);
+
+/// Most subjects that are remembered. Lines about further ones are suppressed until some are old.
+const MAX_SUBJECTS: usize = 1_000;
+
+/// Allows at most one log line a minute about each subject, such as a key of the store.
+#[derive(Debug, Default)]
+pub struct SubjectLimiter {
+    last: RefCell<Map<String, Millis>>,
+}
+
+impl SubjectLimiter {
+    /// Whether a line about the subject may be written at `now`.
+    pub fn admit(&self, subject: &str, now: Millis) -> bool {
+        let mut last = self.last.borrow_mut();
+        let is_recent = |at: &Millis| now.since(*at) < SUBJECT_INTERVAL;
+        if last.get(subject).is_some_and(is_recent) {
+            return false;
+        }
+        if last.len() >= MAX_SUBJECTS {
+            last.retain(|_, at| is_recent(at));
+        }
+        if last.len() >= MAX_SUBJECTS {
+            return false;
+        }
+        last.insert(subject.to_string(), now);
+        true
+    }
+}
