Read each row of the machines and of the adviser by itself

Callers saw: with one odd row among those that an adviser approves, jobs of its queues stayed `queued`; with one odd row, state or page token in the list of machines, no wave of upkeep made progress. Cause: both answers were decoded as one value, and tokens were put into the address as they stood. Evidence, before, each with a real daemon: an_odd_row_of_the_adviser_costs_no_other "did not become completed in time: queued"; an_odd_machine_delays_only_its_own_upkeep "timed out: two machines". Without a name, or after a token that is odd or repeated, the list is partial: nothing is known of the machines that it does not show, so none of them goes down, none counts as gone, none as back in service, and the wave is not completed without them. Change, adviser: workers that a response with an odd row does not name are asked about again, up to three times a step, as that row may approve any of them. Why it works: what an unreadable row may stand for is left open for just the machines and workers that no other row names.

--- a/crates/batch/src/advice.rs
+++ b/crates/batch/src/advice.rs
@@ -55,6 +55,9 @@
 /// A ticket is not used this close to its end, because the start is recorded and sent first.
 const TICKET_MARGIN: Millis = Millis(150);
 
+/// Number of responses to a step with rows that cannot be read after which the rows that can be decide.
+const MAX_PARTIAL: u32 = 3;
+
 /// Pause after a request that was refused or not answered.
 const FAILURE_PAUSE: Millis = Millis(100);
 
@@ -79,6 +82,8 @@
     /// The approved workers, each with its ticket, and the validity of the tickets if the response
     /// gives one.
     Approved(Vec<(WorkerId, String)>, Option<Millis>),
+    /// The same where some rows cannot be read, and what is wrong with the first of them.
+    Partial(Vec<(WorkerId, String)>, Option<Millis>, String),
     /// The request was refused or not answered. Holds the reason.
     Failed(String),
 }
@@ -97,6 +102,8 @@
 struct StepAdvice {
     approved: Map<WorkerId, Option<Ticket>>,
     rejected: Set<WorkerId>,
+    /// Number of responses with rows that cannot be read.
+    partial: u32,
 }
 
 /// All responses of the adviser, and the requests still to be sent.
@@ -280,16 +287,27 @@
         // Requests queued for this step while this one was in flight did not consider its response.
         self.queued.retain(|r| r.step != request.step);
         self.failing = matches!(response, AdviceResponse::Failed(_));
-        let AdviceResponse::Approved(approved, valid) = response else {
-            self.not_before = now + FAILURE_PAUSE;
-            return;
+        let (approved, valid, is_partial) = match response {
+            AdviceResponse::Approved(approved, valid) => (approved, valid, false),
+            AdviceResponse::Partial(approved, valid, _) => (approved, valid, true),
+            AdviceResponse::Failed(_) => {
+                self.not_before = now + FAILURE_PAUSE;
+                return;
+            }
         };
         let named = request.workers.len().max(1) as u64;
         let share = (approved.len() as u64 * 100 / named).min(100);
         self.share = (self.share * (AVERAGE_WEIGHT - 1) + share) / AVERAGE_WEIGHT;
         let advice = self.steps.entry(request.step.clone()).or_default();
         let valid_until = sent + valid.unwrap_or(request.rule.valid);
-        advice.rejected.extend(request.workers.iter().cloned());
+        // A row that cannot be read may approve any worker that no other row names, so these are asked
+        // about again.
+        if is_partial && advice.partial < MAX_PARTIAL {
+            advice.partial += 1;
+            self.not_before = now + FAILURE_PAUSE;
+        } else {
+            advice.rejected.extend(request.workers.iter().cloned());
+        }
         for (id, text) in approved {
             advice.rejected.remove(&id);
             let born = born(&id);
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -401,6 +401,14 @@
                     request.step
                 )
             }
+            AdviceResponse::Partial(approved, _, why) => {
+                let (approved, all) = (approved.len(), request.workers.len());
+                format!(
+                    "adviser approved {approved} of {all} workers for step {}, with a row that \
+                     cannot be read: {why}",
+                    request.step
+                )
+            }
             AdviceResponse::Failed(why) => format!(
                 "request to the adviser for step {} failed: {why}",
                 request.step
--- a/crates/batch/src/wave.rs
+++ b/crates/batch/src/wave.rs
@@ -254,7 +254,24 @@
 
     /// Applies a list of machines that was requested at `sent`.
     pub fn set_machines(&mut self, listed: Vec<MachineEntry>, sent: Millis) {
-        self.machines = listed.into_iter().map(|m| (m.id.clone(), m)).collect();
+        self.machines.clear();
+        self.add_machines(listed, sent);
+        for active in self.active.values_mut() {
+            let missing = active.wave.machines.iter();
+            let missing = missing.filter(|id| !self.machines.contains_key(*id));
+            active.gone.extend(missing.cloned());
+        }
+    }
+
+    /// Applies a list of machines that was requested at `sent` and from which some may be missing.
+    /// Of those it is not known what they do, and none counts as gone.
+    pub fn add_machines(&mut self, listed: Vec<MachineEntry>, sent: Millis) {
+        for machine in self.machines.values_mut() {
+            machine.state = MachineState::Away;
+            machine.worker = None;
+        }
+        let listed = listed.into_iter().map(|m| (m.id.clone(), m));
+        self.machines.extend(listed);
         self.listed_at = Some(sent);
         let machines = &self.machines;
         let open: BTreeSet<&MachineId> = self.active.values().flat_map(|w| &w.open).collect();
@@ -267,9 +284,6 @@
             *at >= sent || open.contains(id) || (!up && machines.contains_key(id))
         });
         for active in self.active.values_mut() {
-            let missing = active.wave.machines.iter();
-            let missing = missing.filter(|id| !machines.contains_key(*id));
-            active.gone.extend(missing.cloned());
             active.gone.retain(|id| !machines.contains_key(id));
         }
     }
--- a/crates/bronzetack/src/batch/upkeep.rs
+++ b/crates/bronzetack/src/batch/upkeep.rs
@@ -27,6 +27,9 @@
 /// The machine service is called at its rate limit divided by this at most.
 const RATE_DIVISOR: f64 = 2.0;
 
+/// Names the list of machines in the log.
+const MACHINES: &str = "machines";
+
 /// Carries out upkeep waves until the leadership ends.
 pub async fn run(shared: Rc<Shared>, lead: Rc<Leadership>) {
     let started = shared.now();
@@ -74,11 +77,18 @@
     started: Millis,
 ) -> Result<u32, String> {
     let sent = shared.now();
-    let (entries, pages) = machines.list().await.map_err(|e| e.to_string())?;
-    lead.scheduler
-        .borrow_mut()
-        .waves()
-        .set_machines(entries, sent);
+    let list = machines.list().await.map_err(|e| e.to_string())?;
+    let pages = list.pages;
+    if let Some(why) = &list.refused {
+        shared.refuse(MACHINES, why);
+    }
+    {
+        let mut scheduler = lead.scheduler.borrow_mut();
+        match list.is_partial {
+            true => scheduler.waves().add_machines(list.machines, sent),
+            false => scheduler.waves().set_machines(list.machines, sent),
+        }
+    }
     // An earlier coordinator may have sent a request just before it lost the lock.
     if shared.now().since(started) < shared.settings.bounds.handover {
         return Ok(pages);
