--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -34,6 +34,7 @@
 use obs::Histogram;
 use obs::LogLimiter;
 use obs::Metrics;
+use obs::SubjectLimiter;
 use platform::Adviser;
 use platform::LeaseId;
 use platform::Machines;
@@ -95,6 +96,8 @@
     pub stop_log: LogLimiter,
     /// Limits log lines about work that waits beside free room.
     pub idle_log: LogLimiter,
+    /// Rate limit of log lines about input that cannot be read.
+    pub refused_log: SubjectLimiter,
     /// What each organisation may have running, has, and waits for.
     pub orgs: OrgMetrics,
     /// How jobs end, and what runs without a result have lost.
@@ -254,6 +257,7 @@
             slow_log: LogLimiter::default(),
             stop_log: LogLimiter::default(),
             idle_log: LogLimiter::default(),
+            refused_log: SubjectLimiter::default(),
             clock,
             caller_store: Store::new(settings.store.address, CALLER_STORE_TIMEOUT),
             look_ups: Semaphore::new(MAX_LOOK_UPS),
@@ -332,6 +336,15 @@
             .filter(|lead| !lead.ended.get())
     }
 
+    /// Logs that something under a key cannot be read, unless that was logged a short time ago.
+    pub fn refuse(&self, key: &str, why: &dyn std::fmt::Display) {
+        if self.refused_log.admit(key, self.now()) {
+            let fields: &[(&'static str, &dyn std::fmt::Display)] =
+                &[("key", &key), ("error", why)];
+            obs::record(&self.log, Event::InputRefused, fields);
+        }
+    }
+
     /// Counts a failed call to the store, and logs the start and the end of an outage.
     pub fn record_store_result(&self, result: Result<(), &StoreError>) {
         if let Err(error) = result {
@@ -340,6 +353,7 @@
                 StoreError::NotSent(_) => "not-sent",
                 StoreError::Unknown(_) => "no-answer",
                 StoreError::Compacted => "history",
+                StoreError::Malformed(_) => "malformed",
                 StoreError::TooLarge => "too-large",
                 StoreError::Protocol(_) => "protocol",
             };
@@ -347,7 +361,7 @@
         }
         let up = matches!(
             result,
-            Ok(()) | Err(StoreError::Compacted | StoreError::TooLarge)
+            Ok(()) | Err(StoreError::Compacted | StoreError::Malformed(_) | StoreError::TooLarge)
         );
         if up == self.outage_start.get().is_none() {
             return;
