Look at workers for work that waits only on pools with room

Cause: the new check for work that waits beside free room went through all workers for each waiting step, also while the pool was full; with hundreds of waiting steps and a thousand workers that is work for a small VM. Change: the pools of which at most half is in use are found once a check. Measured: crates/batch/tests/idle.rs and pauses.rs pass. The cost was not measured.

--- a/crates/batch/src/scheduler/idle.rs
+++ b/crates/batch/src/scheduler/idle.rs
@@ -6,8 +6,10 @@
 use std::collections::BTreeMap;
 
 use base::JobId;
+use base::Map;
 use base::Millis;
 use base::ServiceId;
+use base::Set;
 
 use super::trace::is_held;
 use super::trace::waits_for;
@@ -70,17 +72,40 @@
                 idle_steps(job, is_held, now, &mut idle);
             }
         }
+        if idle.is_empty() {
+            return;
+        }
+        let quiet = self.quiet_pools(now);
         for step in idle {
-            self.log_idle(&step, now);
+            self.log_idle(&step, &quiet, now);
+        }
+    }
+
+    /// The pools of which at most half is in use.
+    fn quiet_pools(&self, now: Millis) -> Set<ServiceId> {
+        let mut pools: Map<&ServiceId, (Resources, Resources)> = Map::default();
+        for worker in self.workers.values() {
+            if is_counted(self.usability(worker, now)) {
+                let (capacity, free) = pools.entry(&worker.entry.pool).or_default();
+                *capacity += worker.entry.capacity;
+                *free += worker.free();
+            }
         }
+        let quiet = pools
+            .into_iter()
+            .filter(|(_, (capacity, free))| is_mostly_free(capacity, free));
+        quiet.map(|(pool, _)| pool.clone()).collect()
     }
 
-    fn log_idle(&mut self, at: &IdleStep, now: Millis) {
+    fn log_idle(&mut self, at: &IdleStep, quiet: &Set<ServiceId>, now: Millis) {
         let Some(job) = self.jobs.get(&at.job) else {
             return;
         };
         let spec = &job.submitted.work.steps[usize::from(at.step)];
         let pool = self.pool_of(job);
+        if !spec.lasting && !quiet.contains(&pool) {
+            return;
+        }
         let Some(room) = self.describe_room(&pool, spec, now) else {
             return;
         };
@@ -114,7 +139,6 @@
     /// enough room to speak of a wait beside it.
     fn describe_room(&self, pool: &ServiceId, spec: &StepSpec, now: Millis) -> Option<String> {
         let need = spec.occupies();
-        let (mut capacity, mut free) = (Resources::default(), Resources::default());
         let mut slots: u64 = 0;
         let mut with_room: BTreeMap<Usability, usize> = BTreeMap::new();
         for worker in self.workers.values().filter(|w| w.entry.pool == *pool) {
@@ -122,8 +146,6 @@
             if !is_counted(usability) {
                 continue;
             }
-            capacity += worker.entry.capacity;
-            free += worker.free();
             let fitting = fitting(worker, spec, &need);
             slots = slots.saturating_add(fitting);
             if fitting > 0 {
@@ -132,7 +154,7 @@
         }
         let together = if spec.gang { u64::from(spec.count) } else { 1 };
         let is_roomy = slots >= together.saturating_mul(ROOM_FACTOR);
-        if !is_roomy || !spec.lasting && !is_mostly_free(&capacity, &free) {
+        if !is_roomy {
             return None;
         }
         let counts = with_room.iter().map(|(usability, workers)| {
