Leave descriptors for the store and the workers when callers connect

What callers saw: callers that opened connections and sent nothing used up the descriptors of a daemon. Until it closed them after ten seconds it answered nobody, on any of its ports.

Cause: one server took up to 4,096 connections, whatever the process may open. The daemon's own connections, to the store and to workers, come from the same descriptors.

Change: a server takes at most half of the descriptors; further connections wait in the kernel.

Why it works: the other half is not within the reach of callers.

--- a/crates/bronzetack/tests/process.rs
+++ b/crates/bronzetack/tests/process.rs
@@ -6,8 +6,10 @@
 use std::fs::File;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
+use std::net::TcpStream;
 use std::ops::RangeInclusive;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
@@ -29,6 +31,11 @@
 /// Limits on the descriptors of a process, from too few for its first port to enough to listen.
 const FEW_DESCRIPTORS: RangeInclusive<u32> = 9..=25;
 
+/// Limit on the descriptors of a process, and connections to one of its ports that exceed it. The
+/// kernel holds those that the process has not accepted.
+const DESCRIPTORS: u32 = 100;
+const MANY_CONNECTIONS: usize = 150;
+
 /// Numbers of log events.
 const DAEMON_STOPPED: u64 = 103;
 const SERVICE_FAILED: u64 = 105;
@@ -270,3 +277,25 @@
     let status = command.status().expect("cannot run the program");
     assert_eq!(status.code(), Some(code), "{status}");
 }
+
+/// Failure: callers that opened connections and sent nothing used up the descriptors of a daemon. It
+/// answered nobody, and could reach neither the store nor the workers.
+#[test]
+fn idle_connections_of_callers_leave_descriptors_for_all_else() {
+    let mut process = Process::spawn_limited(Program::Batch, Stdio::null(), DESCRIPTORS);
+    process.wait_until_up();
+    let connections = process.open_connections(MANY_CONNECTIONS);
+    // They are closed in the end, as they send nothing. Until then the operators get their answer.
+    process.wait_for_metric(DROPPED, |_| true);
+    let is_open = |mut connection: &TcpStream| {
+        let set = connection.set_nonblocking(true);
+        set.expect("cannot set the mode");
+        let read = connection.read(&mut [0]);
+        read.is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    };
+    assert!(connections.iter().all(is_open), "answered too late");
+    drop(connections);
+    process.call();
+    let status = process.stop(Signal::SIGTERM);
+    assert_eq!(status.code(), Some(0), "{status}");
+}
--- a/crates/bronzetack/tests/process_kit/mod.rs
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -220,6 +220,12 @@
         assert!(answered, "a call was not answered");
     }
 
+    /// Opens connections to the callers' port that stay idle.
+    pub fn open_connections(&self, count: usize) -> Vec<TcpStream> {
+        let connect = |_| TcpStream::connect(self.callers).expect("cannot connect");
+        (0..count).map(connect).collect()
+    }
+
     /// Value of a metric without labels.
     pub fn metric(&self, name: &str) -> Option<u64> {
         let text = call(self.operators, METRICS)?;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -13,6 +13,8 @@
 use actix_web::HttpServer;
 use base::Millis;
 use futures_util::FutureExt;
+use nix::sys::resource::getrlimit;
+use nix::sys::resource::Resource;
 
 use crate::answer::error_response;
 use crate::ops::ApiError;
@@ -23,6 +25,10 @@
 /// Most open connections of one server.
 const MAX_CONNECTIONS: usize = 4096;
 
+/// Part of the descriptors of the process that the connections of one server may use. The rest is for
+/// its own connections, to the store and to workers, and for other ports.
+const DESCRIPTORS_SHARE: f64 = 0.5;
+
 /// A running HTTP server.
 pub struct Server {
     address: SocketAddr,
@@ -64,7 +70,7 @@
         };
         let mut server = HttpServer::new(app)
             .workers(1)
-            .max_connections(MAX_CONNECTIONS)
+            .max_connections(max_connections())
             .client_request_timeout(HEADERS_TIMEOUT)
             .shutdown_timeout(stop_timeout.0.div_ceil(1000))
             .disable_signals();
@@ -93,6 +99,14 @@
     }
 }
 
+/// Most open connections of one server of this process. Further ones wait in the kernel.
+fn max_connections() -> usize {
+    let share = |limit: u64| (limit as f64 * DESCRIPTORS_SHARE) as usize;
+    let limit = getrlimit(Resource::RLIMIT_NOFILE).map(|(soft, _)| share(soft));
+    // Without a limit that can be read, as on a system without them, the constant holds alone.
+    limit.unwrap_or(MAX_CONNECTIONS).clamp(1, MAX_CONNECTIONS)
+}
+
 /// The answer to a path or method without a route.
 async fn unknown_path() -> HttpResponse {
     error_response(ApiError::not_run(404, "no such path or method"))
