Give the lock up when the thread that renews it cannot start

What callers saw: a daemon that had no descriptors left at the moment it acquired the lock ended by itself, with the calls that it was answering.

Cause: `Arbiter::new` panics when it cannot have a thread or descriptors. It is called each time that a daemon becomes the coordinator.

Evidence, before, 28 descriptors and a store: event 107, "Failed to create new Arbiter: Os { code: 24 ... Too many open files }", at actix-rt arbiter.rs:110, thread main.

Change: the error ends the leadership before it begins: event 601 with the reason, and the lease is revoked, so that another daemon takes the lock at once. This one campaigns again after its usual delay.

Why it works: no call that starts a thread while the daemon runs panics any more. Those of the HTTP servers run at the start only, and leave event 107.

--- a/crates/bronzetack/src/batch/keeper.rs
+++ b/crates/bronzetack/src/batch/keeper.rs
@@ -1,6 +1,7 @@
 //! Renewal of the coordinator's lease, on a thread of its own so that it never waits behind other
 //! work of the daemon.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -53,19 +54,20 @@
 }
 
 impl LeaseKeeper {
-    /// Starts to renew a lease of length `ttl` that is valid until `valid_until`.
+    /// Starts to renew a lease of length `ttl` that is valid until `valid_until`. An error means that
+    /// there is no thread or no descriptor for it.
     pub fn start(
         store: SocketAddr,
         lease: LeaseId,
         ttl: Millis,
         valid_until: Millis,
-    ) -> LeaseKeeper {
+    ) -> io::Result<LeaseKeeper> {
+        let arbiter = Arbiter::try_new()?;
         let state = Arc::new(State {
             valid_until: AtomicU64::new(valid_until.0),
             is_lost: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
         });
-        let arbiter = Arbiter::new();
         let handle = arbiter.handle();
         let task_state = state.clone();
         // The client of the store must be created on the thread that uses it.
@@ -79,7 +81,7 @@
         if !spawned {
             state.is_lost.store(true, Ordering::Relaxed);
         }
-        LeaseKeeper { state }
+        Ok(LeaseKeeper { state })
     }
 
     /// A view of the lease's state that stays current.
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::fmt::Display;
 use std::future::Future;
 use std::rc::Rc;
 
@@ -129,7 +130,15 @@
     let epoch = Epoch(lock_revision.0);
     let ttl = shared.times.lock_lease;
     let address = shared.settings.store.address;
-    let keeper = LeaseKeeper::start(address, lease, ttl, requested + ttl);
+    let keeper = match LeaseKeeper::start(address, lease, ttl, requested + ttl) {
+        Ok(keeper) => keeper,
+        Err(error) => {
+            let why = format!("the lease cannot be renewed: {error}: allow more descriptors");
+            let fields: [(&'static str, &dyn Display); 2] = [("epoch", &epoch), ("why", &why)];
+            obs::record(&shared.log, Event::CoordinatorLost, &fields);
+            return shared.store.revoke_lease(lease).await;
+        }
+    };
     let lead = Rc::new(Leadership {
         lock_revision,
         lease,
--- a/crates/bronzetack/tests/process.rs
+++ b/crates/bronzetack/tests/process.rs
@@ -4,20 +4,24 @@
 
 use std::fs;
 use std::fs::File;
+use std::future::pending;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::ErrorKind;
 use std::io::Read;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::ops::RangeInclusive;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::mpsc::channel;
 use std::thread;
 
 use nix::sys::signal::Signal;
+use platform_fakes::FakeStore;
 use serde_json::Map;
 use serde_json::Value;
 use yare::parameterized;
@@ -31,6 +35,9 @@
 /// Limits on the descriptors of a process, from too few for its first port to enough to listen.
 const FEW_DESCRIPTORS: RangeInclusive<u32> = 9..=25;
 
+/// Limits on the descriptors of a process, from enough to listen to enough to hold the lock.
+const FEW_FOR_THE_LOCK: RangeInclusive<u32> = 26..=36;
+
 /// Limit on the descriptors of a process, and connections to one of its ports that exceed it. The
 /// kernel holds those that the process has not accepted.
 const DESCRIPTORS: u32 = 100;
@@ -42,6 +49,9 @@
 const PANICKED: u64 = 107;
 const PORTS_NOT_PRINTED: u64 = 109;
 const SETTINGS_REFUSED: u64 = 401;
+const STORE_UNREACHABLE: u64 = 200;
+const ELECTED: u64 = 600;
+const LOCK_LOST: u64 = 601;
 const CALL_ANSWERED: u64 = 640;
 
 /// Calls that a test makes, each of which is logged.
@@ -139,7 +149,7 @@
 #[test]
 fn a_daemon_without_descriptors_listens_or_ends_with_a_reason() {
     for descriptors in FEW_DESCRIPTORS {
-        let mut process = Process::spawn_limited(Program::Batch, Stdio::piped(), descriptors);
+        let mut process = Process::spawn_limited(Program::Batch, Stdio::piped(), descriptors, None);
         let log = process.child.stdout.take().expect("no log");
         let Some(status) = process.wait_until_up_or_ended() else {
             continue;
@@ -282,7 +292,7 @@
 /// answered nobody, and could reach neither the store nor the workers.
 #[test]
 fn idle_connections_of_callers_leave_descriptors_for_all_else() {
-    let mut process = Process::spawn_limited(Program::Batch, Stdio::null(), DESCRIPTORS);
+    let mut process = Process::spawn_limited(Program::Batch, Stdio::null(), DESCRIPTORS, None);
     process.wait_until_up();
     let connections = process.open_connections(MANY_CONNECTIONS);
     // They are closed in the end, as they send nothing. Until then the operators get their answer.
@@ -299,3 +309,53 @@
     let status = process.stop(Signal::SIGTERM);
     assert_eq!(status.code(), Some(0), "{status}");
 }
+
+/// Starts a store with a configuration, on a thread that runs until the end of the tests.
+fn start_store() -> SocketAddr {
+    let (sender, address) = channel();
+    thread::spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            let store = FakeStore::start().expect("cannot bind a port");
+            store.configure(1);
+            sender.send(store.address()).expect("the test has ended");
+            pending::<()>().await;
+        });
+    });
+    address.recv().expect("no store")
+}
+
+/// Failure: a daemon that had no descriptors left when it acquired the lock ended by a panic. It opens
+/// some for the thread that renews the lease.
+#[test]
+fn a_daemon_without_descriptors_gives_the_lock_up() {
+    let store = start_store();
+    let mut given_up = 0;
+    for descriptors in FEW_FOR_THE_LOCK {
+        let (log, address) = (Stdio::piped(), Some(store));
+        let mut process = Process::spawn_limited(Program::Batch, log, descriptors, address);
+        let log = process.child.stdout.take().expect("no log");
+        let outcomes = [
+            STORE_UNREACHABLE,
+            ELECTED,
+            LOCK_LOST,
+            SERVICE_FAILED,
+            PANICKED,
+        ];
+        let lines = BufReader::new(log).lines().map(|line| {
+            let mut lines = parse_lines(&line.expect("cannot read the log"));
+            lines.remove(0)
+        });
+        let is_outcome = |l: &Map<String, Value>| outcomes.iter().any(|o| l["event"] == *o);
+        let outcome = lines.into_iter().find(is_outcome).expect("no outcome");
+        if outcome["event"] == PANICKED {
+            // A server whose thread cannot start, before the daemon is up.
+            let place = outcome["place"].as_str().expect("no place");
+            assert!(
+                place.contains("actix-server"),
+                "{descriptors} descriptors: {outcome:?}"
+            );
+        }
+        given_up += usize::from(outcome["event"] == LOCK_LOST);
+    }
+    assert!(given_up > 0, "no limit is too low for the lock alone");
+}
--- a/crates/bronzetack/tests/process_kit/mod.rs
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -100,7 +100,7 @@
     pub fn start_serve(log: Stdio, output: Stdio) -> Process {
         let mut command = Command::new(PROGRAM);
         command.arg("serve").stdout(output).stderr(log);
-        let mut process = Process::run(command, Program::Serve, write_settings);
+        let mut process = Process::run(command, Program::Serve, None, write_settings);
         process.wait_until_up();
         process
     }
@@ -132,24 +132,35 @@
         replaced.expect("cannot replace the settings");
     }
 
-    /// Starts a daemon that may open so many descriptors.
-    pub fn spawn_limited(program: Program, log: Stdio, descriptors: u32) -> Process {
+    /// Starts a daemon that may open so many descriptors. The store is at `store`, if there is one.
+    pub fn spawn_limited(
+        program: Program,
+        log: Stdio,
+        descriptors: u32,
+        store: Option<SocketAddr>,
+    ) -> Process {
         let mut command = Command::new("sh");
         let limited = format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"");
         command.args(["-c", &limited, PROGRAM]);
         add_command(&mut command, program, log);
-        Process::run(command, program, write_settings)
+        Process::run(command, program, store, write_settings)
     }
 
     /// As [`Process::spawn`]; `write` makes the settings file from its path and text.
     pub fn spawn_from(program: Program, log: Stdio, write: impl FnOnce(&PathBuf, &str)) -> Process {
         let mut command = Command::new(PROGRAM);
         add_command(&mut command, program, log);
-        Process::run(command, program, write)
+        Process::run(command, program, None, write)
     }
 
-    fn run(mut command: Command, program: Program, write: impl FnOnce(&PathBuf, &str)) -> Process {
-        let [callers, ready, operators, store] = [(); 4].map(|()| free_address());
+    fn run(
+        mut command: Command,
+        program: Program,
+        store: Option<SocketAddr>,
+        write: impl FnOnce(&PathBuf, &str),
+    ) -> Process {
+        let [callers, ready, operators, no_store] = [(); 4].map(|()| free_address());
+        let store = store.unwrap_or(no_store);
         let name = format!("process-{}-{}.jsonc", std::process::id(), operators.port());
         let settings = temp_dir().join(name);
         let text = match program {
