Leave the ends of runs that were never requested without effect

Callers saw: nothing is known of that; found by a test. A job could be shown as `failed` or `completed` by ends with numbers of runs that do not exist. Cause: an end counted for its task whatever run it named. A failed one counts once a run number, so that three odd rows failed a job. Evidence, before: the_end_of_a_run_that_was_not_requested_has_no_effect, both cases failed: the running tasks were stopped or started again. Change: an end of a run above the latest of all tasks of its step has no effect and is logged. It is acknowledged, since nothing can follow from it. Measured: all tests of batch pass. Why it works: a run is recorded before it is requested, also for the next coordinator, so a real end never names a higher one.

--- a/crates/batch/src/scheduler/odd.rs
+++ b/crates/batch/src/scheduler/odd.rs
@@ -14,6 +14,7 @@
 use crate::account::LossCause;
 use crate::job::RunPhase;
 use crate::spec::TaskId;
+use crate::worker::EndedRun;
 use crate::worker::Report;
 
 /// Time for which a run that an unreadable row may hide is left alone.
@@ -23,6 +24,13 @@
 const UNKNOWN_RUN_PAUSE: Millis = Millis(1_000);
 
 impl Scheduler {
+    /// Logs the end of a run that was never requested, which has no effect.
+    pub(super) fn log_unknown(&mut self, id: &WorkerId, end: &EndedRun) {
+        let (task, run) = (&end.task, end.run);
+        let text = format!("{id} reports the end of run {run} of {task}, which was not requested");
+        self.log(Some(&task.job), text);
+    }
+
     /// Acknowledges the ends that have taken effect, up to the first that cannot be read. A list that
     /// is full is acknowledged as a whole: the ends after it would not be listed otherwise.
     pub(super) fn acknowledge(&mut self, id: &WorkerId, report: &Report, is_full: bool) {
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -216,6 +216,10 @@
         let Some(step) = job.step_mut(&end.task) else {
             return;
         };
+        // A run is recorded before it is requested.
+        if step.tasks.iter().all(|task| task.run < end.run) {
+            return self.log_unknown(id, end);
+        }
         if !end.saved.is_empty() {
             note_saved(step, &end.task, end.run, now);
             match gang {
--- a/crates/batch/tests/odd_rows.rs
+++ b/crates/batch/tests/odd_rows.rs
@@ -21,6 +21,7 @@
 use batch::TaskId;
 use batch::WorkerEntry;
 use batch::WorkerState;
+use yare::parameterized;
 
 use kit::candidates::WHOLE;
 use kit::catalog;
@@ -170,6 +171,12 @@
         }
     }
 
+    /// Whether the job has ended.
+    fn is_over(&self) -> bool {
+        let later = self.now + Millis(1_000_000);
+        self.scheduler.expired(later).contains(&id())
+    }
+
     fn acked(&mut self) -> u64 {
         let poll = self.scheduler.poll(&worker_id(), true, self.now);
         poll.expect("a poll").acked_end
@@ -189,13 +196,35 @@
         let ended = vec![done(1, 0), done(2, 1)];
         site.report(Vec::new(), ended, OddRows::default());
         assert_eq!(site.acked(), 2);
-        assert!(site
-            .scheduler
-            .expired(site.now + Millis(1_000_000))
-            .contains(&id()));
+        assert!(site.is_over());
     }
 }
 
+/// Failure: ends of runs that were never requested counted as failures of the task, and its job failed.
+#[parameterized(
+    as_failed = { EndKind::Failed },
+    as_done = { EndKind::Done },
+)]
+fn the_end_of_a_run_that_was_not_requested_has_no_effect(kind: EndKind) {
+    let mut site = Site::start();
+    let ended = (1..=3).map(|number| EndedRun {
+        run: RunNumber(u32::MAX - number as u32),
+        kind,
+        ..done(number, 0)
+    });
+    site.report(
+        vec![active(0), active(1)],
+        ended.collect(),
+        OddRows::default(),
+    );
+    assert_eq!(site.acked(), 3);
+    site.report(vec![active(0)], vec![done(4, 1)], OddRows::default());
+    assert!(!site.is_over());
+    site.report(Vec::new(), vec![done(5, 0)], OddRows::default());
+    assert!(site.is_over());
+    assert_eq!((site.starts.len(), site.stops.len()), (0, 0));
+}
+
 /// Guards against a run that goes on unwanted, as its progress cannot be read.
 #[test]
 fn an_unwanted_run_in_an_odd_row_is_stopped() {
@@ -259,10 +288,7 @@
     assert_eq!(site.acked(), 2);
     site.pass();
     assert_eq!((site.starts.len(), site.stops.len()), (0, 0));
-    assert!(site
-        .scheduler
-        .expired(site.now + Millis(1_000_000))
-        .contains(&id()));
+    assert!(site.is_over());
 }
 
 /// Guards against rows of another writer, which take up no number, that hold the acknowledgement back.
