Let the soak write odd entries and odd rows of reports

Change: another writer's entries beside and in place of those of workers (ports and numbers out of range, nested 20,000 deep, 100,000 labels), and workers that add odd rows to their reports or damage their own.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod growth;
 mod history;
 mod load;
+mod odd;
 mod quota;
 mod shrink;
 mod site;
@@ -101,6 +102,7 @@
     let end = site.now() + plan.duration;
     let faults = actix_rt::spawn(faults::run(site.clone(), plan.seed, end));
     actix_rt::spawn(quota::change(site.clone(), plan.seed, end));
+    actix_rt::spawn(odd::run(site.clone(), plan.seed, end));
     actix_rt::spawn(shrink::run(site.clone(), plan.seed, end));
     if plan.slow_links {
         actix_rt::spawn(growth::change(site.clone(), plan.seed, end));
