Read each row of the list of VMs by itself

Callers saw, with `serve`: no worker was found, or the last list stayed in use, while one row had a value of another type or out of range. Cause: only what a row means was checked by itself; its types were decoded with the whole list. Evidence, before: an_odd_row_costs_no_other, 6 cases of 6 failed: "the list was refused". Change: rows are decoded one by one, and one that cannot be is skipped as a row without a sound address is. Measured: test vms of plat passes, 12 tests. Why it works: the list is split without decoding its rows, so no row can make that fail unless it is no JSON at all.

--- a/crates/plat/src/vms.rs
+++ b/crates/plat/src/vms.rs
@@ -24,11 +24,13 @@
 use obs::Counter;
 use obs::Event;
 use obs::Metrics;
+use obs::SubjectLimiter;
 use quick_error::quick_error;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use slog::Logger;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -201,13 +203,24 @@
     }
 }
 
+/// Longest part of a row that a log line quotes.
+const MAX_QUOTE_CHARS: usize = 200;
+
 /// Parses the rows that it can and notes the others in `skipped`.
-fn parse_list(rows: Vec<Row>, now: Millis) -> VmList {
+fn parse_list(rows: Vec<Box<RawValue>>, now: Millis) -> VmList {
     let mut list = VmList {
         read_at: now,
         ..VmList::default()
     };
     for row in rows {
+        let row: Row = match serde_json::from_str(row.get()) {
+            Ok(row) => row,
+            Err(error) => {
+                let start: String = row.get().chars().take(MAX_QUOTE_CHARS).collect();
+                list.skipped.push(format!("{error}: {start}"));
+                continue;
+            }
+        };
         let id = row.id.clone();
         let added = match row.role.as_str() {
             "entry" => EntryVm::try_from(row).map(|vm| list.entry_vms.push(vm)),
@@ -260,6 +273,7 @@
             reads: sender,
             counter: metrics.counter("vm_list_reads", "Reads of the platform's list of VMs"),
             endpoint_index: 0,
+            refused_log: SubjectLimiter::default(),
             config,
             log,
             clock,
@@ -295,6 +309,8 @@
     counter: Counter,
     /// Index of the endpoint in use, modulo the number of endpoints.
     endpoint_index: usize,
+    /// Rate limit of log lines about rows that cannot be parsed.
+    refused_log: SubjectLimiter,
     log: Logger,
     clock: Clock,
 }
@@ -318,7 +334,9 @@
     fn update_list(&mut self, list: VmList, random: f64) -> Millis {
         self.backoff.reset();
         for row in &list.skipped {
-            emit(&self.log, Event::InputRefused, row);
+            if self.refused_log.admit(row, list.read_at) {
+                emit(&self.log, Event::InputRefused, row);
+            }
         }
         self.list.replace(Some(Rc::new(list)));
         self.reads.send_modify(|count| *count += 1);
@@ -350,7 +368,7 @@
         };
         let body = timeout(self.config.read_timeout.duration(), exchange).await;
         let body = body.map_err(|_| "no answer in time".to_string())??;
-        let rows: Vec<Row> = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
+        let rows: Vec<Box<RawValue>> = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
         Ok(parse_list(rows, self.clock.now()))
     }
 }
--- a/crates/plat/tests/vms.rs
+++ b/crates/plat/tests/vms.rs
@@ -2,6 +2,10 @@
 
 mod common;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -44,8 +48,12 @@
 }
 
 fn start(platform: &Platform) -> Vms {
+    start_at(platform.addr())
+}
+
+fn start_at(endpoint: SocketAddr) -> Vms {
     let config = VmsConfig {
-        endpoints: vec![platform.addr()],
+        endpoints: vec![endpoint],
         poll_interval: Millis(20),
         read_timeout: Millis(100),
         connect_timeout: Millis(50),
@@ -107,3 +115,44 @@
         platform.close();
     });
 }
+
+/// Answers each call on a port of its own with this body, until the first connection fails.
+fn serve(body: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("cannot bind a port");
+    let addr = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut request = [0; 4_096];
+            let _ = stream.read(&mut request);
+            let len = body.len();
+            let head =
+                format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {len}\r\n\r\n");
+            let _ = stream.write_all(head.as_bytes());
+            let _ = stream.write_all(body.as_bytes());
+        }
+    });
+    addr
+}
+
+/// Failure: a row with a value of another type cost the whole list, so that no worker was found.
+#[parameterized(
+    null = { "null" },
+    number_text = { r#"{"id":"w-2","role":"worker","slots":"8"}"# },
+    number_large = { r#"{"id":"w-2","role":"worker","slots":18446744073709551616}"# },
+    number_infinite = { r#"{"id":"w-2","role":"worker","memory":1e999}"# },
+    nested = { &format!("{}{}", "[".repeat(100_000), "]".repeat(100_000)) },
+    twice = { r#"{"id":"w-2","id":"w-3","role":"worker"}"# },
+)]
+fn an_odd_row_costs_no_other(odd: &str) {
+    let sound = serde_json::to_string(&rows()[0]).expect("a row");
+    let body = format!("[{odd},{sound},{odd}]");
+    common::run(async move {
+        let mut vms = start_at(serve(body));
+        let list = tokio::time::timeout(Duration::from_secs(5), non_empty_list(&mut vms)).await;
+        let list = list.expect("the list was refused");
+        assert_eq!((list.workers.len(), list.skipped.len()), (1, 2));
+        assert!(list.skipped.iter().all(|why| why.len() < 400));
+        vms.close();
+    });
+}
