--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod history;
 mod idle;
 mod load;
+mod odd;
 mod processes;
 mod quota;
 mod shrink;
@@ -120,6 +121,9 @@
     let end = site.now() + plan.duration;
     background.push(actix_rt::spawn(quota::change(site.clone(), plan.seed, end)));
     background.push(actix_rt::spawn(shrink::run(site.clone(), plan.seed, end)));
+    if !plan.planned {
+        background.push(actix_rt::spawn(odd::run(site.clone(), plan.seed, end)));
+    }
     if plan.slow_links {
         background.push(actix_rt::spawn(growth::change(
             site.clone(),
