--- a/crates/soak/src/odd.rs
+++ b/crates/soak/src/odd.rs
@@ -81,7 +81,7 @@
 fn replace_entry(site: &Site, worker: usize, number: u64) {
     let (key, sound) = registration(site, worker);
     if site.store.value(&key).is_some() {
-        let end = site.now() + crate::site::RENEWAL_PERIOD;
+        let end = site.now() + crate::site::DEFAULT_HEARTBEAT;
         site.record_fault(end, false, format!("odd entry in place of {key}"));
         site.store.write(&key, &odd_entry(&sound, number));
     }
