Keep the load on the soak's adviser within what one adviser answers

With the size of the site, a smaller part of the jobs now needs it; the default site keeps its load.

--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -75,7 +75,7 @@
         // A crash by a task is no planned work.
         let deadly = deadly_rng.random_range(0..1_000) < DEADLY_PER_MILLE && !plan.planned;
         let submission = job(&mut rng, deadly);
-        let queue = rng.random_range(0..QUEUES.len());
+        let queue = queue(rng.random_range(0..QUEUES.len()), number, site.scale());
         site.register(&id, &submission, QUEUES[queue] == ADVISED_QUEUE);
         let job_caller = JobCaller {
             site: site.clone(),
@@ -96,6 +96,15 @@
     Ok(Rc::try_unwrap(history).map_or_else(|s| s.borrow().clone(), RefCell::into_inner))
 }
 
+/// Number of the queue of a job for which `drawn` was drawn. The adviser answers one call at a time on a site of
+/// any size, so on a large one only one job in `scale` of those that would need it does.
+fn queue(drawn: usize, number: u64, scale: u64) -> usize {
+    match QUEUES[drawn] == ADVISED_QUEUE && number % scale != 0 {
+        true => number as usize % (QUEUES.len() - 1),
+        false => drawn,
+    }
+}
+
 fn step(rng: &mut Pcg64, count: u32, accels: u64, duration_ms: std::ops::Range<u64>) -> StepSpec {
     StepSpec {
         count,
