Answer requests that arrived before a server closes

What callers saw: a request sent on an open connection while a daemon stopped had no answer, although the daemon had read it.

Cause: the graceful stop of actix-http reads what has arrived on an idle connection and ends the connection without handling it. A daemon whose processor share is small lags behind its connections, so that such a request may have arrived long before.

Change: connections are wrapped. When the server closes, an idle one reads as ended once what has arrived on it is read; one with a request goes on until its response. The server counts the connections that ended with a request and without its response, and event 103 says how many and how long the stop took.

Why it works: nothing is read from a connection any more once it counts as ended, and all that was read before goes to a handler.

--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -147,7 +147,8 @@
     }
 
     /// Stops as planned: withdraws readiness, releases the lock, and finishes the calls in progress.
-    /// New calls are answered until then; once the servers close, nothing listens.
+    /// New calls are answered until then; once the servers close, nothing listens. Logs how many callers'
+    /// connections ended with a call and without its answer.
     pub async fn close(self) {
         let shared = self.shared;
         let begun = shared.now();
@@ -164,12 +165,17 @@
         while self.open_calls.count() > 0 && shared.now() < begun + grace {
             shared.sleep(CALLS_POLL_INTERVAL).await;
         }
-        join(self.server.close(), self.operators.close()).await;
+        let (unanswered, _) = join(self.server.close(), self.operators.close()).await;
         let links = shared.links.borrow_mut().take();
         if let Some(links) = links {
             links.close().await;
         }
-        obs::record(&shared.log, Event::DaemonStopped, &[]);
+        let took = shared.now().since(begun);
+        obs::record(
+            &shared.log,
+            Event::DaemonStopped,
+            &[("unanswered", &unanswered), ("took", &took)],
+        );
     }
 }
 
--- a/crates/bronzetack/src/daemon.rs
+++ b/crates/bronzetack/src/daemon.rs
@@ -321,6 +321,9 @@
     let server = Server::start(address, context.node.stop.bound, routes);
     let server = server.map_err(|e| DaemonError::Port(name, address, e))?;
     let bound = server.address();
-    kernel.add(name, (), move |()| server.close())?;
+    kernel.add(name, (), move |()| async move {
+        // Event 104 reports the requests that are still in progress.
+        server.close().await;
+    })?;
     Ok(bound)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod ready;
 mod requests;
 mod server;
+mod stream;
 
 pub use callers::callers_routes;
 pub use claims::ClaimClient;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -4,17 +4,26 @@
 use std::net::TcpListener;
 use std::time::Duration;
 
-use actix_web::dev::ServerHandle;
+use actix_http::error::DispatchError;
+use actix_http::HttpService;
+use actix_rt::net::TcpStream;
+use actix_server::ServerHandle;
+use actix_service::fn_service;
+use actix_service::map_config;
+use actix_service::ServiceFactoryExt;
+use actix_web::dev::AppConfig;
 use actix_web::middleware;
 use actix_web::web;
 use actix_web::web::ServiceConfig;
 use actix_web::App;
 use actix_web::HttpResponse;
-use actix_web::HttpServer;
 use base::Millis;
 
 use crate::answer::error_response;
 use crate::ops::ApiError;
+use crate::stream::ClientStream;
+use crate::stream::CloseState;
+use crate::stream::LAST_READ_TIME;
 
 /// Time limit for a client to send the headers of a request.
 const HEADERS_TIMEOUT: Duration = Duration::from_secs(10);
@@ -22,9 +31,13 @@
 /// Most open connections of one server.
 const MAX_CONNECTIONS: usize = 4096;
 
+/// Time limit for a client to close its side of a connection that the server closes.
+const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A running HTTP server.
 pub struct Server {
     address: SocketAddr,
+    close_state: CloseState,
     handle: ServerHandle,
 }
 
@@ -55,25 +68,41 @@
             return Err(std::io::Error::from(std::io::ErrorKind::InvalidInput));
         };
         let address = first.local_addr()?;
-        let app = move || {
-            App::new()
+        let close_state = CloseState::new();
+        let state = close_state.clone();
+        let service = move || {
+            let app = App::new()
                 .wrap(middleware::DefaultHeaders::new().add(("server", "bronzetack")))
                 .configure(routes.clone())
-                .default_service(web::to(unknown_path))
+                .default_service(web::to(unknown_path));
+            let http = HttpService::build()
+                .client_request_timeout(HEADERS_TIMEOUT)
+                .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+                .h1(map_config(app, |()| AppConfig::default()));
+            let state = state.clone();
+            let accept = move |stream: TcpStream| {
+                let peer = stream.peer_addr().ok();
+                let stream = ClientStream::new(stream, state.clone());
+                std::future::ready(Ok::<_, DispatchError>((stream, peer)))
+            };
+            fn_service(accept).and_then(http)
         };
-        let mut server = HttpServer::new(app)
+        let mut server = actix_server::Server::build()
             .workers(1)
-            .max_connections(MAX_CONNECTIONS)
-            .client_request_timeout(HEADERS_TIMEOUT)
+            .max_concurrent_connections(MAX_CONNECTIONS)
             .shutdown_timeout(stop_timeout.0.div_ceil(1000))
             .disable_signals();
         for listener in listeners {
-            server = server.listen(listener)?;
+            server = server.listen("http", listener, service.clone())?;
         }
         let server = server.run();
         let handle = server.handle();
         actix_rt::spawn(server);
-        Ok(Server { address, handle })
+        Ok(Server {
+            address,
+            close_state,
+            handle,
+        })
     }
 
     /// Address on which the server listens; the first one if there are several.
@@ -81,10 +110,14 @@
         self.address
     }
 
-    /// Stops accepting connections and waits for the requests in progress, at most for the stop
-    /// timeout.
-    pub async fn close(self) {
+    /// Answers the requests that have arrived, ends idle connections, and stops accepting new ones. Waits
+    /// for the requests in progress, at most for the stop timeout. Returns the number of connections that
+    /// ended with a request and without its response.
+    pub async fn close(self) -> usize {
+        self.close_state.begin();
+        actix_rt::time::sleep(2 * LAST_READ_TIME.duration()).await;
         self.handle.stop(true).await;
+        self.close_state.unanswered()
     }
 }
 
