Keep the record of a job within what the store takes

Seen by callers: the checkpoints of one job (282 of 3,900 bytes) made its record longer than a value of the store may be.

Cause: the record holds the latest checkpoint of every task, also of those that are done, and nothing bounds its length. The store refuses it with 400, the pass counts as not stored, and all its records and starts are queued again for ever.

Change: - The checkpoint of a task that is done is not recorded: no run continues from it. - If a record is still too long, checkpoints are left out: first of tasks that run, as their workers report them again, and the longest first; those of a gang together, as its members start from the same one.

Why it works: what is left of a record without checkpoints is some hundred bytes a task with few failures. A checkpoint that is left out is lost only if the coordinator changes while its task does not run, or its worker is lost as well.

Not covered: a record that the store refuses all the same still holds the others of its pass back.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -62,6 +62,7 @@
 pub use org::OrgState;
 pub use org::Weight;
 pub use rate_limit::RateLimit;
+pub use record::EncodedProgress;
 pub use record::JobRecord;
 pub use record::Progress;
 pub use record::RecordError;
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -1,5 +1,6 @@
 //! Stored records of a job, encoded as CBOR.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -37,6 +38,10 @@
         Encode(text: String) {
             display("cannot encode the record: {text}")
         }
+        /// The record is longer than the store takes, with no checkpoint in it.
+        TooLong(size: usize, most: usize) {
+            display("the record takes {size} bytes, and the store takes {most}: submit smaller jobs")
+        }
     }
 }
 
@@ -132,6 +137,15 @@
     crashes: Vec<CrashRecord>,
 }
 
+/// An encoded record, and how many checkpoints were left out of it for its length.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EncodedProgress {
+    /// The bytes.
+    pub value: Vec<u8>,
+    /// Number of checkpoints that were left out.
+    pub left_out: usize,
+}
+
 /// Failed runs of the gang, and the tasks.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct StepRecord(Vec<RunNumber>, Vec<TaskRecord>);
@@ -174,6 +188,55 @@
         encode(self)
     }
 
+    /// Encodes the record in at most `most` bytes. If it is longer, checkpoints are left out: first of
+    /// tasks that run, as their workers report them again, and the longest first. `gangs` tells which
+    /// steps are gangs.
+    pub fn encode_within(
+        &self,
+        most: usize,
+        gangs: impl FnOnce() -> Vec<bool>,
+    ) -> Result<EncodedProgress, RecordError> {
+        let value = encode(self)?;
+        if value.len() <= most {
+            return Ok(EncodedProgress { value, left_out: 0 });
+        }
+        let mut shorter = self.clone();
+        let left_out = shorter.leave_out(value.len() - most, &gangs());
+        let value = encode(&shorter)?;
+        match value.len() <= most {
+            true => Ok(EncodedProgress { value, left_out }),
+            false => Err(RecordError::TooLong(value.len(), most)),
+        }
+    }
+
+    /// Leaves checkpoints of at least `excess` bytes out. Members of a gang start from the same one, so
+    /// theirs are left out together. Returns how many were.
+    fn leave_out(&mut self, excess: usize, gangs: &[bool]) -> usize {
+        let mut groups: Vec<Vec<&mut TaskRecord>> = Vec::new();
+        for steps in self.open.values_mut() {
+            for (num, step) in steps.iter_mut().enumerate() {
+                let tasks = step.1.iter_mut().filter(|task| !task.3.is_empty());
+                match gangs.get(num).copied().unwrap_or_default() {
+                    true => groups.push(tasks.collect()),
+                    false => groups.extend(tasks.map(|task| vec![task])),
+                }
+            }
+        }
+        let size = |group: &[&mut TaskRecord]| group.iter().map(|task| task.3.len()).sum::<usize>();
+        let runs = |group: &[&mut TaskRecord]| group.iter().any(|task| task.4.is_some());
+        groups.sort_by_key(|group| (!runs(group), Reverse(size(group))));
+        let (mut freed, mut left_out) = (0, 0);
+        for group in groups {
+            if freed >= excess {
+                break;
+            }
+            freed += size(&group);
+            left_out += group.len();
+            group.into_iter().for_each(|task| task.3.clear());
+        }
+        left_out
+    }
+
     /// Decodes a record.
     pub fn decode(bytes: &[u8]) -> Result<Progress, RecordError> {
         decode(bytes)
@@ -301,13 +364,12 @@
     fn from(task: &TaskState) -> TaskRecord {
         let open = task.open.as_ref();
         let open = open.map(|o| OpenRunRecord(o.run, o.worker.clone(), o.born));
-        TaskRecord(
-            task.run,
-            task.failed.clone(),
-            task.done,
-            task.saved.clone(),
-            open,
-        )
+        // No run continues from the checkpoint of a task that is done.
+        let saved = match task.done {
+            true => String::new(),
+            false => task.saved.clone(),
+        };
+        TaskRecord(task.run, task.failed.clone(), task.done, saved, open)
     }
 }
 
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    /// For each step of a job, whether it is a gang.
+    pub fn gang_steps(&self, id: &JobId) -> Vec<bool> {
+        let steps = self.jobs.get(id).map(|job| &job.submitted.work.steps);
+        steps.map_or(Vec::new(), |steps| steps.iter().map(|s| s.gang).collect())
+    }
+
     /// Queues the records again after the write failed or its outcome is unknown.
     pub fn requeue(&mut self, pending: PendingWrite) {
         self.storing.clear();
--- a/crates/bronzetack/src/batch/commit.rs
+++ b/crates/bronzetack/src/batch/commit.rs
@@ -1,11 +1,15 @@
 //! Writes the coordinator's records of jobs to the store.
 
+use std::fmt::Display;
+
 use base::JobId;
 use base::Revision;
 use batch::PendingWrite;
 use batch::Progress;
+use batch::RecordError;
 use futures_util::stream;
 use futures_util::StreamExt;
+use obs::Event;
 use platform::Put;
 use platform::StoreError;
 use platform::Txn;
@@ -23,11 +27,24 @@
 /// as the state that they are based on stays valid.
 const PARALLEL: usize = 6;
 
+/// A job and its encoded record.
+type Record<'a> = (&'a JobId, Vec<u8>);
+
 /// Stores all records of `pending`. Returns false if not all were stored and they must be queued
 /// again.
 pub async fn store(shared: &Shared, lead: &Leadership, pending: &PendingWrite) -> bool {
-    let parts = pending.records.chunks(MAX_RECORDS);
-    let results = stream::iter(parts.map(|part| store_part(shared, lead, part)));
+    let mut records = Vec::with_capacity(pending.records.len());
+    for (id, progress) in &pending.records {
+        match encode(shared, lead, id, progress) {
+            Ok(value) => records.push((id, value)),
+            Err(error) => {
+                shared.record_store_result(Err(&StoreError::Protocol(error.to_string())));
+                return false;
+            }
+        }
+    }
+    let parts = parts(records, shared.settings.store.value);
+    let results = stream::iter(parts.iter().map(|part| store_part(shared, lead, part)));
     let mut results = results.buffer_unordered(PARALLEL);
     let mut all = true;
     while let Some(result) = results.next().await {
@@ -43,16 +60,60 @@
     all
 }
 
+/// Encodes a record within the store's limit on values.
+fn encode(
+    shared: &Shared,
+    lead: &Leadership,
+    id: &JobId,
+    progress: &Progress,
+) -> Result<Vec<u8>, RecordError> {
+    let gangs = || lead.scheduler.borrow().gang_steps(id);
+    let encoded = progress.encode_within(shared.settings.store.value, gangs)?;
+    if encoded.left_out == 0 {
+        return Ok(encoded.value);
+    }
+    shared
+        .checkpoints_left_out
+        .add(&[], encoded.left_out as u64);
+    if let Some(suppressed) = shared.record_log.admit(shared.now()) {
+        let fields: &[(&'static str, &dyn Display)] = &[
+            ("job", id),
+            ("left_out", &encoded.left_out),
+            ("size", &encoded.value.len()),
+            ("more", &suppressed),
+        ];
+        obs::record(&shared.log, Event::RecordShortened, fields);
+    }
+    Ok(encoded.value)
+}
+
+/// Divides records into transactions whose values take at most `most` bytes together, or one record.
+fn parts(records: Vec<Record<'_>>, most: usize) -> Vec<Vec<Record<'_>>> {
+    let mut parts: Vec<Vec<Record>> = Vec::new();
+    let mut size = 0;
+    for record in records {
+        size += record.1.len();
+        match parts.last_mut() {
+            Some(part) if part.len() < MAX_RECORDS && size <= most => part.push(record),
+            _ => {
+                size = record.1.len();
+                parts.push(vec![record]);
+            }
+        }
+    }
+    parts
+}
+
 async fn store_part(
     shared: &Shared,
     lead: &Leadership,
-    part: &[(JobId, Progress)],
+    part: &[Record<'_>],
 ) -> Result<bool, StoreError> {
     let mut txn = Txn {
         conditions: vec![(keys::LOCK.to_string(), lead.lock_revision)],
         ..Txn::default()
     };
-    for (id, progress) in part {
+    for (id, value) in part {
         let key = keys::run(id);
         let known = lead
             .run_revisions
@@ -60,13 +121,10 @@
             .get(id)
             .copied()
             .unwrap_or_default();
-        let value = progress
-            .encode()
-            .map_err(|e| StoreError::Protocol(e.to_string()))?;
         txn.conditions.push((key.clone(), known));
         txn.puts.push(Put {
             key,
-            value,
+            value: value.clone(),
             lease: Default::default(),
         });
     }
@@ -74,7 +132,7 @@
         TxnOutcome::Done(revision) => {
             let mut revisions = lead.run_revisions.borrow_mut();
             for (id, _) in part {
-                revisions.insert(id.clone(), revision);
+                revisions.insert((*id).clone(), revision);
             }
             Ok(true)
         }
@@ -90,7 +148,7 @@
             for (id, _) in part {
                 let key = keys::run(id);
                 let item = items.iter().find(|i| i.key == key);
-                revisions.insert(id.clone(), item.map_or(Revision(0), |i| i.revision));
+                revisions.insert((*id).clone(), item.map_or(Revision(0), |i| i.revision));
             }
             Ok(false)
         }
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -89,6 +89,8 @@
     pub stop_log: LogLimiter,
     /// Limits log lines about work that waits beside free room.
     pub idle_log: LogLimiter,
+    /// Limits log lines about records that are too long.
+    pub record_log: LogLimiter,
     /// What each organisation may have running, has, and waits for.
     pub orgs: OrgMetrics,
     /// How jobs end, and what runs without a result have lost.
@@ -107,6 +109,8 @@
     pub guarantees_delayed: Counter,
     /// Counts jobs that were given up because workers crash under one of their tasks.
     pub jobs_given_up: Counter,
+    /// Counts checkpoints left out of records that were too long.
+    pub checkpoints_left_out: Counter,
     /// Counts workers that are known to have crashed.
     pub worker_crashes: Counter,
     /// Counts requests to start a run, by outcome.
@@ -232,6 +236,10 @@
                 "batch_jobs_given_up",
                 "Jobs given up because workers crash under one of their tasks",
             ),
+            checkpoints_left_out: metrics.counter(
+                "batch_checkpoints_left_out",
+                "Checkpoints left out of records that were too long for the store",
+            ),
             worker_crashes: metrics.counter(
                 "batch_worker_crashes",
                 "Workers known to have crashed, as another incarnation answers in their place",
@@ -243,6 +251,7 @@
             slow_log: LogLimiter::default(),
             stop_log: LogLimiter::default(),
             idle_log: LogLimiter::default(),
+            record_log: LogLimiter::default(),
             clock,
             caller_store: store.with_timeout(CALLER_STORE_TIMEOUT),
             store,
--- a/crates/conf/src/batch/mod.rs
+++ b/crates/conf/src/batch/mod.rs
@@ -83,6 +83,8 @@
     pub min_ttl: Millis,
     /// Writes per second that the store accepts from all daemons together.
     pub writes: f64,
+    /// Most bytes of a value.
+    pub value: usize,
 }
 
 /// Connection to the service that lists machines and accepts orders for them.
--- a/crates/conf/src/batch/raw.rs
+++ b/crates/conf/src/batch/raw.rs
@@ -68,6 +68,9 @@
 /// Default rate of writes to the store in writes a second.
 const DEFAULT_STORE_WRITES: f64 = 400.0;
 
+/// Default limit on a value in the store in bytes.
+const DEFAULT_STORE_VALUE: usize = 1 << 20;
+
 /// Default rate of each kind of call to the machine service; low enough for any deployment.
 const DEFAULT_MACHINE_CALLS_PER_SEC: f64 = 1.0;
 
@@ -83,7 +86,7 @@
     debug: Option<Located<bool>>,
     addresses: [OptionalText; 3],
     links: OptionalText,
-    store: [OptionalText; 3],
+    store: [OptionalText; 4],
     adviser: OptionalText,
     machines: [OptionalText; 3],
     resources: [OptionalText; 3],
@@ -108,6 +111,7 @@
             section.required_text("address", ADDRESS_REMEDY),
             section.text("min-ttl"),
             non_empty(section.text("writes")),
+            non_empty(section.text("value")),
         ];
         section.finish();
         let adviser = non_empty(root.text("adviser"));
@@ -181,6 +185,7 @@
     let address = parse(&raw.store[0], ADDRESS_REMEDY, findings);
     let min_ttl = duration(&raw.store[1], Millis(1_000), findings);
     let writes = amount(&raw.store[2], RATE_REMEDY, findings).unwrap_or(DEFAULT_STORE_WRITES);
+    let value = count(&raw.store[3], findings).unwrap_or(DEFAULT_STORE_VALUE);
     let bounds = bounds(raw, findings);
     let resources = resources(&raw.resources, findings);
     let [min_workers, workers_each] = &raw.delegates;
@@ -211,6 +216,7 @@
             address: address?,
             min_ttl,
             writes,
+            value,
         },
         adviser,
         machines,
@@ -269,7 +275,7 @@
     None
 }
 
-/// A number of workers from 1; zero is a finding.
+/// A whole number from 1; zero is a finding.
 fn count(text: &OptionalText, findings: &mut Findings) -> Option<usize> {
     let field = text.as_ref()?;
     let num: usize = field.parse(findings, COUNT_REMEDY)?;
--- a/crates/conf/tests/batch.rs
+++ b/crates/conf/tests/batch.rs
@@ -92,6 +92,21 @@
     assert_eq!(settings.machines.address, None);
 }
 
+#[parameterized(
+    absent = { "", Some(1 << 20) },
+    empty = { r#""value": "","#, Some(1 << 20) },
+    given = { r#""value": "65536","#, Some(65_536) },
+    zero = { r#""value": "0","#, None },
+)]
+fn the_limit_on_values_of_the_store_is_above_zero(field: &str, expected: Option<usize>) {
+    let text = file("").replace(r#""address""#, &format!(r#"{field} "address""#));
+    let found = load(&text, "f").map(|settings| settings.store.value);
+    match expected {
+        Some(bytes) => assert_eq!(found.ok(), Some(bytes)),
+        None => assert!(found.expect_err("a finding").to_string().contains("range")),
+    }
+}
+
 /// Failure: a store whose rate of writes is not one was taken for one of the default rate.
 #[parameterized(
     absent = { "", Some(400.0) },
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -66,6 +66,7 @@
     WatchCompacted = 205, Warn, "store watch revision was compacted; reading all keys again";
     StoreSlow = 206, Warn, "records were not stored in time";
     RemovalFailed = 207, Warn, "records could not be removed";
+    RecordShortened = 208, Warn, "checkpoints were left out of a record too long for the store";
     LinkUp = 300, Info, "link to a peer is up";
     LinkDown = 301, Warn, "link to a peer is down";
     LinkRefused = 302, Warn, "connection on the peer port refused";
