Do not wait for the rack of the data beside a mostly idle pool

Seen by callers: a job whose data is on a rack that is gone has nothing running beside idle workers of other racks.

Cause: a step waits for the rack of its data for half of what running elsewhere costs, `estimate` x (`remote-factor` - 1) / 2, whatever the room: with an estimate of 11 s and a factor of 2 already 5.5 s, with ten minutes and a factor of 3 ten minutes. Nothing asks whether the rack has workers.

Before, crates/batch/tests/free_room.rs: work_does_not_wait_for_a_rack_that_is_gone ... FAILED waited for 9990ms (all of the time that the test watches)

On a busy pool it stays as it was: there the step would wait for room too.

After: the test passes, and all tests of batch.

The tests of pauses are part of the same file, which is named after what they guard.

--- a/crates/batch/src/plan/attempt.rs
+++ b/crates/batch/src/plan/attempt.rs
@@ -11,6 +11,7 @@
 use crate::advice::AdviceRule;
 use crate::crash::is_suspect;
 use crate::health::waits_for_proof;
+use crate::job::Job;
 use crate::job::OpenRun;
 use crate::place::Candidate;
 use crate::place::Limits;
@@ -23,6 +24,9 @@
 /// Time for which a task waits for a worker on which it has not failed.
 const AVOID_TIME: Millis = Millis(2_000);
 
+/// Longest time that a step waits for the rack of its data on a quiet pool.
+const QUIET_LOCALITY_WAIT: Millis = Millis(2_000);
+
 /// An attempt to place the missing tasks of a step in a pass.
 pub(super) struct Attempt {
     pub(super) step: StepId,
@@ -147,7 +151,9 @@
             urgent: job.submitted.priority == 0,
             uses_headroom: self.uses_headroom(pass, at, waited),
             paused: self.uses_paused(pass, at, waited),
-            remote: spec.data_rack.is_none() || !keep_racks || waited > self.locality_wait(&spec),
+            remote: spec.data_rack.is_none()
+                || !keep_racks
+                || waited > self.locality_wait(pass, job, &spec),
             duration: self.expected(job, at.step),
             speed: self.speed_need(job, at.occurrence, at.age),
             careful,
@@ -157,9 +163,14 @@
         })
     }
 
-    /// Time that a step waits for the rack of its data: half of what running elsewhere costs.
-    fn locality_wait(&self, spec: &StepSpec) -> Millis {
-        Millis(spec.estimate.0 * self.bounds.remote_factor.saturating_sub(1) / 2)
+    /// Time that a step waits for the rack of its data: half of what running elsewhere costs. On a quiet
+    /// pool it does not wait for long: the rack may be gone.
+    fn locality_wait(&self, pass: &Pass, job: &Job, spec: &StepSpec) -> Millis {
+        let half = Millis(spec.estimate.0 * self.bounds.remote_factor.saturating_sub(1) / 2);
+        match pass.quiet.contains(&self.pool_of(job)) {
+            true => half.min(QUIET_LOCALITY_WAIT),
+            false => half,
+        }
     }
 }
 
--- a/crates/batch/tests/pauses.rs
+++ b/crates/batch/tests/free_room.rs
@@ -1,5 +1,5 @@
-//! Pauses of workers on which runs fail: they keep work from workers that fail all they start, and
-//! never from most of the room.
+//! Work that could wait beside free room: pauses of workers on which runs fail keep work from those that
+//! fail all they start and never from most of the room, and no preference holds work back for long.
 
 mod kit;
 
@@ -174,6 +174,27 @@
     }
 }
 
+/// Guards against work that waits for a rack that is gone: with an estimate of ten minutes it had nothing
+/// running for as long, beside idle workers on other racks.
+#[test]
+fn work_does_not_wait_for_a_rack_that_is_gone() {
+    let mut site = Site::new(8, 8, Faults::default());
+    site.run(SECOND);
+    for worker in &mut site.workers[..4] {
+        worker.up = false;
+        worker.listed = false;
+    }
+    site.run(Millis(8_000));
+    let near = StepSpec {
+        data_rack: Some("r0".to_string()),
+        ..step(1, 1, Millis(600_000))
+    };
+    let id = site.submit("a", job(1, vec![near], site.now));
+    let mut watch = Watch::default();
+    watch.run(&mut site, &[id], Millis(10_000));
+    assert!(watch.worst <= MAX_IDLE, "waited for {}", watch.worst);
+}
+
 /// Failures that are long past are no sign of a worker that fails now.
 #[test]
 fn failures_far_apart_do_not_add_up() {
