--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -68,6 +68,7 @@
 pub use org::Weight;
 pub use rate_limit::RateLimit;
 pub use read_limit::ReadLimit;
+pub use record::EncodedProgress;
 pub use record::JobRecord;
 pub use record::Progress;
 pub use record::RecordError;
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -98,6 +98,8 @@
     pub idle_log: LogLimiter,
     /// Rate limit of log lines about input that cannot be read.
     pub refused_log: SubjectLimiter,
+    /// Limits log lines about records that are too long.
+    pub record_log: LogLimiter,
     /// What each organisation may have running, has, and waits for.
     pub orgs: OrgMetrics,
     /// How jobs end, and what runs without a result have lost.
@@ -116,6 +118,8 @@
     pub guarantees_delayed: Counter,
     /// Counts jobs that were given up because workers crash under one of their tasks.
     pub jobs_given_up: Counter,
+    /// Counts checkpoints left out of records that were too long.
+    pub checkpoints_left_out: Counter,
     /// Counts workers that are known to have crashed.
     pub worker_crashes: Counter,
     /// Counts requests to start a run, by outcome.
@@ -246,6 +250,10 @@
                 "batch_jobs_given_up",
                 "Jobs given up because workers crash under one of their tasks",
             ),
+            checkpoints_left_out: metrics.counter(
+                "batch_checkpoints_left_out",
+                "Checkpoints left out of records that were too long for the store",
+            ),
             worker_crashes: metrics.counter(
                 "batch_worker_crashes",
                 "Workers known to have crashed, as another incarnation answers in their place",
@@ -258,6 +266,7 @@
             stop_log: LogLimiter::default(),
             idle_log: LogLimiter::default(),
             refused_log: SubjectLimiter::default(),
+            record_log: LogLimiter::default(),
             clock,
             caller_store: Store::new(settings.store.address, CALLER_STORE_TIMEOUT),
             look_ups: Semaphore::new(MAX_LOOK_UPS),
