Send few reads after the store's limit refused one

What callers saw: while many jobs were asked for at once, the coordinator still lost its lock at times, and nothing was planned until the next one had read all records.

Cause: after each pause, all look-ups in progress sent reads at once, and the refused ones took the store below its limit again. A renewal of the lock that was refused was repeated only after a quarter of the lease, so that four refusals in a row ended it.

Change: after a pause one read is sent, and one more with each answer; the pause is a second at most. A failed renewal is repeated after a sixteenth of the lease.

Why it works: reads in progress grow only as far as the store answers them, and a renewal meets several moments of the lease.

--- a/crates/bronzetack/src/batch/keeper.rs
+++ b/crates/bronzetack/src/batch/keeper.rs
@@ -16,6 +16,9 @@
 /// Number of renewals of the lease within its length.
 const RENEWALS_PER_LEASE: u64 = 4;
 
+/// Delay after a failed renewal as a part of the lease, so that several fit into what is left of it.
+const RETRY_DIVISOR: u64 = 16;
+
 /// Time-out of a renewal as a part of the lease; after a lost response there is time for another.
 const TIMEOUT_DIVISOR: u64 = 3;
 
@@ -99,6 +102,7 @@
     let clock = Clock::System;
     while !state.is_closed.load(Ordering::Relaxed) {
         let sent = clock.now();
+        let mut interval = Millis(ttl.0 / RENEWALS_PER_LEASE);
         match store.renew_lease(lease).await {
             Ok(true) => state.valid_until.store((sent + ttl).0, Ordering::Relaxed),
             Ok(false) => {
@@ -107,9 +111,8 @@
             }
             // The time until which the lease is valid shows the failure; the daemon's other calls
             // log the outage.
-            Err(_) => {}
+            Err(_) => interval = Millis(ttl.0 / RETRY_DIVISOR),
         }
-        let interval = Millis(ttl.0 / RENEWALS_PER_LEASE);
         actix_rt::time::sleep(interval.duration()).await;
     }
 }
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -1,5 +1,6 @@
 //! Answers calls from the records in the platform's store.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use base::JobId;
@@ -10,6 +11,7 @@
 use batch::JobRecord;
 use batch::Progress;
 use batch::Queue;
+use batch::ReadLimit;
 use batch::Submitted;
 use batch::Verdict;
 use platform::Call;
@@ -25,6 +27,7 @@
 use crate::batch::keys;
 use crate::batch::load;
 use crate::batch::shared::Shared;
+use crate::batch::shared::MAX_LOOK_UPS;
 
 /// Time after which a caller is asked to retry if its call could not be served.
 pub const RETRY_AFTER: Millis = Millis(1_000);
@@ -232,43 +235,48 @@
         return CallAnswer::Unknown(retry_after(shared));
     };
     let answer = retry(shared, until, || async {
-        if !shared.read_limit.borrow().is_paused(shared.now()) {
-            if let Some(answer) = read_phase(shared, id, false).await? {
-                return Ok(Some(answer));
-            }
+        if let Some(answer) = read_current(shared, id).await? {
+            return Ok(Some(answer));
         }
-        match read_phase(shared, id, true).await? {
-            Some(CallAnswer::NoJob) | None => read_phase(shared, id, false).await,
-            found => Ok(found),
+        match read_records(shared, id, true).await? {
+            CallAnswer::NoJob => read_current(shared, id).await,
+            found => Ok(Some(found)),
         }
     });
     answer.await
 }
 
-/// Reads a job's phase, which may be some seconds old if `stale` is set. Returns `None` if the store
-/// refuses the read because of its limit.
-async fn read_phase(
-    shared: &Shared,
-    id: &JobId,
-    stale: bool,
-) -> Result<Option<CallAnswer>, StoreError> {
-    let result = read_records(shared, id, stale).await;
-    let mut limit = shared.read_limit.borrow_mut();
+/// Reads a job's phase by reads that count toward the store's limit. Returns `None` if the store refuses
+/// one, or has refused others lately.
+async fn read_current(shared: &Shared, id: &JobId) -> Result<Option<CallAnswer>, StoreError> {
+    if !shared.read_limit.borrow_mut().begin(shared.now()) {
+        return Ok(None);
+    }
+    let _reading = Reading(&shared.read_limit);
+    let result = read_records(shared, id, false).await;
+    let limit = &shared.read_limit;
     match result {
         Ok(found) => {
-            if !stale {
-                limit.answer(shared.now());
-            }
+            limit.borrow_mut().answer(shared.now(), MAX_LOOK_UPS);
             Ok(Some(found))
         }
-        Err(error) if !stale && error.is_rate_limit() => {
-            limit.refuse(shared.now());
+        Err(error) if error.is_rate_limit() => {
+            limit.borrow_mut().refuse(shared.now());
             Ok(None)
         }
         Err(error) => Err(error),
     }
 }
 
+/// A read in progress, which also ends when the time of its call is up.
+struct Reading<'a>(&'a RefCell<ReadLimit>);
+
+impl Drop for Reading<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().end();
+    }
+}
+
 async fn read_records(shared: &Shared, id: &JobId, stale: bool) -> Result<CallAnswer, StoreError> {
     let store = &shared.caller_store;
     let read = async |key: String| match stale {
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -61,7 +61,7 @@
 
 /// Most look-ups of jobs that read the store at a time. The client has 100 connections; the others are
 /// left to submissions and cancellations.
-const MAX_LOOK_UPS: usize = 50;
+pub const MAX_LOOK_UPS: usize = 50;
 
 /// The operators' documents as last read from the store.
 #[derive(Default)]
@@ -174,7 +174,7 @@
     /// Rate limit on refusals recorded for calls that the configuration rejects and for cancellations
     /// of unknown jobs.
     pub refusal_limit: RefCell<RateLimit>,
-    /// Pauses callers' reads at the store's limit.
+    /// Limits callers' reads that count toward the store's limit.
     pub read_limit: RefCell<ReadLimit>,
     /// Lease to which new refusals are bound, and the time at which it was requested.
     pub refusal_lease: Cell<Option<(LeaseId, Millis)>>,
