Reserve no room for a gang that waits for a task that lasts

Seen by callers: work of lower rank has nothing running beside idle workers while a gang waits that needs the room of long-running tasks.

Cause: reservations are made until the runs on a worker are expected to end. A task that lasts and is at work reports 100 percent, so its remaining time counted as zero. A gang as wide as the site then had every worker reserved "from now on", although it could not start, and idle ones stayed idle.

Before, crates/batch/tests/free_room.rs: a_gang_that_waits_for_a_task_that_lasts_keeps_no_worker_idle ... FAILED waited for 7990ms (all of the time that the test watches)

Change: the room of a task that lasts, unless it is being stopped, is not expected to become free. A gang that needs it gets no reservation.

Why it works: a reservation now exists only if the gang can start by it.

After: the test passes, and the tests of free room, headroom, decisions, guarantees, health, waves, accounts, idle waits and advice of batch.

--- a/crates/batch/src/plan/candidates.rs
+++ b/crates/batch/src/plan/candidates.rs
@@ -6,6 +6,7 @@
 use base::WorkerId;
 
 use crate::health::most_paused;
+use crate::job::RunPhase;
 use crate::place::Candidate;
 use crate::scheduler::Scheduler;
 use crate::spec::Resources;
@@ -88,12 +89,21 @@
             };
             let runs = worker.open.keys().filter_map(|task| {
                 let open = self.open_run(task)?;
+                // A task that lasts does not end by itself, so no gang waits for its room.
+                if self.lasts(task) && open.phase != RunPhase::Stopping {
+                    return None;
+                }
                 Some((self.time_left(task, open, now), self.occupied(task)))
             });
             candidate.running = runs.collect();
         }
     }
 
+    fn lasts(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.and_then(|j| j.spec(task)).is_some_and(|s| s.lasting)
+    }
+
     fn occupied(&self, task: &TaskId) -> Resources {
         let job = self.jobs.get(&task.job);
         job.and_then(|j| j.spec(task))
--- a/crates/batch/tests/free_room.rs
+++ b/crates/batch/tests/free_room.rs
@@ -195,6 +195,25 @@
     assert!(watch.worst <= MAX_IDLE, "waited for {}", watch.worst);
 }
 
+/// Guards against room that is kept for a gang which cannot start: tasks that last counted as about to end,
+/// so a gang as wide as the site had all idle workers reserved.
+#[test]
+fn a_gang_that_waits_for_a_task_that_lasts_keeps_no_worker_idle() {
+    let mut site = Site::new(4, 9, Faults::default());
+    site.submit("a", job(2, vec![lasting(4)], site.now));
+    site.run(SECOND);
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 8, Millis(5_000))
+    };
+    site.submit("b", job(1, vec![gang], site.now));
+    site.run(SECOND);
+    let id = site.submit("c", job(2, vec![step(1, 1, SECOND)], site.now));
+    let mut watch = Watch::default();
+    watch.run(&mut site, &[id], Millis(8_000));
+    assert!(watch.worst <= MAX_IDLE, "waited for {}", watch.worst);
+}
+
 /// Failures that are long past are no sign of a worker that fails now.
 #[test]
 fn failures_far_apart_do_not_add_up() {
