Close the connection with the answer to a request in progress at the close

What callers saw: an answer on an open connection from a server that was closing; the next request there was answered too, until one was cut at the end of the stop. A client that stayed silent held the stop up. Cause: builds the HTTP service without actix-web's own server, which set the header. A wrapped connection ends only when it is read while idle, and after an answer nothing reads it again. Evidence, before: the_answer_to_a_request_in_progress_closes_its_connection, 'left open: HTTP/1.1 200 OK ...' without the header. Change: answers carry 'Connection: close' once the close has begun. Why it works: the HTTP library ends a connection after such an answer.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -10,8 +10,10 @@
 use actix_server::ServerHandle;
 use actix_service::fn_service;
 use actix_service::map_config;
+use actix_service::Service;
 use actix_service::ServiceFactoryExt;
 use actix_web::dev::AppConfig;
+use actix_web::http::ConnectionType;
 use actix_web::middleware;
 use actix_web::web;
 use actix_web::web::ServiceConfig;
@@ -78,7 +80,19 @@
         let close_state = CloseState::new();
         let state = close_state.clone();
         let service = move || {
+            let closing = state.clone();
             let app = App::new()
+                .wrap_fn(move |request, service| {
+                    let (closing, call) = (closing.clone(), service.call(request));
+                    async move {
+                        let mut response = call.await?;
+                        if closing.is_closing() {
+                            let head = response.response_mut().head_mut();
+                            head.set_connection_type(ConnectionType::Close);
+                        }
+                        Ok(response)
+                    }
+                })
                 .wrap(middleware::DefaultHeaders::new().add(("server", "bronzetack")))
                 .configure(routes.clone())
                 .default_service(web::to(unknown_path));
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -47,6 +47,11 @@
         self.closing.send_replace(true);
     }
 
+    /// Whether the close has begun.
+    pub fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
     /// Number of connections that ended since the begin of the close with a request, or a part of one,
     /// and without its response.
     pub fn unanswered(&self) -> usize {
@@ -106,7 +111,7 @@
 
 impl Drop for ClientStream {
     fn drop(&mut self) {
-        if self.progress == Progress::Request && *self.state.closing.borrow() {
+        if self.progress == Progress::Request && self.state.is_closing() {
             self.state.unanswered.fetch_add(1, Ordering::Relaxed);
         }
     }
--- a/crates/entry/tests/close.rs
+++ b/crates/entry/tests/close.rs
@@ -7,6 +7,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 
 use actix_web::web;
 use actix_web::web::Bytes;
@@ -157,3 +158,20 @@
     assert_eq!(server.close().await, 1);
     assert_eq!(read(reader).await, "");
 }
+
+/// Failure: a client with a request in progress at the begin of the close was answered on an open
+/// connection, went on to send requests there, and the last one had no response.
+#[actix_rt::test]
+async fn the_answer_to_a_request_in_progress_closes_its_connection() {
+    let server = start();
+    let mut stream = connect(&server);
+    send(&mut stream, "GET /block HTTP/1.1\r\nhost: a\r\n\r\n");
+    let reader = read_all(stream);
+    actix_rt::time::sleep(ARRIVAL).await;
+    let begun = Instant::now();
+    server.close().await;
+    let text = read(reader).await;
+    assert!(text.starts_with("HTTP/1.1 200"), "no response: {text:?}");
+    assert!(text.contains("connection: close"), "left open: {text:?}");
+    assert!(begun.elapsed() < STOP_TIMEOUT.duration(), "closed late");
+}
