Hold a look-up's permit for one attempt only

Cause: a look-up held its permit while it waited for its next attempt. At the store's limit on reads, fifty look-ups of jobs that only a current read can answer would have kept all others waiting that a stale read answers. A submission that met the same revision again repeated its write at once, as it does if the store shows a revision that cannot be read. Change: the permit is taken for each attempt; a submission gives up (504) when the revision that it expected is the one that it finds.

--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -183,7 +183,9 @@
                 shared.record_store_result(Ok(()));
                 match items.into_iter().find(|i| i.key == key) {
                     Some(item) if is_accepted(&item) => return CallAnswer::Accepted,
-                    Some(item) if may_replace => expected = item.revision,
+                    Some(item) if may_replace && item.revision != expected => {
+                        expected = item.revision;
+                    }
                     Some(_) => break,
                     None => expected = Revision(0),
                 }
@@ -230,11 +232,12 @@
 /// Looks a job up. While the store refuses reads because of its limit, a phase that may be some seconds
 /// old is an answer; that there is no job is one only if it is current.
 async fn find_phase(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
-    let wait = until.since(shared.now()).duration();
-    let Ok(Ok(_permit)) = actix_rt::time::timeout(wait, shared.look_ups.acquire()).await else {
-        return CallAnswer::Unknown(retry_after(shared));
-    };
     let answer = retry(shared, until, || async {
+        // Held for an attempt only: one that waits before the next must not hold the others up.
+        let wait = until.since(shared.now()).duration();
+        let Ok(Ok(_permit)) = actix_rt::time::timeout(wait, shared.look_ups.acquire()).await else {
+            return Ok(None);
+        };
         if let Some(answer) = read_current(shared, id).await? {
             return Ok(Some(answer));
         }
