Take no record for an orphan beside a row that cannot be read

What callers would have seen: a completed job shown as queued and run again, or a cancellation lost. Cause: since rows are read one by one, a listing succeeds without a submission whose row has no readable key. Its record of progress counted as one without a submission, and was removed; so was a job that seemed not to be listed. The removal had no condition on the submission. Evidence, before: a_job_whose_submission_cannot_be_read_keeps_its_records failed. Change: orphans, and keys that are not listed, are noted only from a listing that was read whole, and an orphan's removal requires that there is no submission. Why it works: what cannot be read is no longer taken for what is not there.

--- a/crates/bronzetack/src/batch/removal.rs
+++ b/crates/bronzetack/src/batch/removal.rs
@@ -92,8 +92,10 @@
         let id = &removal.id;
         txn.conditions.push((keys::run(id), removal.recorded));
         txn.removes.extend([keys::cancel(id), keys::run(id)]);
-        if let Some(submitted) = removal.submitted {
-            txn.conditions.push((keys::job(id), submitted));
+        // Without a submission, none may have come or been overlooked.
+        let submitted = removal.submitted.unwrap_or_default();
+        txn.conditions.push((keys::job(id), submitted));
+        if removal.submitted.is_some() {
             txn.removes.push(keys::job(id));
         }
     }
@@ -114,7 +116,11 @@
             }
             for removal in part {
                 let found = |key: String| found.get(key.as_str()).copied();
-                if removal.submitted != found(keys::job(&removal.id)) {
+                let submitted = found(keys::job(&removal.id));
+                if removal.submitted.is_none() && submitted.is_some() {
+                    // It is no orphan: its submission has come, or could not be read.
+                    lead.orphans.borrow_mut().remove(&removal.id);
+                } else if removal.submitted != submitted {
                     // An earlier removal without a response has taken effect.
                     set_removed(lead, removal);
                 } else {
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -76,7 +76,10 @@
     }
     refuse_rows(shared, keys::RUNS, &runs.refused);
     refuse_rows(shared, keys::REQUESTS, &requests.refused);
-    removal::note_orphans(lead, &requests.items);
+    // A row that cannot be read may be the submission that a record belongs to.
+    if requests.refused.is_empty() {
+        removal::note_orphans(lead, &requests.items);
+    }
     let (jobs, cancels): (Vec<Item>, Vec<Item>) = requests
         .items
         .into_iter()
@@ -203,7 +206,9 @@
     lead.confirm(prefix, sent);
     let now = shared.now();
     let mut scheduler = lead.scheduler.borrow_mut();
-    if prefix == WORKER_PREFIX {
+    if !listing.refused.is_empty() {
+        // A row that cannot be read may be the one that seems not to be listed.
+    } else if prefix == WORKER_PREFIX {
         let listed: Set<WorkerId> = listing
             .items
             .iter()
