List the keys again after a change that cannot be read

What callers would have seen: an accepted job that stays queued for as long as the coordinator leads. Cause: an event that cannot be read was logged and passed over. Evidence, before: a_job_whose_change_cannot_be_read_runs, 'did not become completed in time: queued' after 20 s. Change: after such an event under the daemons' own requests, or among the operators' documents, the prefix is listed again. Entries of workers are left out: they come again with each heartbeat. Measured: platform/tests/odd_daemon.rs passes (14). Why it works: a key whose value is sound in the store is read from the list, and the watch goes on from its revision, so it cannot loop.

--- a/crates/bronzetack/src/batch/documents.rs
+++ b/crates/bronzetack/src/batch/documents.rs
@@ -93,6 +93,9 @@
                 }
                 shared.documents.borrow_mut().confirmed = sent;
                 update_ready(shared);
+                if !watched.is_whole() {
+                    return WatchEnd::Malformed;
+                }
             }
             Err(StoreError::Compacted) => return WatchEnd::Compacted,
             Err(StoreError::TooLarge) => return WatchEnd::TooLarge,
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -150,6 +150,7 @@
                 lead.confirm(prefix, sent);
                 after = watched.revision.max(after);
                 refuse_rows(&shared, prefix, &watched.refused);
+                let is_whole = watched.is_whole();
                 if !watched.changes.is_empty() && !lead.ended.get() {
                     apply_changes(&shared, &lead, watched.changes);
                     lead.wake.notify_one();
@@ -159,6 +160,10 @@
                     // Each return of the watch costs a call to the store, so the changes of
                     // several workers, which all write once a heartbeat, are collected first.
                     shared.sleep(shared.times.gather_time).await;
+                } else if !is_whole {
+                    // A change that could not be read may have been a submission.
+                    shared.sleep(RETRY_DELAY).await;
+                    after = list_again(&shared, &lead, prefix).await.unwrap_or(after);
                 }
             }
             // Changes that are too large or cannot be read would be the same the next time.
@@ -171,17 +176,7 @@
                 if error != StoreError::Compacted {
                     shared.sleep(RETRY_DELAY).await;
                 }
-                match read_again(&shared, &lead, prefix).await {
-                    Ok(revision) => {
-                        after = revision;
-                        lead.wake.notify_one();
-                        lead.workers_changed.notify_one();
-                    }
-                    Err(error) => {
-                        shared.record_store_result(Err(&error));
-                        shared.sleep(RETRY_DELAY).await;
-                    }
-                }
+                after = list_again(&shared, &lead, prefix).await.unwrap_or(after);
             }
             Err(error) => {
                 shared.record_store_result(Err(&error));
@@ -193,6 +188,23 @@
     }
 }
 
+/// Reads all keys under a watched prefix. Returns the revision from which the watch continues, if that
+/// succeeds.
+async fn list_again(shared: &Shared, lead: &Leadership, prefix: &'static str) -> Option<Revision> {
+    match read_again(shared, lead, prefix).await {
+        Ok(revision) => {
+            lead.wake.notify_one();
+            lead.workers_changed.notify_one();
+            Some(revision)
+        }
+        Err(error) => {
+            shared.record_store_result(Err(&error));
+            shared.sleep(RETRY_DELAY).await;
+            None
+        }
+    }
+}
+
 /// Reads all keys under a watched prefix after the store has discarded changes. Records of progress
 /// are not read again, because only the coordinator writes them.
 async fn read_again(
