Keep as many failures of a task that lasts as a job has attempts

Cause: failed runs are part of a job's record, and a task that lasts may fail without a limit, so the record grew until the store refuses it. Change: the latest failures are kept, as many as the job has attempts; more have no effect on any decision. Workers to avoid are kept once each. What remains: a record that is too long for another reason still holds the others of its pass back.

--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -203,6 +203,11 @@
         let gang = job.spec(&end.task).is_some_and(|s| s.gang);
         let lasting = job.spec(&end.task).is_some_and(|s| s.lasting);
         let estimate = job.spec(&end.task).map(|s| s.estimate).unwrap_or_default();
+        // Tasks that last may fail without a limit, and their failures are part of the job's record.
+        let kept = match lasting {
+            true => job.submitted.attempts as usize,
+            false => usize::MAX,
+        };
         let queue = job.submitted.queue.clone();
         let speed = self
             .jobs
@@ -233,7 +238,7 @@
             }
         }
         if end.kind == EndKind::Failed && gang {
-            note_failure(&mut step.failed, end.run);
+            note_failure(&mut step.failed, end.run, kept);
         }
         if end.kind == EndKind::Done && gang && !lasting {
             step.tasks.iter_mut().for_each(|t| t.done = true);
@@ -261,9 +266,11 @@
         }
         if end.kind == EndKind::Failed {
             if !gang {
-                note_failure(&mut task.failed, end.run);
+                note_failure(&mut task.failed, end.run, kept);
+            }
+            if !task.avoid.contains(id) {
+                task.avoid.push(id.clone());
             }
-            task.avoid.push(id.clone());
             let age = started.map_or(Millis::MAX, |at| now.since(at));
             // The worker did what it can do for a task that lasts once that was at work.
             if !(lasting && percent.is_some_and(|p| p >= AT_WORK)) {
@@ -480,9 +487,10 @@
     }
 }
 
-/// Counts a failed run once, however often it is reported.
-fn note_failure(failed: &mut Vec<RunNumber>, run: RunNumber) {
+/// Counts a failed run once, however often it is reported. Drops the oldest beyond `most`.
+fn note_failure(failed: &mut Vec<RunNumber>, run: RunNumber, most: usize) {
     if !failed.contains(&run) {
         failed.push(run);
+        failed.drain(..failed.len().saturating_sub(most));
     }
 }
--- a/crates/batch/tests/record_size.rs
+++ b/crates/batch/tests/record_size.rs
@@ -95,3 +95,29 @@
     let error = record(false, [0, 0, 0]).encode_within(10, Vec::new);
     assert!(matches!(error, Err(RecordError::TooLong(_, 10))));
 }
+
+/// Failure: a task that lasts and fails again and again made its job's record longer with each failure, and
+/// no job was recorded any more once that one was too long for the store.
+#[test]
+fn failures_of_a_task_that_lasts_do_not_lengthen_its_record() {
+    let mut site = Site::new(4, 1, Faults::default());
+    let lasting = StepSpec {
+        lasting: true,
+        ..step(1, 1, Millis(200))
+    };
+    let id = site.submit("a", job(1, vec![lasting], site.now));
+    site.always_failing.insert(id.clone());
+    let length = |site: &Site| {
+        let progress = site.stored[&id].1.as_ref().expect("a record");
+        progress
+            .encode()
+            .expect("a record that can be encoded")
+            .len()
+    };
+    site.run(Millis(20_000));
+    let before = length(&site);
+    site.run(Millis(60_000));
+    // The run number itself takes more bytes as it grows.
+    let grown = length(&site).saturating_sub(before);
+    assert!(grown <= 16, "{grown} bytes more after {before}");
+}
