Carry the bytes of test relays on six threads

Cause: all relays of a process shared one thread. Change: six threads, which start with the first relay. Measured: crates/fakes/tests relay and relay_release pass.

--- a/crates/fakes/src/fault_relay.rs
+++ b/crates/fakes/src/fault_relay.rs
@@ -1,6 +1,6 @@
 //! A TCP relay that can blackhole, reset, close, delay or pause its connections.
 //!
-//! All relays of a process share one thread.
+//! All relays of a process share a few threads.
 
 use std::future::pending;
 use std::io;
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener as StdListener;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::sync::Arc;
@@ -35,6 +36,9 @@
 
 const BUFFER_BYTES: usize = 64 * 1024;
 
+/// Threads that carry the bytes of all relays, some of which serve several sites at a time.
+const THREADS: usize = 6;
+
 /// Pause after a connection could not be accepted.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
@@ -210,16 +214,22 @@
     }
 }
 
-/// The runtime of all relays, on a thread of its own.
+/// The runtime of the next relay. All runtimes start with the first relay.
 fn runtime() -> &'static Handle {
-    static RUNTIME: OnceLock<Handle> = OnceLock::new();
-    RUNTIME.get_or_init(|| {
-        let runtime = Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.expect("a runtime can be created");
-        let handle = runtime.handle().clone();
-        thread::spawn(move || runtime.block_on(pending::<()>()));
-        handle
-    })
+    static RUNTIMES: OnceLock<Vec<Handle>> = OnceLock::new();
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let start = || (0..THREADS).map(|_| start_runtime()).collect();
+    let runtimes = RUNTIMES.get_or_init(start);
+    &runtimes[NEXT.fetch_add(1, Ordering::Relaxed) % THREADS]
+}
+
+/// Starts a runtime on a thread of its own.
+fn start_runtime() -> Handle {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("a runtime can be created");
+    let handle = runtime.handle().clone();
+    thread::spawn(move || runtime.block_on(pending::<()>()));
+    handle
 }
 
 async fn accept(
