Keep the revision of a removed submission until a reading shows the removal

What callers saw: a completed job ran again (TWICE). Cause: the store had dropped its history, and the coordinator listed all submissions over a slow link. Meanwhile the job's records were removed, which dropped its revision in memory. The list still held the submission; with no revision known it was taken for a later job under the same id, the ended one was forgotten, and the submission added as new. Evidence, before: a_job_removed_during_a_listing_does_not_run_again, two starts in place of one. Change: the revision stays until a reading shows the removal, and what is removed is noted beside it, so that it is not removed again. Why it works: a list that is older than the removal shows the revision that is known, and the watch that follows it shows the removal.

--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -65,6 +65,8 @@
     pub elected: Millis,
     /// Revisions of the submissions of the jobs that the scheduler knows.
     pub job_revisions: RefCell<Map<JobId, Revision>>,
+    /// Those of them whose records were removed, until a reading of the store shows that.
+    pub removed: RefCell<Set<JobId>>,
     /// Revisions of the stored records of jobs.
     pub run_revisions: RefCell<Map<JobId, Revision>>,
     /// Jobs of which only a cancellation or a coordinator's record is stored, which is to be removed.
@@ -148,6 +150,7 @@
         history: RefCell::default(),
         elected: now,
         job_revisions: RefCell::default(),
+        removed: RefCell::default(),
         run_revisions: RefCell::default(),
         orphans: RefCell::default(),
         wave_revisions: RefCell::default(),
--- a/crates/bronzetack/src/batch/removal.rs
+++ b/crates/bronzetack/src/batch/removal.rs
@@ -71,7 +71,9 @@
         id,
     };
     let scheduler = lead.scheduler.borrow();
+    let removed = lead.removed.borrow();
     let expired = scheduler.expired(shared.now()).into_iter();
+    let expired = expired.filter(|id| !removed.contains(id));
     let expired = expired.filter_map(|id| {
         let submitted = *submissions.get(&id)?;
         let is_stored = scheduler.is_stored(&id);
@@ -170,9 +172,11 @@
 /// Notes that the records are gone. The scheduler forgets the job once the watch has shown that, as a
 /// reading that began before the removal may still deliver the submission.
 fn set_removed(lead: &Leadership, removal: &Removal) {
-    let mut submissions = lead.job_revisions.borrow_mut();
-    if submissions.get(&removal.id).copied() == removal.submitted {
-        submissions.remove(&removal.id);
+    let known = lead.job_revisions.borrow().get(&removal.id).copied();
+    if known == removal.submitted {
+        if known.is_some() {
+            lead.removed.borrow_mut().insert(removal.id.clone());
+        }
         set_recorded(lead, removal, None);
     }
     lead.orphans.borrow_mut().remove(&removal.id);
@@ -193,6 +197,7 @@
 pub fn forget(lead: &Leadership, scheduler: &mut Scheduler, id: &JobId, now: Millis) {
     if scheduler.forget(id, now) {
         lead.job_revisions.borrow_mut().remove(id);
+        lead.removed.borrow_mut().remove(id);
         lead.run_revisions.borrow_mut().remove(id);
     }
 }
