Tell what keeps waiting work from free room

Callers saw accepted jobs with nothing running beside free room, and the logs could not say why: 633 gives the stage `room` also where the planner passes a job over beside room, is limited to one line a second and logged once a wait, so that most jobs that waited are in no line.

- The planner notes for a step that has had nothing running for 1.5 s what keeps it from each usable worker with room (reserved, headroom, rack, paused, ...); 633 carries it as `obstacle` and in its text, `tackctl site job` shows it.
- 634 counts every 5 s all jobs with nothing running, by organisation and pool, with what they wait for, the use of the pool and the ages of what is decided by, and names those that have waited longest.
- 635 names accepted jobs in the store that the coordinator does not know.
The comparison reads all submissions (a read that may be seconds old), up to three times once no new job has come for 5 s.
No test plays an overlooked job.
- `tackctl site status` shows the ages of the workers' entries and of the callers' requests.
- What has nothing running is looked for every 100 ms instead of 500 ms, so that the times are right to a tenth of a second.

Nothing is decided by any of this. Tests: batch `withheld_room`.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -12,6 +12,7 @@
 use crate::account::Stage;
 use crate::account::Trace;
 use crate::crash::Crash;
+use crate::plan::Withheld;
 use crate::record::Submitted;
 use crate::spec::RunNumber;
 use crate::spec::StepSpec;
@@ -167,6 +168,8 @@
     pub idle_since: Option<Millis>,
     /// Whether it was logged since then that it waits beside free room.
     pub idle_logged: bool,
+    /// What kept it from workers with room when that was last noted.
+    pub withheld: Withheld,
 }
 
 impl StepState {
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -20,6 +20,7 @@
 mod isolate;
 mod limit;
 mod make_room;
+mod obstacle;
 mod pass;
 mod placement;
 mod prefetch;
@@ -32,6 +33,9 @@
 use pass::Pass;
 use share::Shares;
 
+pub use obstacle::Obstacle;
+pub use obstacle::Withheld;
+
 pub(crate) use victims::can_spare_one;
 pub(crate) use victims::lost_by_stopping;
 
@@ -122,6 +126,7 @@
         most: usize,
     ) -> bool {
         if self.finds_no_room(pass, at) {
+            self.note_covered(pass, at);
             self.note_crowded(pass, at);
             self.claim_limit(pass, at);
             return false;
@@ -144,6 +149,7 @@
             }
             return most < allowed;
         }
+        self.note_withheld(pass, at, &attempt);
         self.note_crowded(pass, at);
         if placed.is_held {
             self.note_wait(at, Stage::Proof);
@@ -168,6 +174,7 @@
             let step = &mut state.steps[usize::from(at.step)];
             step.ready_at = None;
             step.waits_for = None;
+            step.withheld = Withheld::default();
         }
     }
 
--- a/crates/batch/src/plan/pass.rs
+++ b/crates/batch/src/plan/pass.rs
@@ -75,6 +75,8 @@
     pub(super) held: Map<StepId, Resources>,
     /// Whether the steps planned now go beyond the shares of their organisations.
     pub(super) beyond_shares: bool,
+    /// Steps of which it was noted what keeps them from workers with room.
+    pub(super) notes: usize,
     /// Pools that are mostly idle.
     pub(super) quiet: Set<ServiceId>,
     pub(super) now: Millis,
@@ -110,6 +112,7 @@
             claims: Map::default(),
             held: Map::default(),
             beyond_shares: false,
+            notes: 0,
             now,
         }
     }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -59,6 +59,7 @@
 mod time;
 mod trace;
 mod upkeep;
+mod waits;
 mod workers;
 
 use losses::Losses;
@@ -80,6 +81,8 @@
 pub use requests::StartResponse;
 pub use stops::StopRequest;
 pub use throttle::ThrottleRequest;
+pub use waits::PoolUse;
+pub use waits::WaitSummary;
 
 /// What an entry of the operators' log is about.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/batch/src/scheduler/idle.rs
+++ b/crates/batch/src/scheduler/idle.rs
@@ -13,6 +13,7 @@
 
 use super::trace::is_held;
 use super::trace::waits_for;
+use super::waits::obstacle;
 use super::LogDetail;
 use super::LogEntry;
 use super::LogKind;
@@ -23,12 +24,13 @@
 use crate::job::RunPhase;
 use crate::job::StepState;
 use crate::job::TaskState;
+use crate::plan::Obstacle;
 use crate::spec::Resources;
 use crate::spec::StepSpec;
 use crate::worker::Worker;
 
-/// Time between two checks for work that waits beside free room.
-const CHECK_INTERVAL: Millis = Millis(500);
+/// Time between two checks for work that has nothing running.
+const CHECK_INTERVAL: Millis = Millis(100);
 
 /// Time after which a wait beside free room is logged.
 const LOG_AFTER: Millis = Millis(2_000);
@@ -45,6 +47,8 @@
 pub struct IdleWait {
     /// What it waits for.
     pub stage: Stage,
+    /// What keeps it from most of the room, if that is known.
+    pub obstacle: Option<Obstacle>,
     /// Time for which it has had nothing running.
     pub waited: Millis,
 }
@@ -56,6 +60,9 @@
     step: u16,
     waited: Millis,
     stage: Stage,
+    obstacle: Option<Obstacle>,
+    /// What keeps it from workers with room, in words.
+    withheld: String,
 }
 
 impl Scheduler {
@@ -85,7 +92,7 @@
     fn quiet_pools(&self, now: Millis) -> Set<ServiceId> {
         let mut pools: Map<&ServiceId, (Resources, Resources)> = Map::default();
         for worker in self.workers.values() {
-            if is_counted(self.usability(worker, now)) {
+            if self.usability(worker, now).is_counted() {
                 let (capacity, free) = pools.entry(&worker.entry.pool).or_default();
                 *capacity += worker.entry.capacity;
                 *free += worker.free();
@@ -115,10 +122,10 @@
             waited,
             ..
         } = at;
-        let why = at.stage.name();
+        let (why, withheld) = (at.stage.name(), &at.withheld);
         let text = format!(
             "step {step} of occurrence {occurrence} has had nothing running for {waited} beside free \
-             room (it waits for: {why}); workers with room for one of its tasks: {room}"
+             room (it waits for: {why}); workers with room for one of its tasks: {room}{withheld}"
         );
         self.log_entries.push(LogEntry {
             kind: LogKind::WaitsBesideRoom,
@@ -126,6 +133,7 @@
             text,
             detail: Some(LogDetail::IdleWait(IdleWait {
                 stage: at.stage,
+                obstacle: at.obstacle,
                 waited: *waited,
             })),
         });
@@ -143,7 +151,7 @@
         let mut with_room: BTreeMap<Usability, usize> = BTreeMap::new();
         for worker in self.workers.values().filter(|w| w.entry.pool == *pool) {
             let usability = self.usability(worker, now);
-            if !is_counted(usability) {
+            if !usability.is_counted() {
                 continue;
             }
             let fitting = fitting(worker, spec, &need);
@@ -165,14 +173,6 @@
     }
 }
 
-/// Whether room on workers in this state counts as room of the pool.
-fn is_counted(usability: Usability) -> bool {
-    match usability {
-        Usability::Cordoned | Usability::Paused | Usability::Silent | Usability::Usable => true,
-        Usability::DomainOut | Usability::Draining | Usability::Missing => false,
-    }
-}
-
 /// How many tasks of a step fit on a worker.
 fn fitting(worker: &Worker, spec: &StepSpec, need: &Resources) -> u64 {
     let labelled = spec
@@ -220,11 +220,28 @@
                 step: num as u16,
                 waited,
                 stage: if is_held { Stage::Held } else { stage },
+                obstacle: obstacle(step, now),
+                withheld: withheld_text(step),
             });
         }
     }
 }
 
+/// What kept a step from usable workers with room when that was last noted.
+fn withheld_text(step: &StepState) -> String {
+    let tasks = step.withheld.tasks.iter();
+    let tasks: Vec<String> = tasks
+        .map(|(obstacle, tasks)| format!("{tasks} {}", obstacle.name()))
+        .collect();
+    match tasks.is_empty() {
+        true => String::new(),
+        false => format!(
+            "; tasks that would fit on usable ones: {}",
+            tasks.join(", ")
+        ),
+    }
+}
+
 /// Since when a task of a step that lasts has not been running.
 fn idle_since(step: &mut StepState, now: Millis) -> Option<Millis> {
     for task in &mut step.tasks {
--- a/crates/batch/src/scheduler/overview.rs
+++ b/crates/batch/src/scheduler/overview.rs
@@ -7,6 +7,7 @@
 use base::OrgId;
 use base::WorkerId;
 
+use super::trace::waits_for;
 use super::Scheduler;
 use crate::job::Job;
 use crate::job::JobPhase;
@@ -50,6 +51,14 @@
             Usability::Usable => "usable",
         }
     }
+
+    /// Whether room on workers in this state counts as room of their pool.
+    pub(crate) fn is_counted(self) -> bool {
+        match self {
+            Usability::Cordoned | Usability::Paused | Usability::Silent | Usability::Usable => true,
+            Usability::DomainOut | Usability::Draining | Usability::Missing => false,
+        }
+    }
 }
 
 /// A worker and what it runs.
@@ -152,6 +161,12 @@
     pub waiting: Option<Millis>,
     /// Failed runs of the gang, or the most of any task.
     pub failures: usize,
+    /// Time for which it has had nothing running.
+    pub idle: Option<Millis>,
+    /// What it waits for, if anything.
+    pub waits_for: Option<&'static str>,
+    /// What kept it from usable workers with room, each with the number of tasks that would fit.
+    pub withheld: Vec<(&'static str, u64)>,
 }
 
 /// A job and its runs.
@@ -238,6 +253,14 @@
                     ready: state.is_ready(spec),
                     waiting: step.ready_at.map(|at| now.since(at)),
                     failures: step.failures(),
+                    idle: step.idle_since.map(|at| now.since(at)),
+                    waits_for: waits_for(step, spec, now).map(|s| s.name()),
+                    withheld: step
+                        .withheld
+                        .tasks
+                        .iter()
+                        .map(|(obstacle, tasks)| (obstacle.name(), *tasks))
+                        .collect(),
                 });
             }
         }
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc;
 
 mod advice;
+mod audit;
 mod calls;
 mod carrier;
 mod commit;
@@ -43,6 +44,7 @@
 mod shared;
 mod speeds;
 mod upkeep;
+mod waits;
 
 use shared::Shared;
 
--- a/crates/bronzetack/src/batch/decisions.rs
+++ b/crates/bronzetack/src/batch/decisions.rs
@@ -10,6 +10,7 @@
 use batch::LogDetail;
 use batch::LogEntry;
 use batch::LogKind;
+use batch::Obstacle;
 use obs::Counter;
 use obs::Event;
 use obs::Metrics;
@@ -143,9 +144,11 @@
         return;
     };
     let job = job_name(entry.job.as_ref());
+    let obstacle = idle.obstacle.map_or("", Obstacle::name);
     let fields: &[(&'static str, &dyn Display)] = &[
         ("job", &job),
         ("stage", &stage),
+        ("obstacle", &obstacle),
         ("waited_ms", &idle.waited.0),
         ("why", &entry.text),
         ("more", &suppressed),
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::batch::keys;
 use crate::batch::leadership::Leadership;
 use crate::batch::shared::Shared;
+use crate::batch::waits;
 
 /// Delay before a planning pass, so that one pass handles changes that arrive together.
 const COALESCE_DELAY: Millis = Millis(4);
@@ -62,6 +63,7 @@
         };
         lead.pass_done.notify_one();
         decisions::log(&shared, &lead);
+        waits::log(&shared, &lead);
         if pending.is_empty() {
             let starts = lead
                 .scheduler
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -24,6 +24,7 @@
 use tokio::sync::Notify;
 
 use crate::batch::advice;
+use crate::batch::audit;
 use crate::batch::delegates;
 use crate::batch::dispatch;
 use crate::batch::documents;
@@ -78,6 +79,10 @@
     pub confirmed: Cell<(Millis, Millis)>,
     /// Since when no run is started because what starts depend on is not known to be current.
     pub held_since: Cell<Option<Millis>>,
+    /// When the last job was added.
+    pub last_job: Cell<Millis>,
+    /// When it was last logged which jobs have nothing running.
+    pub waits_logged: Cell<Millis>,
     /// Notified when a planning pass is due.
     pub wake: Notify,
     /// Notified after a planning pass.
@@ -156,6 +161,8 @@
         wave_revisions: RefCell::default(),
         confirmed: Cell::new((now, now)),
         held_since: Cell::new(None),
+        last_job: Cell::new(now),
+        waits_logged: Cell::new(now),
         wake: Notify::new(),
         pass_done: Notify::new(),
         stored: Notify::new(),
@@ -250,6 +257,7 @@
     actix_rt::spawn(dispatch::publish_loop(shared.clone(), lead.clone()));
     actix_rt::spawn(dispatch::stop_loop(shared.clone(), lead.clone()));
     actix_rt::spawn(removal::run(shared.clone(), lead.clone()));
+    actix_rt::spawn(audit::run(shared.clone(), lead.clone()));
     actix_rt::spawn(upkeep::run(shared.clone(), lead.clone()));
     actix_rt::spawn(speeds::run(shared.clone(), lead.clone()));
     obs::record(
--- a/crates/bronzetack/src/batch/operators.rs
+++ b/crates/bronzetack/src/batch/operators.rs
@@ -27,6 +27,7 @@
 use conf::api::SiteStep;
 use conf::api::SiteWorker;
 use conf::api::SiteWorkers;
+use conf::api::WithheldRoom;
 use conf::api::WorkerCount;
 use serde::Serialize;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -167,6 +168,7 @@
 fn coordinator_status(lead: &Leadership, now: Millis) -> CoordinatorStatus {
     let scheduler = lead.scheduler.borrow();
     let site = scheduler.overview(now);
+    let (entries, requests) = lead.confirmed.get();
     let mut workers: Vec<(&str, usize)> =
         site.workers.iter().map(|(u, n)| (u.name(), *n)).collect();
     workers.sort_unstable();
@@ -178,6 +180,8 @@
         epoch: scheduler.epoch(),
         elected: now.since(lead.elected),
         held: lead.held_since.get().map(|at| now.since(at)),
+        entries: now.since(entries),
+        requests: now.since(requests),
         workers: workers.collect(),
         accels: site.capacity.accels,
         free: site.free.accels,
@@ -284,6 +288,16 @@
         ready: step.ready,
         waiting: step.waiting,
         failures: step.failures,
+        idle: step.idle,
+        waits_for: step.waits_for.map(str::to_string),
+        withheld: step
+            .withheld
+            .into_iter()
+            .map(|(obstacle, tasks)| WithheldRoom {
+                obstacle: obstacle.to_string(),
+                tasks,
+            })
+            .collect(),
     }
 }
 
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -123,6 +123,7 @@
             }
             let mut revisions = lead.job_revisions.borrow_mut();
             revisions.insert(id.clone(), item.revision);
+            lead.last_job.set(now);
             scheduler.add(id, *submitted, progress, now);
         }
         Some(Ok(JobRecord::Refused(_))) => {}
--- a/crates/conf/src/api.rs
+++ b/crates/conf/src/api.rs
@@ -76,6 +76,7 @@
 pub use site::SiteStep;
 pub use site::SiteWorker;
 pub use site::SiteWorkers;
+pub use site::WithheldRoom;
 pub use site::WorkerCount;
 pub use status::Coordinator;
 pub use status::DomainStatus;
--- a/crates/conf/src/api/site.rs
+++ b/crates/conf/src/api/site.rs
@@ -42,6 +42,12 @@
     pub elected: Millis,
     /// Time for which it has been holding starts back, if it does.
     pub held: Option<Millis>,
+    /// Time since the workers' entries that it decides by were known to be current.
+    #[serde(default)]
+    pub entries: Millis,
+    /// Time since the callers' requests that it decides by were known to be current.
+    #[serde(default)]
+    pub requests: Millis,
     /// Number of workers by state.
     pub workers: Vec<WorkerCount>,
     /// Accelerators of the usable workers.
@@ -146,6 +152,24 @@
     pub waiting: Option<Millis>,
     /// Failed runs of the gang, or the most of any task.
     pub failures: usize,
+    /// Time for which it has had nothing running; if it lasts, for which one of its tasks has not been.
+    #[serde(default)]
+    pub idle: Option<Millis>,
+    /// What it waits for, if anything.
+    #[serde(default)]
+    pub waits_for: Option<String>,
+    /// What kept it from usable workers with room, that with the most room first.
+    #[serde(default)]
+    pub withheld: Vec<WithheldRoom>,
+}
+
+/// Room on usable workers that a step does not get.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WithheldRoom {
+    /// What keeps the step from it.
+    pub obstacle: String,
+    /// Number of tasks of the step that would fit.
+    pub tasks: u64,
 }
 
 /// A run that may be active.
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -114,6 +114,8 @@
     DomainBack = 631, Info, "failure domain back in service";
     CapacityChanged = 632, Info, "capacity of a worker has changed";
     WaitsBesideRoom = 633, Warn, "work waits beside free room";
+    WorkWaits = 634, Info, "jobs have nothing running";
+    JobOverlooked = 635, Warn, "accepted job was not known to the coordinator";
     CallAnswered = 640, Info, "call answered";
     RunRequested = 641, Info, "worker asked to start a run";
     SchedulingDecision = 642, Info, "scheduling decision about a job or worker";
--- a/crates/tackctl/src/cmd/site.rs
+++ b/crates/tackctl/src/cmd/site.rs
@@ -8,6 +8,7 @@
 use conf::api::CoordinatorStatus;
 use conf::api::SiteJob;
 use conf::api::SiteStatus;
+use conf::api::SiteStep;
 use conf::api::SiteWorkers;
 use conf::tree::Operator;
 
@@ -96,8 +97,9 @@
 
 fn coordinator_text(status: &CoordinatorStatus) -> String {
     let mut text = format!(
-        "coordinator for {}, epoch {}; {} of {} accelerators free\n\n",
-        status.elected, status.epoch, status.free, status.accels
+        "coordinator for {}, epoch {}; {} of {} accelerators free; workers' entries known to be current \
+         {} ago, callers' requests {} ago\n\n",
+        status.elected, status.epoch, status.free, status.accels, status.entries, status.requests
     );
     let workers = status.workers.iter();
     let workers = workers.map(|w| vec![w.state.clone(), w.count.to_string()]);
@@ -142,6 +144,9 @@
             "step {} of occurrence {} {state}: {} of {} tasks done, {} placed, {} failures\n",
             step.step, step.occurrence, step.done, step.tasks, step.open, step.failures
         );
+        if let Some(idle) = step.idle {
+            text += &idle_text(idle, step);
+        }
     }
     if !job.runs.is_empty() {
         let runs = job.runs.iter().map(|r| {
@@ -162,6 +167,19 @@
     text + "\n" + &table
 }
 
+/// Since when a step has had nothing running, and what keeps it from room.
+fn idle_text(idle: Millis, step: &SiteStep) -> String {
+    let stage = step.waits_for.as_deref().unwrap_or("nothing known");
+    let mut text = format!("  nothing running for {idle}, waits for {stage}\n");
+    for room in &step.withheld {
+        text += &format!(
+            "  {} of its tasks would fit on usable workers, kept from it: {}\n",
+            room.tasks, room.obstacle
+        );
+    }
+    text
+}
+
 fn workers_text(reply: &SiteWorkers) -> String {
     let rows = reply.workers.iter().map(|w| {
         vec![
