Let a gang leave the wish for one rack when it has waited beside room

A gang that asks for one rack waits until one has room for all of it, if any rack could hold it when empty. Small tasks spread over all racks keep every rack from that, so the wait has no bound, while most of the site is idle. The wish is one for speed: tasks on several racks are slower, and they run.

Evidence: on a simulated site with one small task of a minute on each of twelve racks, a gang of four whole workers had nothing running for 10 s (the length of the test) beside 36 workers without any task.

On a quiet pool, a gang that has had nothing running for 2 s and that has room for all its tasks twice over, on whatever racks, now starts there. It still takes a rack that becomes free before.

`a_gang_does_not_wait_for_a_whole_rack_beside_free_workers` failed before ("waited for 9990ms") and passes; `a_gang_takes_a_whole_rack_that_is_free_in_time` passed before as well. cargo test -p batch: all pass.

--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -33,6 +33,7 @@
 use pass::Pass;
 use share::Shares;
 
+pub(crate) use headroom::ROOM_FACTOR;
 pub use obstacle::Obstacle;
 pub use obstacle::Withheld;
 
--- a/crates/batch/src/plan/headroom.rs
+++ b/crates/batch/src/plan/headroom.rs
@@ -12,6 +12,9 @@
 /// Time with nothing running after which a step is held back by no preference on a quiet pool.
 const QUIET_PATIENCE: Millis = Millis(2_000);
 
+/// There is room for work if it fits this many times.
+pub(crate) const ROOM_FACTOR: u64 = 2;
+
 impl Scheduler {
     /// Marks the workers that are kept for urgent jobs.
     pub(super) fn keep_headroom(&self, candidates: &mut [Candidate], now: Millis) {
--- a/crates/batch/src/plan/make_room.rs
+++ b/crates/batch/src/plan/make_room.rs
@@ -8,6 +8,7 @@
 use super::Attempt;
 use super::Pass;
 use super::WaitingStep;
+use super::ROOM_FACTOR;
 use crate::place::eligible_among;
 use crate::preempt;
 use crate::reserve;
@@ -30,6 +31,14 @@
     LeavesRacks,
 }
 
+/// Whether the workers have room for the missing tasks of a step several times over.
+fn has_ample_room(pass: &Pass, attempt: &Attempt, among: &[usize]) -> bool {
+    let need = attempt.spec.occupies();
+    let room = among.iter().map(|&num| need.count_fitting(&pass.free[num]));
+    let wanted = attempt.missing.len() as u64 * ROOM_FACTOR;
+    room.fold(0, u64::saturating_add) >= wanted
+}
+
 impl Scheduler {
     /// Makes room for the tasks of a step that were not placed.
     pub(super) fn make_room(
@@ -94,6 +103,9 @@
                 pass.unaffordable.push((failure, most));
             }
         }
+        if spec.one_rack && self.is_overdue(pass, at) && has_ample_room(pass, attempt, &among) {
+            return Outlook::LeavesRacks;
+        }
         let starved = attempt.waited >= RESERVE_AFTER && !at.rank.is_expired();
         if spec.gang && starved && pass.reserved < MAX_RESERVED_GANGS {
             if pass.reserved == 0 {
--- a/crates/batch/src/scheduler/idle.rs
+++ b/crates/batch/src/scheduler/idle.rs
@@ -25,6 +25,7 @@
 use crate::job::StepState;
 use crate::job::TaskState;
 use crate::plan::Obstacle;
+use crate::plan::ROOM_FACTOR;
 use crate::spec::Resources;
 use crate::spec::StepSpec;
 use crate::worker::Worker;
@@ -35,9 +36,6 @@
 /// Time after which a wait beside free room is logged.
 const LOG_AFTER: Millis = Millis(2_000);
 
-/// There is room for work if it fits this many times.
-const ROOM_FACTOR: u64 = 2;
-
 /// Work that does not last waits beside free room only while at most one in so many parts of the
 /// pool is in use.
 const USED_SHARE: u64 = 2;
--- a/crates/batch/tests/withheld_room.rs
+++ b/crates/batch/tests/withheld_room.rs
@@ -33,6 +33,66 @@
     }
 }
 
+/// One task of a minute on each of these racks.
+fn occupy_racks(site: &mut Site, racks: impl Iterator<Item = usize>) {
+    for rack in racks {
+        let near = StepSpec {
+            data_rack: Some(format!("r{rack}")),
+            ..step(1, 1, Millis(60_000))
+        };
+        site.submit(
+            &format!("{:016x}", 0xf000 + rack),
+            job(2, vec![near], site.now),
+        );
+    }
+    site.run(SECOND);
+}
+
+/// Guards against a gang that waits for one rack with room for all of it: one small task on each rack kept
+/// it waiting for as long as that ran, beside three of four workers without any.
+#[test]
+fn a_gang_does_not_wait_for_a_whole_rack_beside_free_workers() {
+    let mut site = Site::new(48, 1, Faults::default());
+    site.run(SECOND);
+    occupy_racks(&mut site, 0..12);
+    let tight = StepSpec {
+        one_rack: true,
+        ..gang(4, 8, Millis(5_000))
+    };
+    let id = site.submit("a", job(1, vec![tight], site.now));
+    let mut watch = IdleWatch::default();
+    watch.run(&mut site, &[id], Millis(10_000));
+    assert!(watch.worst.0 <= MAX_IDLE, "waited for {}", watch.worst.0);
+}
+
+/// A rack that becomes free soon is worth the wait.
+#[test]
+fn a_gang_takes_a_whole_rack_that_is_free_in_time() {
+    let mut site = Site::new(48, 1, Faults::default());
+    site.run(SECOND);
+    occupy_racks(&mut site, 1..12);
+    let short = StepSpec {
+        data_rack: Some("r0".to_string()),
+        ..step(1, 1, Millis(2_000))
+    };
+    site.submit("b", job(1, vec![short], site.now));
+    site.run(SECOND);
+    let tight = StepSpec {
+        one_rack: true,
+        ..gang(4, 8, Millis(5_000))
+    };
+    let id = site.submit("a", job(1, vec![tight], site.now));
+    site.run(Millis(2_500));
+    let on_rack = |w: &&kit::worker::FakeWorker| w.runs.keys().any(|task| task.job == id);
+    let racks: Vec<&str> = site
+        .workers
+        .iter()
+        .filter(on_rack)
+        .map(|w| w.rack.as_str())
+        .collect();
+    assert_eq!(racks, ["r0"; 4]);
+}
+
 /// Guards against room that is reserved for a gang for as long as that waits: a gang as wide as the site
 /// waited for one worker, and kept all others from work that needed one accelerator.
 #[test]
