Count the room of silent workers when a pool is judged quiet

What is withheld from work is let go on a quiet pool. That was judged by the workers that get tasks at the moment alone: while half of a pool is silent or paused, the other half is fuller, the pool counts as busy, and room that is reserved there stays reserved. Starved coordinators have many silent workers.

--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -6,6 +6,7 @@
 use base::WorkerId;
 
 use crate::account::Stage;
+use crate::headroom::is_quiet;
 use crate::job::OpenRun;
 use crate::rank::Rank;
 use crate::scheduler::Scheduler;
@@ -79,6 +80,7 @@
         let mut candidates = self.candidates(now);
         self.keep_headroom(&mut candidates, now);
         let mut pass = Pass::new(candidates, guaranteed, now);
+        pass.quiet.extend(self.pools_with(is_quiet, now));
         pass.isolated = self.isolated_workers(&pass);
         let shares = self.shares(&pass, &wanted);
         self.plan_steps(&mut pass, waiting, shares.as_ref());
--- a/crates/batch/src/scheduler/idle.rs
+++ b/crates/batch/src/scheduler/idle.rs
@@ -80,14 +80,19 @@
         if idle.is_empty() {
             return;
         }
-        let quiet = self.quiet_pools(now);
+        let quiet = self.pools_with(is_mostly_free, now);
         for step in idle {
             self.log_idle(&step, &quiet, now);
         }
     }
 
-    /// The pools of which at most half is in use.
-    fn quiet_pools(&self, now: Millis) -> Set<ServiceId> {
+    /// The pools for which a condition on their capacity and on what no run occupies of it holds. Workers
+    /// that get no tasks now count, unless they leave: their room is room of the pool.
+    pub(crate) fn pools_with(
+        &self,
+        holds: impl Fn(&Resources, &Resources) -> bool,
+        now: Millis,
+    ) -> Set<ServiceId> {
         let mut pools: Map<&ServiceId, (Resources, Resources)> = Map::default();
         for worker in self.workers.values() {
             if self.usability(worker, now).is_counted() {
@@ -96,10 +101,10 @@
                 *free += worker.free();
             }
         }
-        let quiet = pools
+        let found = pools
             .into_iter()
-            .filter(|(_, (capacity, free))| is_mostly_free(capacity, free));
-        quiet.map(|(pool, _)| pool.clone()).collect()
+            .filter(|(_, (capacity, free))| holds(capacity, free));
+        found.map(|(pool, _)| pool.clone()).collect()
     }
 
     fn log_idle(&mut self, at: &IdleStep, quiet: &Set<ServiceId>, now: Millis) {
--- a/crates/batch/tests/withheld_room.rs
+++ b/crates/batch/tests/withheld_room.rs
@@ -109,6 +109,26 @@
     assert!(watch.worst.0 <= MAX_IDLE, "waited for {}", watch.worst.0);
 }
 
+/// Guards against a pool that counts as busy because many of its workers do not answer: room that nobody
+/// uses is room, and what is withheld on the workers that answer was kept from other work.
+#[test]
+fn a_pool_is_not_busy_because_half_of_it_is_silent() {
+    let mut site = Site::new(48, 4, Faults::default());
+    site.run(SECOND);
+    site.workers[24..]
+        .iter_mut()
+        .for_each(|w| w.reachable = false);
+    site.run(SECOND);
+    site.submit("a", job(1, vec![step(15, 8, Millis(30_000))], site.now));
+    site.run(SECOND);
+    site.submit("b", job(1, vec![gang(24, 8, Millis(5_000))], site.now));
+    site.run(SECOND);
+    let id = site.submit("c", job(2, vec![step(30, 1, Millis(40_000))], site.now));
+    let mut watch = IdleWatch::default();
+    watch.run(&mut site, &[id], Millis(10_000));
+    assert!(watch.worst.0 <= MAX_IDLE, "waited for {}", watch.worst.0);
+}
+
 /// Guards against logs that say `room` of work that waits beside room: what keeps it is told by its name.
 #[test]
 fn a_wait_beside_free_room_tells_what_keeps_the_room() {
