Count the patience of a step over starts that are not accepted

Callers saw accepted jobs with nothing running beside paused or unproved workers (LOST). What a step puts up with (waits for proven workers, away from those on which it failed, beside paused ones and headroom, for a rack) ends after a time. That time began anew whenever the step was placed, also if the start was refused, not answered or taken back: work that went from one worker which refuses starts to the next waited for ever.

On a simulated site where half of the workers had failed all they started and the others refuse all starts, jobs waited for 10 s (the length of the test) with `proof: unproved`, though the first half was well again.

The time now goes on until a start is accepted.

`refused_starts_do_not_renew_the_patience_of_a_step` failed before ("waited for 9990ms") and passes. cargo test -p batch: all pass.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -156,6 +156,8 @@
     pub failed: Vec<RunNumber>,
     /// Since when tasks of the step have been waiting for resources, on the coordinator's clock.
     pub ready_at: Option<Millis>,
+    /// Since when it had been waiting when all its tasks were placed; none once a start was accepted.
+    pub unstarted_since: Option<Millis>,
     /// No task of the step starts before this time.
     pub not_before: Millis,
     /// What the step waited for in the last planning pass.
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -168,14 +168,14 @@
         false
     }
 
-    /// Clears the waiting time of a step whose tasks are all placed. After a restart it is counted
-    /// from zero.
+    /// Clears the waiting time of a step whose tasks are all placed. Once they have started it is counted
+    /// from zero again, but not if no start is accepted.
     fn clear_waiting(&mut self, at: &WaitingStep) {
         let job = self.jobs.get_mut(&at.job);
         let state = job.and_then(|j| j.open.get_mut(&at.occurrence));
         if let Some(state) = state {
             let step = &mut state.steps[usize::from(at.step)];
-            step.ready_at = None;
+            step.unstarted_since = step.ready_at.take();
             step.waits_for = None;
             step.withheld = Withheld::default();
         }
--- a/crates/batch/src/plan/headroom.rs
+++ b/crates/batch/src/plan/headroom.rs
@@ -37,13 +37,17 @@
     /// Whether a step has had nothing running for so long that nothing that suits better, or others more,
     /// keeps it from free room. While a pool is busy, what is withheld is soon used.
     pub(super) fn is_overdue(&self, pass: &Pass, at: &WaitingStep) -> bool {
-        let Some(job) = self.jobs.get(&at.job) else {
-            return false;
-        };
-        let state = job.open.get(&at.occurrence);
+        let job = self.jobs.get(&at.job);
+        let is_quiet = |job| pass.quiet.contains(&self.pool_of(job));
+        self.idle_time(at, pass.now) >= QUIET_PATIENCE && job.is_some_and(is_quiet)
+    }
+
+    /// Time for which a step has had nothing running.
+    pub(super) fn idle_time(&self, at: &WaitingStep, now: Millis) -> Millis {
+        let job = self.jobs.get(&at.job);
+        let state = job.and_then(|j| j.open.get(&at.occurrence));
         let since = state.and_then(|o| o.steps[usize::from(at.step)].idle_since);
-        let is_quiet = || pass.quiet.contains(&self.pool_of(job));
-        since.is_some_and(|since| pass.now.since(since) >= QUIET_PATIENCE) && is_quiet()
+        since.map_or(Millis::ZERO, |since| now.since(since))
     }
 
     /// Whether a step that has waited for `waited` is tried on paused workers too.
--- a/crates/batch/src/plan/queue.rs
+++ b/crates/batch/src/plan/queue.rs
@@ -131,7 +131,9 @@
                     if !state.is_ready(spec) || !is_startable(&state.steps[num], spec, now) {
                         continue;
                     }
-                    state.steps[num].ready_at.get_or_insert(now);
+                    let step = &mut state.steps[num];
+                    let since = step.unstarted_since.take();
+                    step.ready_at.get_or_insert(since.unwrap_or(now));
                     if weighted {
                         let tasks = state.steps[num].tasks.iter();
                         let missing = tasks.filter(|t| !t.done && t.open.is_none());
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -348,6 +348,11 @@
             job.phase = JobPhase::Running;
             self.dirty.insert(task.job.clone());
         }
+        if let Some(step) = job.step_mut(task) {
+            step.unstarted_since = None;
+            // Also a run that ends before it is next looked for was running.
+            step.idle_since = None;
+        }
     }
 
     fn refused(&mut self, request: &StartRequest, why: &str, now: Millis) {
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -65,6 +65,8 @@
     pub hangs: bool,
     /// Whether its tasks fail.
     pub fails: bool,
+    /// Whether it refuses all starts.
+    pub refuses: bool,
     /// Speed of its tasks, in percent.
     pub speed: u64,
     pub runs: BTreeMap<TaskId, FakeRun>,
@@ -100,6 +102,7 @@
             listed: true,
             hangs: false,
             fails: false,
+            refuses: false,
             speed: 100,
             runs: BTreeMap::new(),
             closed: BTreeMap::new(),
@@ -160,6 +163,9 @@
             return StartResponse::Fenced;
         }
         self.epoch = request.epoch.0;
+        if self.refuses {
+            return StartResponse::Refused("room".to_string());
+        }
         if request.deadline < self.clock_at(now).0 {
             return StartResponse::Refused("late".to_string());
         }
--- a/crates/batch/tests/withheld_room.rs
+++ b/crates/batch/tests/withheld_room.rs
@@ -129,6 +129,26 @@
     assert!(watch.worst.0 <= MAX_IDLE, "waited for {}", watch.worst.0);
 }
 
+/// Guards against a patience that begins anew with each start that is refused: work that had failed once
+/// went from one worker that refuses all starts to the next, and waited for a proven worker each time.
+#[test]
+fn refused_starts_do_not_renew_the_patience_of_a_step() {
+    let mut site = Site::new(8, 5, Faults::default());
+    site.run(SECOND);
+    site.workers[..4].iter_mut().for_each(|w| w.fails = true);
+    site.workers[4..].iter_mut().for_each(|w| w.refuses = true);
+    let mut ids = Vec::new();
+    for num in 0..40 {
+        let spec = step(1, 1, Millis(100));
+        ids.push(site.submit(&format!("{num:016x}"), job(1, vec![spec], site.now)));
+        site.run(Millis(100));
+    }
+    site.workers[..4].iter_mut().for_each(|w| w.fails = false);
+    let mut watch = IdleWatch::default();
+    watch.run(&mut site, &ids, Millis(10_000));
+    assert!(watch.worst.0 <= MAX_IDLE, "waited for {}", watch.worst.0);
+}
+
 /// Guards against logs that say `room` of work that waits beside room: what keeps it is told by its name.
 #[test]
 fn a_wait_beside_free_room_tells_what_keeps_the_room() {
