--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -18,8 +18,6 @@
 use crate::account::LossCause;
 use crate::account::LostRun;
 use crate::advice::Advice;
-use crate::advice::AdviceRequest;
-use crate::advice::AdviceResponse;
 use crate::bounds::with_clock_drift;
 use crate::bounds::Bounds;
 use crate::bounds::DerivedBounds;
@@ -41,6 +39,7 @@
 use crate::wave::Waves;
 use crate::worker::Worker;
 
+mod advice;
 mod crashes;
 mod idle;
 mod load;
@@ -392,50 +391,6 @@
         self.log_ended(id, now);
     }
 
-    /// The next request to the adviser, if one is due and none is in flight.
-    pub fn next_advice(&mut self, now: Millis) -> Option<AdviceRequest> {
-        self.advice.next(now)
-    }
-
-    /// Processes the response to a request to the adviser that was sent at `sent`.
-    pub fn advice_response(
-        &mut self,
-        request: &AdviceRequest,
-        response: AdviceResponse,
-        sent: Millis,
-        now: Millis,
-    ) {
-        let text = match &response {
-            AdviceResponse::Approved(approved, _) => {
-                let (approved, all) = (approved.len(), request.workers.len());
-                format!(
-                    "adviser approved {approved} of {all} workers for step {}",
-                    request.step
-                )
-            }
-            AdviceResponse::Partial(approved, _, why) => {
-                let (approved, all) = (approved.len(), request.workers.len());
-                format!(
-                    "adviser approved {approved} of {all} workers for step {}, with a row that \
-                     cannot be read: {why}",
-                    request.step
-                )
-            }
-            AdviceResponse::Failed(why) => format!(
-                "request to the adviser for step {} failed: {why}",
-                request.step
-            ),
-        };
-        // While the adviser keeps failing, only the first failure is logged.
-        if !(self.advice.is_failing() && matches!(response, AdviceResponse::Failed(_))) {
-            self.log(Some(&request.step.job), text);
-        }
-        let workers = &self.workers;
-        let born = |id: &WorkerId| workers.get(id).map_or(0, |w| w.born);
-        self.advice
-            .apply_response(request, response, (sent, now), born);
-    }
-
     /// Ended jobs whose state is no longer needed. They stay known until [`Scheduler::forget`]: a job
     /// that is not known is taken for a new one when its submission is read again.
     pub fn expired(&self, now: Millis) -> Vec<JobId> {
