Withhold no room for long once no new work comes

Callers saw many accepted jobs of one pool with nothing running beside free room after the load had ended. While a pool is busy, room stays reserved for gangs that wait and kept for urgent jobs, so that a stream of small or less urgent work does not keep it from them. That also held when no new work came: one gang that waited for its room kept all other work of the pool waiting.

A step that has had nothing running for 2 s may now use what is reserved, kept for urgent jobs or paused, and leave its rack, also on a busy pool, once no new job has come for a second.

Tried and reverted: letting one task, or a gang with room twice over, use reserved room while work keeps coming. `organisations_with_large_gangs_get_ their_turns` failed (their part of the room fell from 28% to 16%).

`nothing_waits_for_a_gang_once_no_new_work_comes` failed before (nothing started in 10 s) and passes. cargo test -p batch: all pass.

--- a/crates/batch/src/plan/headroom.rs
+++ b/crates/batch/src/plan/headroom.rs
@@ -12,6 +12,10 @@
 /// Time with nothing running after which a step is held back by no preference on a quiet pool.
 const QUIET_PATIENCE: Millis = Millis(2_000);
 
+/// Time without a new job after which nothing is withheld for long on a busy pool either: no urgent work
+/// comes, and work that goes before a gang can delay it only once.
+const CALM_TIME: Millis = Millis(1_000);
+
 /// There is room for work if it fits this many times.
 pub(crate) const ROOM_FACTOR: u64 = 2;
 
@@ -31,15 +35,19 @@
         // A task that lasts has no end to be in time for, and is to be at work again soon.
         let lasts = job.submitted.work.steps[usize::from(at.step)].lasting;
         let is_quiet = pass.quiet.contains(&self.pool_of(job));
-        job.submitted.priority == 0 || lasts || headroom::may_use(at.rank.slack, waited, is_quiet)
+        job.submitted.priority == 0
+            || lasts
+            || self.is_overdue(pass, at)
+            || headroom::may_use(at.rank.slack, waited, is_quiet)
     }
 
     /// Whether a step has had nothing running for so long that nothing that suits better, or others more,
-    /// keeps it from free room. While a pool is busy, what is withheld is soon used.
+    /// keeps it from free room. While a pool is busy and work keeps coming, what is withheld is soon used.
     pub(super) fn is_overdue(&self, pass: &Pass, at: &WaitingStep) -> bool {
         let job = self.jobs.get(&at.job);
         let is_quiet = |job| pass.quiet.contains(&self.pool_of(job));
-        self.idle_time(at, pass.now) >= QUIET_PATIENCE && job.is_some_and(is_quiet)
+        let is_calm = pass.now.since(self.added_at) >= CALM_TIME;
+        self.idle_time(at, pass.now) >= QUIET_PATIENCE && (is_calm || job.is_some_and(is_quiet))
     }
 
     /// Time for which a step has had nothing running.
@@ -56,6 +64,7 @@
             return false;
         };
         let lasts = job.submitted.work.steps[usize::from(at.step)].lasting;
-        tries_paused(waited, lasts, pass.quiet.contains(&self.pool_of(job)))
+        self.is_overdue(pass, at)
+            || tries_paused(waited, lasts, pass.quiet.contains(&self.pool_of(job)))
     }
 }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -167,6 +167,8 @@
     pub(crate) log_entries: Vec<LogEntry>,
     /// Steady and Unix time of the latest pass.
     pub(crate) pass_at: (Millis, Millis),
+    /// When the last job was added.
+    pub(crate) added_at: Millis,
     /// When starts were last planned.
     pub(crate) planned_at: Option<Millis>,
     /// Whether a request was refused because a later coordinator is active.
@@ -230,6 +232,7 @@
             planned: Vec::new(),
             log_entries: Vec::new(),
             pass_at: (now, Millis::ZERO),
+            added_at: now,
             planned_at: None,
             fenced: false,
             ratios: Map::default(),
@@ -315,6 +318,7 @@
         if self.jobs.contains_key(&id) {
             return;
         }
+        self.added_at = now;
         let mut job = Job::new(id.clone(), submitted, now);
         job.inherited = recorded.is_some() || self.planned_at.is_none();
         if recorded.is_some_and(|p| !p.restore(&mut job, now)) {
--- a/crates/batch/tests/withheld_room.rs
+++ b/crates/batch/tests/withheld_room.rs
@@ -129,6 +129,31 @@
     assert!(watch.worst.0 <= MAX_IDLE, "waited for {}", watch.worst.0);
 }
 
+/// Guards against work that waits for a gang after the load has ended: on a busy pool, one gang that waited
+/// for its room kept hundreds of free accelerators from single tasks.
+#[test]
+fn nothing_waits_for_a_gang_once_no_new_work_comes() {
+    let mut site = Site::new(48, 6, Faults::default());
+    site.run(SECOND);
+    site.submit("a", job(1, vec![step(36, 8, Millis(30_000))], site.now));
+    site.run(SECOND);
+    site.submit("b", job(1, vec![gang(13, 8, Millis(5_000))], site.now));
+    site.run(SECOND);
+    let submitted = site.now;
+    let id = site.submit("c", job(2, vec![step(30, 1, Millis(40_000))], site.now));
+    let starts = |w: &kit::worker::FakeWorker| {
+        let runs = w.runs.iter().filter(|(task, _)| task.job == id);
+        runs.map(|(_, run)| run.started).min()
+    };
+    site.run(Millis(10_000));
+    let started = site.workers.iter().filter_map(starts).min();
+    let waited = started.map(|at| at.since(submitted));
+    assert!(
+        waited.is_some_and(|w| w <= MAX_IDLE),
+        "waited for {waited:?}"
+    );
+}
+
 /// Guards against a patience that begins anew with each start that is refused: work that had failed once
 /// went from one worker that refuses all starts to the next, and waited for a proven worker each time.
 #[test]
