Keep no room from a task that lasts because work keeps coming

What callers saw: a task that lasts had nothing running beside free room for as long as a gang waited for that room, while the pool was busy and new jobs came. Such a task is due at any time, however full the pool is.

Cause: room that is reserved for a gang is opened to work that has had nothing running for two seconds, but on a busy pool only once no new job has come for a second. Headroom and pauses make an exception for tasks that last; reservations made none.

Change: a task that lasts counts as overdue after the same two seconds, whatever the use of the pool and whether work comes or not.

--- a/crates/batch/src/plan/headroom.rs
+++ b/crates/batch/src/plan/headroom.rs
@@ -42,12 +42,18 @@
     }
 
     /// Whether a step has had nothing running for so long that nothing that suits better, or others more,
-    /// keeps it from free room. While a pool is busy and work keeps coming, what is withheld is soon used.
+    /// keeps it from free room. While a pool is busy and work keeps coming, what is withheld is soon used; a
+    /// task that lasts is to be at work again soon all the same.
     pub(super) fn is_overdue(&self, pass: &Pass, at: &WaitingStep) -> bool {
-        let job = self.jobs.get(&at.job);
-        let is_quiet = |job| pass.quiet.contains(&self.pool_of(job));
+        if self.idle_time(at, pass.now) < QUIET_PATIENCE {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&at.job) else {
+            return false;
+        };
+        let lasts = job.submitted.work.steps[usize::from(at.step)].lasting;
         let is_calm = pass.now.since(self.added_at) >= CALM_TIME;
-        self.idle_time(at, pass.now) >= QUIET_PATIENCE && (is_calm || job.is_some_and(is_quiet))
+        lasts || is_calm || pass.quiet.contains(&self.pool_of(job))
     }
 
     /// Time for which a step has had nothing running.
