Wait for the rack of the data no longer than for other preferences

What callers saw: a job whose data is on a full rack had nothing running beside free workers on other racks, for as long as half of what running elsewhere costs: minutes for long work.

Cause: that wait is cut to two seconds on a quiet pool only. On a busy one it grows with the estimate, also for tasks that last and also after the last job has come, when all other preferences are given up.

Evidence: in the new test 36 of 48 simulated workers are in use, among them all of one rack. Two tasks of 20 s with their data there, and two that last, were not started in the 10 s of the test.

Change: a step that is overdue uses workers on any rack.

Result: both cases pass with their bound of 3 s.

--- a/crates/batch/src/plan/attempt.rs
+++ b/crates/batch/src/plan/attempt.rs
@@ -124,6 +124,7 @@
         let allowed = rule.map(|_| self.allowed(&step, now));
         let waited = now.since(state.ready_at.unwrap_or(now));
         let avoids = waited < AVOID_TIME;
+        let is_overdue = self.is_overdue(pass, at);
         let tasks = state.tasks.iter().enumerate();
         let missing = tasks.filter(|(_, t)| !t.done && t.open.is_none());
         let missing = missing.map(|(index, t)| {
@@ -154,9 +155,10 @@
             urgent: job.submitted.priority == 0,
             uses_headroom: self.uses_headroom(pass, at, waited),
             paused: self.uses_paused(pass, at, waited),
-            reserved: self.is_overdue(pass, at),
+            reserved: is_overdue,
             remote: spec.data_rack.is_none()
                 || !keep_racks
+                || is_overdue
                 || waited > self.locality_wait(pass, job, &spec),
             duration: self.expected(job, at.step),
             speed: self.speed_need(job, at.occurrence, at.age),
--- a/crates/batch/tests/overdue.rs
+++ b/crates/batch/tests/overdue.rs
@@ -6,6 +6,7 @@
 use base::JobId;
 use base::Millis;
 use batch::StepSpec;
+use yare::parameterized;
 
 use kit::job;
 use kit::site::Faults;
@@ -72,3 +73,23 @@
     let id = site.submit("c", job(1, vec![lasting()], site.now));
     check_wait(time_to_start(&mut site, &id, true));
 }
+
+/// Guards against a wait for the rack of the data that grows with the length of the work: while the rack was
+/// full, nothing ran beside a quarter of the pool without any work.
+#[parameterized(
+    of_a_task_that_lasts = { lasting(), true },
+    of_a_long_task = { step(2, 1, Millis(20_000)), false },
+)]
+fn a_task_does_not_wait_for_long_for_the_rack_of_its_data(spec: StepSpec, flows: bool) {
+    let mut site = busy_site();
+    let full = site.workers.iter().find(|w| !w.runs.is_empty());
+    let rack = full.map(|w| w.rack.clone()).expect("a worker in use");
+    let on_rack = site.workers.iter().filter(|w| w.rack == rack);
+    assert!(on_rack.into_iter().all(|w| w.used().accels == 8));
+    let near = StepSpec {
+        data_rack: Some(rack),
+        ..spec
+    };
+    let id = site.submit("c", job(1, vec![near], site.now));
+    check_wait(time_to_start(&mut site, &id, flows));
+}
