Ask the adviser first about steps that have room

What callers saw: on queues with an adviser, small work had nothing running beside more than half of the site while gangs waited for room.

Cause: the adviser answers one request at a time, and the requests are sent in the ranking of their steps. A gang that waits for room for longer than a ticket is valid asks anew about all workers with free resources. A few such gangs keep the adviser busy without end, and work that ranks lower is never advised.

Change: requests for steps that would find room on workers with free resources go first, each part in the ranking of the steps.

--- a/crates/batch/src/advice.rs
+++ b/crates/batch/src/advice.rs
@@ -74,6 +74,8 @@
     /// Longest wait for the response.
     pub wait: Millis,
     rule: AdviceRule,
+    /// Whether there are free resources for the step, if all workers are approved.
+    has_room: bool,
 }
 
 /// The adviser's response.
@@ -110,7 +112,7 @@
 #[derive(Debug)]
 pub struct Advice {
     steps: Map<StepId, StepAdvice>,
-    /// Requests to send, in the ranking of their steps.
+    /// Requests to send, in the ranking of their steps; first those of steps with room.
     queued: Vec<AdviceRequest>,
     share: u64,
     in_flight: bool,
@@ -173,7 +175,9 @@
         }
     }
 
-    /// Queues a request for `count` tasks of a step that have no worker with a valid ticket.
+    /// Queues a request for `count` tasks of a step that have no worker with a valid ticket. It goes before
+    /// those of steps without room: they may wait for longer than a ticket is valid, and would ask again
+    /// and again before all others.
     pub fn enqueue(
         &mut self,
         step: &StepId,
@@ -190,17 +194,20 @@
         let empty = StepAdvice::default();
         let advice = self.steps.get(step).unwrap_or(&empty);
         let eligible = candidates.iter().enumerate().filter(|(num, candidate)| {
-            is_eligible(candidate, *num, spec, &limits)
-                && !advice.rejected.contains(&candidate.id)
-                && !ticketed.contains(&candidate.id)
+            is_eligible(candidate, *num, spec, &limits) && !advice.rejected.contains(&candidate.id)
         });
         let need = spec.occupies();
+        let slots = |resources: &_| {
+            let most = u64::from(spec.per_worker.unwrap_or(u32::MAX));
+            need.count_fitting(resources).min(most)
+        };
+        let room = eligible.clone().map(|(_, c)| slots(&c.free));
+        let room = room.fold(0, u64::saturating_add);
+        let together = if spec.gang { count as u64 } else { 1 };
+        let has_room = room >= together;
         let mut eligible: Vec<(&Candidate, u64, u64)> = eligible
+            .filter(|(_, candidate)| !ticketed.contains(&candidate.id))
             .map(|(_, candidate)| {
-                let slots = |candidate: &_| {
-                    let most = u64::from(spec.per_worker.unwrap_or(u32::MAX));
-                    need.count_fitting(candidate).min(most)
-                };
                 (
                     candidate,
                     slots(&candidate.free),
@@ -252,12 +259,18 @@
             return;
         }
         let expected_time = rule.call_time(workers.len());
-        self.queued.push(AdviceRequest {
+        let request = AdviceRequest {
             step: step.clone(),
             workers,
             wait: expected_time + expected_time + TIMEOUT_SLACK,
             rule,
-        });
+            has_room,
+        };
+        let place = match has_room {
+            true => self.queued.partition_point(|r| r.has_room),
+            false => self.queued.len(),
+        };
+        self.queued.insert(place, request);
     }
 
     /// Whether the last request failed.
