Clear the patience of a step also when its run ends early

What callers saw: a job that had waited for room was shown as failed, after all its attempts had gone to the same failing worker within a moment, while another worker became free soon after.

Cause: the time for which a step had waited is kept until a start is known to be accepted. A run that fails at once may be reported as ended before the response to its start is read; that response is then ignored, and the time before the run counts as a wait since the failure. A step that had waited for two seconds no longer avoids the worker on which it failed.

Change: the end of a run clears the time, too.

--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -223,6 +223,8 @@
         if step.tasks.iter().all(|task| task.run < end.run) {
             return self.log_unknown(id, end);
         }
+        // A run that ended had started, whether or not that was read.
+        step.unstarted_since = None;
         if !end.saved.is_empty() {
             note_saved(step, &end.task, end.run, now);
             match gang {
