Keep workers of suspects from other work only for a while

What callers saw: work had nothing running beside workers that were almost empty, for as long as tasks ran there that were suspected of crashing workers.

Cause: a worker with a suspect takes no task of another job until the suspect is cleared, which takes up to twice the age at which its workers were lost. At first one worker in eight is kept so, but a suspect that has waited for two seconds runs on any, and each of these is kept from then on.

Change: a step that is overdue, and finds no room on other workers, shares those of suspects. A suspect of another job still does not count them as its own.

--- a/crates/batch/src/plan/isolate.rs
+++ b/crates/batch/src/plan/isolate.rs
@@ -62,7 +62,9 @@
                 waits: false,
             });
         }
-        let own = among.iter().filter(|&num| pass.isolated.contains_key(num));
+        let own = among
+            .iter()
+            .filter(|&num| pass.isolated.get(num) == Some(job));
         let own: Vec<usize> = own.copied().collect();
         let pool = pass.pools.get(&attempt.pool).map_or(0, Vec::len);
         let is_full = pass.isolated.len() >= (pool / ISOLATION_SHARE).max(1);
--- a/crates/batch/src/plan/placement.rs
+++ b/crates/batch/src/plan/placement.rs
@@ -14,6 +14,25 @@
 use crate::spec::TaskId;
 use crate::worker::UNPROVED_PENALTY;
 
+/// Leaves the workers alone that are kept for suspects of other jobs, unless the step is overdue and has no
+/// room on others.
+fn leave_isolated(pass: &Pass, attempt: &Attempt, among: &mut Vec<usize>) {
+    let is_open = |num: &usize| {
+        let owner = pass.isolated.get(num);
+        owner.is_none_or(|job| *job == attempt.step.job)
+    };
+    let need = attempt.spec.occupies();
+    let open = among.iter().filter(|num| is_open(num));
+    let room = open.map(|&num| need.count_fitting(&pass.free[num]));
+    let together = match attempt.spec.gang {
+        true => attempt.missing.len() as u64,
+        false => 1,
+    };
+    if !attempt.reserved || room.fold(0, u64::saturating_add) >= together {
+        among.retain(is_open);
+    }
+}
+
 /// What became of an attempt to place a step.
 pub(super) struct Placed {
     /// Number of tasks that found no worker.
@@ -45,7 +64,7 @@
         if attempt.careful {
             among.retain(|&num| pass.candidates[num].penalty < UNPROVED_PENALTY);
         }
-        among.retain(|num| pass.isolated.get(num).is_none_or(|job| *job == at.job));
+        leave_isolated(pass, attempt, &mut among);
         let isolation = self.isolation(pass, attempt, &among);
         let failure = Failure {
             pool: attempt.pool.clone(),
