Keep room under a limit no longer than other room

Work of an organisation had nothing running beside free workers, with room left under the organisation's limit: that was kept for a gang of its own that waited for a long task, or for an urgent step whose label no worker has, for as long as those waited.

What is kept of a limit for a step that it holds back had no bound. A step that is overdue (nothing running for 2 s, on a quiet pool or while no new work comes) now counts only what its organisation has running.

Both tests of batch `limit_claims` failed before ("waited for 9990ms" and "waited for 29990ms", the length of each) and pass. cargo test -p batch: all pass, among them `a_gang_is_not_starved_by_small_tasks_of_its_organisation` and `limit_rounds`. Limits of organisations are used by no deployment in force.

--- a/crates/batch/src/plan/limit.rs
+++ b/crates/batch/src/plan/limit.rs
@@ -47,7 +47,9 @@
         let limit = self.catalog.limit(org);
         let spec = &job.submitted.work.steps[usize::from(at.step)];
         let mut used = self.ledger.used(org);
-        used += pass.claimed_before(org, at);
+        if !self.is_overdue(pass, at) {
+            used += pass.claimed_before(org, at);
+        }
         let room = limit.room(&used, &spec.need);
         if room >= u64::from(spec.count) {
             return None;
