Play a deployment's own work in the soak

The soak's tasks take one core and 0.1 to 2.5 s on workers of 32 cores, so room is never contended for and no job could be seen to wait beside room that the planner withholds.

`--traffic FILE` plays kinds of job, machines and troubles that a file describes: gangs of large tasks, urgent jobs and wide steps under guarantees, on daemons that are stopped and continued for their share of a core. `--scale` and `--starve` change the size and the share. The workers play bounds, racks and working times that differ from the estimates. Each accepted job is asked for 14 s after the traffic. In calm times a job with nothing running for 3 s, though there is room for it twice over and under half of each resource is in use, is a finding; with the processor time alone under half, or any part in use, it is a note. The lines of the daemons' logs that name the job follow.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -22,7 +22,9 @@
 use crate::history::History;
 use crate::history::Operation;
 use crate::idle;
+use crate::memory;
 use crate::quota;
+use crate::room;
 
 /// Time after a disruption in which a missed time bound is still excused.
 const DISRUPTION_GRACE: Millis = Millis(3_000);
@@ -59,6 +61,7 @@
 /// - `limit`: neither a worker's capacity nor the cap of a wave is exceeded.
 /// - `lost`: accepted jobs stay known and end, but for those under which workers crashed, and none is reported
 ///   as cancelled or failed without a reason; in calm times, none has nothing running beside free room.
+/// - `memory`: no daemon uses more memory than its machine has.
 /// - `mixed`: a job is reported as completed only after all its tasks are done.
 /// - `order`: a task starts only after the steps that its step depends on are done.
 /// - `outdated`: no call is decided by a configuration that a change has replaced for longer than it
@@ -84,7 +87,11 @@
     growth::check(&history.probes, &mut report);
     crashes::check(history, &mut report);
     denial::check(history, &mut report);
-    idle::check(history, &mut report);
+    match history.capacity {
+        Some(capacity) => room::check(history, capacity, &mut report),
+        None => idle::check(history, &mut report),
+    }
+    memory::check(history, &mut report);
     findings.sort();
     findings.dedup();
     findings
@@ -295,7 +302,7 @@
         })
         .copied()
         .collect();
-    if failures.len() as u32 >= history.max_attempts {
+    if failures.len() as u32 >= history.attempts(&task.job) {
         report(
             "budget",
             format!(
--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -84,7 +84,7 @@
     }
     failures
         .values()
-        .any(|runs| runs.len() as u32 >= history.max_attempts)
+        .any(|runs| runs.len() as u32 >= history.attempts(job))
 }
 
 /// Whether a task of the job has crashed workers. Each crash takes its time, and nobody misses the job.
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -21,15 +21,15 @@
 use nix::sys::signal::Signal;
 use nix::unistd::Pid;
 
+use crate::memory;
 use crate::processes;
+use crate::settings;
+use crate::starve;
+use crate::traffic::Profile;
 
 /// Longest duration of a planned stop, as written to the daemon's settings.
 pub const STOP_TIMEOUT: Millis = Millis(6_000);
 
-/// Time for which the state of an ended job stays known. Records are removed after twice this, which is
-/// short enough that removals meet the faults of a run.
-const STATUS_TIME: Millis = Millis(6_000);
-
 /// Additional time until the exit of the process is observed.
 const STOP_MARGIN: Millis = Millis(500);
 
@@ -102,6 +102,11 @@
     settings: PathBuf,
     log: PathBuf,
     process: Option<Process>,
+    /// Share of a core that it is held back to.
+    share: Option<f64>,
+    /// Memory that it may use, and the most that it has used, in megabytes.
+    memory: Option<u64>,
+    peak: u64,
 }
 
 impl Daemon {
@@ -111,14 +116,19 @@
         dir: &Path,
         addresses: &Addresses,
         heartbeat: Millis,
+        profile: Option<&Profile>,
     ) -> io::Result<Daemon> {
         let daemon = Daemon {
             number,
             settings: dir.join(format!("e{number}.jsonc")),
             log: dir.join(format!("e{number}.log")),
             process: None,
+            share: profile.and_then(|p| p.share),
+            memory: profile.and_then(|p| p.memory),
+            peak: 0,
         };
-        fs::write(&daemon.settings, settings(number, addresses, heartbeat))?;
+        let text = settings::text(number, addresses, heartbeat, profile);
+        fs::write(&daemon.settings, text)?;
         Ok(daemon)
     }
 
@@ -169,9 +179,23 @@
                 return Err(error);
             }
         }
+        if let (Some(share), Some(id)) = (self.share, self.process_id()) {
+            starve::start(id, share);
+        }
         Ok(())
     }
 
+    /// Notes how much memory the process has used at most.
+    pub fn measure_memory(&mut self) {
+        let used = self.process_id().map_or(0, memory::peak);
+        self.peak = self.peak.max(used);
+    }
+
+    /// The most memory that its processes have used, and what they may use, in megabytes.
+    pub fn memory(&self) -> Option<(u64, u64)> {
+        Some((self.peak, self.memory?))
+    }
+
     /// Requests a planned stop with SIGTERM.
     pub fn stop(&mut self, now: Millis) {
         if let Some(process) = &mut self.process {
@@ -226,7 +250,7 @@
     /// Returns the exit if the process has ended. Kills it if a planned stop takes too long.
     pub fn reap(&mut self, now: Millis) -> Option<Exit> {
         let process = self.process.as_mut()?;
-        let status = match process.child.try_wait() {
+        let status = match processes::try_wait(&mut process.child) {
             Ok(Some(status)) => Some(status),
             Ok(None) => None,
             Err(_) => return None,
@@ -293,46 +317,3 @@
     }
     lines
 }
-
-fn settings(number: usize, addresses: &Addresses, heartbeat: Millis) -> String {
-    let Addresses {
-        callers,
-        ready,
-        operators,
-        links,
-        store,
-        adviser,
-        machines,
-    } = addresses;
-    let domain = number % 2;
-    let links = links.map_or_else(String::new, |links| {
-        // One VM in three is strong, so that hand-overs to it are part of the run.
-        let cores = if number % 3 == 0 { "0.5" } else { "0.12" };
-        format!(
-            r#""resources": {{ "cores": "{cores}" }},
-  "delegates": {{ "min-workers": "1", "workers-each": "2" }},
-  "addresses": {{ "callers": "{callers}", "ready": "{ready}", "operators": "{operators}",
-    "links": "{links}" }},"#
-        )
-    });
-    let listens = match links.is_empty() {
-        true => format!(
-            r#""addresses": {{ "callers": "{callers}", "ready": "{ready}", "operators": "{operators}" }},"#
-        ),
-        false => links,
-    };
-    format!(
-        r#"{{
-  "vm": "e{number}", "domain": "d{domain}",
-  {listens}
-  "store": {{ "address": "{store}" }}, "adviser": "{adviser}",
-  "machines": {{ "address": "{machines}", "orders": "60", "reads": "60" }},
-  "bounds": {{
-    "max-hold": "6s", "stop": "{}ms", "heartbeat": "{}ms", "stop-grace": "400ms",
-    "upkeep": "300ms", "handover": "500ms", "status": "{}ms",
-  }},
-}}
-"#,
-        STOP_TIMEOUT.0, heartbeat.0, STATUS_TIME.0
-    )
-}
--- a/crates/soak/src/error.rs
+++ b/crates/soak/src/error.rs
@@ -12,6 +12,10 @@
         Io(subject: String, error: io::Error) {
             display("{subject}: {error}")
         }
+        /// A traffic file is not valid; the text says what is wrong with it.
+        Traffic(file: String, problem: String) {
+            display("{file}: {problem}")
+        }
         /// A task of the soak program panicked.
         Task(text: String) {
             display("a task of the soak program panicked: {text}")
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -13,7 +13,6 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
-use serde::Deserialize;
 
 use crate::error::SoakError;
 use crate::site::Site;
@@ -90,12 +89,6 @@
 /// configuration.
 const PLANNED_KINDS: [u32; 6] = [3, 4, 5, 8, 25, 26];
 
-/// Value of the coordinator's lock in the store.
-#[derive(Deserialize)]
-struct LockHolder {
-    vm: String,
-}
-
 /// Parameters of a fault. Each kind uses those that apply to it.
 struct Fault {
     site: Rc<Site>,
@@ -160,16 +153,7 @@
 
     /// Daemon that holds the coordinator's lock, or the randomly chosen one if none does.
     fn coordinator(&self) -> usize {
-        let lock = self.site.store.value("bronzetack/lock");
-        let holder: Option<LockHolder> = lock.and_then(|l| ciborium::from_reader(&*l).ok());
-        let holds_lock = |num: &usize| holder.as_ref().is_some_and(|h| h.vm == format!("e{num}"));
-        (0..self.site.daemon_count())
-            .find(holds_lock)
-            .unwrap_or(self.daemon)
-    }
-
-    fn process_id(&self, daemon: usize) -> Option<u32> {
-        self.site.daemons.borrow()[daemon].daemon.process_id()
+        self.site.coordinator().unwrap_or(self.daemon)
     }
 
     /// Waits for the restart delay and for the end of this process, and starts the daemon again.
@@ -179,10 +163,10 @@
         old_process: Option<u32>,
     ) -> Result<(), SoakError> {
         self.site.sleep(self.restart_delay).await;
-        while old_process.is_some() && self.process_id(daemon) == old_process {
+        while old_process.is_some() && self.site.process_id(daemon) == old_process {
             self.site.sleep(Millis(20)).await;
         }
-        match self.process_id(daemon) {
+        match self.site.process_id(daemon) {
             Some(_) => Ok(()),
             None => self.site.start_daemon(daemon),
         }
@@ -190,7 +174,7 @@
 
     async fn kill_daemon(&self, daemon: usize) -> Result<(), SoakError> {
         self.record(false, self.restart_delay, format!("daemon {daemon} killed"));
-        let process_id = self.process_id(daemon);
+        let process_id = self.site.process_id(daemon);
         self.site.daemons.borrow_mut()[daemon].daemon.kill();
         self.restart_daemon(daemon, process_id).await
     }
@@ -202,7 +186,7 @@
             format!("planned stop of daemon {daemon}"),
         );
         let now = self.site.now();
-        let process_id = self.process_id(daemon);
+        let process_id = self.site.process_id(daemon);
         self.site.daemons.borrow_mut()[daemon].daemon.stop(now);
         self.restart_daemon(daemon, process_id).await
     }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -72,6 +72,17 @@
     pub completed: bool,
 }
 
+/// What callers know of a job of a traffic.
+#[derive(Clone, Debug)]
+pub struct Owned {
+    /// Queue.
+    pub queue: String,
+    /// Organisation.
+    pub org: String,
+    /// Attempts of each task.
+    pub attempts: u32,
+}
+
 /// Everything recorded in a soak.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -102,6 +113,14 @@
     pub probes: Vec<Probe>,
     /// Accepted jobs that had not ended when their callers gave up.
     pub unfinished: BTreeSet<JobId>,
+    /// What is known of the jobs of a traffic; empty without one.
+    pub owned: BTreeMap<JobId, Owned>,
+    /// Capacity of the workers of a traffic when they start; `None` without one.
+    pub capacity: Option<Resources>,
+    /// Accepted jobs that no daemon could be asked for after the traffic.
+    pub unanswered: BTreeSet<JobId>,
+    /// Daemons with the most memory that they used and what they may use, in megabytes.
+    pub memory: Vec<(usize, u64, u64)>,
 }
 
 impl History {
@@ -129,6 +148,12 @@
         step.map_or(Resources::default(), |s| s.need)
     }
 
+    /// Attempts that each task of a job has.
+    pub fn attempts(&self, job: &JobId) -> u32 {
+        let owned = self.owned.get(job);
+        owned.map_or(self.max_attempts, |owned| owned.attempts)
+    }
+
     /// Number of runs that workers started.
     pub fn starts(&self) -> usize {
         let started = |f: &&Event| matches!(f.kind, EventKind::Started { .. });
--- a/crates/soak/src/idle.rs
+++ b/crates/soak/src/idle.rs
@@ -25,13 +25,13 @@
 use crate::quota;
 
 /// Time for which a job may have nothing running.
-const IDLE_TIME: Millis = Millis(3_000);
+pub const IDLE_TIME: Millis = Millis(3_000);
 
 /// Time after any fault until a wait counts.
 const CALM_TIME: Millis = Millis(4_000);
 
 /// A job counts if there is room for this many times what it needs.
-const ROOM_FACTOR: u64 = 2;
+pub const ROOM_FACTOR: u64 = 2;
 
 /// A wait of a job: from when until when it had nothing running, and the step whose turn had come.
 struct Wait<'a> {
@@ -111,7 +111,7 @@
 }
 
 /// Times without a fault, also a planned one, that begin some time after the last one.
-fn calm_times(history: &History) -> Vec<(Millis, Millis)> {
+pub fn calm_times(history: &History) -> Vec<(Millis, Millis)> {
     let mut faults: Vec<(Millis, Millis)> =
         history.faults.iter().map(|f| (f.start, f.end)).collect();
     faults.sort();
@@ -269,7 +269,7 @@
 }
 
 /// Number of tasks with this need that fit into what is left of a capacity.
-fn fitting(capacity: &Resources, used: &Resources, need: &Resources) -> u64 {
+pub fn fitting(capacity: &Resources, used: &Resources, need: &Resources) -> u64 {
     let fits = |capacity: u64, used: u64, need: u64| {
         let left = capacity.saturating_sub(used);
         left.checked_div(need).unwrap_or(u64::MAX)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,17 +8,24 @@
 mod crashes;
 mod daemon;
 mod denial;
+mod equip;
 mod error;
 mod faults;
 mod growth;
 mod history;
 mod idle;
 mod load;
+mod memory;
 mod odd;
 mod processes;
 mod quota;
+mod room;
+mod settings;
 mod shrink;
 mod site;
+mod starve;
+mod trace;
+mod traffic;
 
 pub use check::check;
 pub use check::Finding;
@@ -29,9 +36,11 @@
 pub use history::FaultWindow;
 pub use history::History;
 pub use history::Operation;
+pub use history::Owned;
 pub use history::WaveResult;
 pub use processes::kill_daemons_on_panic;
 pub use processes::kill_daemons_on_signal;
+pub use traffic::Traffic;
 
 use std::path::Path;
 use std::path::PathBuf;
@@ -51,6 +60,9 @@
 /// Number of daemons at a site of the default size.
 const DEFAULT_DAEMONS: usize = 4;
 
+/// Waiting jobs of which a report tells what the logs say.
+const MAX_TRACES: usize = 8;
+
 /// Parameters of a soak.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -72,6 +84,8 @@
     pub planned: bool,
     /// Whether most daemons have slow links to the store while the configuration grows.
     pub slow_links: bool,
+    /// Traffic to play instead of the soak's own load and faults.
+    pub traffic: Option<Traffic>,
 }
 
 impl Plan {
@@ -88,6 +102,19 @@
             heartbeat: site::DEFAULT_HEARTBEAT,
             planned: false,
             slow_links: false,
+            traffic: None,
+        }
+    }
+
+    /// The same with this traffic, on a site of its size.
+    pub fn with_traffic(self, traffic: Traffic) -> Plan {
+        Plan {
+            daemons: traffic.daemon_count(),
+            workers: traffic.worker_count(),
+            heartbeat: traffic.heartbeat(),
+            duration: traffic.duration(),
+            traffic: Some(traffic),
+            ..self
         }
     }
 }
@@ -105,6 +132,8 @@
     pub faults: Vec<FaultWindow>,
     /// Number of lines that the daemons logged.
     pub lines: usize,
+    /// What is no violation but worth a look, and what the logs say of the jobs that waited.
+    pub notes: Vec<String>,
 }
 
 /// Runs a site under load and faults, waits until accepted jobs and waves have ended, and checks
@@ -119,6 +148,49 @@
 }
 
 async fn play(site: &Rc<Site>, plan: &Plan) -> Result<Report, SoakError> {
+    let history = match &plan.traffic {
+        Some(traffic) => traffic::play(site, traffic, plan.seed).await?,
+        None => play_load(site, plan).await?,
+    };
+    let notes = notes(plan, &history)?;
+    let findings = check(&history);
+    let report = Report {
+        jobs: (history.jobs.len(), history.accepted().len()),
+        starts: history.starts(),
+        faults: history.faults.clone(),
+        lines: history.exits.iter().map(|e| e.lines).sum(),
+        findings,
+        notes,
+    };
+    if report.findings.is_empty() && report.notes.is_empty() {
+        site.remove_files()?;
+    } else {
+        site.keep_files(&history, &report)?;
+    }
+    Ok(report)
+}
+
+/// Waits beside free room of the jobs of a traffic, with what the logs say of them.
+fn notes(plan: &Plan, history: &History) -> Result<Vec<String>, SoakError> {
+    let Some(capacity) = history.capacity else {
+        return Ok(Vec::new());
+    };
+    let failed = |error| SoakError::Io(plan.dir.display().to_string(), error);
+    let mut notes = Vec::new();
+    let mut waits = room::waits(history, capacity);
+    waits.sort_by_key(|w| w.usage);
+    for (num, wait) in waits.iter().enumerate() {
+        notes.push(format!("{}: {wait}", wait.usage));
+        if num < MAX_TRACES {
+            notes.extend(trace::lines(&plan.dir, history, &wait.job).map_err(failed)?);
+        }
+    }
+    notes.extend(trace::waits(&plan.dir).map_err(failed)?);
+    Ok(notes)
+}
+
+/// Runs the load and the faults of a site without a traffic.
+async fn play_load(site: &Rc<Site>, plan: &Plan) -> Result<History, SoakError> {
     let mut background = vec![actix_rt::spawn(site.clone().maintain())];
     site.sleep(STARTUP_TIME).await;
     let end = site.now() + plan.duration;
@@ -145,18 +217,5 @@
     for task in background {
         task.await.map_err(SoakError::task)?;
     }
-    let findings = check(&history);
-    let report = Report {
-        jobs: (history.jobs.len(), history.accepted().len()),
-        starts: history.starts(),
-        faults: history.faults.clone(),
-        lines: history.exits.iter().map(|e| e.lines).sum(),
-        findings,
-    };
-    if report.findings.is_empty() {
-        site.remove_files()?;
-    } else {
-        site.keep_files(&history, &report)?;
-    }
-    Ok(report)
+    Ok(history)
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 use soak::Plan;
 use soak::Report;
 use soak::SoakError;
+use soak::Traffic;
 
 mod args {
     #![allow(missing_docs)]
@@ -35,6 +36,13 @@
             optional --planned
             /// Give most daemons slow links to the store while the configuration grows.
             optional --slow-links
+            /// File with the traffic of a site to play instead of the soak's own load and faults. It sets
+            /// the size of the site and the time.
+            optional --traffic traffic: PathBuf
+            /// Part of the daemons, the workers and the jobs of the traffic to play; default 1.
+            optional --scale scale: f64
+            /// Part of the processor time that the traffic gives to each daemon; default 1.
+            optional --starve starve: f64
             /// Path of the daemon's executable; default `bronzetack` in the directory of this
             /// program.
             optional --program program: PathBuf
@@ -55,12 +63,19 @@
         eprintln!("cannot install the signal handler: {error}");
         return ExitCode::FAILURE;
     }
+    let traffic = match args.traffic.as_deref().map(Traffic::read).transpose() {
+        Ok(traffic) => traffic,
+        Err(error) => {
+            eprintln!("the traffic cannot be played: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let first = args.seed.unwrap_or(1);
     let seeds: Vec<u64> = (first..first + args.seeds.unwrap_or(1)).collect();
     let mut failed = 0;
     for batch in seeds.chunks(args.jobs.unwrap_or(4).max(1)) {
         let runs = batch.iter().map(|seed| {
-            let plan = plan(&args, *seed);
+            let plan = plan(&args, traffic.as_ref(), *seed);
             // A panic is reported with the name of its thread.
             let thread = std::thread::Builder::new().name(format!("seed {seed}"));
             let thread = thread.spawn(move || {
@@ -82,10 +97,14 @@
     }
 }
 
-fn plan(args: &args::Soak, seed: u64) -> Plan {
+fn plan(args: &args::Soak, traffic: Option<&Traffic>, seed: u64) -> Plan {
     let logs = args.logs.clone().unwrap_or_else(std::env::temp_dir);
     let program = args.program.clone().unwrap_or_else(default_program);
     let defaults = Plan::new(seed, program, &logs);
+    if let Some(traffic) = traffic {
+        let traffic = traffic.clone().scaled(args.scale.unwrap_or(1.0));
+        return defaults.with_traffic(traffic.starved(args.starve.unwrap_or(1.0)));
+    }
     Plan {
         daemons: args.daemons.unwrap_or(defaults.daemons).max(1),
         workers: args.workers.unwrap_or(defaults.workers).max(1),
@@ -125,5 +144,8 @@
     for finding in &report.findings {
         println!("  {finding}");
     }
+    for note in &report.notes {
+        println!("    {note}");
+    }
     report.findings.is_empty()
 }
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -6,6 +6,7 @@
 use std::panic;
 use std::process::Child;
 use std::process::Command;
+use std::process::ExitStatus;
 use std::sync::mpsc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -36,6 +37,24 @@
     Ok(child)
 }
 
+/// Exit status of a process that has ended; `None` while it runs.
+pub fn try_wait(child: &mut Child) -> io::Result<Option<ExitStatus>> {
+    // The lock is held, so that no signal goes to a later process of the same id.
+    let mut running = running();
+    let status = child.try_wait()?;
+    if let (Some(ids), Some(_)) = (&mut *running, status) {
+        ids.remove(&child.id());
+    }
+    Ok(status)
+}
+
+/// Signals a process. Returns false if it has ended.
+pub fn send(id: u32, signal: Signal) -> bool {
+    let running = running();
+    let known = running.as_ref().is_some_and(|ids| ids.contains_key(&id));
+    known && kill(Pid::from_raw(id as i32), signal).is_ok()
+}
+
 /// Kills a process, and waits until it has ended.
 pub fn end(child: &mut Child) {
     let mut running = running();
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -23,12 +23,14 @@
 use crate::crashes;
 use crate::daemon::Addresses;
 use crate::daemon::Daemon;
+use crate::equip;
 use crate::error::SoakError;
 use crate::growth;
 use crate::history::FaultWindow;
 use crate::history::History;
 use crate::history::WaveResult;
 use crate::quota;
+use crate::traffic::Traffic;
 use crate::Plan;
 use crate::Report;
 
@@ -39,9 +41,6 @@
 /// Missed renewals after which a worker's registration is removed.
 const MAX_MISSED_RENEWALS: u64 = 3;
 
-/// Speeds of the workers in turn, in thousandths of what the steps' estimates are made for.
-const SPEEDS: [u64; 3] = [1_000, 600, 1_500];
-
 /// Time after the end of load and faults in which every accepted job must end. It is the platform's
 /// bound on the end of all work, and the time after which a disruption counts as over.
 const SETTLE_TIMEOUT: Millis = Millis(17_000);
@@ -101,7 +100,8 @@
     pub store: FakeStore,
     /// Whether workers can reach the store to renew their registrations.
     pub renewals_enabled: RefCell<bool>,
-    pool: FakeWorkerPool,
+    /// Workers, as the fakes hold them.
+    pub pool: FakeWorkerPool,
     /// Adviser, which approves workers for jobs of the advised queue.
     adviser: FakeAdviser,
     /// Machine service, with one machine for each worker.
@@ -130,13 +130,15 @@
         let dir = plan.dir.display().to_string();
         fs::create_dir_all(&plan.dir).map_err(io_error(&dir))?;
         let store = FakeStore::start().map_err(io_error("the store"))?;
-        store.configure(1);
         let pool = FakeWorkerPool::start(plan.seed);
+        match &plan.traffic {
+            Some(traffic) => equip::prepare(traffic, &store, &pool),
+            None => store.configure(1),
+        }
         let mut workers = Vec::new();
         for num in 0..plan.workers {
-            let (id, domain) = (format!("w{num}"), format!("d{}", num % 2));
-            let worker = pool.worker(&id, &domain).map_err(io_error(&id))?;
-            worker.set_speed(SPEEDS[num % SPEEDS.len()]);
+            let id = format!("w{num}");
+            let worker = equip::worker(plan, &pool, num).map_err(io_error(&id))?;
             workers.push(worker);
         }
         let site = Site {
@@ -153,6 +155,7 @@
                 max_attempts: MAX_ATTEMPTS,
                 heartbeat: plan.heartbeat,
                 caps: vec![(Millis::ZERO, quota::NO_CAP)],
+                capacity: plan.traffic.as_ref().map(Traffic::capacity),
                 ..History::default()
             }),
             changes: RefCell::new((1, Vec::new())),
@@ -184,7 +187,9 @@
         let store_endpoint = self.store.endpoint()?;
         store_endpoint.set_fault(self.usual_fault(num));
         let store_relay = Relay::open(store_endpoint.address())?;
-        let delegates = uses_delegates(self.plan.seed);
+        let traffic = self.plan.traffic.as_ref();
+        let profile = traffic.map(|t| t.profile(num));
+        let delegates = uses_delegates(self.plan.seed) || traffic.is_some();
         let addresses = Addresses {
             callers: free_address()?,
             ready: free_address()?,
@@ -195,7 +200,13 @@
             machines: self.machines.address(),
         };
         Ok(DaemonHandle {
-            daemon: Daemon::new(num, &self.plan.dir, &addresses, self.plan.heartbeat)?,
+            daemon: Daemon::new(
+                num,
+                &self.plan.dir,
+                &addresses,
+                self.plan.heartbeat,
+                profile.as_ref(),
+            )?,
             caller_relay: Relay::open(addresses.callers)?,
             store_relay,
             store_endpoint,
@@ -240,9 +251,10 @@
 
     /// Fault of a daemon's link to the store while no other is injected.
     pub fn usual_fault(&self, num: usize) -> StoreFault {
-        match self.plan.slow_links && num > 0 {
-            true => StoreFault::Bandwidth(growth::SLOW_LINK),
-            false => StoreFault::None,
+        match &self.plan.traffic {
+            Some(traffic) => StoreFault::Slow(Duration::from_millis(traffic.store_latency().0)),
+            None if self.plan.slow_links && num > 0 => StoreFault::Bandwidth(growth::SLOW_LINK),
+            None => StoreFault::None,
         }
     }
 
@@ -261,6 +273,9 @@
     pub fn configure(&self) {
         let (version, changes) = &mut *self.changes.borrow_mut();
         *version += 1;
+        if let Some(traffic) = &self.plan.traffic {
+            return equip::configure(traffic, &self.store, *version);
+        }
         let before = changes.last().map_or(0, |(_, queues)| *queues);
         let queues = match self.plan.slow_links {
             true => growth::next_size(before),
@@ -361,6 +376,9 @@
             if let Some(exit) = handle.daemon.reap(now) {
                 self.history.borrow_mut().exits.push(exit);
             }
+            if handle.daemon.memory().is_some() {
+                handle.daemon.measure_memory();
+            }
         }
     }
 
@@ -382,6 +400,7 @@
     /// the calls and the unfinished jobs.
     pub async fn finish(&self, load: History) -> History {
         let now = self.now();
+        self.history.borrow_mut().memory = equip::memory(&self.daemons.borrow());
         for handle in self.daemons.borrow_mut().iter_mut() {
             handle.daemon.stop(now);
         }
@@ -403,6 +422,7 @@
         let mut history = self.history.borrow().clone();
         history.calls = load.calls;
         history.unfinished = load.unfinished;
+        history.unanswered = load.unanswered;
         history.events = self.pool.events();
         history.faults.extend(crashes::windows(&history.events));
         history.waves = waves;
