Tell how full the pool is beside a waiting job, and play bursts of jobs

A wait that the soak reports names its queue and organisation, how many tasks of the step fitted at the least and how much of each resource was in use at the most. A traffic may have bursts of jobs, also of such whose runs all fail.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -180,7 +180,9 @@
     let mut waits = room::waits(history, capacity);
     waits.sort_by_key(|w| w.usage);
     for (num, wait) in waits.iter().enumerate() {
-        notes.push(format!("{}: {wait}", wait.usage));
+        let owned = history.owned.get(&wait.job);
+        let owner = owned.map_or_else(String::new, |o| format!(", {} of {}", o.queue, o.org));
+        notes.push(format!("{}: {wait}{owner}", wait.usage));
         if num < MAX_TRACES {
             notes.extend(trace::lines(&plan.dir, history, &wait.job).map_err(failed)?);
         }
--- a/crates/soak/src/room.rs
+++ b/crates/soak/src/room.rs
@@ -28,6 +28,9 @@
 /// Time between two looks.
 const LOOK_INTERVAL: Millis = Millis(50);
 
+/// Percent of the capacity that is half of it.
+const HALF: u64 = 50;
+
 /// How much of the pool's capacity is in use while a job waits.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Usage {
@@ -66,7 +69,27 @@
     pub step: u16,
     /// Tasks of the step, and the fewest of them that fitted at a time.
     pub tasks: u32,
+    least: Room,
+}
+
+/// What there is for a waiting job.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    /// Tasks that fit.
     fitting: u64,
+    /// Processor time, memory and accelerators in use, in percent of all.
+    used: [u64; 3],
+}
+
+impl Room {
+    /// The less of both in each regard.
+    fn least(self, other: Room) -> Room {
+        let used = [0, 1, 2].map(|num| self.used[num].max(other.used[num]));
+        Room {
+            fitting: self.fitting.min(other.fitting),
+            used,
+        }
+    }
 }
 
 impl fmt::Display for Wait {
@@ -77,13 +100,14 @@
             end,
             step,
             tasks,
-            fitting,
+            least,
             ..
         } = self;
+        let (fitting, [cpu, memory, accels]) = (least.fitting, least.used);
         write!(
             f,
             "{job} had nothing running beside free room from {start} to {end}: step {step} of {tasks} tasks, \
-             {fitting} fitted"
+             {fitting} fitted, at most {cpu}% of cpu, {memory}% of memory and {accels}% of accelerators in use"
         )
     }
 }
@@ -157,7 +181,7 @@
     /// Failed runs of each task, or of a gang.
     failed: BTreeMap<(u16, Option<u16>), BTreeSet<RunNumber>>,
     /// Since when it waits, by what is in use, and the least room since.
-    waiting: [Option<(Millis, u64)>; USAGES.len()],
+    waiting: [Option<(Millis, Room)>; USAGES.len()],
 }
 
 impl Job<'_> {
@@ -292,33 +316,36 @@
         }
     }
 
-    /// Whether the usage is as each of [`USAGES`] says.
-    fn usages(&self) -> [bool; USAGES.len()] {
+    /// Processor time, memory and accelerators in use, in percent of all.
+    fn used(&self) -> [u64; 3] {
         let (mut all, mut used) = (Resources::default(), Resources::default());
         self.workers.values().for_each(|c| all += *c);
         self.used.values().for_each(|u| used += *u);
-        let half = |all: u64, used: u64| used * 2 < all;
-        let cpu = half(all.cpu, used.cpu);
-        let rest = half(all.memory, used.memory) && half(all.accels, used.accels);
-        [cpu && rest, cpu, true]
+        let percent = |all: u64, used: u64| used * 100 / all.max(1);
+        [
+            percent(all.cpu, used.cpu),
+            percent(all.memory, used.memory),
+            percent(all.accels, used.accels),
+        ]
     }
 
-    /// Number of tasks of a step that fit, with no more than `enough` of them counted.
-    fn fitting(&self, step: &StepSpec, enough: u64) -> u64 {
-        let mut room = 0;
-        for (worker, capacity) in &self.workers {
+    /// Number of tasks of a step that fit.
+    fn fitting(&self, step: &StepSpec) -> u64 {
+        let fitting = self.workers.iter().map(|(worker, capacity)| {
             let used = self.used.get(worker).copied().unwrap_or_default();
             let fits = idle::fitting(capacity, &used, &step.need);
-            room += fits.min(step.per_worker.map_or(u64::MAX, u64::from));
-            if room >= enough {
-                break;
-            }
-        }
-        room
+            fits.min(step.per_worker.map_or(u64::MAX, u64::from))
+        });
+        fitting.sum()
     }
 
     fn look(&mut self, now: Millis, is_calm: bool) {
-        let usages = self.usages();
+        let used = self.used();
+        let usages = USAGES.map(|usage| match usage {
+            Usage::UnderHalf => used.iter().all(|part| *part < HALF),
+            Usage::UnderHalfCpu => used[0] < HALF,
+            Usage::Any => true,
+        });
         let ids = self.jobs.keys().cloned().collect::<Vec<JobId>>();
         for id in ids {
             let job = &self.jobs[&id];
@@ -330,7 +357,7 @@
             let room = due.flatten().map(|step| {
                 let spec = &job.steps[step];
                 let wanted = if spec.gang { u64::from(spec.count) } else { 1 } * ROOM_FACTOR;
-                (step, self.fitting(spec, wanted), wanted)
+                (step, self.fitting(spec), wanted)
             });
             let beside = room.filter(|(_, fitting, wanted)| fitting >= wanted);
             let Some(job) = self.jobs.get_mut(&id) else {
@@ -339,11 +366,12 @@
             for (num, usage) in USAGES.into_iter().enumerate() {
                 match (beside, &mut job.waiting[num]) {
                     (Some((_, fitting, _)), waiting) if usages[num] => {
-                        let (_, least) = waiting.get_or_insert((now, fitting));
-                        *least = fitting.min(*least);
+                        let room = Room { fitting, used };
+                        let (_, least) = waiting.get_or_insert((now, room));
+                        *least = least.least(room);
                     }
                     (_, waiting) => {
-                        let Some((start, fitting)) = waiting.take() else {
+                        let Some((start, least)) = waiting.take() else {
                             continue;
                         };
                         let step = job.due().or(room.map(|r| r.0)).unwrap_or_default();
@@ -354,7 +382,7 @@
                             usage,
                             step: step as u16,
                             tasks: job.steps[step].count,
-                            fitting,
+                            least,
                         });
                     }
                 }
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -47,6 +47,8 @@
     organisations: Vec<Organisation>,
     kinds: Vec<Kind>,
     #[serde(default)]
+    bursts: Vec<Burst>,
+    #[serde(default)]
     troubles: Vec<Trouble>,
 }
 
@@ -154,6 +156,23 @@
     failing: f64,
 }
 
+/// A time in which more jobs of a kind come.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct Burst {
+    queue: String,
+    /// Part of the seeds that have it.
+    chance: f64,
+    /// When it begins at the latest, after the start of the traffic.
+    by_ms: u64,
+    lasts_ms: u64,
+    /// Jobs that come beside the usual ones, as a multiple of these.
+    more: f64,
+    /// Share of them whose runs all fail.
+    #[serde(default)]
+    failing: f64,
+}
+
 /// What a trouble does.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
@@ -256,6 +275,13 @@
         if let Some((field, _)) = missing.iter().find(|(_, missing)| *missing) {
             return Err(format!("\"{field}\" is empty or zero: give at least one"));
         }
+        let unknown = |b: &&Burst| self.kinds.iter().all(|k| k.queue != b.queue);
+        if let Some(burst) = self.bursts.iter().find(unknown) {
+            let queue = &burst.queue;
+            return Err(format!(
+                "burst of {queue}: no kind has this queue: name one that has"
+            ));
+        }
         let none = |k: &&Kind| k.accels.is_empty();
         if let Some(kind) = self.kinds.iter().find(none) {
             return Err(format!(
--- a/crates/soak/src/traffic/jobs.rs
+++ b/crates/soak/src/traffic/jobs.rs
@@ -7,6 +7,7 @@
 use platform_fakes::POISON;
 use rand::RngExt;
 use rand_distr::Distribution;
+use rand_distr::Exp;
 use rand_distr::LogNormal;
 use rand_pcg::Pcg64;
 
@@ -60,11 +61,10 @@
 }
 
 impl Traffic {
-    /// A random job.
-    pub fn job(&self, rng: &mut Pcg64) -> Job {
-        let rates: Vec<f64> = self.kinds.iter().map(|k| k.rate).collect();
+    /// A random job of this kind, of which this share has runs that all fail.
+    fn job(&self, rng: &mut Pcg64, (num, failing): (usize, f64)) -> Job {
         let shares: Vec<f64> = self.organisations.iter().map(|o| o.share).collect();
-        let (num, org) = (pick(rng, &rates), pick(rng, &shares));
+        let org = pick(rng, &shares);
         let kind = &self.kinds[num];
         let steps = kind.steps.draw(rng);
         let more = rng.random_bool(steps.fract());
@@ -80,7 +80,7 @@
             });
             work.push(times);
         }
-        let text = match rng.random_bool(kind.failing) {
+        let text = match rng.random_bool(failing) {
             true => POISON,
             false => "work",
         };
@@ -133,8 +133,45 @@
         (spec, times)
     }
 
-    /// Mean time from one job to the next, in milliseconds.
-    pub fn interval_ms(&self) -> f64 {
-        1_000.0 / self.kinds.iter().map(|k| k.rate).sum::<f64>()
+    /// Random jobs with the times at which they come after the start of the traffic, in this order.
+    pub fn arrivals(&self, rng: &mut Pcg64) -> Vec<(Millis, Job)> {
+        let mut jobs = Vec::new();
+        for (num, kind) in self.kinds.iter().enumerate() {
+            let usual = (0.0, self.traffic_ms as f64);
+            self.arrive(rng, usual, kind.rate, (num, kind.failing), &mut jobs);
+        }
+        for burst in &self.bursts {
+            let start = rng.random_range(0.0..1.0) * burst.by_ms as f64;
+            let meets = rng.random_bool(burst.chance);
+            let kinds = self.kinds.iter().enumerate();
+            let kind = kinds.clone().find(|(_, k)| k.queue == burst.queue);
+            if let Some((num, kind)) = kind.filter(|_| meets) {
+                let span = (start, start + burst.lasts_ms as f64);
+                let rate = kind.rate * burst.more;
+                let failing = kind.failing.max(burst.failing);
+                self.arrive(rng, span, rate, (num, failing), &mut jobs);
+            }
+        }
+        jobs.sort_by_key(|(at, _)| *at);
+        jobs
+    }
+
+    /// Adds jobs of a kind that come in this time, at this rate a second.
+    fn arrive(
+        &self,
+        rng: &mut Pcg64,
+        (start, end): (f64, f64),
+        rate: f64,
+        kind: (usize, f64),
+        jobs: &mut Vec<(Millis, Job)>,
+    ) {
+        let Ok(interval) = Exp::new(rate / 1_000.0) else {
+            return;
+        };
+        let mut at = start + interval.sample(rng);
+        while at < end.min(self.traffic_ms as f64) {
+            jobs.push((Millis(at as u64), self.job(rng, kind)));
+            at += interval.sample(rng);
+        }
     }
 }
--- a/crates/soak/src/traffic/load.rs
+++ b/crates/soak/src/traffic/load.rs
@@ -11,8 +11,6 @@
 use platform_fakes::Outcome;
 use rand::RngExt;
 use rand::SeedableRng;
-use rand_distr::Distribution;
-use rand_distr::Exp;
 use rand_pcg::Pcg64;
 
 use super::Traffic;
@@ -52,23 +50,15 @@
     end: Millis,
 ) -> Result<History, SoakError> {
     let mut rng = Pcg64::seed_from_u64(seed ^ 0x7aff);
-    let interval = Exp::new(1.0 / traffic.interval_ms()).map_err(SoakError::task)?;
     let history = Rc::new(RefCell::new(History::default()));
     let (queues, orgs) = (traffic.queues(), traffic.organisations());
     let common = FakeCaller::new("");
     let mut callers = Vec::new();
-    let mut next = site.now();
-    let mut number = 0_u64;
-    loop {
-        next += Millis(interval.sample(&mut rng) as u64);
-        if next >= end {
-            break;
-        }
-        site.sleep(next.since(site.now())).await;
-        let job = traffic.job(&mut rng);
+    let start = site.now();
+    for (number, (at, job)) in traffic.arrivals(&mut rng).into_iter().enumerate() {
+        site.sleep((start + at).since(site.now())).await;
         let id = format!("{:04x}{number:012x}", seed as u16);
         let id: JobId = id.parse().expect("sixteen hexadecimal digits");
-        number += 1;
         let (queue, org) = (&queues[job.kind], &orgs[job.org]);
         let owned = Owned {
             queue: queue.name.clone(),
