--- a/crates/bronzetack/tests/soak.rs
+++ b/crates/bronzetack/tests/soak.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use soak::Plan;
+use soak::Traffic;
 use yare::parameterized;
 
 /// Runs the soak test briefly with fixed seeds and expects no findings.
@@ -65,6 +66,17 @@
     });
 }
 
+/// Plays gangs of large tasks, urgent jobs and wide steps on a site whose accelerators they fight for, with
+/// daemons that get half of a core.
+#[parameterized(
+    accelerators_fought_for = { 1 },
+)]
+fn no_job_waits_beside_free_room(seed: u64) {
+    let traffic = Traffic::parse(include_str!("../../soak/traffic/short.json"));
+    let traffic = traffic.expect("a valid traffic file");
+    expect_no_findings(plan(seed).with_traffic(traffic));
+}
+
 fn plan(seed: u64) -> Plan {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_bronzetack"));
     Plan::new(seed, program, &std::env::temp_dir())
