--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -12,6 +12,7 @@
 use crate::account::Stage;
 use crate::account::Trace;
 use crate::crash::Crash;
+use crate::plan::Withheld;
 use crate::record::Submitted;
 use crate::spec::RunNumber;
 use crate::spec::StepSpec;
@@ -155,6 +156,8 @@
     pub failed: Vec<RunNumber>,
     /// Since when tasks of the step have been waiting for resources, on the coordinator's clock.
     pub ready_at: Option<Millis>,
+    /// Since when it had been waiting when all its tasks were placed; none once a start was accepted.
+    pub unstarted_since: Option<Millis>,
     /// No task of the step starts before this time.
     pub not_before: Millis,
     /// What the step waited for in the last planning pass.
@@ -167,6 +170,8 @@
     pub idle_since: Option<Millis>,
     /// Whether it was logged since then that it waits beside free room.
     pub idle_logged: bool,
+    /// What kept it from workers with room when that was last noted.
+    pub withheld: Withheld,
 }
 
 impl StepState {
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -6,6 +6,7 @@
 use base::WorkerId;
 
 use crate::account::Stage;
+use crate::headroom::is_quiet;
 use crate::job::OpenRun;
 use crate::rank::Rank;
 use crate::scheduler::Scheduler;
@@ -20,6 +21,7 @@
 mod isolate;
 mod limit;
 mod make_room;
+mod obstacle;
 mod pass;
 mod placement;
 mod prefetch;
@@ -32,6 +34,10 @@
 use pass::Pass;
 use share::Shares;
 
+pub(crate) use headroom::ROOM_FACTOR;
+pub use obstacle::Obstacle;
+pub use obstacle::Withheld;
+
 pub(crate) use victims::can_spare_one;
 pub(crate) use victims::lost_by_stopping;
 
@@ -74,6 +80,7 @@
         let mut candidates = self.candidates(now);
         self.keep_headroom(&mut candidates, now);
         let mut pass = Pass::new(candidates, guaranteed, now);
+        pass.quiet.extend(self.pools_with(is_quiet, now));
         pass.isolated = self.isolated_workers(&pass);
         let shares = self.shares(&pass, &wanted);
         self.plan_steps(&mut pass, waiting, shares.as_ref());
@@ -122,6 +129,7 @@
         most: usize,
     ) -> bool {
         if self.finds_no_room(pass, at) {
+            self.note_covered(pass, at);
             self.note_crowded(pass, at);
             self.claim_limit(pass, at);
             return false;
@@ -144,6 +152,7 @@
             }
             return most < allowed;
         }
+        self.note_withheld(pass, at, &attempt);
         self.note_crowded(pass, at);
         if placed.is_held {
             self.note_wait(at, Stage::Proof);
@@ -159,15 +168,16 @@
         false
     }
 
-    /// Clears the waiting time of a step whose tasks are all placed. After a restart it is counted
-    /// from zero.
+    /// Clears the waiting time of a step whose tasks are all placed. Once they have started it is counted
+    /// from zero again, but not if no start is accepted.
     fn clear_waiting(&mut self, at: &WaitingStep) {
         let job = self.jobs.get_mut(&at.job);
         let state = job.and_then(|j| j.open.get_mut(&at.occurrence));
         if let Some(state) = state {
             let step = &mut state.steps[usize::from(at.step)];
-            step.ready_at = None;
+            step.unstarted_since = step.ready_at.take();
             step.waits_for = None;
+            step.withheld = Withheld::default();
         }
     }
 
--- a/crates/batch/src/plan/pass.rs
+++ b/crates/batch/src/plan/pass.rs
@@ -35,6 +35,7 @@
     pub(super) one_rack: bool,
     pub(super) uses_headroom: bool,
     pub(super) paused: bool,
+    pub(super) reserved: bool,
 }
 
 impl Failure {
@@ -47,6 +48,7 @@
             && (!self.one_rack || other.one_rack)
             && (self.uses_headroom || !other.uses_headroom)
             && (self.paused || !other.paused)
+            && (self.reserved || !other.reserved)
     }
 }
 
@@ -75,6 +77,8 @@
     pub(super) held: Map<StepId, Resources>,
     /// Whether the steps planned now go beyond the shares of their organisations.
     pub(super) beyond_shares: bool,
+    /// Steps of which it was noted what keeps them from workers with room.
+    pub(super) notes: usize,
     /// Pools that are mostly idle.
     pub(super) quiet: Set<ServiceId>,
     pub(super) now: Millis,
@@ -110,6 +114,7 @@
             claims: Map::default(),
             held: Map::default(),
             beyond_shares: false,
+            notes: 0,
             now,
         }
     }
