--- a/crates/soak/src/trace.rs
+++ b/crates/soak/src/trace.rs
@@ -15,9 +15,12 @@
 /// Most of the last warnings of the job's organisation that are shown.
 const MAX_WARNINGS: usize = 10;
 
-/// What marks the lines about work that waits beside free room.
+/// What marks the lines about a job that waits beside free room.
 const WAIT_MARK: &str = "\"event\":633";
 
+/// What marks those about all such work of an organisation.
+const SUMMARY_MARK: &str = "\"event\":634";
+
 /// Lines of all daemons that name a job, and the last warnings about waiting work of its organisation.
 pub fn lines(dir: &Path, history: &History, job: &JobId) -> io::Result<Vec<String>> {
     let owner = history.owned.get(job);
@@ -28,12 +31,16 @@
         .filter(|id| own(id))
         .map(JobId::to_string)
         .collect();
+    let org = owner.map_or_else(String::new, |o| format!("\"org\":\"{}\"", o.org));
     let (mut named, mut warnings) = (Vec::new(), Vec::new());
     for (name, text) in logs(dir)? {
         for line in text.lines() {
+            let of_own = |id: &String| line.contains(id.as_str());
             if line.contains(job.as_str()) {
                 named.push(format!("{name} {line}"));
-            } else if line.contains(WAIT_MARK) && same.iter().any(|id| line.contains(id.as_str())) {
+            } else if line.contains(WAIT_MARK) && same.iter().any(of_own)
+                || line.contains(SUMMARY_MARK) && line.contains(&org)
+            {
                 warnings.push(format!("{name} {line}"));
             }
         }
