--- a/crates/bronzetack/tests/process_kit/mod.rs
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -1,4 +1,5 @@
 //! Starts a daemon as a child process, calls it and signals it.
+#![allow(dead_code, reason = "no test file uses all of these")]
 
 use std::env::temp_dir;
 use std::fs;
@@ -43,6 +44,14 @@
     Serve,
 }
 
+/// The ports of a daemon. `serve` reports its readiness at the callers' port.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Port {
+    Callers,
+    Operators,
+    Ready,
+}
+
 /// A daemon's process, which is killed when it is dropped.
 pub struct Process {
     pub child: Child,
@@ -146,6 +155,21 @@
         Process::run(command, program, store, write_settings)
     }
 
+    /// Starts a daemon without a log, and waits until it answers. Its settings state `memory` in
+    /// megabytes, if given.
+    pub fn start_in(program: Program, store: Option<SocketAddr>, memory: Option<u64>) -> Process {
+        let mut command = Command::new(PROGRAM);
+        add_command(&mut command, program, Stdio::null());
+        let mut process = Process::run(command, program, store, |path, text| {
+            let resources = memory.map_or_else(String::new, |memory| {
+                format!(r#""resources": {{ "memory": "{memory}" }}, "#)
+            });
+            write_settings(path, &text.replacen("{ ", &format!("{{ {resources}"), 1));
+        });
+        process.wait_until_up();
+        process
+    }
+
     /// As [`Process::spawn`]; `write` makes the settings file from its path and text.
     pub fn spawn_from(program: Program, log: Stdio, write: impl FnOnce(&PathBuf, &str)) -> Process {
         let mut command = Command::new(PROGRAM);
@@ -231,6 +255,76 @@
         assert!(answered, "a call was not answered");
     }
 
+    /// Calls the callers' port until there is an answer.
+    pub fn call_until_answered(&mut self) {
+        let line = match self.program {
+            Program::Batch => "GET /q/00000000000000a1",
+            Program::Serve => "GET /health",
+        };
+        let end = Instant::now() + WAIT;
+        while call(self.callers, line).is_none() {
+            let ended = self.child.try_wait().expect("cannot look at the process");
+            assert_eq!(ended, None, "the daemon has ended");
+            assert!(Instant::now() < end, "a call was not answered");
+            sleep(POLL);
+        }
+    }
+
+    /// Sends a request with a body to the callers' port until it is neither refused for now nor left
+    /// without an answer, and returns the status.
+    pub fn submit(&mut self, head: &str, body: &[u8]) -> u16 {
+        let head = format!(
+            "{head}content-length: {}\r\nconnection: close\r\n\r\n",
+            body.len()
+        );
+        let end = Instant::now() + WAIT;
+        loop {
+            let text = exchange(self.callers, &[head.as_bytes(), body].concat());
+            let status = text.and_then(|t| t.split(' ').nth(1)?.parse().ok());
+            let ended = self.child.try_wait().expect("cannot look at the process");
+            assert_eq!(ended, None, "the daemon has ended");
+            match status {
+                Some(status) if self.program == Program::Serve || status < 429 => return status,
+                _ => assert!(Instant::now() < end, "the status is {status:?}"),
+            }
+            sleep(POLL);
+        }
+    }
+
+    /// Address of a port.
+    pub fn address(&self, port: Port) -> SocketAddr {
+        match port {
+            Port::Callers => self.callers,
+            Port::Operators => self.operators,
+            Port::Ready => self.ready,
+        }
+    }
+
+    /// Largest resident memory so far.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("cannot read the state of the process");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kibibytes = line.and_then(|l| l.trim().strip_suffix(" kB"));
+        let kibibytes: u64 = kibibytes.and_then(|k| k.parse().ok()).expect("no VmHWM");
+        (kibibytes << 10).div_ceil(1_000_000)
+    }
+
+    /// Number of open descriptors.
+    pub fn descriptors(&self) -> usize {
+        let open = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        open.expect("cannot list the descriptors").count()
+    }
+
+    /// Waits until at most so many descriptors are open.
+    pub fn wait_for_descriptors(&self, most: usize) {
+        let end = Instant::now() + WAIT;
+        while self.descriptors() > most {
+            assert!(Instant::now() < end, "{} descriptors", self.descriptors());
+            sleep(POLL);
+        }
+    }
+
     /// Opens connections to the callers' port that stay idle.
     pub fn open_connections(&self, count: usize) -> Vec<TcpStream> {
         let connect = |_| TcpStream::connect(self.callers).expect("cannot connect");
@@ -294,13 +388,19 @@
 
 /// Body of the response to a request; `None` without a whole response.
 fn call(to: SocketAddr, line: &str) -> Option<String> {
-    let mut stream = TcpStream::connect(to).ok()?;
-    stream.set_read_timeout(Some(RESPONSE)).ok()?;
     let request =
         format!("{line} HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
-    stream.write_all(request.as_bytes()).ok()?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).ok()?;
+    let text = exchange(to, request.as_bytes())?;
     let (_, body) = text.split_once("\r\n\r\n")?;
     Some(body.to_string())
 }
+
+/// Sends a request and reads until the daemon closes the connection.
+fn exchange(to: SocketAddr, request: &[u8]) -> Option<String> {
+    let mut stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(RESPONSE)).ok()?;
+    stream.write_all(request).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    Some(text)
+}
