Bound the memory that clients' connections take

Callers that stop just short of the end of a body, send chunks of one byte or heads without an end, or send thousands of requests and read no response make a daemon's memory grow with their number: 405 MB for 2,500 callers with a body one byte short of its end on a machine of 160 MB, 1,042 MB for 100 callers with 4,000 requests each. Such clients ended a process.

Only bodies that a handler of the callers' port of batch had received were counted. The HTTP library below decodes all requests that it has read, up to 128 KiB a connection and several kilobytes a request, while the first one is handled; it reads a body on while its handler takes none, keeps a record of each chunk, and keeps heads of up to 128 KiB. Nothing closed a connection that waits for its client, so that connections could be used up as well.

All ports of both commands pass through the stream of a connection, and what a client can take is now counted there:

- A connection has one request in progress.
The stream finds the end of a head or of a body and passes no further bytes on before the response is sent; it reads at most 4 KiB ahead, and at most 64 chunks at once.
- A head of 16 KiB or more is refused with 431.
A response sent before the end of its request ends the connection; what still comes is discarded for a second, in place of being drained without an end.
- An open connection, the request in progress, its head and body and the response until it is taken count against a fifth of the memory that the settings state (resources.memory, for serve the new limits.memory with a default of 120 MB, the smallest machines).
Beyond it the connection that has waited longest for its client is closed: first one within a request or a response, then an idle one.
At most half of the connections of a port may wait within a request.
A request that is complete and waits for the daemon is never closed for that.
A body for which there is no memory is answered with 504, as an earlier try may have been accepted.

--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -12,6 +12,7 @@
 use actix_web::HttpResponse;
 use base::Millis;
 use conf::batch::BatchConfig;
+use entry::Connections;
 use entry::Server;
 use futures_util::future::join;
 use obs::Event;
@@ -85,8 +86,11 @@
             let ready = ready.clone();
             platform::routes(app, calls.clone(), open.clone(), move || ready.is_ready());
         };
+        let memory = shared.settings.resources.memory;
+        let max_body = platform::MAX_BODY_BYTES;
+        let connections = Connections::new(memory, max_body, shared.log.clone(), &shared.metrics);
         let ports = [addresses.callers, addresses.ready];
-        let server = listen("callers", &ports, CLOSE_TIMEOUT, routes)?;
+        let server = listen("callers", &ports, &connections, routes)?;
         shared.callers.set(server.address());
         let metrics = shared.metrics.clone();
         let (questions, asked) = mpsc::unbounded_channel();
@@ -96,7 +100,8 @@
             app.route(METRICS_PATH, web::get().to(answer));
             operators::routes(app, questions.clone());
         };
-        let operators = listen("operators", &[addresses.operators], CLOSE_TIMEOUT, routes)?;
+        let ports = [addresses.operators];
+        let operators = listen("operators", &ports, &connections, routes)?;
         carrier::listen(&shared)?;
         actix_rt::spawn(documents::run(shared.clone()));
         actix_rt::spawn(election::run(shared.clone()));
@@ -182,13 +187,14 @@
 fn listen<F>(
     name: &'static str,
     addresses: &[SocketAddr],
-    stop: Millis,
+    connections: &Connections,
     routes: F,
 ) -> Result<Server, DaemonError>
 where
     F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
 {
-    Server::start_on(addresses, stop, routes).map_err(|e| DaemonError::Port(name, addresses[0], e))
+    Server::start_on(addresses, CLOSE_TIMEOUT, connections, routes)
+        .map_err(|e| DaemonError::Port(name, addresses[0], e))
 }
 
 fn metrics_text(text: Result<String, std::fmt::Error>) -> HttpResponse {
--- a/crates/bronzetack/src/context.rs
+++ b/crates/bronzetack/src/context.rs
@@ -6,6 +6,7 @@
 use base::DomainId;
 use base::VmId;
 use conf::node::NodeConfig;
+use entry::Connections;
 use entry::Ready;
 use kernel::ServiceRegistry;
 use obs::Metrics;
@@ -24,6 +25,8 @@
     pub log: Logger,
     /// Metrics that the operators' port serves.
     pub metrics: Metrics,
+    /// Connections of the clients of all ports.
+    pub connections: Connections,
     /// Clock that all services read.
     pub clock: Clock,
     /// Handles of the running services, by name.
--- a/crates/bronzetack/src/daemon.rs
+++ b/crates/bronzetack/src/daemon.rs
@@ -15,6 +15,7 @@
 use entry::callers_routes;
 use entry::jobs_routes;
 use entry::operators_routes;
+use entry::Connections;
 use entry::CountOpenRequests;
 use entry::JobsPort;
 use entry::OperatorsPort;
@@ -219,11 +220,15 @@
     };
     let vm = peers::start_id(&host, clock.now())?;
     let log = log.new(slog::o!("vm" => vm.to_string(), "domain" => node.domain.to_string()));
+    let metrics = Metrics::new();
+    let max_body = node.limits.body.0 as usize;
+    let connections = Connections::new(node.limits.memory, max_body, log.clone(), &metrics);
     Ok(DaemonContext {
         node: Rc::new(node),
         vm,
         log,
-        metrics: Metrics::new(),
+        metrics,
+        connections,
         clock,
         registry: kernel::ServiceRegistry::default(),
         ready: Ready::default(),
@@ -318,7 +323,8 @@
 where
     F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
 {
-    let server = Server::start(address, context.node.stop.bound, routes);
+    let stop = context.node.stop.bound;
+    let server = Server::start_on(&[address], stop, &context.connections, routes);
     let server = server.map_err(|e| DaemonError::Port(name, address, e))?;
     let bound = server.address();
     kernel.add(name, (), move |()| async move {
--- a/crates/conf/src/node/mod.rs
+++ b/crates/conf/src/node/mod.rs
@@ -117,6 +117,8 @@
 pub struct Limits {
     /// Largest body of a request or response.
     pub body: Bytes,
+    /// Memory of the process, of which connections of clients may take a part.
+    pub memory: Bytes,
     /// Largest number of requests in progress.
     pub requests: u32,
 }
--- a/crates/conf/src/node/raw.rs
+++ b/crates/conf/src/node/raw.rs
@@ -55,6 +55,7 @@
 const POLL_MS: Range = range(500, 50, 60_000);
 const TASK_LEASE_MS: Range = range(10_000, 500, 600_000);
 const BODY_BYTES: Range = range(1 << 20, 1 << 10, 1 << 28);
+const MEMORY_BYTES: Range = range(120_000_000, 1_000_000, 1 << 40);
 const REQUESTS: Range = range(4_096, 1, 1 << 20);
 
 /// Fields of the file, each with its location.
@@ -108,6 +109,7 @@
 
 struct RawLimits {
     body: Option<Located<u64>>,
+    memory: Option<Located<u64>>,
     requests: Option<Located<u64>>,
 }
 
@@ -160,6 +162,7 @@
             }),
             limits: read!(root, limits => RawLimits {
                 body: number,
+                memory: number,
                 requests: number,
             }),
         };
@@ -269,6 +272,7 @@
 fn limits(raw: &RawLimits, validator: &mut Validator) -> Limits {
     Limits {
         body: Bytes(validator.number(&raw.body, &BODY_BYTES)),
+        memory: Bytes(validator.number(&raw.memory, &MEMORY_BYTES)),
         requests: validator.number(&raw.requests, &REQUESTS) as u32,
     }
 }
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -13,6 +13,8 @@
 use serde::Serialize;
 use work::request;
 
+use crate::connections::is_out_of_memory;
+use crate::connections::RETRY_AFTER_CLOSING;
 use crate::head::RequestHead;
 use crate::msg::Reply;
 use crate::msg::ServeRequest;
@@ -69,6 +71,14 @@
     };
     let body = match body {
         Ok(body) => body,
+        Err(error) if error.as_error().is_some_and(is_out_of_memory) => {
+            // An earlier send of the same id may have run.
+            let busy = Reply::Unknown {
+                why: error.to_string(),
+                retry: RETRY_AFTER_CLOSING,
+            };
+            return response(head.id.as_str(), busy);
+        }
         Err(error) => return invalid_body(&error),
     };
     let id = head.id.clone();
--- a/crates/entry/src/jobs.rs
+++ b/crates/entry/src/jobs.rs
@@ -16,6 +16,9 @@
 use crate::answer::error_response;
 use crate::answer::flatten;
 use crate::answer::malformed_call;
+use crate::connections::is_out_of_memory;
+use crate::connections::RETRY_AFTER_CLOSING;
+use crate::ops::ApiError;
 use crate::ops::CancelJobs;
 use crate::ops::GetJob;
 use crate::ops::ListJobs;
@@ -58,7 +61,12 @@
     let answer = match &error {
         JsonPayloadError::Overflow { .. } | JsonPayloadError::OverflowKnownLength { .. } => {
             let text = format!("the body is larger than {MAX_BODY} bytes");
-            error_response(crate::ops::ApiError::not_run(413, text))
+            error_response(ApiError::not_run(413, text))
+        }
+        // An earlier send of the same call may have been executed.
+        JsonPayloadError::Payload(payload) if is_out_of_memory(payload) => {
+            let busy = ApiError::unknown(payload.to_string());
+            error_response(busy.retry_after(RETRY_AFTER_CLOSING))
         }
         _ => malformed_call(&error),
     };
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::error::DispatchError;
@@ -13,6 +14,7 @@
 use actix_service::Service;
 use actix_service::ServiceFactoryExt;
 use actix_web::dev::AppConfig;
+use actix_web::error::ErrorInternalServerError;
 use actix_web::http::ConnectionType;
 use actix_web::middleware;
 use actix_web::web;
@@ -25,6 +27,8 @@
 use nix::sys::resource::Resource;
 
 use crate::answer::error_response;
+use crate::connections::Connections;
+use crate::exchange::Exchange;
 use crate::ops::ApiError;
 use crate::stream::ClientStream;
 use crate::stream::CloseState;
@@ -43,6 +47,9 @@
 /// Time limit for a client to close its side of a connection that the server closes.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Text of the error of a request that came over no connection of a client.
+const NO_EXCHANGE: &str = "the request has no connection";
+
 /// A running HTTP server.
 pub struct Server {
     address: SocketAddr,
@@ -51,20 +58,21 @@
 }
 
 impl Server {
-    /// Binds `address` and serves `routes`. `stop_timeout` limits the graceful stop of
-    /// [`Server::close`].
+    /// Binds `address` and serves `routes`, without a limit on the memory of connections.
+    /// `stop_timeout` limits the graceful stop of [`Server::close`].
     pub fn start<F>(address: SocketAddr, stop_timeout: Millis, routes: F) -> std::io::Result<Server>
     where
         F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
     {
-        Server::start_on(&[address], stop_timeout, routes)
+        Server::start_on(&[address], stop_timeout, &Connections::unlimited(), routes)
     }
 
-    /// Like [`Server::start`], but listens on several addresses, all served by one thread. Fails if
-    /// `addresses` is empty.
+    /// Like [`Server::start`], but listens on several addresses, all served by one thread, and counts its
+    /// connections among `connections`. Fails if `addresses` is empty.
     pub fn start_on<F>(
         addresses: &[SocketAddr],
         stop_timeout: Millis,
+        connections: &Connections,
         routes: F,
     ) -> std::io::Result<Server>
     where
@@ -79,32 +87,43 @@
         let address = first.local_addr()?;
         let close_state = CloseState::new();
         let state = close_state.clone();
+        let connections = connections.clone();
         let service = move || {
             let closing = state.clone();
             let app = App::new()
-                .wrap_fn(move |request, service| {
+                .wrap(middleware::DefaultHeaders::new().add(("server", "bronzetack")))
+                .wrap_fn(move |mut request, service| {
+                    let exchange = request.conn_data::<Rc<Exchange>>().cloned();
+                    let open = exchange.map(|e| e.begin(&mut request));
                     let (closing, call) = (closing.clone(), service.call(request));
                     async move {
+                        let open = open.ok_or_else(|| ErrorInternalServerError(NO_EXCHANGE))?;
                         let mut response = call.await?;
-                        if closing.is_closing() {
+                        if closing.is_closing() || !open.is_complete() {
                             let head = response.response_mut().head_mut();
                             head.set_connection_type(ConnectionType::Close);
                         }
-                        Ok(response)
+                        Ok(response.map_body(|_, body| open.respond(body)))
                     }
                 })
-                .wrap(middleware::DefaultHeaders::new().add(("server", "bronzetack")))
                 .configure(routes.clone())
                 .default_service(web::to(unknown_path));
             let http = HttpService::build()
                 .client_request_timeout(HEADERS_TIMEOUT)
                 .client_disconnect_timeout(DISCONNECT_TIMEOUT)
+                .on_connect_ext(|stream: &ClientStream, data| {
+                    data.insert(stream.exchange());
+                })
                 .h1(map_config(app, |()| AppConfig::default()));
-            let state = state.clone();
+            let (state, connections) = (state.clone(), connections.clone());
             let accept = move |stream: TcpStream| {
                 let peer = stream.peer_addr().ok();
-                let stream = ClientStream::new(stream, state.clone());
-                std::future::ready(Ok::<_, DispatchError>((stream, peer)))
+                let ticket = connections.open().map_err(DispatchError::Io);
+                let accepted = ticket.map(|ticket| {
+                    let exchange = Rc::new(Exchange::new(ticket));
+                    (ClientStream::new(stream, state.clone(), exchange), peer)
+                });
+                std::future::ready(accepted)
             };
             fn_service(accept).and_then(http)
         };
@@ -147,7 +166,7 @@
 }
 
 /// Most open connections of one server of this process. Further ones wait in the kernel.
-fn max_connections() -> usize {
+pub(crate) fn max_connections() -> usize {
     let share = |limit: u64| (limit as f64 * DESCRIPTORS_SHARE) as usize;
     let limit = getrlimit(Resource::RLIMIT_NOFILE).map(|(soft, _)| share(soft));
     // Without a limit that can be read, as on a system without them, the constant holds alone.
