--- a/crates/bronzetack/tests/process_kit/mod.rs
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -146,6 +146,15 @@
         Process::run(command, program, store, write_settings)
     }
 
+    /// Starts a daemon with a store, and waits until it answers. Its log is discarded.
+    pub fn start_with_store(program: Program, store: SocketAddr) -> Process {
+        let mut command = Command::new(PROGRAM);
+        add_command(&mut command, program, Stdio::null());
+        let mut process = Process::run(command, program, Some(store), write_settings);
+        process.wait_until_up();
+        process
+    }
+
     /// As [`Process::spawn`]; `write` makes the settings file from its path and text.
     pub fn spawn_from(program: Program, log: Stdio, write: impl FnOnce(&PathBuf, &str)) -> Process {
         let mut command = Command::new(PROGRAM);
@@ -231,6 +240,20 @@
         assert!(answered, "a call was not answered");
     }
 
+    /// Address of the callers' port.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Largest resident memory of the process so far, in megabytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("no status");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.expect("no memory") / 1024
+    }
+
     /// Opens connections to the callers' port that stay idle.
     pub fn open_connections(&self, count: usize) -> Vec<TcpStream> {
         let connect = |_| TcpStream::connect(self.callers).expect("cannot connect");
