--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -101,6 +101,7 @@
 pub use spec::Submission;
 pub use spec::SubmissionError;
 pub use spec::TaskId;
+pub use spec::MAX_STEPS;
 pub use worker::ActiveRun;
 pub use worker::EndKind;
 pub use worker::EndedRun;
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -25,7 +25,13 @@
 pub(crate) const MAX_ESTIMATE: Millis = Millis(1 << 36);
 
 /// Most steps in one job.
-const MAX_STEPS: usize = 64;
+pub const MAX_STEPS: usize = 64;
+
+/// Most bytes of the text that is sent with every start of a task.
+const MAX_SPEC_BYTES: usize = 4_000;
+
+/// Most bytes of a label, a rack or an image. Names in the store have as many at most.
+const MAX_NAME_BYTES: usize = 200;
 
 /// Most occurrences of a scheduled job.
 const MAX_OCCURRENCES: u32 = 10_000;
@@ -257,6 +263,12 @@
         }
     }
 
+    /// Length of its longest label, rack or image in bytes.
+    fn longest_name(&self) -> Option<usize> {
+        let names = [&self.label, &self.data_rack, &self.image];
+        names.into_iter().flatten().map(String::len).max()
+    }
+
     /// Latency target of a serving task; `None` if the tasks do not serve.
     pub fn serving_target(&self) -> Option<Millis> {
         self.tail_target.filter(|_| self.lasting)
@@ -305,6 +317,18 @@
         TooManySteps(num: usize) {
             display("the job has {num} steps: send at most {MAX_STEPS}")
         }
+        /// The text of the job is too long.
+        LongSpec(bytes: usize) {
+            display("\"spec\" has {bytes} bytes: send at most {MAX_SPEC_BYTES}")
+        }
+        /// A label, a rack or an image is too long.
+        LongName(step: usize, bytes: usize) {
+            display("step {step}: a name has {bytes} bytes: send at most {MAX_NAME_BYTES}")
+        }
+        /// A step names more steps than there can be before it.
+        TooManyDependencies(step: usize, num: usize) {
+            display("step {step}: \"after\" names {num} steps: name each once, {MAX_STEPS} at most")
+        }
         /// There are too many occurrences.
         TooManyOccurrences(num: u32) {
             display("the job has {num} occurrences: send at most {MAX_OCCURRENCES}")
@@ -321,10 +345,20 @@
         if self.steps.len() > MAX_STEPS {
             return Err(SubmissionError::TooManySteps(self.steps.len()));
         }
+        if self.spec.len() > MAX_SPEC_BYTES {
+            return Err(SubmissionError::LongSpec(self.spec.len()));
+        }
         for (num, step) in self.steps.iter().enumerate() {
             if step.count == 0 || step.count > MAX_TASKS {
                 return Err(SubmissionError::InvalidCount(num));
             }
+            if let Some(bytes) = step.longest_name().filter(|b| *b > MAX_NAME_BYTES) {
+                return Err(SubmissionError::LongName(num, bytes));
+            }
+            if step.after.len() > MAX_STEPS {
+                let found = step.after.len();
+                return Err(SubmissionError::TooManyDependencies(num, found));
+            }
         }
         self.check_order()?;
         let tasks = self.tasks();
