Bound the memory of submissions that wait for the store

Callers could take the memory of a daemon by submissions of legal length while the store was slow or down. The bodies of open calls are counted; what a submission takes beyond its body is not: the parsed job, its record, the copy that is written, the text of the request, and the buffer of its connection, up to eight times the record.

A submission takes that much of a budget of 24 MiB before it goes to the store, and gives it back with its answer. Without room it is answered 504 with Retry-After, as an earlier try may have been accepted, counted and logged (655). The parsed job is dropped once it is encoded. The tests of daemons leave functions of their common module unused, so the module is exempt from that lint.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 //! nothing else here does I/O.
 
 mod backoff;
+mod budget;
 mod clock;
 mod digest;
 mod finding;
@@ -15,6 +16,8 @@
 mod size;
 
 pub use backoff::Backoff;
+pub use budget::MemoryBudget;
+pub use budget::TakenMemory;
 pub use clock::Clock;
 pub use clock::ManualClock;
 pub use clock::Millis;
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -14,6 +14,7 @@
 use batch::ReadLimit;
 use batch::Submitted;
 use batch::Verdict;
+use obs::Event;
 use platform::Call;
 use platform::CallAnswer;
 use platform::CallKind;
@@ -35,6 +36,10 @@
 /// Delay between two attempts at the store.
 const STORE_RETRY_DELAY: Millis = Millis(80);
 
+/// Largest part of a submission's memory while it is stored, as a multiple of its record: the record
+/// itself, the copy to write, its text form, and the buffer of the connection.
+const STORING_COPIES: usize = 8;
+
 /// Longest time after which a caller is asked to retry.
 const RETRY_AFTER_MAX: Millis = Millis(5_000);
 
@@ -167,6 +172,11 @@
         Err(error) => return CallAnswer::Malformed(error.to_string()),
     };
     let refusal = matches!(record, JobRecord::Refused(_));
+    drop(record);
+    let Some(_storing) = shared.storing.take(value.len() * STORING_COPIES) else {
+        send_away(shared);
+        return CallAnswer::Unknown(RETRY_AFTER);
+    };
     let mut expected = Revision(0);
     let mut is_late = late;
     while shared.now() < until {
@@ -200,6 +210,17 @@
     CallAnswer::Unknown(retry_after(shared))
 }
 
+/// Counts and logs a submission for which there is no memory. An earlier try of it may have been
+/// accepted, so the answer cannot say that it never runs.
+fn send_away(shared: &Shared) {
+    shared.storing_busy.add(&[], 1);
+    if let Some(suppressed) = shared.storing_log.admit(shared.now()) {
+        let fields: &[(&'static str, &dyn std::fmt::Display)] =
+            &[("used", &shared.storing.used()), ("more", &suppressed)];
+        obs::record(&shared.log, Event::StoringBusy, fields);
+    }
+}
+
 async fn store_job(
     shared: &Shared,
     key: &str,
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -8,6 +8,7 @@
 use base::Clock;
 use base::DomainId;
 use base::Map;
+use base::MemoryBudget;
 use base::Millis;
 use base::Set;
 use base::VmId;
@@ -64,6 +65,9 @@
 /// left to submissions and cancellations.
 pub const MAX_LOOK_UPS: usize = 50;
 
+/// Most memory of submissions that are being stored.
+const MAX_STORING_BYTES: usize = 24 << 20;
+
 /// The operators' documents as last read from the store.
 #[derive(Default)]
 pub struct Documents {
@@ -98,6 +102,8 @@
     pub idle_log: LogLimiter,
     /// Rate limit of log lines about input that cannot be read.
     pub refused_log: SubjectLimiter,
+    /// Limits log lines about submissions that are sent away.
+    pub storing_log: LogLimiter,
     /// Limits log lines about records that are too long.
     pub record_log: LogLimiter,
     /// What each organisation may have running, has, and waits for.
@@ -135,6 +141,10 @@
     pub caller_store: Store,
     /// Limits the look-ups that use the connections for callers at a time.
     pub look_ups: Semaphore,
+    /// Memory of submissions that are being stored.
+    pub storing: MemoryBudget,
+    /// Counts submissions sent away because too many were being stored.
+    pub storing_busy: Counter,
     /// Client that relays calls to other daemons.
     pub relay: Relay,
     /// Address at which this daemon answers callers.
@@ -266,10 +276,16 @@
             stop_log: LogLimiter::default(),
             idle_log: LogLimiter::default(),
             refused_log: SubjectLimiter::default(),
+            storing_log: LogLimiter::default(),
             record_log: LogLimiter::default(),
             clock,
             caller_store: Store::new(settings.store.address, CALLER_STORE_TIMEOUT),
             look_ups: Semaphore::new(MAX_LOOK_UPS),
+            storing: MemoryBudget::new(MAX_STORING_BYTES),
+            storing_busy: metrics.counter(
+                "batch_storing_busy",
+                "Submissions sent away because too many were being stored",
+            ),
             store,
             callers: Cell::new(settings.addresses.callers),
             relay: Relay::default(),
--- a/crates/bronzetack/tests/process.rs
+++ b/crates/bronzetack/tests/process.rs
@@ -1,5 +1,6 @@
 //! Daemons as processes of their own: what they do when their output cannot be written.
 
+#[allow(dead_code)]
 mod process_kit;
 
 use std::fs;
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -127,5 +127,6 @@
     SettingsReloaded = 650, Info, "settings file reloaded";
     JobEnded = 651, Info, "job ended";
     RunLost = 652, Info, "run ended without a result";
+    StoringBusy = 655, Warn, "submission sent away, as too many wait for the store";
     InputRefused = 700, Info, "malformed input refused";
 }
