Add a test of the memory of accepted tasks

A submission of some 200 bytes may name 10,000 tasks, each of which takes some hundred bytes of the coordinator: 100 of them raise it to 484 MB, where the smallest machines have 120 MB.

--- a/crates/bronzetack/tests/intake.rs
+++ b/crates/bronzetack/tests/intake.rs
@@ -33,6 +33,9 @@
 /// Length of a body, below the limit of the configuration.
 const BODY_BYTES: usize = 250_000;
 
+/// Jobs with thousands of tasks each.
+const WIDE_JOBS: u64 = 100;
+
 /// Time for which a caller says that it waits.
 const LONG_DEADLINE: Duration = Duration::from_secs(86_400);
 
@@ -112,6 +115,13 @@
     body.to_string().into_bytes()
 }
 
+/// A job with as many tasks as one may have, in few bytes.
+fn wide() -> Vec<u8> {
+    let steps = vec![json!({ "count": 2_000 }); 5];
+    let body = json!({ "spec": "", "steps": steps });
+    body.to_string().into_bytes()
+}
+
 /// Runs a store until the end of the test on a thread of its own.
 fn start_store() -> Arc<FakeStore> {
     let (sender, store) = std::sync::mpsc::channel();
@@ -156,3 +166,21 @@
     submit(&process, 2);
     assert_lives(&mut process);
 }
+
+/// Failure: a submission of two hundred bytes took megabytes of the coordinator for as long as its tasks
+/// waited, and nothing counted them.
+#[test]
+fn tasks_of_accepted_jobs_take_a_bounded_memory() {
+    let store = start_store();
+    let mut process = Process::start_with_store(Program::Batch, store.address());
+    submit(&process, 1);
+    for id in 0..WIDE_JOBS {
+        let path = format!("/q/{:016x}", 0x1000 + id);
+        let status = call(process.callers(), "POST", &path, &wide());
+        assert!(status.is_some(), "{path} was not answered");
+    }
+    sleep(Duration::from_secs(3));
+    assert_lives(&mut process);
+    submit(&process, 2);
+    assert_lives(&mut process);
+}
