Bound the memory of accepted jobs

Callers with a valid key could end the coordinator, and each one after it, which restores the jobs from the store: a submission of some 200 bytes may name 10,000 tasks, each task took some 480 bytes, and nothing limited how many tasks are accepted. Jobs whose estimates are 0, and scheduled ones, are not held back by the backlog of work either.

The state of a run is boxed, as most tasks of a long queue have none. The coordinator publishes with the load what its jobs leave of a third of its memory (`resources.memory`). A daemon refuses a job with 503, as stored refusal, that does not fit into that beside what all daemons may have accepted since; counted and logged (656). Occurrences that can be open together are counted before they are due. Ended jobs count until they are forgotten. A coordinator of an older version publishes no room, and daemons then accept 24 MiB in five to ten seconds.

--- a/crates/batch/src/admit.rs
+++ b/crates/batch/src/admit.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::footprint::Footprint;
 use crate::rank::USEFUL_FACTOR;
 use crate::record::Submitted;
 use crate::spec::Resources;
@@ -75,6 +76,9 @@
     pub pools: Map<ServiceId, PoolLoad>,
     /// Measured duration of each queue's tasks relative to their estimates, in percent.
     pub ratios: Map<String, u32>,
+    /// Memory of the coordinator that is left for further jobs; `None` if it does not say.
+    #[serde(default)]
+    pub room: Option<Footprint>,
 }
 
 /// Decision on a submission.
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -134,8 +134,8 @@
     pub done: bool,
     /// Saved progress from which the next run continues.
     pub saved: String,
-    /// The run that may be active.
-    pub open: Option<OpenRun>,
+    /// The run that may be active. Boxed, as most tasks of a long queue have none.
+    pub open: Option<Box<OpenRun>>,
     /// Workers on which it failed.
     pub avoid: Vec<WorkerId>,
     /// Losses of workers under its runs, since it last ran well.
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -13,6 +13,7 @@
 mod catalog;
 pub mod crash;
 mod duration;
+pub mod footprint;
 pub mod headroom;
 pub mod health;
 mod history;
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -224,10 +224,10 @@
         };
         state.run = run;
         state.held_since = None;
-        state.open = Some(OpenRun {
+        state.open = Some(Box::new(OpenRun {
             restored: !state.saved.is_empty(),
             ..OpenRun::planned(run, id.clone(), worker.born, now)
-        });
+        }));
         worker.add_run(task.clone(), run, &step);
         self.planned.push(StartRequest {
             saved: state.saved.clone(),
--- a/crates/batch/src/plan/attempt.rs
+++ b/crates/batch/src/plan/attempt.rs
@@ -141,7 +141,7 @@
             suspects: suspects.into_iter().map(|(index, _)| index).collect(),
             on_worker: on_workers(
                 &pass.candidates,
-                state.tasks.iter().filter_map(|t| t.open.as_ref()),
+                state.tasks.iter().filter_map(|t| t.open.as_deref()),
             ),
             pool: self.pool_of(job),
             rule,
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -375,12 +375,13 @@
 
 impl TaskRecord {
     fn restore(self, now: Millis) -> TaskState {
-        let open = self.4.map(|OpenRunRecord(run, worker, born)| OpenRun {
+        let inherit = |OpenRunRecord(run, worker, born)| OpenRun {
             phase: RunPhase::Inherited,
             share: None,
             restored: true,
             ..OpenRun::planned(run, worker, born, now)
-        });
+        };
+        let open = self.4.map(inherit).map(Box::new);
         TaskState {
             run: self.0,
             failed: self.1,
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -472,7 +472,7 @@
             .get(&task.occurrence)?
             .steps
             .get(usize::from(task.step))?;
-        step.tasks.get(usize::from(task.index))?.open.as_ref()
+        step.tasks.get(usize::from(task.index))?.open.as_deref()
     }
 
     /// Ends a job whose tasks are all done, and removes an ended job without runs from `live`.
--- a/crates/batch/src/scheduler/load.rs
+++ b/crates/batch/src/scheduler/load.rs
@@ -6,6 +6,7 @@
 use super::Scheduler;
 use crate::admit::Load;
 use crate::admit::PoolLoad;
+use crate::footprint::Footprint;
 use crate::job::Job;
 use crate::job::JobPhase;
 use crate::job::OpenRun;
@@ -25,6 +26,12 @@
         counts
     }
 
+    /// Memory that the known jobs take.
+    pub fn footprint(&self) -> Footprint {
+        let jobs = self.jobs.values().map(|job| Footprint::of_job(job).0);
+        Footprint(jobs.fold(0, u64::saturating_add))
+    }
+
     /// The load, for admission control and for callers that ask for the length of the queues.
     pub fn load(&self) -> Load {
         let mut load = Load {
@@ -73,7 +80,7 @@
                     Millis(expected.0 * part / 100)
                 };
                 for task in state.steps[num].tasks.iter().filter(|t| !t.done) {
-                    sum.add(spec, 1, task.open.as_ref().map_or(expected, left));
+                    sum.add(spec, 1, task.open.as_deref().map_or(expected, left));
                 }
             }
         }
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -20,6 +20,7 @@
 use crate::batch::delegates;
 use crate::batch::keys;
 use crate::batch::leadership::Leadership;
+use crate::batch::load;
 use crate::batch::shared::Shared;
 
 /// Delay before a planning pass, so that one pass handles changes that arrive together.
@@ -242,7 +243,7 @@
     let mut published: Option<Load> = None;
     let mut revision: Option<Revision> = None;
     while !lead.ended.get() {
-        let load = lead.scheduler.borrow().load();
+        let load = load::publishable(&shared, &lead.scheduler.borrow());
         shared.orgs.publish(&lead.scheduler.borrow());
         if published.as_ref() != Some(&load) {
             match publish_load(&shared, &lead, &load, revision).await {
--- a/crates/bronzetack/src/batch/load.rs
+++ b/crates/bronzetack/src/batch/load.rs
@@ -4,9 +4,13 @@
 
 use base::Millis;
 use batch::admit;
+use batch::footprint::room;
+use batch::footprint::Footprint;
 use batch::Load;
+use batch::Scheduler;
 use batch::Submitted;
 use batch::Verdict;
+use obs::Event;
 use platform::LeaseId;
 use platform::StoreError;
 
@@ -16,6 +20,12 @@
 /// Age of the cached load above which it is read again.
 const LOAD_MAX_AGE: Millis = Millis(700);
 
+/// The accepted jobs take at most the memory of the coordinator divided by this.
+const JOBS_DIVISOR: u64 = 3;
+
+/// Room for jobs while no coordinator has published any.
+const FIRST_ROOM: Footprint = Footprint(24 << 20);
+
 /// Length of the lease to which records of refusals are bound. An attempt made before the refusal
 /// can no longer take effect after this time.
 const REFUSAL_LEASE: Millis = Millis(60_000);
@@ -51,6 +61,15 @@
     Ok((load, now))
 }
 
+/// The load as the coordinator publishes it.
+pub fn publishable(shared: &Shared, scheduler: &Scheduler) -> Load {
+    let limit = Footprint(shared.capacity.memory.0 / JOBS_DIVISOR);
+    Load {
+        room: Some(room(limit, scheduler.footprint())),
+        ..scheduler.load()
+    }
+}
+
 /// Decides whether to accept a submission. It does not wait for the store: if the cached load is
 /// too old, a job is accepted, and the load is read in the background for later submissions.
 pub fn verdict(shared: &Rc<Shared>, submitted: &Submitted) -> Verdict {
@@ -78,6 +97,28 @@
     )
 }
 
+/// Takes room for an accepted job of what the coordinator has left. Returns whether there was enough.
+pub fn take_room(shared: &Shared, submitted: &Submitted) -> bool {
+    let now = shared.now();
+    let daemons = shared.peers.borrow().len() as u64 + 1;
+    let footprint = Footprint::of(&submitted.work, submitted.at);
+    let room = shared.load.borrow().0.room.unwrap_or(FIRST_ROOM);
+    let mut accepted = shared.accepted.borrow_mut();
+    if accepted.admit(footprint, room, daemons, now) {
+        return true;
+    }
+    shared.jobs_full.add(&[], 1);
+    if let Some(suppressed) = shared.full_log.admit(now) {
+        let fields: &[(&'static str, &dyn std::fmt::Display)] = &[
+            ("bytes", &footprint.0),
+            ("room", &room.0),
+            ("more", &suppressed),
+        ];
+        obs::record(&shared.log, Event::JobsFull, fields);
+    }
+    false
+}
+
 /// The lease to which a refusal that is stored now is bound; requests one if needed.
 pub async fn refusal_lease(shared: &Shared) -> Result<LeaseId, StoreError> {
     let now = shared.now();
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -43,6 +43,10 @@
 /// Longest time after which a caller is asked to retry.
 const RETRY_AFTER_MAX: Millis = Millis(5_000);
 
+/// Time after which a caller may retry a job for which the coordinator has no memory. It ends jobs
+/// within some seconds.
+const FULL_RETRY_AFTER: Millis = Millis(5_000);
+
 /// Time after which a caller may retry a job that its organisation's limit never lets run. Only a
 /// raised limit changes the answer.
 const LIMIT_RETRY_AFTER: Millis = Millis(30_000);
@@ -99,14 +103,17 @@
                     return submit(shared, &id, record, answer, call.late, until).await;
                 }
                 match load::verdict(shared, &submitted) {
-                    Verdict::Accept => {
+                    Verdict::Accept if load::take_room(shared, &submitted) => {
                         let record = JobRecord::Accepted(Box::new(submitted));
                         let answer = CallAnswer::Accepted;
                         submit(shared, &id, record, answer, call.late, until).await
                     }
-                    Verdict::Late(after) | Verdict::NoWorker(after) => {
+                    verdict => {
                         let record = JobRecord::Refused(shared.clock.wall());
-                        let answer = CallAnswer::Refused(after);
+                        let answer = CallAnswer::Refused(match verdict {
+                            Verdict::Accept => FULL_RETRY_AFTER,
+                            Verdict::Late(after) | Verdict::NoWorker(after) => after,
+                        });
                         submit(shared, &id, record, answer, call.late, until).await
                     }
                 }
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -14,6 +14,7 @@
 use base::VmId;
 use batch::candidacy::Capacity;
 use batch::candidacy::Handover;
+use batch::footprint::Accepted;
 use batch::stall::StallDetector;
 use batch::wave::Wave;
 use batch::Bounds;
@@ -102,6 +103,8 @@
     pub idle_log: LogLimiter,
     /// Rate limit of log lines about input that cannot be read.
     pub refused_log: SubjectLimiter,
+    /// Limits log lines about submissions for which the coordinator has no memory.
+    pub full_log: LogLimiter,
     /// Limits log lines about submissions that are sent away.
     pub storing_log: LogLimiter,
     /// Limits log lines about records that are too long.
@@ -190,6 +193,10 @@
     pub reading_load: Cell<bool>,
     /// Capacity promised to callers that were asked to retry later.
     pub promised: RefCell<PromisedCapacity>,
+    /// Memory of the jobs that were accepted lately.
+    pub accepted: RefCell<Accepted>,
+    /// Counts submissions refused because accepted jobs take too much memory.
+    pub jobs_full: Counter,
     /// Rate limit on refusals recorded for calls that the configuration rejects and for cancellations
     /// of unknown jobs.
     pub refusal_limit: RefCell<RateLimit>,
@@ -276,6 +283,7 @@
             stop_log: LogLimiter::default(),
             idle_log: LogLimiter::default(),
             refused_log: SubjectLimiter::default(),
+            full_log: LogLimiter::default(),
             storing_log: LogLimiter::default(),
             record_log: LogLimiter::default(),
             clock,
@@ -328,6 +336,11 @@
             load: RefCell::default(),
             reading_load: Cell::new(false),
             promised: RefCell::default(),
+            accepted: RefCell::default(),
+            jobs_full: metrics.counter(
+                "batch_jobs_full",
+                "Submissions refused because accepted jobs take too much memory",
+            ),
             refusal_limit: RefCell::default(),
             read_limit: RefCell::default(),
             metrics,
--- a/crates/bronzetack/tests/intake.rs
+++ b/crates/bronzetack/tests/intake.rs
@@ -144,7 +144,7 @@
 )]
 fn calls_that_wait_for_the_store_take_a_bounded_memory(method: &str, body: Vec<u8>) {
     let store = start_store();
-    let mut process = Process::start_with_store(Program::Batch, store.address());
+    let mut process = Process::start_with_store(Program::Batch, store.address(), MAX_MEMORY_MB);
     submit(&process, 1);
     store.set_fault(StoreFault::Slow(NEVER));
     for wave in 0..WAVES {
@@ -172,7 +172,7 @@
 #[test]
 fn tasks_of_accepted_jobs_take_a_bounded_memory() {
     let store = start_store();
-    let mut process = Process::start_with_store(Program::Batch, store.address());
+    let mut process = Process::start_with_store(Program::Batch, store.address(), MAX_MEMORY_MB);
     submit(&process, 1);
     for id in 0..WIDE_JOBS {
         let path = format!("/q/{:016x}", 0x1000 + id);
--- a/crates/bronzetack/tests/process_kit/mod.rs
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -146,11 +146,20 @@
         Process::run(command, program, store, write_settings)
     }
 
-    /// Starts a daemon with a store, and waits until it answers. Its log is discarded.
-    pub fn start_with_store(program: Program, store: SocketAddr) -> Process {
+    /// Starts a daemon with a store and so much memory in megabytes, and waits until it answers. Its log is
+    /// discarded.
+    pub fn start_with_store(program: Program, store: SocketAddr, memory: u64) -> Process {
         let mut command = Command::new(PROGRAM);
         add_command(&mut command, program, Stdio::null());
-        let mut process = Process::run(command, program, Some(store), write_settings);
+        let resources = format!(r#"{{ "resources": {{ "memory": "{memory}" }},"#);
+        let write = |path: &PathBuf, text: &str| {
+            let text = match program {
+                Program::Batch => text.replacen('{', &resources, 1),
+                Program::Serve => text.to_string(),
+            };
+            write_settings(path, &text);
+        };
+        let mut process = Process::run(command, program, Some(store), write);
         process.wait_until_up();
         process
     }
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -128,5 +128,6 @@
     JobEnded = 651, Info, "job ended";
     RunLost = 652, Info, "run ended without a result";
     StoringBusy = 655, Warn, "submission sent away, as too many wait for the store";
+    JobsFull = 656, Warn, "submission refused, as accepted jobs take too much memory";
     InputRefused = 700, Info, "malformed input refused";
 }
