Count what refused submissions hold while they wait for the store

A submission that is refused is answered once its refusal is stored. While the store did not answer, such calls kept the parsed job and their bodies, which the budget of submissions did not count, as a refusal itself is short.

Whether a job is accepted is decided apart from the write, so nothing of the parsed job is kept. The budget counts the body twice, and is an eighth of the daemon's memory (`resources.memory`) at most.

--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -5,6 +5,7 @@
 
 use base::JobId;
 use base::Millis;
+use base::OrgId;
 use base::Revision;
 use batch::Catalog;
 use batch::JobPhase;
@@ -12,6 +13,7 @@
 use batch::Progress;
 use batch::Queue;
 use batch::ReadLimit;
+use batch::Submission;
 use batch::Submitted;
 use batch::Verdict;
 use obs::Event;
@@ -40,6 +42,9 @@
 /// itself, the copy to write, its text form, and the buffer of the connection.
 const STORING_COPIES: usize = 8;
 
+/// The same for its body, which is kept to be passed on.
+const BODY_COPIES: usize = 2;
+
 /// Longest time after which a caller is asked to retry.
 const RETRY_AFTER_MAX: Millis = Millis(5_000);
 
@@ -90,39 +95,42 @@
         CallKind::Query => find_phase(shared, &id, until).await,
         CallKind::Submit if call.body.len() as u64 > catalog.limits.body => CallAnswer::TooLarge,
         CallKind::Submit => match platform::parse_submission(&call.body) {
-            Ok(_) if queue.advice.is_some() && shared.adviser.is_none() => {
-                let record = JobRecord::Refused(shared.clock.wall());
-                let answer = CallAnswer::Refused(RETRY_AFTER_MAX);
-                submit(shared, &id, record, answer, call.late, until).await
-            }
             Ok(work) => {
-                let submitted = Submitted::new(queue, org, shared.clock.wall(), work);
-                if let Some(why) = catalog.over_limit(&submitted) {
-                    let record = JobRecord::Refused(shared.clock.wall());
-                    let answer = CallAnswer::OverLimit(why, LIMIT_RETRY_AFTER);
-                    return submit(shared, &id, record, answer, call.late, until).await;
-                }
-                match load::verdict(shared, &submitted) {
-                    Verdict::Accept if load::take_room(shared, &submitted) => {
-                        let record = JobRecord::Accepted(Box::new(submitted));
-                        let answer = CallAnswer::Accepted;
-                        submit(shared, &id, record, answer, call.late, until).await
-                    }
-                    verdict => {
-                        let record = JobRecord::Refused(shared.clock.wall());
-                        let answer = CallAnswer::Refused(match verdict {
-                            Verdict::Accept => FULL_RETRY_AFTER,
-                            Verdict::Late(after) | Verdict::NoWorker(after) => after,
-                        });
-                        submit(shared, &id, record, answer, call.late, until).await
-                    }
-                }
+                let (record, answer) = decide(shared, catalog, queue, org, work);
+                submit(shared, &id, record, answer, call, until).await
             }
             Err(why) => CallAnswer::Malformed(why),
         },
     }
 }
 
+/// Decides on a job: what is stored under its id, and the answer once that is done.
+fn decide(
+    shared: &Rc<Shared>,
+    catalog: &Catalog,
+    queue: &Queue,
+    org: Option<OrgId>,
+    work: Submission,
+) -> (JobRecord, CallAnswer) {
+    let at = shared.clock.wall();
+    let refused = |answer| (JobRecord::Refused(at), answer);
+    if queue.advice.is_some() && shared.adviser.is_none() {
+        return refused(CallAnswer::Refused(RETRY_AFTER_MAX));
+    }
+    let submitted = Submitted::new(queue, org, at, work);
+    if let Some(why) = catalog.over_limit(&submitted) {
+        return refused(CallAnswer::OverLimit(why, LIMIT_RETRY_AFTER));
+    }
+    match load::verdict(shared, &submitted) {
+        Verdict::Accept if load::take_room(shared, &submitted) => {
+            let record = JobRecord::Accepted(Box::new(submitted));
+            (record, CallAnswer::Accepted)
+        }
+        Verdict::Accept => refused(CallAnswer::Refused(FULL_RETRY_AFTER)),
+        Verdict::Late(after) | Verdict::NoWorker(after) => refused(CallAnswer::Refused(after)),
+    }
+}
+
 /// Rejects a call that the configuration does not allow. An earlier attempt at the same submission
 /// may have been valid under another configuration and may still be stored late, so a refusal is
 /// recorded before the answer.
@@ -139,7 +147,7 @@
         return CallAnswer::Unknown(retry_after(shared));
     }
     let record = JobRecord::Refused(shared.clock.wall());
-    match submit(shared, &id, record, answer, call.late, until).await {
+    match submit(shared, &id, record, answer, call, until).await {
         // An earlier attempt was accepted, but this caller is not authorised to see that.
         CallAnswer::Accepted => CallAnswer::Unknown(retry_after(shared)),
         answer => answer,
@@ -163,14 +171,14 @@
 /// Stores a job or its refusal, and returns `answer` once the record is known to be stored. A write
 /// without a response may still take effect, but it uses the same key, so a later attempt finds it
 /// by the job's id. A refusal is stored anew each time, so that no earlier attempt, whichever refusal
-/// it has found, takes effect later. `late` is whether a later call of the same caller may have been
+/// it has found, takes effect later. A call is late if a later one of the same caller may have been
 /// answered already.
 async fn submit(
     shared: &Shared,
     id: &JobId,
     record: JobRecord,
     answer: CallAnswer,
-    late: bool,
+    call: &Call,
     until: Millis,
 ) -> CallAnswer {
     let key = keys::job(id);
@@ -180,12 +188,13 @@
     };
     let refusal = matches!(record, JobRecord::Refused(_));
     drop(record);
-    let Some(_storing) = shared.storing.take(value.len() * STORING_COPIES) else {
+    let memory = value.len() * STORING_COPIES + call.body.len() * BODY_COPIES;
+    let Some(_storing) = shared.storing.take(memory) else {
         send_away(shared);
         return CallAnswer::Unknown(RETRY_AFTER);
     };
     let mut expected = Revision(0);
-    let mut is_late = late;
+    let mut is_late = call.late;
     while shared.now() < until {
         let stored = store_job(shared, &key, &value, expected, refusal).await;
         // A refusal that the first try finds is from an earlier call, and the caller has come again. One
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -66,8 +66,9 @@
 /// left to submissions and cancellations.
 pub const MAX_LOOK_UPS: usize = 50;
 
-/// Most memory of submissions that are being stored.
+/// Most memory of submissions that are being stored, also as a part of the daemon's memory.
 const MAX_STORING_BYTES: usize = 24 << 20;
+const STORING_DIVISOR: u64 = 8;
 
 /// The operators' documents as last read from the store.
 #[derive(Default)]
@@ -245,6 +246,7 @@
             "domain" => settings.domain.to_string()
         );
         let store = Store::new(settings.store.address, STORE_TIMEOUT);
+        let storing_part = (settings.resources.memory.0 / STORING_DIVISOR) as usize;
         Shared {
             times: bounds.derive(),
             bounds,
@@ -289,7 +291,7 @@
             clock,
             caller_store: Store::new(settings.store.address, CALLER_STORE_TIMEOUT),
             look_ups: Semaphore::new(MAX_LOOK_UPS),
-            storing: MemoryBudget::new(MAX_STORING_BYTES),
+            storing: MemoryBudget::new(MAX_STORING_BYTES.min(storing_part)),
             storing_busy: metrics.counter(
                 "batch_storing_busy",
                 "Submissions sent away because too many were being stored",
