Accept short frames only before a hello

Anyone who reached the port for other daemons could have 2 MiB kept on each connection before saying who it was: the frame limit of established links held from the first byte, and a read buffer of 128 KiB was reserved.

Frames of 4 KiB are accepted until the hello was read, with a buffer of the same length. The limits of the links hold from the welcome on; a dialer sends nothing in between.

--- a/crates/link/src/accept.rs
+++ b/crates/link/src/accept.rs
@@ -67,7 +67,7 @@
 /// Upgrades the connection to a WebSocket and reads the first message.
 async fn handshake(shared: &Rc<Shared>, stream: TcpStream) -> Result<(Socket, Hello), LinkError> {
     let _ = stream.set_nodelay(true);
-    let config = socket::websocket_config(&shared.config);
+    let config = socket::stranger_config();
     let accepted = accept_async_with_config(stream, Some(config)).await;
     let mut socket = accepted.map_err(|e| socket::link_error(&e))?;
     let data = match socket::receive(&mut socket).await {
@@ -78,7 +78,7 @@
         }
     };
     match Hello::decode(&data) {
-        Ok(hello) => Ok((socket, hello)),
+        Ok(hello) => Ok((socket::admit(socket, &shared.config).await, hello)),
         Err(error) => {
             socket::close(socket, &error).await;
             Err(error)
--- a/crates/link/src/socket.rs
+++ b/crates/link/src/socket.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpStream;
 use tokio_tungstenite::tungstenite::protocol::frame::coding::CloseCode;
 use tokio_tungstenite::tungstenite::protocol::CloseFrame;
+use tokio_tungstenite::tungstenite::protocol::Role;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::Error;
 use tokio_tungstenite::tungstenite::Message;
@@ -14,6 +15,9 @@
 use crate::config::LinkConfig;
 use crate::error::LinkError;
 
+/// Longest frame before the hello was read. A hello takes some hundred bytes.
+const HELLO_FRAME_BYTES: usize = 4_096;
+
 /// Longest close reason. A WebSocket control frame has room for 123 bytes beside the close code.
 const MAX_REASON_BYTES: usize = 120;
 
@@ -26,6 +30,21 @@
         .max_frame_size(Some(config.frame_limit))
 }
 
+/// WebSocket configuration for a connection whose hello was not read yet.
+pub(crate) fn stranger_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(HELLO_FRAME_BYTES))
+        .max_frame_size(Some(HELLO_FRAME_BYTES))
+        .read_buffer_size(HELLO_FRAME_BYTES)
+}
+
+/// Gives an accepted connection whose hello was read the limits of the links. A dialer sends nothing
+/// between its hello and the welcome, so no bytes are in the old buffer.
+pub(crate) async fn admit(socket: Socket, config: &LinkConfig) -> Socket {
+    let config = websocket_config(config);
+    Socket::from_raw_socket(socket.into_inner(), Role::Server, Some(config)).await
+}
+
 /// Receives the next binary message, skipping pings and pongs.
 pub(crate) async fn receive(socket: &mut Socket) -> Result<Bytes, LinkError> {
     loop {
