Bound the connections without a hello

Without descriptors a daemon neither accepts callers nor reaches the store.

The oldest makes room for a new one: a daemon says hello at once, so it is not the one that has waited longest. Refused connections are logged once a second at most, with the number of those held back, and counted as before (`link_ended`, `crowded`).

--- a/crates/link/src/accept.rs
+++ b/crates/link/src/accept.rs
@@ -1,12 +1,15 @@
 //! Accepts links that peers dial.
 
+use std::fmt::Display;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use actix_rt::spawn;
-use obs::emit;
+use obs::record;
 use obs::Event;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::select;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_tungstenite::accept_async_with_config;
@@ -28,7 +31,7 @@
                 spawn(async move {
                     if let Err(error) = serve(&shared, stream).await {
                         shared.stats.ended.add(&[("why", error.label())], 1);
-                        emit(&shared.log, Event::LinkRefused, &format!("{from}: {error}"));
+                        log_refused(&shared, from, &error);
                     }
                 });
             }
@@ -38,10 +41,25 @@
     }
 }
 
+fn log_refused(shared: &Shared, from: SocketAddr, error: &LinkError) {
+    if let Some(suppressed) = shared.refused_log.admit(shared.clock.now()) {
+        let fields: [(&'static str, &dyn Display); 2] = [
+            ("detail", &format_args!("{from}: {error}")),
+            ("more", &suppressed),
+        ];
+        record(&shared.log, Event::LinkRefused, &fields);
+    }
+}
+
 /// Performs the handshake with a dialing peer and runs the link until it ends.
 async fn serve(shared: &Rc<Shared>, stream: TcpStream) -> Result<(), LinkError> {
     let limit = shared.config.connect_timeout.duration();
-    let opened = timeout(limit, handshake(shared, stream)).await;
+    let stranger = shared.strangers.add();
+    let opened = select! {
+        opened = timeout(limit, handshake(shared, stream)) => opened,
+        () = stranger.ended() => return Err(LinkError::Crowded),
+    };
+    drop(stranger);
     let (mut socket, hello) = opened.map_err(|_| LinkError::Silent)??;
     let stop = match register(shared, &hello) {
         Ok(stop) => stop,
--- a/crates/link/src/error.rs
+++ b/crates/link/src/error.rs
@@ -55,6 +55,10 @@
         Closing {
             display("closing")
         }
+        /// Too many connections without a hello came after this one.
+        Crowded {
+            display("too many connections without a hello")
+        }
         /// The existing link to the same peer is kept instead.
         Duplicate {
             display("another link to the same peer is kept")
@@ -108,6 +112,7 @@
             LinkError::WrongPeer(_) => 4004,
             LinkError::Replaced => 4005,
             LinkError::Silent => 4006,
+            LinkError::Crowded => 4007,
         }
     }
 
@@ -115,6 +120,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             LinkError::Closing => "closing",
+            LinkError::Crowded => "crowded",
             LinkError::Duplicate => "duplicate",
             LinkError::Foreign(_) => "foreign",
             LinkError::Io(_) => "io",
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -20,6 +20,7 @@
 mod shared;
 mod socket;
 mod stats;
+mod strangers;
 
 pub use config::LinkConfig;
 pub use config::Secret;
--- a/crates/link/src/links.rs
+++ b/crates/link/src/links.rs
@@ -12,6 +12,7 @@
 use base::Millis;
 use base::VmId;
 use bytes::Bytes;
+use obs::LogLimiter;
 use obs::Metrics;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -36,6 +37,7 @@
 use crate::requests::PendingGuard;
 use crate::shared::Shared;
 use crate::stats::Stats;
+use crate::strangers::Strangers;
 
 /// Dial numbers start at the start time of the process in milliseconds times this factor, so that
 /// they are higher than those of earlier runs of the process.
@@ -69,6 +71,8 @@
             stats: Stats::new(metrics),
             peers: RefCell::new(BTreeMap::new()),
             pending: RefCell::new(Pending::new(rng.random::<u64>() ^ number)),
+            strangers: Strangers::default(),
+            refused_log: LogLimiter::default(),
             closed: Cell::new(false),
             detached: Notify::new(),
             on_event: Box::new(on_event),
--- a/crates/link/src/shared.rs
+++ b/crates/link/src/shared.rs
@@ -9,6 +9,7 @@
 use base::VmId;
 use obs::emit;
 use obs::Event;
+use obs::LogLimiter;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use slog::Logger;
@@ -27,6 +28,7 @@
 use crate::peer::Peer;
 use crate::requests::Pending;
 use crate::stats::Stats;
+use crate::strangers::Strangers;
 
 /// Configuration, peers, pending requests, event callback, log and metrics of all links.
 pub(crate) struct Shared {
@@ -36,6 +38,9 @@
     pub(crate) stats: Stats,
     pub(crate) peers: RefCell<BTreeMap<VmId, Peer>>,
     pub(crate) pending: RefCell<Pending>,
+    pub(crate) strangers: Strangers,
+    /// Limits log lines about refused connections.
+    pub(crate) refused_log: LogLimiter,
     /// Set by `close`: no more messages or links are accepted.
     pub(crate) closed: Cell<bool>,
     /// Tells `close` that a link ended.
