Limit the length of values in log lines

A caller could take the memory of a daemon by its log. Each call is logged with its path, and errors quote what the caller sent; 2,048 lines wait in the queue while the output is slow or nobody reads it.

A value is cut after 4,096 bytes, with the number of bytes left out at its end.

--- a/crates/bronzetack/tests/intake.rs
+++ b/crates/bronzetack/tests/intake.rs
@@ -7,6 +7,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::Duration;
@@ -36,6 +37,10 @@
 /// Jobs with thousands of tasks each.
 const WIDE_JOBS: u64 = 100;
 
+/// Calls that are logged, more than the queue of the log holds, and the length of their paths.
+const LOGGED_CALLS: u64 = 3_000;
+const LOGGED_BYTES: usize = 60_000;
+
 /// Time for which a caller says that it waits.
 const LONG_DEADLINE: Duration = Duration::from_secs(86_400);
 
@@ -73,6 +78,10 @@
     body.to_string().into_bytes()
 }
 
+fn start(store: &FakeStore, log: Stdio) -> Process {
+    Process::start_with_store(Program::Batch, log, store.address(), MAX_MEMORY_MB)
+}
+
 /// Submits jobs until one is accepted.
 fn submit(process: &Process, id: u64) {
     let end = Instant::now() + WAIT;
@@ -144,7 +153,7 @@
 )]
 fn calls_that_wait_for_the_store_take_a_bounded_memory(method: &str, body: Vec<u8>) {
     let store = start_store();
-    let mut process = Process::start_with_store(Program::Batch, store.address(), MAX_MEMORY_MB);
+    let mut process = start(&store, Stdio::null());
     submit(&process, 1);
     store.set_fault(StoreFault::Slow(NEVER));
     for wave in 0..WAVES {
@@ -172,7 +181,7 @@
 #[test]
 fn tasks_of_accepted_jobs_take_a_bounded_memory() {
     let store = start_store();
-    let mut process = Process::start_with_store(Program::Batch, store.address(), MAX_MEMORY_MB);
+    let mut process = start(&store, Stdio::null());
     submit(&process, 1);
     for id in 0..WIDE_JOBS {
         let path = format!("/q/{:016x}", 0x1000 + id);
@@ -184,3 +193,21 @@
     submit(&process, 2);
     assert_lives(&mut process);
 }
+
+/// Failure: lines of the log held whole paths of callers, and thousands of them waited for an output that
+/// took none.
+#[test]
+fn lines_of_the_log_take_a_bounded_memory() {
+    let store = start_store();
+    // Nobody reads it.
+    let mut process = start(&store, Stdio::piped());
+    submit(&process, 1);
+    let path = format!("/q/{}", "p".repeat(LOGGED_BYTES));
+    for _ in 0..LOGGED_CALLS {
+        let status = call(process.callers(), "GET", &path, &[]);
+        assert!(status.is_some(), "a call was not answered");
+    }
+    assert_lives(&mut process);
+    submit(&process, 2);
+    assert_lives(&mut process);
+}
--- a/crates/bronzetack/tests/process_kit/mod.rs
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -146,11 +146,16 @@
         Process::run(command, program, store, write_settings)
     }
 
-    /// Starts a daemon with a store and so much memory in megabytes, and waits until it answers. Its log is
-    /// discarded.
-    pub fn start_with_store(program: Program, store: SocketAddr, memory: u64) -> Process {
+    /// Starts a daemon with a store and so much memory in megabytes, whose log goes to `log`, and waits until
+    /// it answers.
+    pub fn start_with_store(
+        program: Program,
+        log: Stdio,
+        store: SocketAddr,
+        memory: u64,
+    ) -> Process {
         let mut command = Command::new(PROGRAM);
-        add_command(&mut command, program, Stdio::null());
+        add_command(&mut command, program, log);
         let resources = format!(r#"{{ "resources": {{ "memory": "{memory}" }},"#);
         let write = |path: &PathBuf, text: &str| {
             let text = match program {
--- a/crates/obs/src/lib.rs
+++ b/crates/obs/src/lib.rs
@@ -5,6 +5,7 @@
 mod log_limiter;
 mod metrics;
 mod output;
+mod short;
 mod span;
 
 pub use event::Event;
--- a/crates/obs/src/log.rs
+++ b/crates/obs/src/log.rs
@@ -34,6 +34,7 @@
 use crate::output::Backlog;
 use crate::output::Output;
 use crate::output::Unbuffered;
+use crate::short::Short;
 
 /// Capacity of the queue of lines waiting to be written. Lines that exceed it are dropped and
 /// counted, so that a slow reader of the log never blocks the process.
@@ -243,11 +244,12 @@
     }
     let code = event.code();
     let text = event.text();
+    let detail = Short(detail);
     match event.level() {
-        Level::Debug => slog::debug!(log, "{}", text; "event" => code, "detail" => detail),
-        Level::Error => slog::error!(log, "{}", text; "event" => code, "detail" => detail),
-        Level::Info => slog::info!(log, "{}", text; "event" => code, "detail" => detail),
-        Level::Warn => slog::warn!(log, "{}", text; "event" => code, "detail" => detail),
+        Level::Debug => slog::debug!(log, "{}", text; "event" => code, "detail" => %detail),
+        Level::Error => slog::error!(log, "{}", text; "event" => code, "detail" => %detail),
+        Level::Info => slog::info!(log, "{}", text; "event" => code, "detail" => %detail),
+        Level::Warn => slog::warn!(log, "{}", text; "event" => code, "detail" => %detail),
     }
 }
 
@@ -257,7 +259,7 @@
 impl KV for Fields<'_> {
     fn serialize(&self, _: &Record, out: &mut dyn Serializer) -> slog::Result {
         for (name, value) in self.0 {
-            out.emit_arguments(name, &format_args!("{value}"))?;
+            out.emit_arguments(name, &format_args!("{}", Short(value)))?;
         }
         Ok(())
     }
--- a/crates/obs/tests/log.rs
+++ b/crates/obs/tests/log.rs
@@ -212,3 +212,21 @@
         sleep(Duration::from_millis(5));
     }
 }
+
+/// Guards against lines as long as what a caller sends, which wait in the queue by the thousand.
+#[test]
+fn a_long_value_is_cut_between_characters() {
+    let out = Script::default();
+    let log = log_to(&out);
+    let text = format!("a{}", "é".repeat(10_000));
+    emit(log.logger(), Event::CallAnswered, &text);
+    obs::record(log.logger(), Event::CallAnswered, &[("path", &text)]);
+    log.close();
+    let lines = out.lines();
+    for (line, name) in lines.iter().zip(["detail", "path"]) {
+        let value = line[name].as_str().expect("no text");
+        let end = " (15906 more bytes)";
+        assert_eq!(value, format!("a{}{end}", "é".repeat(2_047)));
+    }
+    assert_eq!(lines.len(), 2);
+}
