--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -5,6 +5,7 @@
 
 use base::JobId;
 use base::Millis;
+use base::OrgId;
 use base::Revision;
 use batch::Catalog;
 use batch::JobPhase;
@@ -12,8 +13,10 @@
 use batch::Progress;
 use batch::Queue;
 use batch::ReadLimit;
+use batch::Submission;
 use batch::Submitted;
 use batch::Verdict;
+use obs::Event;
 use platform::Call;
 use platform::CallAnswer;
 use platform::CallKind;
@@ -35,9 +38,20 @@
 /// Delay between two attempts at the store.
 const STORE_RETRY_DELAY: Millis = Millis(80);
 
+/// Largest part of a submission's memory while it is stored, as a multiple of its record: the record
+/// itself, the copy to write, its text form, and the buffer of the connection.
+const STORING_COPIES: usize = 8;
+
+/// The same for its body, which is kept to be passed on.
+const BODY_COPIES: usize = 2;
+
 /// Longest time after which a caller is asked to retry.
 const RETRY_AFTER_MAX: Millis = Millis(5_000);
 
+/// Time after which a caller may retry a job for which the coordinator has no memory. It ends jobs
+/// within some seconds.
+const FULL_RETRY_AFTER: Millis = Millis(5_000);
+
 /// Time after which a caller may retry a job that its organisation's limit never lets run. Only a
 /// raised limit changes the answer.
 const LIMIT_RETRY_AFTER: Millis = Millis(30_000);
@@ -81,36 +95,42 @@
         CallKind::Query => find_phase(shared, &id, until).await,
         CallKind::Submit if call.body.len() as u64 > catalog.limits.body => CallAnswer::TooLarge,
         CallKind::Submit => match platform::parse_submission(&call.body) {
-            Ok(_) if queue.advice.is_some() && shared.adviser.is_none() => {
-                let record = JobRecord::Refused(shared.clock.wall());
-                let answer = CallAnswer::Refused(RETRY_AFTER_MAX);
-                submit(shared, &id, record, answer, call.late, until).await
-            }
             Ok(work) => {
-                let submitted = Submitted::new(queue, org, shared.clock.wall(), work);
-                if let Some(why) = catalog.over_limit(&submitted) {
-                    let record = JobRecord::Refused(shared.clock.wall());
-                    let answer = CallAnswer::OverLimit(why, LIMIT_RETRY_AFTER);
-                    return submit(shared, &id, record, answer, call.late, until).await;
-                }
-                match load::verdict(shared, &submitted) {
-                    Verdict::Accept => {
-                        let record = JobRecord::Accepted(Box::new(submitted));
-                        let answer = CallAnswer::Accepted;
-                        submit(shared, &id, record, answer, call.late, until).await
-                    }
-                    Verdict::Late(after) | Verdict::NoWorker(after) => {
-                        let record = JobRecord::Refused(shared.clock.wall());
-                        let answer = CallAnswer::Refused(after);
-                        submit(shared, &id, record, answer, call.late, until).await
-                    }
-                }
+                let (record, answer) = decide(shared, catalog, queue, org, work);
+                submit(shared, &id, record, answer, call, until).await
             }
             Err(why) => CallAnswer::Malformed(why),
         },
     }
 }
 
+/// Decides on a job: what is stored under its id, and the answer once that is done.
+fn decide(
+    shared: &Rc<Shared>,
+    catalog: &Catalog,
+    queue: &Queue,
+    org: Option<OrgId>,
+    work: Submission,
+) -> (JobRecord, CallAnswer) {
+    let at = shared.clock.wall();
+    let refused = |answer| (JobRecord::Refused(at), answer);
+    if queue.advice.is_some() && shared.adviser.is_none() {
+        return refused(CallAnswer::Refused(RETRY_AFTER_MAX));
+    }
+    let submitted = Submitted::new(queue, org, at, work);
+    if let Some(why) = catalog.over_limit(&submitted) {
+        return refused(CallAnswer::OverLimit(why, LIMIT_RETRY_AFTER));
+    }
+    match load::verdict(shared, &submitted) {
+        Verdict::Accept if load::take_room(shared, &submitted) => {
+            let record = JobRecord::Accepted(Box::new(submitted));
+            (record, CallAnswer::Accepted)
+        }
+        Verdict::Accept => refused(CallAnswer::Refused(FULL_RETRY_AFTER)),
+        Verdict::Late(after) | Verdict::NoWorker(after) => refused(CallAnswer::Refused(after)),
+    }
+}
+
 /// Rejects a call that the configuration does not allow. An earlier attempt at the same submission
 /// may have been valid under another configuration and may still be stored late, so a refusal is
 /// recorded before the answer.
@@ -127,7 +147,7 @@
         return CallAnswer::Unknown(retry_after(shared));
     }
     let record = JobRecord::Refused(shared.clock.wall());
-    match submit(shared, &id, record, answer, call.late, until).await {
+    match submit(shared, &id, record, answer, call, until).await {
         // An earlier attempt was accepted, but this caller is not authorised to see that.
         CallAnswer::Accepted => CallAnswer::Unknown(retry_after(shared)),
         answer => answer,
@@ -151,14 +171,14 @@
 /// Stores a job or its refusal, and returns `answer` once the record is known to be stored. A write
 /// without a response may still take effect, but it uses the same key, so a later attempt finds it
 /// by the job's id. A refusal is stored anew each time, so that no earlier attempt, whichever refusal
-/// it has found, takes effect later. `late` is whether a later call of the same caller may have been
+/// it has found, takes effect later. A call is late if a later one of the same caller may have been
 /// answered already.
 async fn submit(
     shared: &Shared,
     id: &JobId,
     record: JobRecord,
     answer: CallAnswer,
-    late: bool,
+    call: &Call,
     until: Millis,
 ) -> CallAnswer {
     let key = keys::job(id);
@@ -167,8 +187,14 @@
         Err(error) => return CallAnswer::Malformed(error.to_string()),
     };
     let refusal = matches!(record, JobRecord::Refused(_));
+    drop(record);
+    let memory = value.len() * STORING_COPIES + call.body.len() * BODY_COPIES;
+    let Some(_storing) = shared.storing.take(memory) else {
+        send_away(shared);
+        return CallAnswer::Unknown(RETRY_AFTER);
+    };
     let mut expected = Revision(0);
-    let mut is_late = late;
+    let mut is_late = call.late;
     while shared.now() < until {
         let stored = store_job(shared, &key, &value, expected, refusal).await;
         // A refusal that the first try finds is from an earlier call, and the caller has come again. One
@@ -200,6 +226,17 @@
     CallAnswer::Unknown(retry_after(shared))
 }
 
+/// Counts and logs a submission for which there is no memory. An earlier try of it may have been
+/// accepted, so the answer cannot say that it never runs.
+fn send_away(shared: &Shared) {
+    shared.storing_busy.add(&[], 1);
+    if let Some(suppressed) = shared.storing_log.admit(shared.now()) {
+        let fields: &[(&'static str, &dyn std::fmt::Display)] =
+            &[("used", &shared.storing.used()), ("more", &suppressed)];
+        obs::record(&shared.log, Event::StoringBusy, fields);
+    }
+}
+
 async fn store_job(
     shared: &Shared,
     key: &str,
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -8,11 +8,13 @@
 use base::Clock;
 use base::DomainId;
 use base::Map;
+use base::MemoryBudget;
 use base::Millis;
 use base::Set;
 use base::VmId;
 use batch::candidacy::Capacity;
 use batch::candidacy::Handover;
+use batch::footprint::Accepted;
 use batch::stall::StallDetector;
 use batch::wave::Wave;
 use batch::Bounds;
@@ -64,6 +66,10 @@
 /// left to submissions and cancellations.
 pub const MAX_LOOK_UPS: usize = 50;
 
+/// Most memory of submissions that are being stored, also as a part of the daemon's memory.
+const MAX_STORING_BYTES: usize = 24 << 20;
+const STORING_DIVISOR: u64 = 8;
+
 /// The operators' documents as last read from the store.
 #[derive(Default)]
 pub struct Documents {
@@ -98,6 +104,10 @@
     pub idle_log: LogLimiter,
     /// Rate limit of log lines about input that cannot be read.
     pub refused_log: SubjectLimiter,
+    /// Limits log lines about submissions for which the coordinator has no memory.
+    pub full_log: LogLimiter,
+    /// Limits log lines about submissions that are sent away.
+    pub storing_log: LogLimiter,
     /// Limits log lines about records that are too long.
     pub record_log: LogLimiter,
     /// What each organisation may have running, has, and waits for.
@@ -135,6 +145,10 @@
     pub caller_store: Store,
     /// Limits the look-ups that use the connections for callers at a time.
     pub look_ups: Semaphore,
+    /// Memory of submissions that are being stored.
+    pub storing: MemoryBudget,
+    /// Counts submissions sent away because too many were being stored.
+    pub storing_busy: Counter,
     /// Client that relays calls to other daemons.
     pub relay: Relay,
     /// Address at which this daemon answers callers.
@@ -180,6 +194,10 @@
     pub reading_load: Cell<bool>,
     /// Capacity promised to callers that were asked to retry later.
     pub promised: RefCell<PromisedCapacity>,
+    /// Memory of the jobs that were accepted lately.
+    pub accepted: RefCell<Accepted>,
+    /// Counts submissions refused because accepted jobs take too much memory.
+    pub jobs_full: Counter,
     /// Rate limit on refusals recorded for calls that the configuration rejects and for cancellations
     /// of unknown jobs.
     pub refusal_limit: RefCell<RateLimit>,
@@ -228,6 +246,7 @@
             "domain" => settings.domain.to_string()
         );
         let store = Store::new(settings.store.address, STORE_TIMEOUT);
+        let storing_part = (settings.resources.memory.0 / STORING_DIVISOR) as usize;
         Shared {
             times: bounds.derive(),
             bounds,
@@ -266,10 +285,17 @@
             stop_log: LogLimiter::default(),
             idle_log: LogLimiter::default(),
             refused_log: SubjectLimiter::default(),
+            full_log: LogLimiter::default(),
+            storing_log: LogLimiter::default(),
             record_log: LogLimiter::default(),
             clock,
             caller_store: Store::new(settings.store.address, CALLER_STORE_TIMEOUT),
             look_ups: Semaphore::new(MAX_LOOK_UPS),
+            storing: MemoryBudget::new(MAX_STORING_BYTES.min(storing_part)),
+            storing_busy: metrics.counter(
+                "batch_storing_busy",
+                "Submissions sent away because too many were being stored",
+            ),
             store,
             callers: Cell::new(settings.addresses.callers),
             relay: Relay::default(),
@@ -312,6 +338,11 @@
             load: RefCell::default(),
             reading_load: Cell::new(false),
             promised: RefCell::default(),
+            accepted: RefCell::default(),
+            jobs_full: metrics.counter(
+                "batch_jobs_full",
+                "Submissions refused because accepted jobs take too much memory",
+            ),
             refusal_limit: RefCell::default(),
             read_limit: RefCell::default(),
             metrics,
--- a/crates/bronzetack/tests/crowd.rs
+++ b/crates/bronzetack/tests/crowd.rs
@@ -81,8 +81,13 @@
 
 fn start(program: Program) -> Process {
     match program {
-        Program::Batch => Process::start_in(program, Some(start_store()), Some(BATCH_MEMORY_MB)),
-        Program::Serve => Process::start_in(program, None, None),
+        Program::Batch => Process::start_in(
+            program,
+            Some(start_store()),
+            Some(BATCH_MEMORY_MB),
+            Stdio::null(),
+        ),
+        Program::Serve => Process::start_in(program, None, None, Stdio::null()),
     }
 }
 
--- a/crates/bronzetack/tests/process_kit/mod.rs
+++ b/crates/bronzetack/tests/process_kit/mod.rs
@@ -155,11 +155,16 @@
         Process::run(command, program, store, write_settings)
     }
 
-    /// Starts a daemon without a log, and waits until it answers. Its settings state `memory` in
+    /// Starts a daemon whose log goes to `log`, and waits until it answers. Its settings state `memory` in
     /// megabytes, if given.
-    pub fn start_in(program: Program, store: Option<SocketAddr>, memory: Option<u64>) -> Process {
+    pub fn start_in(
+        program: Program,
+        store: Option<SocketAddr>,
+        memory: Option<u64>,
+        log: Stdio,
+    ) -> Process {
         let mut command = Command::new(PROGRAM);
-        add_command(&mut command, program, Stdio::null());
+        add_command(&mut command, program, log);
         let mut process = Process::run(command, program, store, |path, text| {
             let resources = memory.map_or_else(String::new, |memory| {
                 format!(r#""resources": {{ "memory": "{memory}" }}, "#)
