Stop long-running work for a guaranteed job

Cause: preemption asked of every long-running task whether its step can spare one more. A step without `may-miss` sets no limit on what may be out of service, but was taken as one that may miss no task, so its tasks were never stopped, at any pressure. The same held for the work of an organisation that its own limit keeps from using its guarantee.

Now such work is a kind of victim of its own: it is stopped only for a guaranteed job with half of its time gone, after all other work of lower priority and before urgent work beyond the guarantees. Steps with `may-miss` keep their protection.

Evidence: of the new tests in `guarantee` and `limits`, six fail on the code before: tasks, a gang, small tasks, a gang that lasts, two organisations at once, and an organisation at its own limit. The other two are controls: they pass before and after. The tests of `batch` pass.

Not solved by this: tasks of steps with `may-miss` that occupy room which the guarantees need. One more stop would break the limit of their step, and to keep them from free room would leave accepted work waiting beside it.

--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -12,6 +12,7 @@
 use base::Set;
 use base::WorkerId;
 
+use crate::preempt::VictimKind;
 use crate::spec::Resources;
 use crate::spec::StepSpec;
 use crate::speed::Speed;
@@ -78,8 +79,8 @@
     pub uses_headroom: bool,
     /// Whether paused workers may be used.
     pub paused: bool,
-    /// Whether urgent work that no guarantee covers may be stopped.
-    pub displaces_urgent: bool,
+    /// The last kind of work that may be stopped for the step.
+    pub displaces: VictimKind,
     /// The only workers allowed; `None` allows all.
     pub allowed: Option<&'a Set<WorkerId>>,
     /// What the step asks of the speed of its workers.
--- a/crates/batch/src/plan/attempt.rs
+++ b/crates/batch/src/plan/attempt.rs
@@ -77,7 +77,7 @@
             duration: self.duration,
             uses_headroom: self.uses_headroom,
             paused: self.paused,
-            displaces_urgent: self.pressure == Pressure::Last,
+            displaces: self.pressure.displaces(),
             allowed: self.allowed.as_ref(),
             speed: self.speed,
         }
--- a/crates/batch/src/plan/limit.rs
+++ b/crates/batch/src/plan/limit.rs
@@ -9,14 +9,15 @@
 use base::Millis;
 use base::OrgId;
 
-use super::can_spare_one;
 use super::lost_by_stopping;
+use super::victims::victim_kind;
 use super::Pass;
 use super::WaitingStep;
 use crate::account::Loss;
 use crate::account::LossCause;
 use crate::job::RunPhase;
 use crate::preempt;
+use crate::preempt::VictimKind;
 use crate::scheduler::LogEntry;
 use crate::scheduler::LogKind;
 use crate::scheduler::Scheduler;
@@ -33,6 +34,7 @@
 
 /// A run, or all runs of a gang, of lower priority that could be stopped.
 struct Stoppable {
+    kind: VictimKind,
     loss: u64,
     need: Resources,
     tasks: Vec<TaskId>,
@@ -180,7 +182,7 @@
         let most = pressure.max_loss(at.guaranteed, worth);
         let mut chosen: Vec<Stoppable> = Vec::new();
         let mut loss = 0;
-        for run in self.stoppable(pass, org) {
+        for run in self.stoppable(pass, org, pressure.displaces()) {
             if short == Resources::default() {
                 break;
             }
@@ -221,9 +223,9 @@
         sum
     }
 
-    /// Runs of an organisation that are not urgent and may be stopped, those with the least loss
-    /// first. The members of a gang go together.
-    fn stoppable(&self, pass: &Pass, org: &OrgId) -> Vec<Stoppable> {
+    /// Runs of an organisation that are not urgent and may be stopped, up to a kind, those with the
+    /// least loss of each kind first. The members of a gang go together.
+    fn stoppable(&self, pass: &Pass, org: &OrgId, last: VictimKind) -> Vec<Stoppable> {
         let mut gangs: BTreeMap<StepId, Stoppable> = BTreeMap::new();
         let mut found: Vec<Stoppable> = Vec::new();
         for task in self.workers.values().flat_map(|w| w.open.keys()) {
@@ -238,11 +240,13 @@
                 continue;
             };
             let running = matches!(open.phase, RunPhase::Running | RunPhase::Sent);
-            if !running || spec.lasting && !can_spare_one(job, task) {
+            let kind = victim_kind(job, task, spec).filter(|kind| running && *kind <= last);
+            let Some(kind) = kind else {
                 continue;
-            }
+            };
             let loss = preempt::work(&spec.need, lost_by_stopping(spec, open, pass.now));
             let run = Stoppable {
+                kind,
                 loss,
                 need: spec.need,
                 tasks: vec![task.clone()],
@@ -261,7 +265,7 @@
             }
         }
         found.extend(gangs.into_values());
-        found.sort_by(|a, b| (a.loss, &a.tasks).cmp(&(b.loss, &b.tasks)));
+        found.sort_by(|a, b| (a.kind, a.loss, &a.tasks).cmp(&(b.kind, b.loss, &b.tasks)));
         found
     }
 }
--- a/crates/batch/src/plan/prefetch.rs
+++ b/crates/batch/src/plan/prefetch.rs
@@ -11,6 +11,7 @@
 use crate::job::Job;
 use crate::job::Occurrence;
 use crate::place::Limits;
+use crate::preempt::VictimKind;
 use crate::scheduler::Scheduler;
 use crate::spec::StepId;
 use crate::spec::StepSpec;
@@ -113,7 +114,7 @@
             duration: spec.estimate,
             paused: false,
             uses_headroom: true,
-            displaces_urgent: false,
+            displaces: VictimKind::Ordinary,
             allowed: Some(&allowed),
             speed: SpeedNeed::default(),
         };
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -21,6 +21,7 @@
 use crate::preempt;
 use crate::preempt::Victim;
 use crate::preempt::VictimIndex;
+use crate::preempt::VictimKind;
 use crate::scheduler::LogEntry;
 use crate::scheduler::LogKind;
 use crate::scheduler::Scheduler;
@@ -44,7 +45,7 @@
 pub(super) enum Pressure {
     /// No more may be lost for it than it is worth.
     None,
-    /// A guarantee covers it, and any work of lower priority is stopped for it.
+    /// A guarantee covers it, and any work of lower priority is stopped for it, long-running too.
     High,
     /// Also urgent work that no guarantee covers is stopped for it, and it starts on any rack.
     Last,
@@ -59,6 +60,15 @@
             Pressure::None => worth,
         }
     }
+
+    /// The last kind of work that is stopped for the step.
+    pub(super) fn displaces(self) -> VictimKind {
+        match self {
+            Pressure::None => VictimKind::Ordinary,
+            Pressure::High => VictimKind::Lasting,
+            Pressure::Last => VictimKind::Urgent,
+        }
+    }
 }
 
 /// Part of the time in which work can still be stopped for a guaranteed step, in percent, after which
@@ -103,9 +113,9 @@
                 if !matches!(open.phase, RunPhase::Running | RunPhase::Sent) {
                     continue;
                 }
-                if spec.lasting && !can_spare_one(job, &task) {
+                let Some(kind) = victim_kind(job, &task, spec) else {
                     continue;
-                }
+                };
                 let loss = preempt::work(&spec.need, lost_by_stopping(spec, open, now));
                 let same = tasks.last().and_then(|t| t.first()).filter(|first| {
                     spec.gang
@@ -125,7 +135,7 @@
                     workers: vec![at],
                     need: spec.occupies(),
                     loss,
-                    urgent: job.submitted.priority == 0,
+                    kind,
                 });
                 tasks.push(vec![task]);
             }
@@ -261,6 +271,18 @@
     }
 }
 
+/// How readily a run may be stopped; `None` if its step would miss more tasks than it may.
+pub(super) fn victim_kind(job: &Job, task: &TaskId, spec: &StepSpec) -> Option<VictimKind> {
+    if spec.is_limited() && !can_spare_one(job, task) {
+        return None;
+    }
+    Some(match job.submitted.priority {
+        0 => VictimKind::Urgent,
+        _ if spec.lasting && !spec.is_limited() => VictimKind::Lasting,
+        _ => VictimKind::Ordinary,
+    })
+}
+
 /// Whether one more task of a long-running step may be taken out of service.
 pub(crate) fn can_spare_one(job: &Job, task: &TaskId) -> bool {
     let steps = job
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -6,7 +6,8 @@
 //!
 //! Load pattern of guarantees: a burst of urgent jobs of one organisation fills the site beyond its
 //! guarantee, and another one then claims its own. Urgent work that no guarantee covers is stopped for
-//! it, but only where nothing else makes room.
+//! it, but only where nothing else makes room. Long-running work, which never leaves by itself, comes
+//! between the two.
 
 use base::Millis;
 
@@ -20,6 +21,17 @@
 /// Cores that one accelerator counts as when amounts of work are compared.
 const ACCEL_CORES: u64 = 8;
 
+/// How readily a run is stopped; the first kind goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum VictimKind {
+    /// Of lower priority than the urgent work.
+    Ordinary,
+    /// The same, and long-running without a limit on the tasks out of service.
+    Lasting,
+    /// Of the highest priority.
+    Urgent,
+}
+
 /// A run, or all runs of a gang, that could be stopped.
 #[derive(Clone, Debug)]
 pub struct Victim {
@@ -29,20 +41,25 @@
     pub need: Resources,
     /// Work that would be lost, in core-milliseconds.
     pub loss: u64,
-    /// Whether it is of the highest priority.
-    pub urgent: bool,
+    /// How readily it is stopped.
+    pub kind: VictimKind,
 }
 
+/// Added to the loss of a long-running victim, so that it is more than that of any ordinary ones.
+const LASTING_LOSS: u64 = 1 << 40;
+
 /// Added to the loss of an urgent victim, so that it is more than that of any others.
 const URGENT_LOSS: u64 = 1 << 48;
 
 impl Victim {
     /// Loss by which victims are compared, in core-milliseconds.
     fn weighted_loss(&self) -> u64 {
-        match self.urgent {
-            true => self.loss.saturating_add(URGENT_LOSS),
-            false => self.loss,
-        }
+        let extra = match self.kind {
+            VictimKind::Ordinary => 0,
+            VictimKind::Lasting => LASTING_LOSS,
+            VictimKind::Urgent => URGENT_LOSS,
+        };
+        self.loss.saturating_add(extra)
     }
 }
 
@@ -85,7 +102,7 @@
         for list in &mut by_worker {
             list.sort_by_key(|&v| {
                 let victim = &victims[v];
-                (victim.urgent, victim.loss / victim.need.accels.max(1), v)
+                (victim.kind, victim.loss / victim.need.accels.max(1), v)
             });
             list.dedup();
         }
@@ -189,12 +206,17 @@
     let need = step.occupies();
     let per_worker = step.per_worker.unwrap_or(u32::MAX);
     let offer = |available: &[Resources], taken: &[usize], num: usize| -> Option<Offer> {
-        let urgent = limits.displaces_urgent;
         // What still exceeds the capacity has to be freed as well.
         let mut owed = candidates[num].excess;
         owed -= candidates[num].releasing;
         owed += need;
-        let (loss, chosen) = cheapest(&available[num], &owed, index, (taken, urgent), num)?;
+        let (loss, chosen) = cheapest(
+            &available[num],
+            &owed,
+            index,
+            (taken, limits.displaces),
+            num,
+        )?;
         let left = available[num].saturating_sub(&need).accels;
         Some((candidates[num].penalty, loss, left, chosen))
     };
@@ -247,12 +269,12 @@
 }
 
 /// Victims on one worker that make `need` fit into it together with `have`, cheapest first, and
-/// their loss. Those in `taken` are left out, and urgent ones unless `urgent` is set.
+/// their loss. Those in `taken` are left out, and those of a kind after `last`.
 fn cheapest(
     have: &Resources,
     need: &Resources,
     index: &VictimIndex,
-    (taken, urgent): (&[usize], bool),
+    (taken, last): (&[usize], VictimKind),
     num: usize,
 ) -> Option<(u64, Vec<usize>)> {
     if have.fits(need) {
@@ -263,7 +285,7 @@
     let mut chosen = Vec::new();
     for &at in &index.by_worker[num] {
         let victim = &index.victims[at];
-        if index.taken[at] || taken.contains(&at) || victim.urgent && !urgent {
+        if index.taken[at] || taken.contains(&at) || victim.kind > last {
             continue;
         }
         for _ in victim.workers.iter().filter(|&&worker| worker == num) {
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -244,7 +244,7 @@
     pub tail_target: Option<Millis>,
     /// Whether the tasks are best-effort: they use only processor time that others leave idle.
     pub fills: bool,
-    /// Number of tasks of a long-running step that may be out of service at a time.
+    /// Number of tasks of a long-running step that may be out of service at a time; zero sets no limit.
     pub may_miss: u32,
 }
 
@@ -262,6 +262,11 @@
         self.tail_target.filter(|_| self.lasting)
     }
 
+    /// Whether it limits the number of its tasks that may be out of service at a time.
+    pub fn is_limited(&self) -> bool {
+        self.lasting && self.may_miss > 0
+    }
+
     /// Resources that a task takes from a worker's capacity. A best-effort task takes no processor
     /// time.
     pub fn occupies(&self) -> Resources {
--- a/crates/batch/tests/decisions.rs
+++ b/crates/batch/tests/decisions.rs
@@ -13,6 +13,7 @@
 use batch::preempt::choose;
 use batch::preempt::Victim;
 use batch::preempt::VictimIndex;
+use batch::preempt::VictimKind;
 use batch::rank::rank;
 use batch::rank::RankInput;
 use batch::reserve;
@@ -181,7 +182,7 @@
                 accels: 8,
             },
             loss: rng.random_range(100..10_000),
-            urgent: false,
+            kind: VictimKind::Ordinary,
         });
     }
     let mut gang = step(2, 8, SECOND);
--- a/crates/batch/tests/guarantee.rs
+++ b/crates/batch/tests/guarantee.rs
@@ -7,6 +7,7 @@
 use base::Millis;
 use batch::StepSpec;
 use batch::Submitted;
+use yare::parameterized;
 
 use kit::job;
 use kit::job_of;
@@ -127,3 +128,78 @@
     let submitted = job(0, vec![near(2, Millis(8_000))], site.now);
     assert_starts_in_time(&mut site, submitted);
 }
+
+fn lasting(count: u32, accels: u64) -> StepSpec {
+    StepSpec {
+        lasting: true,
+        ..step(count, accels, Millis(1_000))
+    }
+}
+
+/// Fills all workers with work that lasts, of an organisation without a guarantee.
+fn fill_for_good(site: &mut Site, steps: Vec<StepSpec>) -> JobId {
+    let id = site.submit("lasting", job_of("depot", 2, steps, site.now));
+    site.run(Millis(5_000));
+    let used = site.workers.iter().map(|w| w.used().accels);
+    assert!(used.into_iter().all(|accels| accels == 8));
+    id
+}
+
+/// Guards against work that lasts and that nothing stops: the room of a guarantee was lent for good.
+#[parameterized(
+    tasks = { lasting(4, 8), step(2, 8, Millis(2_000)) },
+    a_gang = { lasting(4, 8), gang(2, 8) },
+    small_tasks = { lasting(16, 2), gang(2, 8) },
+    a_gang_that_lasts = { StepSpec { gang: true, ..lasting(4, 8) }, step(2, 8, Millis(2_000)) }
+)]
+fn a_guaranteed_job_displaces_work_that_lasts_in_time(lasts: StepSpec, claim: StepSpec) {
+    let mut site = site(4);
+    let id = fill_for_good(&mut site, vec![lasts.clone()]);
+    let submitted = job(0, vec![claim], site.now);
+    assert_starts_in_time(&mut site, submitted);
+    site.run(Millis(6_000));
+    assert_eq!(running(&site, &id), lasts.count as usize, "at work again");
+}
+
+/// Two organisations claim all that is guaranteed to them at once.
+#[test]
+fn guaranteed_jobs_of_two_organisations_displace_work_that_lasts_in_time() {
+    let mut site = site(8);
+    let pair = StepSpec {
+        gang: true,
+        ..lasting(2, 8)
+    };
+    fill_for_good(&mut site, vec![lasting(24, 1), lasting(3, 8), pair]);
+    let claim = job_of("clinic", 0, vec![gang(2, 8)], site.now);
+    let other = site.submit("other", claim);
+    let submitted = job(0, vec![step(8, 2, Millis(4_000))], site.now);
+    assert_starts_in_time(&mut site, submitted);
+    assert_eq!(running(&site, &other), 2);
+}
+
+/// Work that lasts goes only where no other work makes room.
+#[test]
+fn a_guaranteed_job_displaces_work_that_lasts_last() {
+    let mut site = site(4);
+    let id = site.submit("lasting", job_of("depot", 2, vec![lasting(2, 8)], site.now));
+    site.run(Millis(100));
+    let filler = job_of("depot", 1, vec![step(8, 2, LONG)], site.now);
+    site.submit("filler", filler);
+    site.run(Millis(8_000));
+    let submitted = job(0, vec![gang(2, 8)], site.now);
+    assert_starts_in_time(&mut site, submitted);
+    assert_eq!(running(&site, &id), 2);
+}
+
+/// Beyond the guarantees, work that lasts is not stopped, however long a job waits.
+#[test]
+fn an_urgent_job_beyond_the_guarantees_leaves_work_that_lasts() {
+    let mut site = site(4);
+    let id = fill_for_good(&mut site, vec![lasting(4, 8)]);
+    let claim = job_of("depot", 0, vec![gang(2, 8)], site.now);
+    site.submit("claim", claim);
+    for _ in 0..600 {
+        site.turn();
+        assert_eq!(running(&site, &id), 4);
+    }
+}
--- a/crates/batch/tests/kit/candidates.rs
+++ b/crates/batch/tests/kit/candidates.rs
@@ -3,6 +3,7 @@
 use base::Millis;
 use batch::place::Candidate;
 use batch::place::Limits;
+use batch::preempt::VictimKind;
 use batch::speed::Speed;
 use batch::suit::SpeedNeed;
 use batch::Resources;
@@ -51,7 +52,7 @@
         duration: Millis(1_000),
         uses_headroom: false,
         paused: false,
-        displaces_urgent: false,
+        displaces: VictimKind::Ordinary,
         allowed: None,
         speed: SpeedNeed::default(),
     }
--- a/crates/batch/tests/limits.rs
+++ b/crates/batch/tests/limits.rs
@@ -285,11 +285,15 @@
 
 /// Guards against a guarantee that work of the same organisation keeps from starting: it holds all
 /// that the organisation may have running.
-#[test]
-fn a_guaranteed_job_displaces_work_of_its_own_organisation_under_the_limit() {
+#[parameterized(work_that_ends = { false }, work_that_lasts = { true })]
+fn a_guaranteed_job_displaces_work_of_its_own_organisation_under_the_limit(lasting: bool) {
     let mut site = site(8, 24, Faults::default());
     for num in 0..6 {
-        let submitted = job(1, vec![step(4, 2, LONG)], site.now);
+        let spec = StepSpec {
+            lasting,
+            ..step(4, 2, LONG)
+        };
+        let submitted = job(1, vec![spec], site.now);
         site.submit(&format!("filler{num}"), submitted);
     }
     run_within(&mut site, SECOND, 24);
