Stop no more tasks at once than a step may miss

Cause: whether a step can spare a task was asked for each of its tasks by itself, before any of them was stopped, and nothing counted the tasks that were chosen together: for one step, for several steps of one planning pass, for the members of a long-running gang, or for an organisation at its limit.

Now the list of victims holds how many tasks each such step can still spare, a choice counts what it has taken, and stops under an organisation's limit have the list of the pass made anew. A gang is stopped, also for upkeep, only if its step may miss all of its members.

--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -32,7 +32,7 @@
 use pass::Pass;
 use share::Shares;
 
-pub(crate) use victims::can_spare_one;
+pub(crate) use victims::can_spare;
 pub(crate) use victims::lost_by_stopping;
 
 /// A step with tasks that could start.
--- a/crates/batch/src/plan/limit.rs
+++ b/crates/batch/src/plan/limit.rs
@@ -9,7 +9,9 @@
 use base::Millis;
 use base::OrgId;
 
+use super::can_spare;
 use super::lost_by_stopping;
+use super::victims::spare_tasks;
 use super::victims::victim_kind;
 use super::Pass;
 use super::WaitingStep;
@@ -38,6 +40,8 @@
     loss: u64,
     need: Resources,
     tasks: Vec<TaskId>,
+    /// Number of tasks that may be stopped of its step; `None` if that sets no limit.
+    spare: Option<usize>,
 }
 
 impl Scheduler {
@@ -160,7 +164,7 @@
     /// step come under its limit. `short` is what its use has to fall by.
     fn stop_own(
         &mut self,
-        pass: &Pass,
+        pass: &mut Pass,
         at: &WaitingStep,
         (org, spec): (&OrgId, &StepSpec),
         (count, mut short): (u64, Resources),
@@ -187,7 +191,7 @@
                 break;
             }
             let rest = short.saturating_sub(&run.need);
-            if rest == short {
+            if rest == short || !can_miss(&run, &chosen) {
                 continue;
             }
             short = rest;
@@ -201,6 +205,8 @@
         for task in &tasks {
             self.stop_run(task, Loss::new(LossCause::Limit));
         }
+        // What its steps may still miss has changed.
+        pass.victims = None;
         let names: Vec<String> = tasks.iter().map(TaskId::to_string).collect();
         let text = format!(
             "stopping {} runs of {org} for this urgent job, which its limit holds back: {}",
@@ -240,16 +246,17 @@
                 continue;
             };
             let running = matches!(open.phase, RunPhase::Running | RunPhase::Sent);
-            let kind = victim_kind(job, task, spec).filter(|kind| running && *kind <= last);
-            let Some(kind) = kind else {
+            let kind = victim_kind(job, spec);
+            if !running || kind > last || spec.is_limited() && !can_spare(job, task) {
                 continue;
-            };
+            }
             let loss = preempt::work(&spec.need, lost_by_stopping(spec, open, pass.now));
             let run = Stoppable {
                 kind,
                 loss,
                 need: spec.need,
                 tasks: vec![task.clone()],
+                spare: spec.is_limited().then(|| spare_tasks(job, task)),
             };
             if !spec.gang {
                 found.push(run);
@@ -269,3 +276,15 @@
         found
     }
 }
+
+/// Whether the step of a run may miss it as well as those that are chosen already.
+fn can_miss(run: &Stoppable, chosen: &[Stoppable]) -> bool {
+    let (Some(spare), Some(first)) = (run.spare, run.tasks.first()) else {
+        return true;
+    };
+    let same = chosen.iter().flat_map(|c| &c.tasks);
+    let missed = same
+        .filter(|task| task.step_id() == first.step_id())
+        .count();
+    missed + run.tasks.len() <= spare
+}
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -26,6 +26,7 @@
 use crate::scheduler::LogKind;
 use crate::scheduler::Scheduler;
 use crate::spec::Resources;
+use crate::spec::StepId;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
 
@@ -76,14 +77,14 @@
 const LAST_PERCENT: u64 = 75;
 
 impl Scheduler {
-    /// Runs on the workers that no guarantee covers, each with the work that stopping it would lose,
-    /// and the tasks of each. All members of a gang form one victim.
+    /// Runs on the workers that no guarantee covers, and the tasks of each. All members of a gang form
+    /// one victim.
     pub(super) fn victims(
         &self,
         candidates: &[Candidate],
         guaranteed: &Set<JobId>,
         now: Millis,
-    ) -> (Vec<Victim>, Vec<Vec<TaskId>>) {
+    ) -> (VictimIndex, Vec<Vec<TaskId>>) {
         let index_of: Map<&WorkerId, usize> = candidates
             .iter()
             .enumerate()
@@ -91,6 +92,8 @@
             .collect();
         let mut victims: Vec<Victim> = Vec::new();
         let mut tasks: Vec<Vec<TaskId>> = Vec::new();
+        let mut limited: Map<StepId, usize> = Map::default();
+        let mut spare: Vec<usize> = Vec::new();
         for id in &self.live {
             let Some(job) = self.jobs.get(id) else {
                 continue;
@@ -113,9 +116,9 @@
                 if !matches!(open.phase, RunPhase::Running | RunPhase::Sent) {
                     continue;
                 }
-                let Some(kind) = victim_kind(job, &task, spec) else {
+                if spec.is_limited() && !can_spare(job, &task) {
                     continue;
-                };
+                }
                 let loss = preempt::work(&spec.need, lost_by_stopping(spec, open, now));
                 let same = tasks.last().and_then(|t| t.first()).filter(|first| {
                     spec.gang
@@ -135,12 +138,18 @@
                     workers: vec![at],
                     need: spec.occupies(),
                     loss,
-                    kind,
+                    kind: victim_kind(job, spec),
+                    step: spec.is_limited().then(|| {
+                        *limited.entry(task.step_id()).or_insert_with(|| {
+                            spare.push(spare_tasks(job, &task));
+                            spare.len() - 1
+                        })
+                    }),
                 });
                 tasks.push(vec![task]);
             }
         }
-        (victims, tasks)
+        (VictimIndex::new(victims, spare, candidates.len()), tasks)
     }
 
     /// How pressing a step is. The time of a guaranteed job that has not begun counts from its
@@ -179,10 +188,9 @@
         count: usize,
         most: u64,
     ) -> Preemption {
-        let (index, tasks) = pass.victims.get_or_insert_with(|| {
-            let (victims, tasks) = self.victims(&pass.candidates, &pass.guaranteed, pass.now);
-            (VictimIndex::new(victims, pass.candidates.len()), tasks)
-        });
+        let (index, tasks) = pass
+            .victims
+            .get_or_insert_with(|| self.victims(&pass.candidates, &pass.guaranteed, pass.now));
         let found = preempt::choose_among(among, &pass.candidates, index, spec, limits, count);
         let Some(choice) = found else {
             return Preemption::NoChoice;
@@ -271,20 +279,24 @@
     }
 }
 
-/// How readily a run may be stopped; `None` if its step would miss more tasks than it may.
-pub(super) fn victim_kind(job: &Job, task: &TaskId, spec: &StepSpec) -> Option<VictimKind> {
-    if spec.is_limited() && !can_spare_one(job, task) {
-        return None;
-    }
-    Some(match job.submitted.priority {
+/// How readily the runs of a step are stopped.
+pub(super) fn victim_kind(job: &Job, spec: &StepSpec) -> VictimKind {
+    match job.submitted.priority {
         0 => VictimKind::Urgent,
         _ if spec.lasting && !spec.is_limited() => VictimKind::Lasting,
         _ => VictimKind::Ordinary,
-    })
+    }
+}
+
+/// Whether a task of a long-running step may be taken out of service, with its whole gang if it is in
+/// one.
+pub(crate) fn can_spare(job: &Job, task: &TaskId) -> bool {
+    let gang = job.spec(task).filter(|spec| spec.gang);
+    spare_tasks(job, task) >= gang.map_or(1, |spec| spec.count as usize)
 }
 
-/// Whether one more task of a long-running step may be taken out of service.
-pub(crate) fn can_spare_one(job: &Job, task: &TaskId) -> bool {
+/// How many more tasks of a long-running step may be taken out of service.
+pub(super) fn spare_tasks(job: &Job, task: &TaskId) -> usize {
     let steps = job
         .open
         .get(&task.occurrence)
@@ -295,5 +307,5 @@
     };
     let out_of_service = steps.map_or(0, |s| s.tasks.iter().filter(|t| !in_service(t)).count());
     let most = job.spec(task).map_or(0, |s| s.may_miss as usize);
-    out_of_service < most
+    most.saturating_sub(out_of_service)
 }
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -43,6 +43,8 @@
     pub loss: u64,
     /// How readily it is stopped.
     pub kind: VictimKind,
+    /// Number of its step among those that limit the tasks out of service.
+    pub step: Option<usize>,
 }
 
 /// Added to the loss of a long-running victim, so that it is more than that of any ordinary ones.
@@ -61,6 +63,10 @@
         };
         self.loss.saturating_add(extra)
     }
+
+    fn is_of(&self, steps: &[usize]) -> bool {
+        self.step.is_some_and(|step| steps.contains(&step))
+    }
 }
 
 /// A set of victims, and the placement that stopping them makes possible.
@@ -86,11 +92,14 @@
     /// Indices of the victims on each worker, those that lose the least per accelerator first.
     by_worker: Vec<Vec<usize>>,
     taken: Vec<bool>,
+    /// Number of tasks that may still be stopped of each step with a limit.
+    spare: Vec<usize>,
 }
 
 impl VictimIndex {
-    /// Indexes victims on a number of workers.
-    pub fn new(victims: Vec<Victim>, workers: usize) -> VictimIndex {
+    /// Indexes victims on a number of workers. `spare` is the number of tasks that may be stopped of
+    /// each step with a limit.
+    pub fn new(victims: Vec<Victim>, spare: Vec<usize>, workers: usize) -> VictimIndex {
         let mut by_worker: Vec<Vec<usize>> = vec![Vec::new(); workers];
         for (num, victim) in victims.iter().enumerate() {
             for &worker in &victim.workers {
@@ -110,12 +119,27 @@
             taken: vec![false; victims.len()],
             victims,
             by_worker,
+            spare,
         }
     }
 
     /// Excludes a victim from later choices, because it is being stopped.
     pub fn take(&mut self, victim: usize) {
         self.taken[victim] = true;
+        let Victim { step, workers, .. } = &self.victims[victim];
+        if let Some(spare) = step.and_then(|step| self.spare.get_mut(step)) {
+            *spare = spare.saturating_sub(workers.len());
+        }
+    }
+
+    /// Whether the step of a victim may miss it as well as those that are chosen already.
+    fn can_miss<'a>(&self, victim: usize, chosen: impl Iterator<Item = &'a usize>) -> bool {
+        let Some(step) = self.victims[victim].step else {
+            return true;
+        };
+        let same = chosen.filter(|&&at| self.victims[at].step == Some(step));
+        let missed: usize = same.map(|&at| self.victims[at].workers.len()).sum();
+        missed + self.victims[victim].workers.len() <= self.spare[step]
     }
 }
 
@@ -222,6 +246,7 @@
     };
     let mut choice = Choice::default();
     let mut touched: Vec<usize> = Vec::new();
+    let mut steps: Vec<usize> = Vec::new();
     let mut placed: Vec<u32> = among.iter().map(|&num| limits.on_worker[num]).collect();
     let mut offers: Vec<Option<Offer>> = among
         .iter()
@@ -247,7 +272,9 @@
             return None;
         }
         touched.clear();
+        steps.clear();
         for victim in chosen {
+            steps.extend(index.victims[victim].step);
             for &worker in &index.victims[victim].workers {
                 room.change(worker, |r| *r += index.victims[victim].need);
                 touched.push(worker);
@@ -259,7 +286,11 @@
         placed[at] += 1;
         choice.workers.push(num);
         for (at, &num) in among.iter().enumerate() {
-            if touched.contains(&num) {
+            let chosen = offers[at].as_ref().map(|(.., chosen)| chosen.as_slice());
+            let mut chosen = chosen.unwrap_or_default().iter();
+            let is_spent =
+                !steps.is_empty() && chosen.any(|&victim| index.victims[victim].is_of(&steps));
+            if touched.contains(&num) || is_spent {
                 offers[at] = offer(room.available, &choice.victims, num);
             }
         }
@@ -288,6 +319,9 @@
         if index.taken[at] || taken.contains(&at) || victim.kind > last {
             continue;
         }
+        if !index.can_miss(at, taken.iter().chain(&chosen)) {
+            continue;
+        }
         for _ in victim.workers.iter().filter(|&&worker| worker == num) {
             sum += victim.need;
         }
--- a/crates/batch/src/scheduler/upkeep.rs
+++ b/crates/batch/src/scheduler/upkeep.rs
@@ -7,7 +7,7 @@
 use crate::account::Loss;
 use crate::account::LossCause;
 use crate::job::RunPhase;
-use crate::plan::can_spare_one;
+use crate::plan::can_spare;
 use crate::plan::lost_by_stopping;
 use crate::preempt;
 use crate::spec::TaskId;
@@ -86,7 +86,7 @@
             };
             work.left = work.left.max(left).max(Millis(1));
             work.loss += preempt::work(&spec.need, lost_by_stopping(spec, open, now));
-            work.is_held |= spec.lasting && !can_spare_one(job, task);
+            work.is_held |= spec.lasting && !can_spare(job, task);
         }
         work
     }
@@ -108,7 +108,7 @@
             let Some((RunPhase::Running, run)) = running else {
                 continue;
             };
-            if !lasting || can_spare_one(job, &task) {
+            if !lasting || can_spare(job, &task) {
                 let loss = Loss::new(LossCause::Upkeep);
                 self.stop_run(&task, loss.clone());
                 self.break_gang(&task, run, &loss);
--- a/crates/batch/tests/decisions.rs
+++ b/crates/batch/tests/decisions.rs
@@ -183,12 +183,13 @@
             },
             loss: rng.random_range(100..10_000),
             kind: VictimKind::Ordinary,
+            step: None,
         });
     }
     let mut gang = step(2, 8, SECOND);
     gang.gang = true;
     gang.one_rack = true;
-    let index = VictimIndex::new(victims.clone(), all.len());
+    let index = VictimIndex::new(victims.clone(), Vec::new(), all.len());
     let choice = choose(&all, &index, &gang, &limits, 2).expect("a choice");
     assert_eq!(choice.victims.len(), 2);
     let racks: Vec<_> = choice.workers.iter().map(|&n| n / 4).collect();
