Let a record that the store refuses hold back its own job only

Callers of all organisations saw accepted jobs stay queued while the store refused the record of one job, or that could not be encoded (LOST).

Cause: the records of a planning pass were stored as a whole. One that was refused had all of them queued again every 60 ms without end, no start of any job was sent, and the daemon counted the store as down.

Now an answer that says that the call would be refused again is an error of its own. Records that are refused together are stored one by one, and a job whose record is refused by itself is set aside: its starts are taken back, its ends stay unacknowledged and are handed on like others that are not recorded, and the record is stored again after 5 s. The rest of the pass goes on. Event 209 names the job and the error.

Evidence: two tests of platform `record_size`, with a store that does not take one key, before the start and while the tasks run, failed on the code before after 20 s ("wait_for_state" of the other job) and pass now. 645 tests of `batch`, `platform`, `platform-fakes` and `obs` pass.

--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -251,6 +251,8 @@
     pub failed_on: Vec<WorkerId>,
     /// Whether an earlier coordinator may have planned it.
     pub inherited: bool,
+    /// When its record, which the store has refused, is to be stored again.
+    pub aside_until: Option<Millis>,
     /// Account of its time; kept for urgent jobs only.
     pub trace: Trace,
     /// Number of runs that were stopped for it.
@@ -282,6 +284,7 @@
             excess: false,
             failed_on: Vec::new(),
             inherited: false,
+            aside_until: None,
             trace: Trace::default(),
             stopped_runs: 0,
             stopped_work: 0,
--- a/crates/batch/src/plan/queue.rs
+++ b/crates/batch/src/plan/queue.rs
@@ -94,7 +94,7 @@
             let Some(job) = self.jobs.get_mut(id) else {
                 continue;
             };
-            if job.phase.is_final() {
+            if job.phase.is_final() || job.aside_until.is_some() {
                 continue;
             }
             let is_guaranteed = guaranteed.contains(id);
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -41,6 +41,7 @@
 use crate::wave::Waves;
 use crate::worker::Worker;
 
+mod aside;
 mod crashes;
 mod idle;
 mod load;
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -1,10 +1,12 @@
 //! Requests to workers: what is recorded before they are sent, and how responses are processed.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use base::Epoch;
 use base::JobId;
 use base::Millis;
+use base::Set;
 use base::WorkerId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -88,9 +90,9 @@
 pub struct PendingWrite {
     /// Progress of each changed job.
     pub records: Vec<(JobId, Progress)>,
-    starts: Vec<StartRequest>,
-    ends: Vec<(WorkerId, u64, u64)>,
-    seen: Vec<SeenEnd>,
+    pub(super) starts: Vec<StartRequest>,
+    pub(super) ends: Vec<(WorkerId, u64, u64)>,
+    pub(super) seen: Vec<SeenEnd>,
 }
 
 impl PendingWrite {
@@ -120,7 +122,15 @@
     /// [`Scheduler::records_stored`] or, if the write failed, to [`Scheduler::requeue`].
     pub fn take_pending(&mut self) -> PendingWrite {
         self.trace_urgent();
-        let ids = std::mem::take(&mut self.dirty);
+        let dirty = std::mem::take(&mut self.dirty).into_iter();
+        let (aside, ids): (BTreeSet<JobId>, BTreeSet<JobId>) =
+            dirty.partition(|id| self.is_aside(id));
+        self.dirty = aside;
+        let unstored = std::mem::take(&mut self.unstored).into_iter();
+        let (kept, seen): (Vec<SeenEnd>, _) =
+            unstored.partition(|s| self.is_aside(&s.end.task.job));
+        let held: Set<WorkerId> = kept.iter().map(|s| s.worker.clone()).collect();
+        self.unstored = kept;
         let records = ids.into_iter().filter_map(|id| {
             let progress = Progress::from(self.jobs.get(&id)?);
             Some((id, progress))
@@ -130,7 +140,7 @@
         let ends = self
             .workers
             .iter()
-            .filter(|(_, w)| w.reported_end > w.stored_end);
+            .filter(|(id, w)| w.reported_end > w.stored_end && !held.contains(id));
         let ends = ends
             .map(|(id, w)| (id.clone(), w.born, w.reported_end))
             .collect();
@@ -138,7 +148,7 @@
             records,
             starts: std::mem::take(&mut self.planned),
             ends,
-            seen: std::mem::take(&mut self.unstored),
+            seen,
         }
     }
 
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -26,6 +26,7 @@
     pub fn tick(&mut self, now: Millis, wall: Millis) {
         self.pass_at = (now, wall);
         self.refit(now);
+        self.recall_aside(now);
         let check_runs = now.since(self.checked_at) >= CHECK_INTERVAL;
         if check_runs {
             self.checked_at = now;
--- a/crates/bronzetack/src/batch/commit.rs
+++ b/crates/bronzetack/src/batch/commit.rs
@@ -4,6 +4,7 @@
 
 use base::JobId;
 use base::Revision;
+use base::Set;
 use batch::PendingWrite;
 use batch::Progress;
 use batch::RecordError;
@@ -30,34 +31,75 @@
 /// A job and its encoded record.
 type Record<'a> = (&'a JobId, Vec<u8>);
 
-/// Stores all records of `pending`. Returns false if not all were stored and they must be queued
-/// again.
-pub async fn store(shared: &Shared, lead: &Leadership, pending: &PendingWrite) -> bool {
+/// Stores the records of `pending`. Returns the jobs whose records the store refuses for themselves,
+/// or `None` if others were not stored and all must be queued again.
+pub async fn store(
+    shared: &Shared,
+    lead: &Leadership,
+    pending: &PendingWrite,
+) -> Option<Set<JobId>> {
+    let mut refused = Set::default();
     let mut records = Vec::with_capacity(pending.records.len());
     for (id, progress) in &pending.records {
         match encode(shared, lead, id, progress) {
             Ok(value) => records.push((id, value)),
-            Err(error) => {
-                shared.record_store_result(Err(&StoreError::Protocol(error.to_string())));
-                return false;
-            }
+            Err(error) => refuse(shared, id, &error, &mut refused),
         }
     }
     let parts = parts(records, shared.settings.store.value);
     let results = stream::iter(parts.iter().map(|part| store_part(shared, lead, part)));
-    let mut results = results.buffer_unordered(PARALLEL);
+    let mut results = results.buffered(PARALLEL);
     let mut all = true;
-    while let Some(result) = results.next().await {
-        match result {
-            Ok(true) => shared.record_store_result(Ok(())),
-            Ok(false) => all = false,
-            Err(error) => {
-                shared.record_store_result(Err(&error));
-                all = false;
+    let mut single: Vec<&[Record]> = Vec::new();
+    for part in &parts {
+        match results.next().await? {
+            Err(StoreError::Refused(_)) if part.len() > 1 => single.extend(part.chunks(1)),
+            result => all &= settle(shared, part, result, &mut refused),
+        }
+    }
+    // Of several records that are refused together, each is stored by itself.
+    let results = stream::iter(single.iter().map(|part| store_part(shared, lead, part)));
+    let mut results = results.buffered(PARALLEL);
+    for part in &single {
+        let result = results.next().await?;
+        all &= settle(shared, part, result, &mut refused);
+    }
+    all.then_some(refused)
+}
+
+/// Takes note of what became of a transaction. Returns false if its records must be queued again.
+fn settle(
+    shared: &Shared,
+    part: &[Record<'_>],
+    result: Result<bool, StoreError>,
+    refused: &mut Set<JobId>,
+) -> bool {
+    match (result, part) {
+        (Ok(stored), _) => {
+            if stored {
+                shared.record_store_result(Ok(()));
             }
+            stored
+        }
+        (Err(error @ StoreError::Refused(_)), [(id, _)]) => {
+            refuse(shared, id, &error, refused);
+            true
+        }
+        (Err(error), _) => {
+            shared.record_store_result(Err(&error));
+            false
         }
     }
-    all
+}
+
+/// Adds a job to those whose records are refused.
+fn refuse(shared: &Shared, id: &JobId, error: &dyn Display, refused: &mut Set<JobId>) {
+    if let Some(suppressed) = shared.record_log.admit(shared.now()) {
+        let fields: &[(&'static str, &dyn Display)] =
+            &[("job", id), ("error", error), ("more", &suppressed)];
+        obs::record(&shared.log, Event::RecordRefused, fields);
+    }
+    refused.insert(id.clone());
 }
 
 /// Encodes a record within the store's limit on values.
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -49,7 +49,7 @@
         // Planning gets at most a part of the processor time, as other work waits meanwhile.
         let pause = COALESCE_DELAY.max(Millis(pass_time.0 * PAUSE_FACTOR));
         shared.sleep(pause.min(COALESCE_DELAY_MAX)).await;
-        let pending = {
+        let mut pending = {
             let mut scheduler = lead.scheduler.borrow_mut();
             let now = shared.now();
             scheduler.tick(now, shared.clock.wall());
@@ -70,8 +70,7 @@
             debug_assert!(starts.is_empty(), "start request without a record to store");
             continue;
         }
-        let done = commit::store(&shared, &lead, &pending).await;
-        if !done {
+        let Some(refused) = commit::store(&shared, &lead, &pending).await else {
             // Also when the leadership has ended: what is not recorded is handed on.
             lead.scheduler.borrow_mut().requeue(pending);
             if lead.ended.get() {
@@ -80,11 +79,15 @@
             shared.sleep(RETRY_DELAY).await;
             lead.wake.notify_one();
             continue;
+        };
+        let now = shared.now();
+        if !refused.is_empty() {
+            let mut scheduler = lead.scheduler.borrow_mut();
+            scheduler.set_aside(&mut pending, &refused, now);
         }
         if lead.ended.get() {
             return;
         }
-        let now = shared.now();
         let allowed = may_start(&shared, &lead, now);
         let starts = {
             let mut scheduler = lead.scheduler.borrow_mut();
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -365,6 +365,7 @@
                 StoreError::Malformed(_) => "malformed",
                 StoreError::TooLarge => "too-large",
                 StoreError::Protocol(_) => "protocol",
+                StoreError::Refused(_) => "refused",
             };
             self.store_errors.add(&[("kind", kind)], 1);
         }
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -70,6 +70,7 @@
     StoreSlow = 206, Warn, "records were not stored in time";
     RemovalFailed = 207, Warn, "records could not be removed";
     RecordShortened = 208, Warn, "checkpoints were left out of a record too long for the store";
+    RecordRefused = 209, Error, "the store refuses the record of a job; its tasks wait";
     LinkUp = 300, Info, "link to a peer is up";
     LinkDown = 301, Warn, "link to a peer is down";
     LinkRefused = 302, Warn, "connection on the peer port refused";
