Do not tell that a job is gone when its record cannot be read

Callers of an accepted job got 410 when its submission in the store could not be read (LOST), and `queued` for a completed job when its record could not (MIXED). A cancellation was answered with 410 as well: a refusal took the place of the submission, and the job ran on (UNASKED).

Cause: a record that cannot be read was taken for one that is not there.

Now a look-up that meets one is answered with 504 and a time to retry, and event 700 names the key and the error. A cancellation marks the job as cancelled, as the coordinator may know it, and leaves the record alone.

--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -1,6 +1,7 @@
 //! Answers calls from the records in the platform's store.
 
 use std::cell::RefCell;
+use std::fmt::Display;
 use std::rc::Rc;
 
 use base::JobId;
@@ -26,6 +27,7 @@
 
 use crate::batch::keys;
 use crate::batch::load;
+use crate::batch::restore::UNREADABLE;
 use crate::batch::shared::Shared;
 use crate::batch::shared::MAX_LOOK_UPS;
 
@@ -224,9 +226,25 @@
     shared.caller_store.commit(&txn).await
 }
 
+/// What is stored of a submission.
+enum Stored {
+    Accepted,
+    Refused,
+    /// It cannot be read, so it may be an accepted job.
+    Unreadable(String),
+}
+
+fn stored(item: &Item) -> Stored {
+    match item.value.as_deref().map(JobRecord::decode) {
+        Some(Ok(JobRecord::Accepted(_))) => Stored::Accepted,
+        Some(Ok(JobRecord::Refused(_))) => Stored::Refused,
+        Some(Err(error)) => Stored::Unreadable(error.to_string()),
+        None => Stored::Unreadable(UNREADABLE.to_string()),
+    }
+}
+
 fn is_accepted(item: &Item) -> bool {
-    let record = item.value.as_deref().map(JobRecord::decode);
-    matches!(record, Some(Ok(JobRecord::Accepted(_))))
+    matches!(stored(item), Stored::Accepted)
 }
 
 /// Looks a job up. While the store refuses reads because of its limit, a phase that may be some seconds
@@ -286,25 +304,36 @@
         true => store.get_stale(&key).await,
         false => store.get(&key).await,
     };
-    let run = read(keys::run(id)).await?;
-    let progress = run.and_then(|i| i.value).map(|v| Progress::decode(&v));
-    if let Some(Ok(progress)) = progress {
-        return Ok(CallAnswer::State(progress.phase));
+    let unreadable = |key: &str, why: &dyn Display| {
+        shared.refuse(key, why);
+        CallAnswer::Unknown(retry_after(shared))
+    };
+    if let Some(run) = read(keys::run(id)).await? {
+        return Ok(match run.value.as_deref().map(Progress::decode) {
+            Some(Ok(progress)) => CallAnswer::State(progress.phase),
+            Some(Err(error)) => unreadable(&run.key, &error),
+            None => unreadable(&run.key, &UNREADABLE),
+        });
     }
-    let job = read(keys::job(id)).await?;
-    Ok(match job.is_some_and(|job| is_accepted(&job)) {
-        true => CallAnswer::State(JobPhase::Queued),
-        false => CallAnswer::NoJob,
+    let Some(job) = read(keys::job(id)).await? else {
+        return Ok(CallAnswer::NoJob);
+    };
+    Ok(match stored(&job) {
+        Stored::Accepted => CallAnswer::State(JobPhase::Queued),
+        Stored::Refused => CallAnswer::NoJob,
+        Stored::Unreadable(why) => unreadable(&job.key, &why),
     })
 }
 
-/// Cancels a job. If there is none, a refusal is stored before the answer says so, as an earlier
+/// Cancels a job, also one whose submission cannot be read: the coordinator may know it. If there is none, a refusal is stored before the answer says so, as an earlier
 /// submission without an answer could still take effect. A later submission replaces the refusal.
 async fn cancel(shared: &Shared, id: &JobId, until: Millis) -> CallAnswer {
     let answer = retry(shared, until, || async {
         let found = shared.caller_store.get(&keys::job(id)).await?;
         match found {
-            Some(job) if is_accepted(&job) => mark_cancelled(shared, id, job.revision).await,
+            Some(job) if !matches!(stored(&job), Stored::Refused) => {
+                mark_cancelled(shared, id, job.revision).await
+            }
             found => refuse_unknown(shared, id, found.map(|i| i.revision), until).await,
         }
     });
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -28,7 +28,7 @@
 use crate::batch::upkeep;
 
 /// What is wrong with an item without a value.
-const UNREADABLE: &str = "a field cannot be read, or the value is not valid base64";
+pub const UNREADABLE: &str = "a field cannot be read, or the value is not valid base64";
 
 /// Delay after a failed call to the store.
 const RETRY_DELAY: Millis = Millis(150);
