Do not end `serve` on SIGHUP

Now `serve` holds the signal until its handler is there, as `batch` does, and then logs event 111: its settings change with a revision on the platform, so there is nothing to read again.

Evidence: `a_hangup_ends_no_daemon::serve` (bronzetack `process`) failed on the code before ("a call was not answered") and passes now; the case of `batch` passed before as well.

--- a/crates/bronzetack/src/cmd/serve.rs
+++ b/crates/bronzetack/src/cmd/serve.rs
@@ -23,7 +23,8 @@
 
 const USAGE: &str = "\
 Runs the daemon. SIGTERM or SIGINT begins a planned stop, which cuts no request in
-progress; a second one ends the daemon at once. Logs go to standard error.
+progress; a second one ends the daemon at once. SIGHUP is ignored: settings change with
+a revision on the platform. Logs go to standard error.
 
 Usage:
     bronzetack serve --settings <file>
@@ -40,17 +41,24 @@
     if wants_help(&args) {
         return print(USAGE);
     }
-    let held = HeldSignals::hold(&[SystemSignal::SIGTERM, SystemSignal::SIGINT])?;
+    let signals = [
+        SystemSignal::SIGTERM,
+        SystemSignal::SIGINT,
+        SystemSignal::SIGHUP,
+    ];
+    let held = HeldSignals::hold(&signals)?;
     let args = SettingsArg::parse(args)?;
     actix_rt::System::new().block_on(serve(&args.settings, held))
 }
 
 async fn serve(path: &Path, held: HeldSignals) -> Result<(), CliError> {
     let signals = StopSignals::new()?;
+    let hangup = signal(SignalKind::hangup())?;
     held.release()?;
     let node = load_node(path)?;
     let output = Log::to_stderr(slog::o!(), node.log.debug);
     output.log_panics(slog::o!("domain" => node.domain.to_string()));
+    actix_rt::spawn(log_hangups(hangup, output.clone()));
     let result = run_daemon(node, signals, &output).await;
     output.close();
     result
@@ -77,6 +85,13 @@
     Ok(())
 }
 
+async fn log_hangups(mut hangup: Signal, output: Log) {
+    while hangup.recv().await.is_some() {
+        let text = "settings change with a revision on the platform";
+        obs::emit(output.logger(), Event::HangupIgnored, text);
+    }
+}
+
 async fn exit_on_second(mut signals: StopSignals, output: Log) {
     signals.next().await;
     obs::emit(output.logger(), Event::StopForced, "second signal");
--- a/crates/bronzetack/tests/process.rs
+++ b/crates/bronzetack/tests/process.rs
@@ -175,6 +175,23 @@
     assert_eq!(status.code(), Some(0), "{status}");
 }
 
+/// Failure: a SIGHUP ended `serve` at once, without a planned stop.
+#[parameterized(
+    batch = { Program::Batch },
+    serve = { Program::Serve },
+)]
+fn a_hangup_ends_no_daemon(program: Program) {
+    let mut process = Process::start(program, Stdio::null());
+    for _ in 0..3 {
+        process.signal(Signal::SIGHUP);
+        for _ in 0..CALLS {
+            process.call();
+        }
+    }
+    let status = process.stop(Signal::SIGTERM);
+    assert_eq!(status.code(), Some(0), "{status}");
+}
+
 /// Failure: a settings file that could not be read at once, as on a file system that hangs, kept the
 /// daemon from answering after a SIGHUP and from ending.
 #[test]
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -61,6 +61,7 @@
     LogLinesDropped = 108, Warn, "log lines were dropped";
     PortsNotPrinted = 109, Warn, "ports of the daemon could not be printed";
     SpanClosed = 110, Debug, "span closed";
+    HangupIgnored = 111, Info, "SIGHUP ignored";
     StoreUnreachable = 200, Warn, "platform store does not answer";
     StoreReachable = 201, Info, "platform store answers again";
     StoreAnswerLost = 202, Warn, "answer to a store write was lost; checking its effect";
