Let long-running work without a limit hold up no upkeep

Operators saw waves of upkeep that never ended: a machine with a task of a long-running step without `may-miss` was never taken down, and its runs were never stopped, however late the wave was.

Cause: as in preemption, a step that sets no limit was taken as one that may miss no task.

Now only steps with `may-miss` hold the upkeep of a machine up. Others are stopped like any work, once the time left is down to what the rounds take.

Evidence: `long_running_work_without_a_limit_holds_no_upkeep_up` (batch `may_miss`) failed on the code before, one of two machines in 10 s, and passes now, as do the other tests of `batch`.

--- a/crates/batch/src/scheduler/upkeep.rs
+++ b/crates/batch/src/scheduler/upkeep.rs
@@ -10,6 +10,7 @@
 use crate::plan::can_spare;
 use crate::plan::lost_by_stopping;
 use crate::preempt;
+use crate::spec::StepSpec;
 use crate::spec::TaskId;
 use crate::wave::MachineWork;
 use crate::wave::UpkeepRequest;
@@ -86,7 +87,7 @@
             };
             work.left = work.left.max(left).max(Millis(1));
             work.loss += preempt::work(&spec.need, lost_by_stopping(spec, open, now));
-            work.is_held |= spec.lasting && !can_spare(job, task);
+            work.is_held |= spec.is_limited() && !can_spare(job, task);
         }
         work
     }
@@ -103,12 +104,12 @@
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
-            let lasting = job.spec(&task).is_some_and(|s| s.lasting);
+            let is_limited = job.spec(&task).is_some_and(StepSpec::is_limited);
             let running = self.open_run(&task).map(|o| (o.phase, o.run));
             let Some((RunPhase::Running, run)) = running else {
                 continue;
             };
-            if !lasting || can_spare(job, &task) {
+            if !is_limited || can_spare(job, &task) {
                 let loss = Loss::new(LossCause::Upkeep);
                 self.stop_run(&task, loss.clone());
                 self.break_gang(&task, run, &loss);
--- a/crates/batch/tests/may_miss.rs
+++ b/crates/batch/tests/may_miss.rs
@@ -4,7 +4,13 @@
 mod kit;
 
 use base::JobId;
+use base::MachineId;
 use base::Millis;
+use base::Set;
+use batch::wave::MachineEntry;
+use batch::wave::MachineState;
+use batch::wave::UpkeepResponse;
+use batch::wave::Wave;
 use batch::StepSpec;
 use yare::parameterized;
 
@@ -127,3 +133,45 @@
         .count();
     assert_eq!(started, 2, "tasks that run in time");
 }
+
+/// Requests upkeep of the machines of all workers, `cap` at a time, for a time. Returns those whose
+/// upkeep has begun, and the most tasks of the first step of a job that were away at a time.
+fn run_wave(site: &mut Site, cap: usize, span: Millis, (id, count): (&JobId, u32)) -> (usize, u32) {
+    let entry = |w: &kit::worker::FakeWorker| MachineEntry {
+        id: format!("m-{}", w.id).parse().expect("a machine id"),
+        state: MachineState::Up,
+        worker: Some(w.id.clone()),
+    };
+    let machines: Vec<MachineEntry> = site.workers.iter().map(entry).collect();
+    let wave = Wave {
+        number: 1,
+        machines: machines.iter().map(|m| m.id.clone()).collect(),
+        span,
+        cap,
+    };
+    let (begin, end) = (site.now, site.now + span);
+    let (mut begun, mut most) = (Set::<MachineId>::default(), 0);
+    while site.now < end {
+        site.turn();
+        most = most.max(count - at_work(site, id));
+        let now = site.now;
+        let scheduler = &mut site.scheduler;
+        scheduler.waves().set_machines(machines.clone(), now);
+        scheduler.set_waves([(wave.clone(), begin)].iter());
+        for request in scheduler.plan_upkeep(SECOND, now) {
+            begun.insert(request.machine.clone());
+            scheduler.upkeep_response(&request, &UpkeepResponse::Begun, now);
+        }
+    }
+    (begun.len(), most)
+}
+
+/// Guards against a wave that never ends: work without a limit held its machine back like work of which
+/// no task may be missed.
+#[test]
+fn long_running_work_without_a_limit_holds_no_upkeep_up() {
+    let mut site = Site::new(2, 8, Faults::default());
+    let id = start_lasting(&mut site, "depot", vec![lasting(1, 8, 0)]);
+    let (begun, _) = run_wave(&mut site, 2, Millis(10_000), (&id, 1));
+    assert_eq!(begun, 2);
+}
