--- a/crates/batch/src/place.rs
+++ b/crates/batch/src/place.rs
@@ -12,6 +12,7 @@
 use base::Set;
 use base::WorkerId;
 
+use crate::preempt::VictimKind;
 use crate::spec::Resources;
 use crate::spec::StepSpec;
 use crate::speed::Speed;
@@ -80,8 +81,8 @@
     pub paused: bool,
     /// Whether workers that are reserved for a gang may be used, however long the task takes.
     pub reserved: bool,
-    /// Whether urgent work that no guarantee covers may be stopped.
-    pub displaces_urgent: bool,
+    /// The last kind of work that may be stopped for the step.
+    pub displaces: VictimKind,
     /// The only workers allowed; `None` allows all.
     pub allowed: Option<&'a Set<WorkerId>>,
     /// What the step asks of the speed of its workers.
--- a/crates/batch/src/plan/attempt.rs
+++ b/crates/batch/src/plan/attempt.rs
@@ -80,7 +80,7 @@
             uses_headroom: self.uses_headroom,
             paused: self.paused,
             reserved: self.reserved,
-            displaces_urgent: self.pressure == Pressure::Last,
+            displaces: self.pressure.displaces(),
             allowed: self.allowed.as_ref(),
             speed: self.speed,
         }
--- a/crates/batch/src/plan/victims.rs
+++ b/crates/batch/src/plan/victims.rs
@@ -21,10 +21,12 @@
 use crate::preempt;
 use crate::preempt::Victim;
 use crate::preempt::VictimIndex;
+use crate::preempt::VictimKind;
 use crate::scheduler::LogEntry;
 use crate::scheduler::LogKind;
 use crate::scheduler::Scheduler;
 use crate::spec::Resources;
+use crate::spec::StepId;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
 
@@ -44,7 +46,7 @@
 pub(super) enum Pressure {
     /// No more may be lost for it than it is worth.
     None,
-    /// A guarantee covers it, and any work of lower priority is stopped for it.
+    /// A guarantee covers it, and any work of lower priority is stopped for it, long-running too.
     High,
     /// Also urgent work that no guarantee covers is stopped for it, and it starts on any rack.
     Last,
@@ -59,6 +61,15 @@
             Pressure::None => worth,
         }
     }
+
+    /// The last kind of work that is stopped for the step.
+    pub(super) fn displaces(self) -> VictimKind {
+        match self {
+            Pressure::None => VictimKind::Ordinary,
+            Pressure::High => VictimKind::Lasting,
+            Pressure::Last => VictimKind::Urgent,
+        }
+    }
 }
 
 /// Part of the time in which work can still be stopped for a guaranteed step, in percent, after which
@@ -66,14 +77,14 @@
 const LAST_PERCENT: u64 = 75;
 
 impl Scheduler {
-    /// Runs on the workers that no guarantee covers, each with the work that stopping it would lose,
-    /// and the tasks of each. All members of a gang form one victim.
+    /// Runs on the workers that no guarantee covers, and the tasks of each. All members of a gang form
+    /// one victim.
     pub(super) fn victims(
         &self,
         candidates: &[Candidate],
         guaranteed: &Set<JobId>,
         now: Millis,
-    ) -> (Vec<Victim>, Vec<Vec<TaskId>>) {
+    ) -> (VictimIndex, Vec<Vec<TaskId>>) {
         let index_of: Map<&WorkerId, usize> = candidates
             .iter()
             .enumerate()
@@ -81,6 +92,8 @@
             .collect();
         let mut victims: Vec<Victim> = Vec::new();
         let mut tasks: Vec<Vec<TaskId>> = Vec::new();
+        let mut limited: Map<StepId, usize> = Map::default();
+        let mut spare: Vec<usize> = Vec::new();
         for id in &self.live {
             let Some(job) = self.jobs.get(id) else {
                 continue;
@@ -103,7 +116,7 @@
                 if !matches!(open.phase, RunPhase::Running | RunPhase::Sent) {
                     continue;
                 }
-                if spec.lasting && !can_spare_one(job, &task) {
+                if spec.is_limited() && !can_spare(job, &task) {
                     continue;
                 }
                 let loss = preempt::work(&spec.need, lost_by_stopping(spec, open, now));
@@ -125,12 +138,18 @@
                     workers: vec![at],
                     need: spec.occupies(),
                     loss,
-                    urgent: job.submitted.priority == 0,
+                    kind: victim_kind(job, spec),
+                    step: spec.is_limited().then(|| {
+                        *limited.entry(task.step_id()).or_insert_with(|| {
+                            spare.push(spare_tasks(job, &task));
+                            spare.len() - 1
+                        })
+                    }),
                 });
                 tasks.push(vec![task]);
             }
         }
-        (victims, tasks)
+        (VictimIndex::new(victims, spare, candidates.len()), tasks)
     }
 
     /// How pressing a step is. The time of a guaranteed job that has not begun counts from its
@@ -169,10 +188,9 @@
         count: usize,
         most: u64,
     ) -> Preemption {
-        let (index, tasks) = pass.victims.get_or_insert_with(|| {
-            let (victims, tasks) = self.victims(&pass.candidates, &pass.guaranteed, pass.now);
-            (VictimIndex::new(victims, pass.candidates.len()), tasks)
-        });
+        let (index, tasks) = pass
+            .victims
+            .get_or_insert_with(|| self.victims(&pass.candidates, &pass.guaranteed, pass.now));
         let found = preempt::choose_among(among, &pass.candidates, index, spec, limits, count);
         let Some(choice) = found else {
             return Preemption::NoChoice;
@@ -261,8 +279,24 @@
     }
 }
 
-/// Whether one more task of a long-running step may be taken out of service.
-pub(crate) fn can_spare_one(job: &Job, task: &TaskId) -> bool {
+/// How readily the runs of a step are stopped.
+pub(super) fn victim_kind(job: &Job, spec: &StepSpec) -> VictimKind {
+    match job.submitted.priority {
+        0 => VictimKind::Urgent,
+        _ if spec.lasting && !spec.is_limited() => VictimKind::Lasting,
+        _ => VictimKind::Ordinary,
+    }
+}
+
+/// Whether a task of a long-running step may be taken out of service, with its whole gang if it is in
+/// one.
+pub(crate) fn can_spare(job: &Job, task: &TaskId) -> bool {
+    let gang = job.spec(task).filter(|spec| spec.gang);
+    spare_tasks(job, task) >= gang.map_or(1, |spec| spec.count as usize)
+}
+
+/// How many more tasks of a long-running step may be taken out of service.
+pub(super) fn spare_tasks(job: &Job, task: &TaskId) -> usize {
     let steps = job
         .open
         .get(&task.occurrence)
@@ -273,5 +307,5 @@
     };
     let out_of_service = steps.map_or(0, |s| s.tasks.iter().filter(|t| !in_service(t)).count());
     let most = job.spec(task).map_or(0, |s| s.may_miss as usize);
-    out_of_service < most
+    most.saturating_sub(out_of_service)
 }
--- a/crates/obs/src/event.rs
+++ b/crates/obs/src/event.rs
@@ -61,6 +61,7 @@
     LogLinesDropped = 108, Warn, "log lines were dropped";
     PortsNotPrinted = 109, Warn, "ports of the daemon could not be printed";
     SpanClosed = 110, Debug, "span closed";
+    HangupIgnored = 112, Info, "SIGHUP ignored";
     StoreUnreachable = 200, Warn, "platform store does not answer";
     StoreReachable = 201, Info, "platform store answers again";
     StoreAnswerLost = 202, Warn, "answer to a store write was lost; checking its effect";
@@ -70,6 +71,7 @@
     StoreSlow = 206, Warn, "records were not stored in time";
     RemovalFailed = 207, Warn, "records could not be removed";
     RecordShortened = 208, Warn, "checkpoints were left out of a record too long for the store";
+    RecordRefused = 209, Error, "the store refuses the record of a job; its tasks wait";
     LinkUp = 300, Info, "link to a peer is up";
     LinkDown = 301, Warn, "link to a peer is down";
     LinkRefused = 302, Warn, "connection on the peer port refused";
