--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -38,7 +38,7 @@
 pub use obstacle::Obstacle;
 pub use obstacle::Withheld;
 
-pub(crate) use victims::can_spare_one;
+pub(crate) use victims::can_spare;
 pub(crate) use victims::lost_by_stopping;
 
 /// A step with tasks that could start.
--- a/crates/batch/src/plan/limit.rs
+++ b/crates/batch/src/plan/limit.rs
@@ -9,14 +9,17 @@
 use base::Millis;
 use base::OrgId;
 
-use super::can_spare_one;
+use super::can_spare;
 use super::lost_by_stopping;
+use super::victims::spare_tasks;
+use super::victims::victim_kind;
 use super::Pass;
 use super::WaitingStep;
 use crate::account::Loss;
 use crate::account::LossCause;
 use crate::job::RunPhase;
 use crate::preempt;
+use crate::preempt::VictimKind;
 use crate::scheduler::LogEntry;
 use crate::scheduler::LogKind;
 use crate::scheduler::Scheduler;
@@ -33,9 +36,12 @@
 
 /// A run, or all runs of a gang, of lower priority that could be stopped.
 struct Stoppable {
+    kind: VictimKind,
     loss: u64,
     need: Resources,
     tasks: Vec<TaskId>,
+    /// Number of tasks that may be stopped of its step; `None` if that sets no limit.
+    spare: Option<usize>,
 }
 
 impl Scheduler {
@@ -160,7 +166,7 @@
     /// step come under its limit. `short` is what its use has to fall by.
     fn stop_own(
         &mut self,
-        pass: &Pass,
+        pass: &mut Pass,
         at: &WaitingStep,
         (org, spec): (&OrgId, &StepSpec),
         (count, mut short): (u64, Resources),
@@ -182,12 +188,12 @@
         let most = pressure.max_loss(at.guaranteed, worth);
         let mut chosen: Vec<Stoppable> = Vec::new();
         let mut loss = 0;
-        for run in self.stoppable(pass, org) {
+        for run in self.stoppable(pass, org, pressure.displaces()) {
             if short == Resources::default() {
                 break;
             }
             let rest = short.saturating_sub(&run.need);
-            if rest == short {
+            if rest == short || !can_miss(&run, &chosen) {
                 continue;
             }
             short = rest;
@@ -201,6 +207,8 @@
         for task in &tasks {
             self.stop_run(task, Loss::new(LossCause::Limit));
         }
+        // What its steps may still miss has changed.
+        pass.victims = None;
         let names: Vec<String> = tasks.iter().map(TaskId::to_string).collect();
         let text = format!(
             "stopping {} runs of {org} for this urgent job, which its limit holds back: {}",
@@ -223,9 +231,9 @@
         sum
     }
 
-    /// Runs of an organisation that are not urgent and may be stopped, those with the least loss
-    /// first. The members of a gang go together.
-    fn stoppable(&self, pass: &Pass, org: &OrgId) -> Vec<Stoppable> {
+    /// Runs of an organisation that are not urgent and may be stopped, up to a kind, those with the
+    /// least loss of each kind first. The members of a gang go together.
+    fn stoppable(&self, pass: &Pass, org: &OrgId, last: VictimKind) -> Vec<Stoppable> {
         let mut gangs: BTreeMap<StepId, Stoppable> = BTreeMap::new();
         let mut found: Vec<Stoppable> = Vec::new();
         for task in self.workers.values().flat_map(|w| w.open.keys()) {
@@ -240,14 +248,17 @@
                 continue;
             };
             let running = matches!(open.phase, RunPhase::Running | RunPhase::Sent);
-            if !running || spec.lasting && !can_spare_one(job, task) {
+            let kind = victim_kind(job, spec);
+            if !running || kind > last || spec.is_limited() && !can_spare(job, task) {
                 continue;
             }
             let loss = preempt::work(&spec.need, lost_by_stopping(spec, open, pass.now));
             let run = Stoppable {
+                kind,
                 loss,
                 need: spec.need,
                 tasks: vec![task.clone()],
+                spare: spec.is_limited().then(|| spare_tasks(job, task)),
             };
             if !spec.gang {
                 found.push(run);
@@ -263,7 +274,19 @@
             }
         }
         found.extend(gangs.into_values());
-        found.sort_by(|a, b| (a.loss, &a.tasks).cmp(&(b.loss, &b.tasks)));
+        found.sort_by(|a, b| (a.kind, a.loss, &a.tasks).cmp(&(b.kind, b.loss, &b.tasks)));
         found
     }
 }
+
+/// Whether the step of a run may miss it as well as those that are chosen already.
+fn can_miss(run: &Stoppable, chosen: &[Stoppable]) -> bool {
+    let (Some(spare), Some(first)) = (run.spare, run.tasks.first()) else {
+        return true;
+    };
+    let same = chosen.iter().flat_map(|c| &c.tasks);
+    let missed = same
+        .filter(|task| task.step_id() == first.step_id())
+        .count();
+    missed + run.tasks.len() <= spare
+}
--- a/crates/batch/src/preempt.rs
+++ b/crates/batch/src/preempt.rs
@@ -6,7 +6,8 @@
 //!
 //! Load pattern of guarantees: a burst of urgent jobs of one organisation fills the site beyond its
 //! guarantee, and another one then claims its own. Urgent work that no guarantee covers is stopped for
-//! it, but only where nothing else makes room.
+//! it, but only where nothing else makes room. Long-running work, which never leaves by itself, comes
+//! between the two.
 
 use base::Millis;
 
@@ -20,6 +21,17 @@
 /// Cores that one accelerator counts as when amounts of work are compared.
 const ACCEL_CORES: u64 = 8;
 
+/// How readily a run is stopped; the first kind goes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum VictimKind {
+    /// Of lower priority than the urgent work.
+    Ordinary,
+    /// The same, and long-running without a limit on the tasks out of service.
+    Lasting,
+    /// Of the highest priority.
+    Urgent,
+}
+
 /// A run, or all runs of a gang, that could be stopped.
 #[derive(Clone, Debug)]
 pub struct Victim {
@@ -29,20 +41,31 @@
     pub need: Resources,
     /// Work that would be lost, in core-milliseconds.
     pub loss: u64,
-    /// Whether it is of the highest priority.
-    pub urgent: bool,
+    /// How readily it is stopped.
+    pub kind: VictimKind,
+    /// Number of its step among those that limit the tasks out of service.
+    pub step: Option<usize>,
 }
 
+/// Added to the loss of a long-running victim, so that it is more than that of any ordinary ones.
+const LASTING_LOSS: u64 = 1 << 40;
+
 /// Added to the loss of an urgent victim, so that it is more than that of any others.
 const URGENT_LOSS: u64 = 1 << 48;
 
 impl Victim {
     /// Loss by which victims are compared, in core-milliseconds.
     fn weighted_loss(&self) -> u64 {
-        match self.urgent {
-            true => self.loss.saturating_add(URGENT_LOSS),
-            false => self.loss,
-        }
+        let extra = match self.kind {
+            VictimKind::Ordinary => 0,
+            VictimKind::Lasting => LASTING_LOSS,
+            VictimKind::Urgent => URGENT_LOSS,
+        };
+        self.loss.saturating_add(extra)
+    }
+
+    fn is_of(&self, steps: &[usize]) -> bool {
+        self.step.is_some_and(|step| steps.contains(&step))
     }
 }
 
@@ -69,11 +92,14 @@
     /// Indices of the victims on each worker, those that lose the least per accelerator first.
     by_worker: Vec<Vec<usize>>,
     taken: Vec<bool>,
+    /// Number of tasks that may still be stopped of each step with a limit.
+    spare: Vec<usize>,
 }
 
 impl VictimIndex {
-    /// Indexes victims on a number of workers.
-    pub fn new(victims: Vec<Victim>, workers: usize) -> VictimIndex {
+    /// Indexes victims on a number of workers. `spare` is the number of tasks that may be stopped of
+    /// each step with a limit.
+    pub fn new(victims: Vec<Victim>, spare: Vec<usize>, workers: usize) -> VictimIndex {
         let mut by_worker: Vec<Vec<usize>> = vec![Vec::new(); workers];
         for (num, victim) in victims.iter().enumerate() {
             for &worker in &victim.workers {
@@ -85,7 +111,7 @@
         for list in &mut by_worker {
             list.sort_by_key(|&v| {
                 let victim = &victims[v];
-                (victim.urgent, victim.loss / victim.need.accels.max(1), v)
+                (victim.kind, victim.loss / victim.need.accels.max(1), v)
             });
             list.dedup();
         }
@@ -93,12 +119,27 @@
             taken: vec![false; victims.len()],
             victims,
             by_worker,
+            spare,
         }
     }
 
     /// Excludes a victim from later choices, because it is being stopped.
     pub fn take(&mut self, victim: usize) {
         self.taken[victim] = true;
+        let Victim { step, workers, .. } = &self.victims[victim];
+        if let Some(spare) = step.and_then(|step| self.spare.get_mut(step)) {
+            *spare = spare.saturating_sub(workers.len());
+        }
+    }
+
+    /// Whether the step of a victim may miss it as well as those that are chosen already.
+    fn can_miss<'a>(&self, victim: usize, chosen: impl Iterator<Item = &'a usize>) -> bool {
+        let Some(step) = self.victims[victim].step else {
+            return true;
+        };
+        let same = chosen.filter(|&&at| self.victims[at].step == Some(step));
+        let missed: usize = same.map(|&at| self.victims[at].workers.len()).sum();
+        missed + self.victims[victim].workers.len() <= self.spare[step]
     }
 }
 
@@ -189,17 +230,23 @@
     let need = step.occupies();
     let per_worker = step.per_worker.unwrap_or(u32::MAX);
     let offer = |available: &[Resources], taken: &[usize], num: usize| -> Option<Offer> {
-        let urgent = limits.displaces_urgent;
         // What still exceeds the capacity has to be freed as well.
         let mut owed = candidates[num].excess;
         owed -= candidates[num].releasing;
         owed += need;
-        let (loss, chosen) = cheapest(&available[num], &owed, index, (taken, urgent), num)?;
+        let (loss, chosen) = cheapest(
+            &available[num],
+            &owed,
+            index,
+            (taken, limits.displaces),
+            num,
+        )?;
         let left = available[num].saturating_sub(&need).accels;
         Some((candidates[num].penalty, loss, left, chosen))
     };
     let mut choice = Choice::default();
     let mut touched: Vec<usize> = Vec::new();
+    let mut steps: Vec<usize> = Vec::new();
     let mut placed: Vec<u32> = among.iter().map(|&num| limits.on_worker[num]).collect();
     let mut offers: Vec<Option<Offer>> = among
         .iter()
@@ -225,7 +272,9 @@
             return None;
         }
         touched.clear();
+        steps.clear();
         for victim in chosen {
+            steps.extend(index.victims[victim].step);
             for &worker in &index.victims[victim].workers {
                 room.change(worker, |r| *r += index.victims[victim].need);
                 touched.push(worker);
@@ -237,7 +286,11 @@
         placed[at] += 1;
         choice.workers.push(num);
         for (at, &num) in among.iter().enumerate() {
-            if touched.contains(&num) {
+            let chosen = offers[at].as_ref().map(|(.., chosen)| chosen.as_slice());
+            let mut chosen = chosen.unwrap_or_default().iter();
+            let is_spent =
+                !steps.is_empty() && chosen.any(|&victim| index.victims[victim].is_of(&steps));
+            if touched.contains(&num) || is_spent {
                 offers[at] = offer(room.available, &choice.victims, num);
             }
         }
@@ -247,12 +300,12 @@
 }
 
 /// Victims on one worker that make `need` fit into it together with `have`, cheapest first, and
-/// their loss. Those in `taken` are left out, and urgent ones unless `urgent` is set.
+/// their loss. Those in `taken` are left out, and those of a kind after `last`.
 fn cheapest(
     have: &Resources,
     need: &Resources,
     index: &VictimIndex,
-    (taken, urgent): (&[usize], bool),
+    (taken, last): (&[usize], VictimKind),
     num: usize,
 ) -> Option<(u64, Vec<usize>)> {
     if have.fits(need) {
@@ -263,7 +316,10 @@
     let mut chosen = Vec::new();
     for &at in &index.by_worker[num] {
         let victim = &index.victims[at];
-        if index.taken[at] || taken.contains(&at) || victim.urgent && !urgent {
+        if index.taken[at] || taken.contains(&at) || victim.kind > last {
+            continue;
+        }
+        if !index.can_miss(at, taken.iter().chain(&chosen)) {
             continue;
         }
         for _ in victim.workers.iter().filter(|&&worker| worker == num) {
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -40,6 +40,7 @@
 use crate::worker::Worker;
 
 mod advice;
+mod aside;
 mod crashes;
 mod idle;
 mod load;
--- a/crates/batch/tests/kit/candidates.rs
+++ b/crates/batch/tests/kit/candidates.rs
@@ -3,6 +3,7 @@
 use base::Millis;
 use batch::place::Candidate;
 use batch::place::Limits;
+use batch::preempt::VictimKind;
 use batch::speed::Speed;
 use batch::suit::SpeedNeed;
 use batch::Resources;
@@ -52,7 +53,7 @@
         uses_headroom: false,
         paused: false,
         reserved: false,
-        displaces_urgent: false,
+        displaces: VictimKind::Ordinary,
         allowed: None,
         speed: SpeedNeed::default(),
     }
