Name the header of a deadline once, and say some things plainly

A test outside platform/ wrote the platform's name of a header; it now takes the constant. Four tests of withheld room share their setup. Some comments are said in the usual terms. Found by reading the changes; no behaviour changes. batch `withheld_room` passes.

--- a/crates/batch/tests/guarantee.rs
+++ b/crates/batch/tests/guarantee.rs
@@ -145,7 +145,7 @@
     id
 }
 
-/// Guards against work that lasts and that nothing stops: the room of a guarantee was lent for good.
+/// Guards against work that lasts and that nothing stops: the room of a guarantee was lent without an end.
 #[parameterized(
     tasks = { lasting(4, 8), step(2, 8, Millis(2_000)) },
     a_gang = { lasting(4, 8), gang(2, 8) },
--- a/crates/batch/tests/withheld_room.rs
+++ b/crates/batch/tests/withheld_room.rs
@@ -33,6 +33,15 @@
     }
 }
 
+/// A job of many small tasks that comes while a gang waits for work that runs.
+fn beside_a_gang(site: &mut Site, running: StepSpec, waiting: StepSpec) -> JobId {
+    site.submit("a", job(1, vec![running], site.now));
+    site.run(SECOND);
+    site.submit("b", job(1, vec![waiting], site.now));
+    site.run(SECOND);
+    site.submit("c", job(2, vec![step(30, 1, Millis(40_000))], site.now))
+}
+
 /// One task of a minute on each of these racks.
 fn occupy_racks(site: &mut Site, racks: impl Iterator<Item = usize>) {
     for rack in racks {
@@ -99,11 +108,11 @@
 fn small_work_does_not_wait_for_room_that_a_gang_waits_for() {
     let mut site = Site::new(24, 2, Faults::default());
     site.run(SECOND);
-    site.submit("a", job(1, vec![step(1, 1, Millis(30_000))], site.now));
-    site.run(SECOND);
-    site.submit("b", job(1, vec![gang(24, 8, Millis(5_000))], site.now));
-    site.run(SECOND);
-    let id = site.submit("c", job(2, vec![step(30, 1, Millis(40_000))], site.now));
+    let id = beside_a_gang(
+        &mut site,
+        step(1, 1, Millis(30_000)),
+        gang(24, 8, Millis(5_000)),
+    );
     let mut watch = IdleWatch::default();
     watch.run(&mut site, &[id], Millis(10_000));
     assert!(watch.worst.0 <= MAX_IDLE, "waited for {}", watch.worst.0);
@@ -119,11 +128,11 @@
         .iter_mut()
         .for_each(|w| w.reachable = false);
     site.run(SECOND);
-    site.submit("a", job(1, vec![step(15, 8, Millis(30_000))], site.now));
-    site.run(SECOND);
-    site.submit("b", job(1, vec![gang(24, 8, Millis(5_000))], site.now));
-    site.run(SECOND);
-    let id = site.submit("c", job(2, vec![step(30, 1, Millis(40_000))], site.now));
+    let id = beside_a_gang(
+        &mut site,
+        step(15, 8, Millis(30_000)),
+        gang(24, 8, Millis(5_000)),
+    );
     let mut watch = IdleWatch::default();
     watch.run(&mut site, &[id], Millis(10_000));
     assert!(watch.worst.0 <= MAX_IDLE, "waited for {}", watch.worst.0);
@@ -135,12 +144,12 @@
 fn nothing_waits_for_a_gang_once_no_new_work_comes() {
     let mut site = Site::new(48, 6, Faults::default());
     site.run(SECOND);
-    site.submit("a", job(1, vec![step(36, 8, Millis(30_000))], site.now));
-    site.run(SECOND);
-    site.submit("b", job(1, vec![gang(13, 8, Millis(5_000))], site.now));
-    site.run(SECOND);
+    let id = beside_a_gang(
+        &mut site,
+        step(36, 8, Millis(30_000)),
+        gang(13, 8, Millis(5_000)),
+    );
     let submitted = site.now;
-    let id = site.submit("c", job(2, vec![step(30, 1, Millis(40_000))], site.now));
     let starts = |w: &kit::worker::FakeWorker| {
         let runs = w.runs.iter().filter(|(task, _)| task.job == id);
         runs.map(|(_, run)| run.started).min()
@@ -174,16 +183,16 @@
     assert!(watch.worst.0 <= MAX_IDLE, "waited for {}", watch.worst.0);
 }
 
-/// Guards against logs that say `room` of work that waits beside room: what keeps it is told by its name.
+/// Guards against logs that say `room` of work that waits beside room: they name what keeps it from there.
 #[test]
 fn a_wait_beside_free_room_tells_what_keeps_the_room() {
     let mut site = Site::new(24, 2, Faults::default());
     site.run(SECOND);
-    site.submit("a", job(1, vec![step(1, 1, Millis(30_000))], site.now));
-    site.run(SECOND);
-    site.submit("b", job(1, vec![gang(24, 8, Millis(5_000))], site.now));
-    site.run(SECOND);
-    let id = site.submit("c", job(2, vec![step(30, 1, Millis(40_000))], site.now));
+    let id = beside_a_gang(
+        &mut site,
+        step(1, 1, Millis(30_000)),
+        gang(24, 8, Millis(5_000)),
+    );
     site.run(Millis(1_900));
     let overview = site.scheduler.job_overview(&id, site.now, site.now);
     let steps = overview.expect("the job is known").steps;
--- a/crates/bronzetack/src/batch/audit.rs
+++ b/crates/bronzetack/src/batch/audit.rs
@@ -1,7 +1,7 @@
 //! Compares the submissions in the store with the jobs that the coordinator knows.
 //!
 //! The coordinator follows submissions by a watch. A job that the watch and all listings left out would
-//! wait without any log line, while callers are told from the store that it is queued.
+//! wait without any log line, while look-ups, which read the store, answer that it is queued.
 
 use std::fmt::Display;
 use std::rc::Rc;
--- a/crates/bronzetack/tests/intake.rs
+++ b/crates/bronzetack/tests/intake.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use platform::DEADLINE_HEADER;
 use platform_fakes::FakeStore;
 use platform_fakes::StoreFault;
 use platform_fakes::API_KEY;
@@ -56,7 +57,7 @@
 fn head(method: &str, path: &str, deadline: Duration, length: usize) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Token {API_KEY}\r\n\
-         X-Bronzetack-Deadline-Ms: {}\r\ncontent-length: {length}\r\n\r\n",
+         {DEADLINE_HEADER}: {}\r\ncontent-length: {length}\r\n\r\n",
         deadline.as_millis()
     )
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -108,7 +108,7 @@
     passed: usize,
     /// Bytes passed on of the current head.
     head: usize,
-    /// Whether bytes were passed on since the HTTP library was last told to handle them.
+    /// Whether bytes were passed on since the HTTP library was last woken to handle them.
     has_passed: bool,
     /// Bytes discarded, and the end of the time for them.
     discarded: usize,
