Give a play of traffic a directory of its own

A play of traffic now has a directory with an ending of its own.

`a_play_of_traffic_has_a_directory_of_its_own` (soak `traffic`) fails without that, as both plans name one directory, and passes.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -114,6 +114,7 @@
             heartbeat: traffic.heartbeat(),
             duration: traffic.duration(),
             traffic: Some(traffic),
+            dir: self.dir.with_extension("traffic"),
             ..self
         }
     }
--- a/crates/soak/tests/traffic.rs
+++ b/crates/soak/tests/traffic.rs
@@ -1,5 +1,9 @@
 //! Tests of traffic files.
 
+use std::path::Path;
+use std::path::PathBuf;
+
+use soak::Plan;
 use soak::Traffic;
 use yare::parameterized;
 
@@ -36,3 +40,11 @@
     let error = Traffic::parse(&text).expect_err("the file is not valid");
     assert!(error.contains(told), "{error}");
 }
+
+/// Guards against two plays of one seed and process that write over each other's settings and logs.
+#[test]
+fn a_play_of_traffic_has_a_directory_of_its_own() {
+    let plan = Plan::new(1, PathBuf::from("bronzetack"), Path::new("logs"));
+    let traffic = Traffic::parse(SMALL).expect("a valid file");
+    assert_ne!(plan.clone().with_traffic(traffic).dir, plan.dir);
+}
