Show that workers back under their ids run tasks twice

The simulated site of the scheduler's tests dropped every call to a worker that had restarted, although calls name the worker, not its incarnation. Calls may now outlive incarnations, if a test chooses so: what waits for a worker that is down, and starts that arrive late, also behind a cut.

--- a/crates/batch/tests/kit/mod.rs
+++ b/crates/batch/tests/kit/mod.rs
@@ -9,6 +9,7 @@
 pub mod limits;
 pub mod shown;
 pub mod site;
+pub mod transit;
 pub mod worker;
 
 use base::Millis;
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -21,6 +21,8 @@
 use rand_pcg::Pcg64;
 
 use super::catalog;
+use super::transit::Call;
+use super::transit::InTransit;
 use super::worker::FakeRun;
 use super::worker::FakeWorker;
 use super::BOUNDS;
@@ -68,8 +70,10 @@
     failures: BTreeMap<AttemptUnit, BTreeMap<RunNumber, (Millis, bool)>>,
     /// Latest start of each task or gang.
     latest_start: BTreeMap<AttemptUnit, Millis>,
-    late_requests: Vec<(Millis, StartRequest)>,
-    pending_responses: Vec<(Millis, StartRequest, StartResponse)>,
+    /// Whether calls in transit reach the next incarnation of a worker, also one that is cut off.
+    pub outlives: bool,
+    pub(super) in_transit: Vec<InTransit>,
+    pub(super) pending_responses: Vec<(Millis, StartRequest, StartResponse)>,
     last_polls: BTreeMap<WorkerId, Millis>,
     epoch: u64,
 }
@@ -80,9 +84,6 @@
 /// Time between two polls of a worker.
 const POLL_INTERVAL: Millis = Millis(100);
 
-/// Time after which a late start request is carried out.
-const LATE_DELAY: Millis = Millis(4_000);
-
 impl Site {
     pub fn new(workers: usize, seed: u64, faults: Faults) -> Site {
         let now = Millis(1_000_000);
@@ -103,7 +104,8 @@
             started: BTreeMap::new(),
             failures: BTreeMap::new(),
             latest_start: BTreeMap::new(),
-            late_requests: Vec::new(),
+            outlives: false,
+            in_transit: Vec::new(),
             pending_responses: Vec::new(),
             last_polls: BTreeMap::new(),
             epoch: 1,
@@ -162,7 +164,7 @@
     pub fn turn(&mut self) {
         self.now += TURN;
         self.advance_runs();
-        self.deliver_late_requests();
+        self.deliver_calls();
         self.deliver_responses();
         self.publish_workers();
         self.poll();
@@ -223,6 +225,7 @@
             let unanswered = self.chance(self.faults.unanswered);
             let worker = self.workers.iter_mut().find(|w| w.id == id);
             let Some(worker) = worker.filter(|w| w.up && w.reachable && !lost) else {
+                self.hold(Call::Poll(id.clone(), request));
                 self.scheduler.poll_failed(&id);
                 continue;
             };
@@ -240,12 +243,13 @@
             .iter()
             .any(|w| w.id == request.worker && w.up && w.reachable);
         if !reachable || self.chance(self.faults.lost) {
+            self.hold(Call::Start(request.clone()));
             self.scheduler
                 .start_response(&request, StartResponse::Unknown("lost".into()), now);
             return;
         }
         if self.chance(self.faults.late_requests) {
-            self.late_requests.push((now + LATE_DELAY, request.clone()));
+            self.delay(&request);
             self.scheduler
                 .start_response(&request, StartResponse::Unknown("late".into()), now);
             return;
@@ -260,34 +264,8 @@
         self.deliver_responses();
     }
 
-    /// Delivers the responses that are due.
-    fn deliver_responses(&mut self) {
-        let now = self.now;
-        for (due, request, response) in std::mem::take(&mut self.pending_responses) {
-            match due <= now {
-                true => self.scheduler.start_response(&request, response, now),
-                false => self.pending_responses.push((due, request, response)),
-            }
-        }
-    }
-
-    fn deliver_late_requests(&mut self) {
-        let now = self.now;
-        let (due, later) = std::mem::take(&mut self.late_requests)
-            .into_iter()
-            .partition(|l| l.0 <= now);
-        self.late_requests = later;
-        for (_, request) in Vec::<(Millis, StartRequest)>::into_iter(due) {
-            // A request held at a worker is lost when the worker restarts.
-            let same = |w: &FakeWorker| w.id == request.worker && w.born.0 == request.born;
-            if self.workers.iter().any(|w| same(w) && w.up && w.reachable) {
-                self.carry_out(&request);
-            }
-        }
-    }
-
     /// Carries out a start request on its worker, and checks the invariants of a start.
-    fn carry_out(&mut self, request: &StartRequest) -> StartResponse {
+    pub(super) fn carry_out(&mut self, request: &StartRequest) -> StartResponse {
         let now = self.now;
         let submitted = self.stored[&request.task.job].0.clone();
         let spec = submitted.work.steps[usize::from(request.task.step)].clone();
