Raise the fencing token of a worker with each lost contact

Cause: calls name a worker, not its incarnation. The next one carries out what was meant for the former: starts that were sent before the restart was noticed or had no answer, and deadlines by the former clock, which its own clock, starting anew, takes for the longest lease (`max-hold`).

Change: each worker has a fencing token of its own. Until a report to the new token, nothing starts there, and nothing that it does not list is taken for ended, but runs whose start was answered at each attempt. After that every run with a lower token that is not listed has ended for good. The lease of an incarnation is counted as the longest from its first such report. A run with a start without an answer is not closed by time before the call can no longer be carried out (`call_life`), and the longest lease later if the entry shows another incarnation.

A start that the worker has turned away with a token of this same coordinator no longer ends the leadership.

--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -136,6 +136,8 @@
     Attempt;
     /// Term of a coordinator or another exclusive holder. Each new holder has a higher term.
     Epoch;
+    /// Fencing token of a call: whoever has seen a higher one refuses the call.
+    Fence;
     /// Revision number of the operators' settings.
     Revision;
 }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -28,6 +28,7 @@
 pub use ids::Attempt;
 pub use ids::DomainId;
 pub use ids::Epoch;
+pub use ids::Fence;
 pub use ids::IdError;
 pub use ids::JobId;
 pub use ids::JobKind;
--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -43,6 +43,8 @@
     pub lock_lease: Millis,
     /// Time for which a coordinator that cannot reach the store keeps renewing workers' leases.
     pub offline_renewal: Millis,
+    /// Longest time from when a call is sent until a worker carries it out, if it ever does.
+    pub call_life: Millis,
     /// Longest wait of one poll of a worker.
     pub poll_wait: Millis,
     /// Longest wait of one poll of a worker on which best-effort tasks may disturb serving ones.
@@ -137,6 +139,7 @@
             lock_lease: MAX_LOCK_LEASE.max(self.min_ttl),
             // Tasks survive an outage of the store of this length.
             offline_renewal: self.max_hold,
+            call_life: self.max_hold,
             poll_wait: MAX_POLL_WAIT.min(Millis(self.max_hold.0 / 4)),
             shared_wait: Millis(self.harm.0 / SHARED_POLLS).min(MAX_POLL_WAIT),
             gather_time,
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use base::Fence;
 use base::JobId;
 use base::Millis;
 use base::WorkerId;
@@ -66,6 +67,10 @@
     pub worker: WorkerId,
     /// Incarnation of the worker (its start as Unix time).
     pub born: u64,
+    /// Fencing token of its start.
+    pub fence: Fence,
+    /// Until when a request to start it that has no answer may be carried out.
+    pub adrift_until: Option<Millis>,
     /// What is known about it.
     pub phase: RunPhase,
     /// When it was planned.
@@ -105,6 +110,8 @@
             run,
             worker,
             born,
+            fence: Fence(0),
+            adrift_until: None,
             phase: RunPhase::Planned,
             planned_at: now,
             absent_after: None,
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -248,7 +248,7 @@
             address: worker.entry.address,
             spec,
             deadline: 0,
-            epoch: self.epoch,
+            fence: worker.fence,
             planned_at: now,
             task: task.clone(),
         });
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -5,6 +5,7 @@
 
 use base::DomainId;
 use base::Epoch;
+use base::Fence;
 use base::JobId;
 use base::Map;
 use base::Millis;
@@ -41,6 +42,7 @@
 
 mod advice;
 mod aside;
+mod contact;
 mod crashes;
 mod idle;
 mod load;
@@ -136,6 +138,11 @@
 /// State of the scheduler during one coordinator's epoch.
 pub struct Scheduler {
     pub(crate) epoch: Epoch,
+    /// Highest fencing token that calls may carry: a revision of the store at which the coordinator
+    /// held its lock, so that the epoch of the next one is higher.
+    pub(crate) fence: Fence,
+    /// Highest fencing token of a call to a worker that was dropped.
+    pub(crate) dropped_fence: Fence,
     pub(crate) bounds: Bounds,
     pub(crate) times: DerivedBounds,
     pub(crate) catalog: Catalog,
@@ -214,6 +221,8 @@
         let times = bounds.derive();
         Scheduler {
             epoch,
+            fence: Fence(epoch.0),
+            dropped_fence: Fence(0),
             bounds,
             times,
             catalog,
@@ -336,9 +345,11 @@
             if let Some(org) = &job.submitted.org {
                 self.ledger.add(org, &spec.need);
             }
-            let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_ref()) else {
+            let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_mut()) else {
                 continue;
             };
+            // Whether its start was answered is not recorded.
+            open.adrift_until = Some(now + self.times.call_life);
             if let Some(worker) = self.workers.get_mut(&open.worker) {
                 worker.add_run(task.clone(), open.run, &spec);
             }
--- /dev/null
+++ b/crates/batch/src/scheduler/contact.rs
@@ -0,0 +1,177 @@
+//! What may be believed of a worker that was out of contact or is back under its id.
+//!
+//! Load pattern: workers start again under their ids and addresses while calls to them are on their way, and
+//! are cut off soon after. A call names the worker, not its incarnation, so the next one takes what was meant
+//! for the former: it starts runs that are not wanted any more, and takes deadlines by the former clock,
+//! which give it the longest lease, as its own clock starts anew. Only the fencing token turns these calls
+//! away, and a new incarnation has seen none.
+//!
+//! So the token of a worker's calls rises whenever contact with it is lost, and nothing is concluded from
+//! what it does not report until it has answered to the new one.
+
+use base::Fence;
+use base::Millis;
+use base::WorkerId;
+
+use super::Scheduler;
+use crate::account::Loss;
+use crate::account::LossCause;
+use crate::bounds::with_clock_drift;
+use crate::job::OpenRun;
+use crate::job::RunPhase;
+use crate::spec::TaskId;
+use crate::speed::Evidence;
+use crate::throttle::Throttle;
+use crate::worker::Contact;
+use crate::worker::Report;
+
+/// Time after which a worker that is missing from the list is gone.
+pub(super) const MISSING_GRACE: Millis = Millis(2_000);
+
+impl Scheduler {
+    /// Records a revision of the store at which the coordinator held its lock.
+    pub fn raise_fence(&mut self, to: Fence) {
+        self.fence = self.fence.max(to);
+    }
+
+    /// Gives the calls to a worker a higher token if contact with it was lost and there is one.
+    pub(super) fn renew_contact(&mut self, id: &WorkerId, now: Millis) {
+        let fence = self.fence;
+        let worker = self.workers.get_mut(id);
+        let worker = worker.filter(|w| w.contact == Contact::Lost && w.fence < fence);
+        let Some(worker) = worker else { return };
+        worker.fence = fence;
+        worker.contact = Contact::Raised(now);
+        let text =
+            format!("contact with {id} was lost; calls to it have the fencing token {fence} now");
+        self.log(None, text);
+    }
+
+    /// Processes what a report in response to a poll sent at `sent` tells of the calls before it.
+    pub(super) fn settle_contact(&mut self, id: &WorkerId, sent: Millis, now: Millis) {
+        let longest = self.longest_lease();
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let is_settled = match worker.contact {
+            Contact::Lost => false,
+            Contact::Raised(at) => sent >= at,
+            Contact::Settled => true,
+        };
+        if is_settled {
+            worker.contact = Contact::Settled;
+        }
+        if !worker.lease_unknown {
+            return;
+        }
+        worker.lease_unknown = !is_settled;
+        // Whether the incarnation is old enough to have had calls of its own only cannot be told.
+        worker.lease_end = now
+            + match is_settled {
+                true => with_clock_drift(self.bounds.max_hold),
+                false => longest,
+            };
+    }
+
+    /// Records that another incarnation has carried out a request, before its first report.
+    pub(super) fn note_restart(&mut self, id: &WorkerId, now: Millis) {
+        let longest = self.longest_lease();
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.has_answered = false;
+        worker.lease_unknown = true;
+        worker.lose_contact();
+        worker.lease_end = worker.lease_end.max(now + longest);
+    }
+
+    /// Longest time for which runs of an incarnation go on that has not answered to a higher token: it may
+    /// still carry out calls that were meant for the former one.
+    fn longest_lease(&self) -> Millis {
+        self.times.call_life + with_clock_drift(self.bounds.max_hold)
+    }
+
+    /// Processes the first report of a worker's incarnation. Runs that the former one has carried out have
+    /// ended with it, if no request to start them is without an answer.
+    pub(super) fn start_incarnation(
+        &mut self,
+        id: &WorkerId,
+        born: u64,
+        report: &Report,
+        now: Millis,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let restarted = worker.clock.is_some();
+        let mut ended: Vec<TaskId> = self.runs_before(id, born);
+        // A start request names no incarnation: this one has carried out what it reports.
+        ended.retain(|task| {
+            let run = self.open_run(task).map(|o| o.run);
+            !run.is_some_and(|run| report.mentions(task, run))
+        });
+        if restarted || !ended.is_empty() {
+            self.note_crash(id, ended, "has restarted", now);
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.first_answer = now;
+        worker.has_crashed = false;
+        worker.born = born;
+        worker.is_draining = worker.shows_draining();
+        worker.upkeep_at = None;
+        worker.clock = None;
+        worker.reported_end = 0;
+        worker.read_ends.clear();
+        worker.stored_end = 0;
+        worker.lease_unknown = true;
+        worker.lose_contact();
+        worker.failures.clear();
+        worker.throttle = Throttle::default();
+        if restarted || worker.evidence.born != born {
+            worker.evidence = Evidence::default();
+            worker.evidence.born = born;
+        }
+        self.recall_worker(id, now);
+        for task in self.runs_before(id, born) {
+            let state = self.jobs.get_mut(&task.job);
+            let open = state.and_then(|j| j.task_mut(&task)?.open.as_mut());
+            let Some(open) = open else { continue };
+            // Readings of the former clock prove nothing about this one.
+            open.absent_after = None;
+            let run = open.run;
+            let has_begun = matches!(open.phase, RunPhase::Running | RunPhase::Stopping);
+            let is_over = has_begun && open.adrift_until.is_none_or(|until| until < now);
+            if is_over && !report.mentions(&task, run) {
+                self.close_lost(&task, LossCause::Worker, now);
+                self.break_gang(&task, run, &Loss::new(LossCause::Worker));
+            }
+        }
+    }
+
+    /// Whether a worker refuses the start of an open run for good, if it has not carried it out yet.
+    pub(super) fn is_refused(&self, open: &OpenRun, id: &WorkerId) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|w| w.contact == Contact::Settled && open.fence < w.fence)
+    }
+
+    /// Latest time at which a run can end whose worker is not heard of. A start without an answer may still
+    /// be carried out, and a later incarnation takes its deadline for the longest lease.
+    pub(super) fn lapse_end(&self, open: &OpenRun, now: Millis) -> Millis {
+        let Some(worker) = self.workers.get(&open.worker) else {
+            return self.inherited_end;
+        };
+        let Some(adrift_until) = open.adrift_until else {
+            return worker.lease_end;
+        };
+        let is_later = worker.entry.born.is_some_and(|born| born > open.born);
+        let missing = worker.missing_since.map(|at| now.since(at));
+        let end = match missing {
+            _ if is_later => adrift_until + with_clock_drift(self.bounds.max_hold),
+            Some(span) if span > MISSING_GRACE => worker.lease_end,
+            _ => adrift_until,
+        };
+        worker.lease_end.max(end)
+    }
+}
--- a/crates/batch/src/scheduler/crashes.rs
+++ b/crates/batch/src/scheduler/crashes.rs
@@ -44,6 +44,7 @@
     /// Drops a worker that is gone.
     pub(super) fn remove_worker(&mut self, id: &WorkerId, now: Millis) {
         if let Some(worker) = self.workers.remove(id) {
+            self.dropped_fence = self.dropped_fence.max(worker.fence);
             self.remove_host(worker.entry.address, id);
             if !worker.is_leaving() {
                 self.losses.add(&worker, false, now);
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -9,16 +9,13 @@
 use super::SeenEnd;
 use crate::account::Loss;
 use crate::account::LossCause;
-use crate::bounds::with_clock_drift;
 use crate::duration::FIRST_DEVIATION;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
 use crate::job::StepState;
 use crate::spec::RunNumber;
 use crate::spec::TaskId;
-use crate::speed::Evidence;
 use crate::speed::Speed;
-use crate::throttle::Throttle;
 use crate::worker::ActiveRun;
 use crate::worker::EndKind;
 use crate::worker::EndedRun;
@@ -43,14 +40,10 @@
         if worker.born != born || worker.clock.is_none() {
             self.start_incarnation(id, born, &report, now);
         }
-        let lease = with_clock_drift(self.times.worker_lease);
+        self.settle_contact(id, sent, now);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if !worker.has_answered {
-            // From now on no earlier coordinator can extend the worker's lease.
-            worker.lease_end = now + lease;
-        }
         let was_silent = std::mem::replace(&mut worker.unresponsive, false);
         let is_first = !std::mem::replace(&mut worker.has_answered, true);
         worker.last_answer = worker.last_answer.max(sent);
@@ -83,71 +76,6 @@
         self.apply_latencies(id, &report, now);
     }
 
-    /// Processes the first report of a worker's incarnation. Runs that an earlier incarnation is
-    /// known to have started have ended. A start request without a response may still reach this
-    /// one.
-    fn start_incarnation(&mut self, id: &WorkerId, born: u64, report: &Report, now: Millis) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let restarted = worker.clock.is_some();
-        let mut ended: Vec<TaskId> = self.runs_before(id, born);
-        // A start request names no incarnation: this one has carried out what it reports.
-        ended.retain(|task| {
-            let run = self.open_run(task).map(|o| o.run);
-            !run.is_some_and(|run| report.mentions(task, run))
-        });
-        if restarted || !ended.is_empty() {
-            self.note_crash(id, ended, "has restarted", now);
-        }
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        worker.first_answer = now;
-        worker.has_crashed = false;
-        worker.born = born;
-        worker.is_draining = worker.shows_draining();
-        worker.upkeep_at = None;
-        worker.clock = None;
-        worker.reported_end = 0;
-        worker.read_ends.clear();
-        worker.stored_end = 0;
-        worker.failures.clear();
-        worker.throttle = Throttle::default();
-        if restarted || worker.evidence.born != born {
-            worker.evidence = Evidence::default();
-            worker.evidence.born = born;
-        }
-        self.recall_worker(id, now);
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let tasks: Vec<TaskId> = worker.open.keys().cloned().collect();
-        for task in tasks {
-            let job = self.jobs.get_mut(&task.job);
-            let open = job
-                .and_then(|j| j.task_mut(&task))
-                .and_then(|t| t.open.as_mut());
-            let Some(open) = open.filter(|o| o.born != born) else {
-                continue;
-            };
-            let listed = report
-                .running
-                .iter()
-                .any(|r| r.task == task && r.run == open.run);
-            let listed = listed || report.odd.names(&task);
-            let unanswered = open.seen_at.is_none() && open.phase != RunPhase::Inherited;
-            if listed || unanswered {
-                open.born = born;
-                open.absent_after = None;
-            } else {
-                let run = open.run;
-                self.close_lost(&task, LossCause::Worker, now);
-                self.break_gang(&task, run, &Loss::new(LossCause::Worker));
-            }
-        }
-    }
-
     /// Leaves the time in which a worker did not answer out of the time without progress of its runs:
     /// its machine may have stood still.
     fn discount_silence(&mut self, id: &WorkerId, silence: Millis, now: Millis) {
@@ -350,6 +278,7 @@
             self.queue_stray_stop(id, &active.task, active.run);
             return;
         }
+        let born = self.workers.get(id).map(|w| w.born);
         let Some(job) = self.jobs.get_mut(&active.task.job) else {
             return;
         };
@@ -370,6 +299,7 @@
         if is_saved {
             open.saved_at = Some(now);
         }
+        open.born = born.unwrap_or(open.born);
         open.seen_at.get_or_insert(now);
         if open.percent != active.percent {
             open.percent = active.percent;
@@ -411,6 +341,7 @@
         let Some(worker) = self.workers.get(id) else {
             return;
         };
+        let born = worker.born;
         let tasks: Vec<TaskId> = worker.open.keys().cloned().collect();
         for task in tasks {
             let Some(open) = self.open_run(&task) else {
@@ -424,15 +355,16 @@
             {
                 continue;
             }
-            let phase = open.phase;
+            let (phase, is_refused) = (open.phase, self.is_refused(open, id));
             let absent_after = open.absent_after;
+            let is_former = open.born != born;
             if self.is_hidden(id, &task, report, now) {
                 continue;
             }
             let ended = match phase {
-                // Started by an earlier coordinator, whose requests the worker refuses from now on.
-                RunPhase::Inherited => true,
-                RunPhase::Planned | RunPhase::Sent => false,
+                RunPhase::Planned => false,
+                _ if is_refused => true,
+                RunPhase::Inherited | RunPhase::Sent => false,
                 RunPhase::Running | RunPhase::Stopping => {
                     absent_after.is_some_and(|clock| report.clock > clock)
                 }
@@ -442,8 +374,12 @@
                     Some(&task.job),
                     format!("run {run} of {task} closed: {id} does not report it"),
                 );
-                self.close_lost(&task, LossCause::Unreported, now);
-                self.break_gang(&task, run, &Loss::new(LossCause::Unreported));
+                let cause = match is_former {
+                    true => LossCause::Worker,
+                    false => LossCause::Unreported,
+                };
+                self.close_lost(&task, cause, now);
+                self.break_gang(&task, run, &Loss::new(cause));
             }
         }
     }
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use base::Epoch;
+use base::Fence;
 use base::JobId;
 use base::Millis;
 use base::Set;
@@ -22,6 +22,7 @@
 use crate::spec::StepId;
 use crate::spec::StepSpec;
 use crate::spec::TaskId;
+use crate::worker::Contact;
 use crate::worker::EndedRun;
 use crate::worker::WorkerState;
 
@@ -55,8 +56,8 @@
     pub ticket: String,
     /// End of the lease, as a reading of the worker's clock.
     pub deadline: u64,
-    /// Epoch of the coordinator; the worker refuses requests of an earlier one.
-    pub epoch: Epoch,
+    /// Fencing token; the worker refuses requests with a lower one than it has seen.
+    pub fence: Fence,
     /// When the start was planned.
     pub planned_at: Millis,
 }
@@ -72,8 +73,8 @@
     pub acked_end: u64,
     /// Longest time that the worker may hold the response back while no run ends.
     pub wait: Millis,
-    /// Epoch of the coordinator; the worker refuses requests of an earlier one.
-    pub epoch: Epoch,
+    /// Fencing token; the worker refuses requests with a lower one than it has seen.
+    pub fence: Fence,
 }
 
 /// An end of a run that a worker has listed.
@@ -107,6 +108,9 @@
 pub enum StartResponse {
     /// The run has started. Holds a reading of the worker's clock.
     Accepted(u64),
+    /// The run has started, and an earlier request for it has no answer and may still be carried out.
+    /// Holds a reading of the worker's clock.
+    Repeated(u64),
     /// Refused: a later coordinator has sent requests to the worker.
     Fenced,
     /// Permanently refused: the ticket is not valid.
@@ -199,12 +203,13 @@
                 self.cancel_start(&start, now);
                 continue;
             }
-            let Some(deadline) = self.renew(&start.worker, now) else {
+            let Some((deadline, fence)) = self.renew(&start.worker, now) else {
                 self.cancel_start(&start, now);
                 continue;
             };
             start.deadline = deadline;
-            self.set_phase(&start.task, RunPhase::Sent);
+            start.fence = fence;
+            self.mark_sent(&start, now);
             out.push(start);
         }
         out
@@ -260,50 +265,59 @@
         }
     }
 
-    fn set_phase(&mut self, task: &TaskId, phase: RunPhase) {
-        let job = self.jobs.get_mut(&task.job);
+    fn mark_sent(&mut self, start: &StartRequest, now: Millis) {
+        let adrift_until = now + self.times.call_life;
+        let job = self.jobs.get_mut(&start.task.job);
         if let Some(open) = job
-            .and_then(|j| j.task_mut(task))
+            .and_then(|j| j.task_mut(&start.task))
             .and_then(|t| t.open.as_mut())
         {
-            open.phase = phase;
+            open.phase = RunPhase::Sent;
+            open.fence = start.fence;
+            open.adrift_until = Some(adrift_until);
         }
     }
 
-    /// Extends a worker's lease from `now`. Returns its new end as a reading of the worker's clock.
-    fn renew(&mut self, id: &WorkerId, now: Millis) -> Option<u64> {
+    /// Extends a worker's lease from `now`. Returns its new end as a reading of the worker's clock, and
+    /// the worker's fencing token.
+    fn renew(&mut self, id: &WorkerId, now: Millis) -> Option<(u64, Fence)> {
         let lease = self.times.worker_lease;
         let worker = self.workers.get_mut(id)?;
         let deadline = worker.clock_at(now)?.saturating_add(lease.0);
         worker.lease_end = worker.lease_end.max(now + with_clock_drift(lease));
-        Some(deadline)
+        Some((deadline, worker.fence))
     }
 
     /// The next poll of a worker. `renew` is whether the coordinator may still extend leases.
     pub fn poll(&mut self, id: &WorkerId, renew: bool, now: Millis) -> Option<PollRequest> {
+        self.renew_contact(id, now);
         let worker = self.workers.get(id)?;
         // The lease of a worker that does not answer is left to expire, so that its tasks can start
         // elsewhere.
         let answering = worker.has_answered && !worker.unresponsive;
         let deadline = match renew && answering {
-            true => self.renew(id, now),
+            true => self.renew(id, now).map(|(deadline, _)| deadline),
             false => None,
         };
         let worker = self.workers.get(id)?;
         // A worker that did not answer the last poll may have restarted. It then numbers its ended
         // runs from the start again, and acknowledging a number of the earlier incarnation would
         // make it drop ended runs that have not been reported yet.
-        let (acked_end, wait) = match answering {
-            true if self.is_shared(id) => (worker.stored_end, self.times.shared_wait),
-            true => (worker.stored_end, self.times.poll_wait),
-            false => (0, Millis::ZERO),
+        let acked_end = if answering { worker.stored_end } else { 0 };
+        let wait = match worker.contact {
+            _ if !answering => Millis::ZERO,
+            // There is no higher token yet.
+            Contact::Lost => self.times.gather_time,
+            Contact::Raised(_) => Millis::ZERO,
+            Contact::Settled if self.is_shared(id) => self.times.shared_wait,
+            Contact::Settled => self.times.poll_wait,
         };
         Some(PollRequest {
             address: worker.entry.address,
             deadline,
             acked_end,
             wait,
-            epoch: self.epoch,
+            fence: worker.fence,
         })
     }
 
@@ -311,6 +325,7 @@
     pub fn poll_failed(&mut self, id: &WorkerId) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.unresponsive = true;
+            worker.lose_contact();
         }
     }
 
@@ -320,7 +335,12 @@
             return;
         }
         match response {
-            StartResponse::Accepted(clock) => self.accepted(request, clock, now),
+            StartResponse::Accepted(clock) => self.accepted(request, clock, false, now),
+            StartResponse::Repeated(clock) => self.accepted(request, clock, true, now),
+            // The worker has seen a higher token of this coordinator since.
+            StartResponse::Fenced if self.is_outdated(request) => {
+                self.unanswered(request, "fenced by a later request", now);
+            }
             StartResponse::Fenced => self.fenced = true,
             StartResponse::NoTicket => {
                 let step = request.task.step_id();
@@ -334,11 +354,19 @@
         }
     }
 
-    fn accepted(&mut self, request: &StartRequest, clock: u64, now: Millis) {
+    /// Whether the worker's fencing token was raised since a request to it was sent.
+    fn is_outdated(&self, request: &StartRequest) -> bool {
+        let worker = self.workers.get(&request.worker);
+        worker.is_none_or(|w| w.fence > request.fence)
+    }
+
+    fn accepted(&mut self, request: &StartRequest, clock: u64, is_repeated: bool, now: Millis) {
         let task = &request.task;
-        if let Some(worker) = self.workers.get_mut(&request.worker) {
-            worker.has_answered &= !worker.has_restarted(clock, now);
+        let worker = self.workers.get(&request.worker);
+        if worker.is_some_and(|w| w.has_restarted(clock, now)) {
+            self.note_restart(&request.worker, now);
         }
+        let call_life = self.times.call_life;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -347,6 +375,7 @@
             return;
         };
         open.seen_at = Some(now);
+        open.adrift_until = is_repeated.then_some(now + call_life);
         if request.saved.is_empty() && !gang {
             open.meter.begin(clock, now);
         }
@@ -391,6 +420,11 @@
         );
         self.pause_worker(&request.worker, now);
         self.pause_step(task, now);
+        let adrift_until = now + self.times.call_life;
+        let state = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task));
+        if let Some(open) = state.and_then(|t| t.open.as_mut()) {
+            open.adrift_until = Some(adrift_until);
+        }
         let loss = Loss::new(LossCause::Unanswered);
         self.stop_run(task, loss.clone());
         self.break_gang(task, request.run, &loss);
@@ -414,6 +448,7 @@
         let fresh = now.since(worker.last_answer) <= Millis(self.times.poll_wait.0 * 2);
         worker.has_answered
             && !worker.unresponsive
+            && worker.contact == Contact::Settled
             && fresh
             && worker.missing_since.is_none()
             && entry.state == WorkerState::Ready
--- a/crates/batch/src/scheduler/stops.rs
+++ b/crates/batch/src/scheduler/stops.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use base::Epoch;
+use base::Fence;
 use base::Millis;
 use base::WorkerId;
 
@@ -35,8 +35,8 @@
     pub worker: WorkerId,
     /// Address of the worker.
     pub address: SocketAddr,
-    /// Epoch of the coordinator; the worker refuses requests of an earlier one.
-    pub epoch: Epoch,
+    /// Fencing token; the worker refuses requests with a lower one than it has seen.
+    pub fence: Fence,
 }
 
 impl Scheduler {
@@ -144,7 +144,6 @@
     /// Stop requests to send now: new ones, and those due to be repeated.
     pub fn stop_requests(&mut self, now: Millis) -> Vec<StopRequest> {
         let mut out = Vec::new();
-        let epoch = self.epoch;
         for task in &self.stopping {
             let job = self.jobs.get_mut(&task.job);
             let open = job
@@ -170,18 +169,18 @@
                 run: open.run,
                 worker: open.worker.clone(),
                 address: worker.entry.address,
-                epoch,
+                fence: worker.fence,
             });
         }
         for (id, worker) in &mut self.workers {
-            let address = worker.entry.address;
+            let (address, fence) = (worker.entry.address, worker.fence);
             let strays = std::mem::take(&mut worker.stray_runs);
             out.extend(strays.into_iter().map(|(task, run)| StopRequest {
                 task,
                 run,
                 worker: id.clone(),
                 address,
-                epoch,
+                fence,
             }));
         }
         out
--- a/crates/batch/src/scheduler/throttle.rs
+++ b/crates/batch/src/scheduler/throttle.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use base::Epoch;
+use base::Fence;
 use base::Millis;
 use base::WorkerId;
 
@@ -30,8 +30,8 @@
     pub worker: WorkerId,
     /// Address of the worker.
     pub address: SocketAddr,
-    /// Epoch of the coordinator; the worker refuses requests of an earlier one.
-    pub epoch: Epoch,
+    /// Fencing token; the worker refuses requests with a lower one than it has seen.
+    pub fence: Fence,
 }
 
 impl Scheduler {
@@ -109,7 +109,7 @@
                     percent,
                     worker: id.clone(),
                     address: worker.entry.address,
-                    epoch: self.epoch,
+                    fence: worker.fence,
                 });
             }
         }
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -6,6 +6,7 @@
 use base::Millis;
 use base::WorkerId;
 
+use super::contact::MISSING_GRACE;
 use super::Scheduler;
 use crate::account::LossCause;
 use crate::health::SURVIVED;
@@ -14,9 +15,6 @@
 use crate::spec::TaskId;
 use crate::worker::Worker;
 
-/// Time after which a worker that is missing from the list can be removed.
-const MISSING_GRACE: Millis = Millis(2_000);
-
 /// Time between two checks of all open runs for expired leases and stalls.
 const CHECK_INTERVAL: Millis = Millis(50);
 
@@ -110,11 +108,7 @@
             return None;
         }
         let (run, worker) = (open.run, open.worker.clone());
-        let end = match self.workers.get(&worker) {
-            Some(worker) => worker.lease_end,
-            None => self.inherited_end,
-        };
-        if now <= end {
+        if now <= self.lapse_end(open, now) {
             return None;
         }
         self.note_lapse(&worker, now);
--- a/crates/batch/src/scheduler/workers.rs
+++ b/crates/batch/src/scheduler/workers.rs
@@ -10,6 +10,7 @@
 use super::LogKind;
 use super::Scheduler;
 use crate::job::RunPhase;
+use crate::worker::Contact;
 use crate::worker::Worker;
 use crate::worker::WorkerEntry;
 
@@ -45,6 +46,7 @@
                 let restarted = entry.born.is_some_and(|born| born > worker.born);
                 if worker.entry.address != entry.address || restarted {
                     worker.has_answered = false;
+                    worker.lose_contact();
                 }
                 worker.set_entry(entry);
                 let (after, used) = (worker.entry.capacity, worker.occupied());
@@ -56,7 +58,12 @@
             }
             None => {
                 let id = entry.id.clone();
-                let mut worker = Worker::new(entry);
+                // A worker of this id that was dropped has been sent calls with its token.
+                let contact = match self.fence > self.dropped_fence {
+                    true => Contact::Raised(Millis::ZERO),
+                    false => Contact::Lost,
+                };
+                let mut worker = Worker::new(entry, self.fence, contact);
                 worker.lease_end = self.inherited_end;
                 self.adopt_open(&id, &mut worker);
                 self.workers.insert(id, worker);
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use base::DomainId;
+use base::Fence;
 use base::Map;
 use base::Millis;
 use base::ServiceId;
@@ -143,6 +144,17 @@
     }
 }
 
+/// What is known of the calls that a worker may still carry out.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Contact {
+    /// Calls with its present fencing token may be on their way to it or to its next incarnation.
+    Lost,
+    /// It has a higher token than all of these calls since this time, and has not reported to it.
+    Raised(Millis),
+    /// It has reported to its present token, so it refuses all calls with a lower one.
+    Settled,
+}
+
 /// A worker and its open runs, as the coordinator knows them.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -158,6 +170,10 @@
     pub first_answer: Millis,
     /// Whether the last poll failed.
     pub unresponsive: bool,
+    /// Fencing token of the calls to it.
+    pub fence: Fence,
+    /// What it may still carry out.
+    pub contact: Contact,
     /// Whether this incarnation has announced its end.
     pub is_draining: bool,
     /// When the machine service answered that the upkeep of its machine has begun, now or earlier.
@@ -178,6 +194,8 @@
     pub unknown_since: Option<Millis>,
     /// Latest time at which the worker's lease can expire.
     pub lease_end: Millis,
+    /// Whether calls that were not meant for this incarnation may have extended its lease.
+    pub lease_unknown: bool,
     /// Labels of the entry, shared with the planner's view of the worker.
     pub labels: Arc<[String]>,
     /// Rack of the entry, shared like the labels.
@@ -217,7 +235,7 @@
 
 impl Worker {
     /// A worker that has not answered yet.
-    pub fn new(entry: WorkerEntry) -> Worker {
+    pub fn new(entry: WorkerEntry, fence: Fence, contact: Contact) -> Worker {
         Worker {
             labels: entry.labels.as_slice().into(),
             rack: entry.rack().map(Arc::from),
@@ -229,6 +247,8 @@
             has_answered: false,
             first_answer: Millis::ZERO,
             unresponsive: false,
+            fence,
+            contact,
             has_crashed: false,
             last_answer: Millis::ZERO,
             clock: None,
@@ -237,6 +257,7 @@
             unknown_since: None,
             stored_end: 0,
             lease_end: Millis::ZERO,
+            lease_unknown: true,
             used: Resources::default(),
             strays: Resources::default(),
             releasing: Resources::default(),
@@ -274,6 +295,14 @@
         self.is_draining || self.upkeep_at.is_some()
     }
 
+    /// Records that calls to it may be carried out by another incarnation, or late.
+    pub fn lose_contact(&mut self) {
+        // Since its token was raised, it was sent nothing that could do harm late.
+        if self.contact == Contact::Settled {
+            self.contact = Contact::Lost;
+        }
+    }
+
     /// Whether the coordinator gets no answer from it.
     pub fn is_lost(&self) -> bool {
         self.unresponsive || !self.has_answered
@@ -316,9 +345,8 @@
             .map(|(clock, at)| clock.saturating_add(now.since(at).0))
     }
 
-    /// Whether a reading of the worker's clock that has just arrived shows that it has restarted.
-    /// Requests do not name an incarnation, so the new one may have carried out a request meant for
-    /// the old one.
+    /// Whether a reading of the worker's clock that has just arrived shows that it has restarted:
+    /// the new incarnation has carried out a request meant for the old one.
     pub fn has_restarted(&self, clock: u64, now: Millis) -> bool {
         let reading = self.clock.map(|(clock, at)| (clock, now.since(at)));
         reading.is_some_and(|(before, span)| {
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use base::Epoch;
+use base::Fence;
 use base::JobId;
 use base::Millis;
 use base::WorkerId;
@@ -167,6 +168,9 @@
         self.deliver_calls();
         self.deliver_responses();
         self.publish_workers();
+        // Every change raises the revision of the store.
+        self.epoch += 1;
+        self.scheduler.raise_fence(Fence(self.epoch));
         self.poll();
         self.scheduler.tick(self.now, self.now);
         self.scheduler.plan(self.now, self.now);
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -152,7 +152,7 @@
         false => StartResponse::Refused("the lock may have expired".to_string()),
     };
     let outcome = match &response {
-        StartResponse::Accepted(_) => "accepted",
+        StartResponse::Accepted(_) | StartResponse::Repeated(_) => "accepted",
         StartResponse::Fenced => "fenced",
         StartResponse::NoTicket => "the ticket is not valid",
         StartResponse::Refused(why) | StartResponse::Unknown(why) => why,
@@ -164,12 +164,13 @@
             ("task", &request.task),
             ("run", &request.run),
             ("worker", &request.worker),
-            ("epoch", &request.epoch),
+            ("epoch", &lead.lock_revision),
+            ("fence", &request.fence),
             ("outcome", &outcome),
         ],
     );
     let result = match &response {
-        StartResponse::Accepted(_) => "accepted",
+        StartResponse::Accepted(_) | StartResponse::Repeated(_) => "accepted",
         StartResponse::Fenced => "fenced",
         StartResponse::NoTicket | StartResponse::Refused(_) => "refused",
         StartResponse::Unknown(_) => "no-answer",
@@ -237,7 +238,8 @@
         ("task", &request.task),
         ("worker", &request.worker),
         ("percent", &request.percent),
-        ("epoch", &request.epoch),
+        ("epoch", &lead.lock_revision),
+        ("fence", &request.fence),
         ("outcome", &outcome),
     ];
     obs::record(&shared.log, Event::ThrottleRequested, fields);
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use base::Epoch;
+use base::Fence;
 use base::JobId;
 use base::Map;
 use base::Millis;
@@ -103,6 +104,14 @@
         });
     }
 
+    /// Records that an answer of the store that has just arrived was at this revision. It may serve as a
+    /// fencing token while the lock is held, since the epoch of the next coordinator is higher.
+    pub fn note_revision(&self, revision: Revision, now: Millis) {
+        if now <= self.lease_status.valid_until() {
+            self.scheduler.borrow_mut().raise_fence(Fence(revision.0));
+        }
+    }
+
     /// Ends the leadership and wakes its tasks, which then return.
     pub fn end(&self) {
         self.ended.set(true);
--- a/crates/delegate/src/message.rs
+++ b/crates/delegate/src/message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use base::Epoch;
+use base::Fence;
 use base::Millis;
 use base::WorkerId;
 use batch::ActiveRun;
@@ -109,7 +109,7 @@
 #[derive(Deserialize, Serialize)]
 struct EnvelopeWire(u64, CallWire);
 
-/// Task, run, worker, address and epoch: what every call about a run names.
+/// Task, run, worker, address and fencing token: what every call about a run names.
 #[derive(Deserialize, Serialize)]
 struct RunWire(TaskWire, u32, WorkerId, SocketAddr, u64);
 
@@ -119,7 +119,7 @@
 
 #[derive(Deserialize, Serialize)]
 enum CallWire {
-    /// Worker, address, deadline, acknowledged end, wait and epoch.
+    /// Worker, address, deadline, acknowledged end, wait and fencing token.
     #[serde(rename = "p")]
     Poll(WorkerId, SocketAddr, Option<u64>, u64, u64, u64),
     /// Run, incarnation, specification, saved progress, ticket and deadline.
@@ -155,6 +155,8 @@
     ),
     #[serde(rename = "a")]
     Accepted(u64),
+    #[serde(rename = "ar")]
+    Repeated(u64),
     #[serde(rename = "sf")]
     StartFenced,
     #[serde(rename = "st")]
@@ -228,10 +230,10 @@
                 r.deadline,
                 r.acked_end,
                 r.wait.0,
-                r.epoch.0,
+                r.fence.0,
             ),
             Call::Start(r) => CallWire::Start(
-                run_wire(&r.task, r.run, &r.worker, r.address, r.epoch),
+                run_wire(&r.task, r.run, &r.worker, r.address, r.fence),
                 r.born,
                 r.spec.clone(),
                 r.saved.clone(),
@@ -239,10 +241,10 @@
                 r.deadline,
             ),
             Call::Stop(r) => {
-                CallWire::Stop(run_wire(&r.task, r.run, &r.worker, r.address, r.epoch))
+                CallWire::Stop(run_wire(&r.task, r.run, &r.worker, r.address, r.fence))
             }
             Call::Throttle(r) => CallWire::Throttle(
-                run_wire(&r.task, r.run, &r.worker, r.address, r.epoch),
+                run_wire(&r.task, r.run, &r.worker, r.address, r.fence),
                 r.percent,
             ),
         }
@@ -254,26 +256,26 @@
     run: RunNumber,
     worker: &WorkerId,
     address: SocketAddr,
-    epoch: Epoch,
+    fence: Fence,
 ) -> RunWire {
-    RunWire(task.into(), run.0, worker.clone(), address, epoch.0)
+    RunWire(task.into(), run.0, worker.clone(), address, fence.0)
 }
 
 impl From<CallWire> for Call {
     fn from(wire: CallWire) -> Call {
         match wire {
-            CallWire::Poll(worker, address, deadline, acked_end, wait, epoch) => Call::Poll(
+            CallWire::Poll(worker, address, deadline, acked_end, wait, fence) => Call::Poll(
                 worker,
                 PollRequest {
                     address,
                     deadline,
                     acked_end,
                     wait: Millis(wait),
-                    epoch: Epoch(epoch),
+                    fence: Fence(fence),
                 },
             ),
             CallWire::Start(wire, born, spec, saved, ticket, deadline) => {
-                let RunWire(task, run, worker, address, epoch) = wire;
+                let RunWire(task, run, worker, address, fence) = wire;
                 Call::Start(Box::new(StartRequest {
                     task: task.into(),
                     run: RunNumber(run),
@@ -284,26 +286,26 @@
                     saved,
                     ticket,
                     deadline,
-                    epoch: Epoch(epoch),
+                    fence: Fence(fence),
                     // Known only to the coordinator, and needed only there.
                     planned_at: Millis::ZERO,
                 }))
             }
-            CallWire::Stop(RunWire(task, run, worker, address, epoch)) => Call::Stop(StopRequest {
+            CallWire::Stop(RunWire(task, run, worker, address, fence)) => Call::Stop(StopRequest {
                 task: task.into(),
                 run: RunNumber(run),
                 worker,
                 address,
-                epoch: Epoch(epoch),
+                fence: Fence(fence),
             }),
-            CallWire::Throttle(RunWire(task, run, worker, address, epoch), percent) => {
+            CallWire::Throttle(RunWire(task, run, worker, address, fence), percent) => {
                 Call::Throttle(ThrottleRequest {
                     task: task.into(),
                     run: RunNumber(run),
                     worker,
                     address,
                     percent,
-                    epoch: Epoch(epoch),
+                    fence: Fence(fence),
                 })
             }
         }
@@ -318,6 +320,7 @@
             Response::Refused(status) => ResponseWire::Refused(*status),
             Response::Report(report) => report_wire(report),
             Response::Started(StartResponse::Accepted(clock)) => ResponseWire::Accepted(*clock),
+            Response::Started(StartResponse::Repeated(clock)) => ResponseWire::Repeated(*clock),
             Response::Started(StartResponse::Fenced) => ResponseWire::StartFenced,
             Response::Started(StartResponse::NoTicket) => ResponseWire::NoTicket,
             Response::Started(StartResponse::Refused(why)) => {
@@ -358,6 +361,7 @@
                 })
             }
             ResponseWire::Accepted(clock) => Response::Started(StartResponse::Accepted(clock)),
+            ResponseWire::Repeated(clock) => Response::Started(StartResponse::Repeated(clock)),
             ResponseWire::StartFenced => Response::Started(StartResponse::Fenced),
             ResponseWire::NoTicket => Response::Started(StartResponse::NoTicket),
             ResponseWire::StartRefused(why) => Response::Started(StartResponse::Refused(why)),
--- a/crates/delegate/src/retry.rs
+++ b/crates/delegate/src/retry.rs
@@ -29,6 +29,9 @@
             StartResponse::Refused(why) if unanswered.is_some() => {
                 return StartResponse::Unknown(format!("refused after a lost answer: {why}"));
             }
+            StartResponse::Accepted(clock) if unanswered.is_some() => {
+                return StartResponse::Repeated(clock);
+            }
             StartResponse::NoTicket if unanswered.is_some() => {
                 let why = "the ticket ended after a lost answer";
                 return StartResponse::Unknown(why.to_string());
