Let a relay keep what clients sent for whatever listens next

The relay connected at once, gave up when its target was away, and sent nothing for a client that had left before the target was connected. Between real processes a SYN and the bytes behind it may wait while the process at the address is replaced, and are served by the next one, so the soak could not show what such calls do.

Relay::set_persistent chooses this: a new connection waits for a target that is away and while bytes to it are paused, and is made although its client has left. A connection that is not made yet can now be reset or closed like an open one.

--- a/crates/fakes/src/fault_relay.rs
+++ b/crates/fakes/src/fault_relay.rs
@@ -39,8 +39,8 @@
 /// Threads that carry the bytes of all relays, some of which serve several sites at a time.
 const THREADS: usize = 6;
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_RETRY: Duration = Duration::from_millis(20);
+/// Pause after a connection could not be accepted, or be made to a target that is away.
+const RETRY: Duration = Duration::from_millis(20);
 
 /// What the owner of a relay has requested. Connections are numbered from 0.
 #[derive(Debug, Default)]
@@ -59,6 +59,8 @@
     delay: Duration,
     /// Whether bytes to the target, and bytes from the target, are paused.
     paused: [bool; 2],
+    /// Whether a connection waits for a target that is away, and is made although its client has given up.
+    persistent: bool,
 }
 
 /// How a connection stops forwarding at the owner's request.
@@ -186,6 +188,13 @@
         self.control(|c| c.paused = [to_target, from_target]);
     }
 
+    /// Sets whether what clients send reaches whatever listens at the target's address next: a new connection waits for
+    /// a target that is away, and while bytes to the target are paused, and is then made although its client has given
+    /// up meanwhile.
+    pub fn set_persistent(&self, persistent: bool) {
+        self.control(|c| c.persistent = persistent);
+    }
+
     /// Delays the bytes of each read by this much, which also limits the throughput.
     pub fn set_delay(&self, delay: Duration) {
         self.control(|c| c.delay = delay);
@@ -246,7 +255,7 @@
             accepted = listener.accept() => accepted,
         };
         let Ok((client, _)) = accepted else {
-            sleep(ACCEPT_RETRY).await;
+            sleep(RETRY).await;
             continue;
         };
         if shared.controls.borrow().refusing {
@@ -264,8 +273,11 @@
 async fn connect(client: TcpStream, target: SocketAddr, number: u64, shared: &RelayState) {
     let server = tokio::select! {
         biased;
-        () = shared.wait_for(|c| c.closed) => return end(client, Stop::Close),
-        server = TcpStream::connect(target) => server,
+        () = shared.wait_for(|c| c.stop(number).is_some_and(|s| s != Stop::Blackhole)) => {
+            let stop = shared.controls.borrow().stop(number);
+            return end(client, stop.unwrap_or(Stop::Close));
+        }
+        server = open(target, shared) => server,
     };
     let Ok(server) = server else {
         // Recorded before the client can notice that its connection is closed.
@@ -274,12 +286,25 @@
     };
     // Without a relay, a client that gave up before it was connected would have sent nothing.
     let ready = client.ready(Interest::READABLE).now_or_never();
-    if ready.is_some_and(|r| r.is_ok_and(|r| r.is_read_closed())) {
+    let gone = ready.is_some_and(|r| r.is_ok_and(|r| r.is_read_closed()));
+    if gone && !shared.controls.borrow().persistent {
         return;
     }
     relay(client, server, number, shared).await;
 }
 
+/// Opens a connection to the target. A persistent relay does so once bytes to the target are not paused, and waits for
+/// one that is away.
+async fn open(target: SocketAddr, shared: &RelayState) -> io::Result<TcpStream> {
+    loop {
+        shared.wait_for(|c| !c.persistent || !c.paused[0]).await;
+        match TcpStream::connect(target).await {
+            Err(_) if shared.controls.borrow().persistent => sleep(RETRY).await,
+            opened => return opened,
+        }
+    }
+}
+
 /// Forwards bytes until both ends have closed the connection or it must stop.
 async fn relay(mut client: TcpStream, mut server: TcpStream, number: u64, shared: &RelayState) {
     // An error means that the connection has already ended, which the first read shows.
--- a/crates/fakes/tests/relay.rs
+++ b/crates/fakes/tests/relay.rs
@@ -222,6 +222,84 @@
     assert!(!received.contains(&Ok(b"order".to_vec())), "{received:?}");
 }
 
+/// The same with a network that keeps what a client has sent: the target serves it.
+#[test]
+fn a_persistent_relay_sends_what_clients_left_before_the_target_was_connected() {
+    let (target, waiting) = full_target();
+    let relay = Relay::start(target.local_addr().expect("a bound socket"));
+    relay.set_persistent(true);
+    let mut impatient = TcpStream::connect(relay.addr()).expect("the relay listens");
+    send(&mut impatient, b"order");
+    thread::sleep(SILENCE);
+    drop(impatient);
+    let mut received: Vec<Result<Vec<u8>, ErrorKind>> = Vec::new();
+    for _ in 0..=waiting.len() {
+        let (mut server, _) = target.accept().expect("a connection");
+        received.push(receive(&mut server, SILENCE));
+    }
+    assert!(received.contains(&Ok(b"order".to_vec())), "{received:?}");
+}
+
+#[test]
+fn a_persistent_relay_connects_to_the_next_target_at_the_address() {
+    let ends = Ends::open();
+    let address = ends.target.local_addr().expect("a bound socket");
+    ends.relay.set_persistent(true);
+    drop((ends.target, ends.server));
+    let mut patient = TcpStream::connect(ends.relay.addr()).expect("the relay listens");
+    send(&mut patient, b"question");
+    let mut impatient = TcpStream::connect(ends.relay.addr()).expect("the relay listens");
+    send(&mut impatient, b"order");
+    assert_eq!(receive(&mut patient, SILENCE), NOTHING);
+    drop(impatient);
+    let target = TcpListener::bind(address).expect("the address is free again");
+    let mut received: Vec<(TcpStream, Vec<u8>)> = Vec::new();
+    for _ in 0..2 {
+        let (mut server, _) = target.accept().expect("the relay connects");
+        let bytes = receive(&mut server, ARRIVAL).expect("bytes");
+        received.push((server, bytes));
+    }
+    received.sort_by(|a, b| a.1.cmp(&b.1));
+    assert_eq!(received[0].1, b"order");
+    assert_eq!(received[1].1, b"question");
+    send(&mut received[1].0, b"answer");
+    let answer = receive(&mut patient, ARRIVAL);
+    assert_eq!(answer, Ok(b"answer".to_vec()));
+    assert!(ends.relay.refusals().is_empty());
+}
+
+#[test]
+fn a_persistent_relay_connects_after_a_pause() {
+    let ends = Ends::open();
+    ends.relay.set_persistent(true);
+    ends.relay.set_paused(true, true);
+    let mut client = TcpStream::connect(ends.relay.addr()).expect("the relay listens");
+    send(&mut client, b"order");
+    ends.target.set_nonblocking(true).expect("a bound socket");
+    thread::sleep(SILENCE);
+    let early = ends.target.accept().map_err(|e| e.kind());
+    assert_eq!(early.err(), Some(ErrorKind::WouldBlock));
+    drop(client);
+    ends.target.set_nonblocking(false).expect("a bound socket");
+    ends.relay.set_paused(false, false);
+    let (mut server, _) = ends.target.accept().expect("the relay connects");
+    assert_eq!(receive(&mut server, ARRIVAL), Ok(b"order".to_vec()));
+}
+
+/// A connection that still waits is ended like an open one.
+#[test]
+fn a_connection_that_waits_for_the_target_can_be_reset() {
+    let ends = Ends::open();
+    ends.relay.set_persistent(true);
+    ends.relay.set_paused(true, true);
+    let mut client = TcpStream::connect(ends.relay.addr()).expect("the relay listens");
+    send(&mut client, b"order");
+    thread::sleep(SILENCE);
+    ends.relay.reset();
+    let reset = Err(ErrorKind::ConnectionReset);
+    assert_eq!(receive(&mut client, ARRIVAL), reset);
+}
+
 #[test]
 fn close_ends_connections_and_listening() {
     let mut ends = Ends::open();
