Let the soak start workers again under their ids and cut them off

The soak could not show that calls meant for a former life of a worker reach the next one, nor what a cut soon after a restart does.

Some tasks last longer than any lease. Beside them, other faults are rarer and do not touch workers, there are no caps, and ten workers renew every 1.5 s, so that there is a coordinator that places work on the new lives. The checks are as they were.

--- a/crates/bronzetack/tests/soak.rs
+++ b/crates/bronzetack/tests/soak.rs
@@ -77,6 +77,21 @@
     expect_no_findings(plan(seed).with_traffic(traffic));
 }
 
+/// Plays workers that are started again under their ids, serve what was sent to their former lives, and are cut off
+/// soon after, while long tasks run.
+///
+/// Faults of the daemon:
+/// 1, 2, 9: a worker ran a task for longer than the coordinator reckoned with, which had started it elsewhere.
+/// 1, 2, 9: a start that the former life had held was executed by the next one, after the completion of its task.
+#[parameterized(
+    lease_of_the_next_life = { 1 },
+    late_start = { 2 },
+    late_start_again = { 9 },
+)]
+fn workers_that_start_again_run_nothing_twice(seed: u64) {
+    expect_no_findings(plan(seed).with_reborn_workers());
+}
+
 fn plan(seed: u64) -> Plan {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_bronzetack"));
     Plan::new(seed, program, &std::env::temp_dir())
--- a/crates/soak/src/equip.rs
+++ b/crates/soak/src/equip.rs
@@ -51,6 +51,8 @@
             worker.set_rack(&traffic.rack(num));
             worker.set_capacity(traffic.capacity());
         }
+        // The longest tasks must end in time wherever they are started last.
+        None if plan.reborn => {}
         None => worker.set_speed(SPEEDS[num % SPEEDS.len()]),
     }
     Ok(worker)
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -21,6 +21,9 @@
 /// Time from one fault to the next, in milliseconds, for a site of the default size.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 200..1_400;
 
+/// Times as rare that faults are beside restarts of workers, which need a coordinator that works.
+const RARE_BESIDE_RESTARTS: u64 = 5;
+
 /// Duration of a fault, in milliseconds. The longest outlast the coordinator's lock and the
 /// workers' leases.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..6_500;
@@ -38,7 +41,11 @@
     let mut version = 1;
     let mut tasks = FaultTasks::new();
     loop {
-        let interval = site.sleep(Millis(rng.random_range(FAULT_INTERVAL_MS) / site.scale()));
+        let interval = rng.random_range(FAULT_INTERVAL_MS) / site.scale();
+        let interval = site.sleep(Millis(match plan.reborn {
+            true => interval * RARE_BESIDE_RESTARTS,
+            false => interval,
+        }));
         let failed = first_failure(&mut tasks);
         tokio::select! {
             () = interval => {}
@@ -60,6 +67,7 @@
         version += 1;
         let kind = match plan.planned {
             true => PLANNED_KINDS[rng.random_range(0..PLANNED_KINDS.len())],
+            false if plan.reborn => BESIDE_RESTARTS[rng.random_range(0..BESIDE_RESTARTS.len())],
             false => rng.random_range(0..FAULT_KINDS),
         };
         tasks.push(actix_rt::spawn(fault.inject(kind, version)));
@@ -89,6 +97,12 @@
 /// configuration.
 const PLANNED_KINDS: [u32; 6] = [3, 4, 5, 8, 25, 26];
 
+/// Those that are played beside restarts of workers: none that would end a cut, or hold calls to a worker for longer than
+/// the restarts do.
+const BESIDE_RESTARTS: [u32; 22] = [
+    0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 25, 26,
+];
+
 /// Parameters of a fault. Each kind uses those that apply to it.
 struct Fault {
     site: Rc<Site>,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,6 +19,7 @@
 mod odd;
 mod processes;
 mod quota;
+mod reborn;
 mod room;
 mod settings;
 mod shrink;
@@ -60,6 +61,10 @@
 /// Number of daemons at a site of the default size.
 const DEFAULT_DAEMONS: usize = 4;
 
+/// Period in which workers renew their registrations that are started again under their ids: long, so that the
+/// coordinator seldom learns of a restart from the store.
+const REBORN_HEARTBEAT: Millis = Millis(1_500);
+
 /// Waiting jobs of which a report tells what the logs say.
 const MAX_TRACES: usize = 8;
 
@@ -82,6 +87,9 @@
     pub heartbeat: Millis,
     /// Whether faults are planned work only: stops, reloads, upkeep and changes of the configuration.
     pub planned: bool,
+    /// Whether workers are started again under their ids, serve what was sent to their former lives, and are cut off soon
+    /// after, while long tasks run.
+    pub reborn: bool,
     /// Whether most daemons have slow links to the store while the configuration grows.
     pub slow_links: bool,
     /// Traffic to play instead of the soak's own load and faults.
@@ -101,11 +109,24 @@
             dir: logs.join(format!("soak-{}-{seed}", std::process::id())),
             heartbeat: site::DEFAULT_HEARTBEAT,
             planned: false,
+            reborn: false,
             slow_links: false,
             traffic: None,
         }
     }
 
+    /// The same with ten workers, which are started again under their ids, for 30 seconds.
+    pub fn with_reborn_workers(self) -> Plan {
+        Plan {
+            reborn: true,
+            workers: 10,
+            heartbeat: REBORN_HEARTBEAT,
+            duration: Millis::from_secs(30),
+            dir: self.dir.with_extension("reborn"),
+            ..self
+        }
+    }
+
     /// The same with this traffic, on a site of its size.
     pub fn with_traffic(self, traffic: Traffic) -> Plan {
         Plan {
@@ -211,8 +232,11 @@
         )));
         background.push(actix_rt::spawn(growth::probe(site.clone(), plan.seed, end)));
     }
-    let faults = faults::run(site.clone(), plan, end);
-    let (load, ()) = try_join(load::run(site.clone(), plan, end), faults).await?;
+    let faults = try_join(
+        faults::run(site.clone(), plan, end),
+        reborn::run(site.clone(), plan, end),
+    );
+    let (load, _) = try_join(load::run(site.clone(), plan, end), faults).await?;
     while site.is_upkeep_pending() && site.now() < site.settled_by(end) {
         site.sleep(site::DEFAULT_HEARTBEAT).await;
     }
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -21,6 +21,7 @@
 use crate::history::Call;
 use crate::history::History;
 use crate::history::Operation;
+use crate::reborn::LongJobs;
 use crate::site::Site;
 use crate::Plan;
 
@@ -64,6 +65,7 @@
     let seed = plan.seed;
     let mut rng = Pcg64::seed_from_u64(seed ^ 0x10ad);
     let mut deadly_rng = Pcg64::seed_from_u64(seed ^ 0xdead);
+    let mut long_jobs = LongJobs::new(seed, end);
     let history = Rc::new(RefCell::new(History::default()));
     let callers = QUEUES.map(FakeCaller::new);
     let mut caller_tasks = Vec::new();
@@ -74,7 +76,10 @@
         number += 1;
         // A crash by a task is no planned work.
         let deadly = deadly_rng.random_range(0..1_000) < DEADLY_PER_MILLE && !plan.planned;
-        let submission = job(&mut rng, deadly);
+        let mut submission = job(&mut rng, deadly);
+        if plan.reborn {
+            long_jobs.change(&mut submission, site.now());
+        }
         let queue = queue(rng.random_range(0..QUEUES.len()), number, site.scale());
         site.register(&id, &submission, QUEUES[queue] == ADVISED_QUEUE);
         let job_caller = JobCaller {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -34,6 +34,9 @@
             optional --heartbeat heartbeat: u64
             /// Inject planned work only: stops, reloads, upkeep and changes of the configuration.
             optional --planned
+            /// Start workers again under their ids, let through what was sent to their former lives, and cut them off
+            /// soon after, while long tasks run; with ten workers for 30 seconds by default.
+            optional --reborn
             /// Give most daemons slow links to the store while the configuration grows.
             optional --slow-links
             /// File with the traffic of a site to play instead of the soak's own load and faults. It sets
@@ -105,6 +108,10 @@
         let traffic = traffic.clone().scaled(args.scale.unwrap_or(1.0));
         return defaults.with_traffic(traffic.starved(args.starve.unwrap_or(1.0)));
     }
+    let defaults = match args.reborn {
+        true => defaults.with_reborn_workers(),
+        false => defaults,
+    };
     Plan {
         daemons: args.daemons.unwrap_or(defaults.daemons).max(1),
         workers: args.workers.unwrap_or(defaults.workers).max(1),
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -281,7 +281,11 @@
             true => growth::next_size(before),
             false => 0,
         };
-        let cap = quota::cap_of(*version);
+        let cap = match self.plan.reborn {
+            // The runs of workers that are cut off count as running, and leave little room under a cap.
+            true => quota::NO_CAP,
+            false => quota::cap_of(*version),
+        };
         self.store
             .configure_capped(*version, API_KEY, queues, Some(cap));
         self.history.borrow_mut().caps.push((self.now(), cap));
