Do not repeat a start after the process stood still

Cause: a start without an answer is repeated after 200 ms by a timer. A delegate, or the coordinator, that was suspended in between repeats it when it wakes up, seconds after the coordinator gave up on it. A worker that was started again meanwhile has seen no fencing token and carries it out, as its clock starts anew.

Change: no attempt begins later than the time-outs of all attempts together, by the clock that counts suspensions.

Measured: with a clock that moves by 4 s during the first attempt there were two attempts, now one; the result is unknown as before.

--- a/crates/bronzetack/src/batch/carrier.rs
+++ b/crates/bronzetack/src/batch/carrier.rs
@@ -169,7 +169,7 @@
         },
         Call::Start(request) => {
             let attempt = |timeout| shared.workers.start(&request, timeout);
-            Response::Started(start_with_retry(attempt).await)
+            Response::Started(start_with_retry(attempt, || shared.now()).await)
         }
         Call::Stop(request) => {
             let stopped = shared.workers.stop(&request).await;
--- a/crates/bronzetack/src/batch/delegates.rs
+++ b/crates/bronzetack/src/batch/delegates.rs
@@ -130,7 +130,10 @@
 pub async fn start(shared: &Shared, lead: &Leadership, request: &StartRequest) -> StartResponse {
     let call = || Call::Start(Box::new(request.clone()));
     match carry(shared, lead, &request.worker, call, START_TIMEOUT).await {
-        Ok(None) => start_with_retry(|timeout| shared.workers.start(request, timeout)).await,
+        Ok(None) => {
+            let attempt = |timeout| shared.workers.start(request, timeout);
+            start_with_retry(attempt, || shared.now()).await
+        }
         Ok(Some(Response::Started(response))) => response,
         Ok(Some(_)) => StartResponse::Unknown(UNEXPECTED.to_string()),
         Err(why) => StartResponse::Unknown(why),
--- a/crates/delegate/src/retry.rs
+++ b/crates/delegate/src/retry.rs
@@ -16,14 +16,20 @@
 pub const START_TIMEOUT: Millis = Millis(TIMEOUTS[0].0 + TIMEOUTS[1].0);
 
 /// Starts a run by attempts with the time-outs given to them, until one is answered. A refusal after
-/// an attempt without an answer is not final, because that attempt may still be carried out.
-pub async fn start_with_retry<F, R>(attempt: F) -> StartResponse
+/// an attempt without an answer is not final, because that attempt may still be carried out. `now` is a
+/// clock that counts suspensions: a process that stood still between two attempts does not repeat the
+/// start, which may then reach the worker's next incarnation.
+pub async fn start_with_retry<F, R>(attempt: F, now: impl Fn() -> Millis) -> StartResponse
 where
     F: Fn(Millis) -> R,
     R: Future<Output = StartResponse>,
 {
     let mut unanswered = None;
+    let until = now() + START_TIMEOUT;
     for timeout in TIMEOUTS {
+        if unanswered.is_some() && now() >= until {
+            break;
+        }
         match attempt(timeout).await {
             StartResponse::Unknown(why) => unanswered = Some(why),
             StartResponse::Refused(why) if unanswered.is_some() => {
--- a/crates/delegate/tests/retry.rs
+++ b/crates/delegate/tests/retry.rs
@@ -1,8 +1,10 @@
 //! Repetition of starts that a worker does not answer.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::future::ready;
 
+use base::Millis;
 use batch::StartResponse;
 use delegate::start_with_retry;
 use yare::parameterized;
@@ -36,7 +38,7 @@
     let all = responses.len();
     let responses = RefCell::new(responses);
     let attempt = |_| ready(responses.borrow_mut().remove(0));
-    let response = actix_rt::System::new().block_on(start_with_retry(attempt));
+    let response = actix_rt::System::new().block_on(start_with_retry(attempt, || Millis(1)));
     assert_eq!(all - responses.borrow().len(), calls);
     let found = match response {
         StartResponse::Accepted(_) => "accepted",
@@ -47,3 +49,19 @@
     };
     assert_eq!(found, result);
 }
+
+/// Failure: a delegate that was suspended during a start repeated it when it woke up. The worker had
+/// been started again meanwhile, and its next incarnation carried the start out.
+#[test]
+fn a_start_is_not_repeated_after_a_suspension() {
+    let (calls, clock) = (Cell::new(0), Cell::new(Millis(1_000)));
+    let attempt = |_| {
+        calls.set(calls.get() + 1);
+        clock.set(clock.get() + Millis(4_000));
+        ready(lost())
+    };
+    let start = start_with_retry(attempt, || clock.get());
+    let response = actix_rt::System::new().block_on(start);
+    assert_eq!(calls.get(), 1);
+    assert_eq!(response, lost());
+}
