Use no ticket for an incarnation that began after the request

Cause: a ticket counts for the incarnation that the worker has when the adviser's answer arrives. The adviser may take a second and more; a worker that is started again under its id meanwhile gets a start with the ticket of its former incarnation, which it refuses, and rejected starts cost.

Change: the incarnations are noted when the request is sent. A ticket of a worker whose incarnation has changed since is not used; the worker stays approved and is asked about again.

--- a/crates/batch/src/advice.rs
+++ b/crates/batch/src/advice.rs
@@ -115,7 +115,8 @@
     /// Requests to send, in the ranking of their steps; first those of steps with room.
     queued: Vec<AdviceRequest>,
     share: u64,
-    in_flight: bool,
+    /// The incarnations that the workers of the request in flight had when it was sent.
+    in_flight: Option<Map<WorkerId, u64>>,
     /// Whether the last request failed.
     failing: bool,
     not_before: Millis,
@@ -127,7 +128,7 @@
             steps: Map::default(),
             queued: Vec::new(),
             share: INITIAL_SHARE,
-            in_flight: false,
+            in_flight: None,
             failing: false,
             not_before: Millis::ZERO,
         }
@@ -279,13 +280,15 @@
     }
 
     /// The next request, unless one is in flight. Its response is passed to
-    /// [`Advice::apply_response`].
-    pub fn next(&mut self, now: Millis) -> Option<AdviceRequest> {
-        if self.in_flight || now < self.not_before || self.queued.is_empty() {
+    /// [`Advice::apply_response`]. `born` returns a worker's current incarnation.
+    pub fn next(&mut self, now: Millis, born: impl Fn(&WorkerId) -> u64) -> Option<AdviceRequest> {
+        if self.in_flight.is_some() || now < self.not_before || self.queued.is_empty() {
             return None;
         }
-        self.in_flight = true;
-        Some(self.queued.remove(0))
+        let request = self.queued.remove(0);
+        let lives = request.workers.iter().map(|id| (id.clone(), born(id)));
+        self.in_flight = Some(lives.collect());
+        Some(request)
     }
 
     /// Processes the response to a request that was sent at `sent`.
@@ -296,7 +299,7 @@
         (sent, now): (Millis, Millis),
         born: impl Fn(&WorkerId) -> u64,
     ) {
-        self.in_flight = false;
+        let lives = self.in_flight.take().unwrap_or_default();
         // Requests queued for this step while this one was in flight did not consider its response.
         self.queued.retain(|r| r.step != request.step);
         self.failing = matches!(response, AdviceResponse::Failed(_));
@@ -324,14 +327,14 @@
         for (id, text) in approved {
             advice.rejected.remove(&id);
             let born = born(&id);
-            advice.approved.insert(
-                id,
-                Some(Ticket {
-                    text,
-                    born,
-                    valid_until,
-                }),
-            );
+            let ticket = Ticket {
+                text,
+                born,
+                valid_until,
+            };
+            // A worker that was restarted meanwhile may have been so after the ticket was issued.
+            let is_current = lives.get(&id).is_none_or(|b| *b == born);
+            advice.approved.insert(id, is_current.then_some(ticket));
         }
     }
 }
--- a/crates/batch/src/scheduler/advice.rs
+++ b/crates/batch/src/scheduler/advice.rs
@@ -10,7 +10,9 @@
 impl Scheduler {
     /// The next request to the adviser, if one is due and none is in flight.
     pub fn next_advice(&mut self, now: Millis) -> Option<AdviceRequest> {
-        self.advice.next(now)
+        let workers = &self.workers;
+        let born = |id: &WorkerId| workers.get(id).map_or(0, |w| w.born);
+        self.advice.next(now, born)
     }
 
     /// Processes the response to a request to the adviser that was sent at `sent`.
--- a/crates/batch/tests/advice.rs
+++ b/crates/batch/tests/advice.rs
@@ -54,7 +54,7 @@
             let spec = step(1, 8, Millis(1_000));
             advice.enqueue(id, advice_rule(), &all, (&spec, &limits), 4 - allowed.len());
         }
-        let Some(mut request) = advice.next(now) else {
+        let Some(mut request) = advice.next(now, |_| 1) else {
             assert_eq!(short, 0, "steps wait without a queued request");
             return now.since(Millis(1_000));
         };
@@ -101,8 +101,12 @@
     let at = step_id(0);
     let limits = limits(&pool(), &[0; 40]);
     advice.enqueue(&at, advice_rule(), &all, (&spec, &limits), 1);
-    let request = advice.next(Millis(1_000)).expect("a request");
-    assert_eq!(advice.next(Millis(1_000)), None, "one request at a time");
+    let request = advice.next(Millis(1_000), |_| 7).expect("a request");
+    assert_eq!(
+        advice.next(Millis(1_000), |_| 7),
+        None,
+        "one request at a time"
+    );
     let id = request.workers[0].clone();
     let good = vec![(id.clone(), "t1".to_string())];
     let times = (Millis(1_000), Millis(1_150));
@@ -125,7 +129,7 @@
     let at = step_id(0);
     let limits = limits(&pool(), &[0; 40]);
     advice.enqueue(&at, advice_rule(), &all, (&spec, &limits), 1);
-    let request = advice.next(Millis(1_000)).expect("a request");
+    let request = advice.next(Millis(1_000), |_| 7).expect("a request");
     advice.begin_pass(|_| true);
     advice.enqueue(&at, advice_rule(), &all, (&spec, &limits), 1);
     let times = (Millis(1_000), Millis(1_150));
@@ -135,5 +139,30 @@
         times,
         |_| 7,
     );
-    assert_eq!(advice.next(Millis(1_200)), None);
+    assert_eq!(advice.next(Millis(1_200), |_| 7), None);
+}
+
+/// Failure: a ticket was used for the incarnation that a worker had when the answer came. It had been
+/// issued for the one before, and the start was refused.
+#[test]
+fn a_ticket_is_not_used_for_an_incarnation_that_began_after_the_request() {
+    let mut advice = Advice::default();
+    let all = empty_workers(4);
+    let spec = step(1, 8, Millis(1_000));
+    let at = step_id(0);
+    let limits = limits(&pool(), &[0; 40]);
+    let mut ask = |born: u64, now: u64, until: u64| {
+        advice.begin_pass(|_| true);
+        advice.enqueue(&at, advice_rule(), &all, (&spec, &limits), 1);
+        let request = advice.next(Millis(now), |_| born);
+        let request = request.expect("a request");
+        let good = request.workers.iter();
+        let good = good.map(|id| (id.clone(), "t".to_string())).collect();
+        let response = AdviceResponse::Approved(good, Some(Millis(60_000)));
+        let times = (Millis(now), Millis(until));
+        advice.apply_response(&request, response, times, |_| 8);
+        advice.allowed(&at, Millis(until), |_| 8).len()
+    };
+    assert_eq!(ask(7, 1_000, 1_150), 0, "restarted meanwhile");
+    assert!(ask(8, 1_200, 1_350) > 0, "asked again");
 }
