Place nothing on a worker whose upkeep request is unanswered

Cause: only the pass that sends a request keeps the worker of its machine free. One without a response may still be carried out, and is repeated after 500 ms; by then the worker had new tasks, which the late or the repeated request ended, also tasks of a step that may miss none. A new coordinator, which repeats what its predecessor has left open, places tasks there during the whole handover time.

Change: workers of machines in service with an open request stay cordoned, from the first list that a new coordinator reads, and a request is not repeated while a run there must not be stopped.

Measured: both new tests failed: no cordon 100 ms after the lost response, and a request repeated beside a held run.

--- a/crates/batch/src/scheduler/upkeep.rs
+++ b/crates/batch/src/scheduler/upkeep.rs
@@ -46,6 +46,12 @@
         plan.requests
     }
 
+    /// Stops placement on workers whose machines a former coordinator may have taken down, or may still
+    /// take down.
+    pub fn cordon_open(&mut self) {
+        self.cordoned = self.waves.open_workers();
+    }
+
     /// Allows placement on all workers again, because no wave is active.
     pub fn uncordon_workers(&mut self) {
         self.cordoned.clear();
--- a/crates/batch/src/wave.rs
+++ b/crates/batch/src/wave.rs
@@ -252,6 +252,13 @@
         self.machines.get(machine)?.worker.as_ref()
     }
 
+    /// Workers on machines whose upkeep may begin at any time, as a request has no response.
+    pub fn open_workers(&self) -> Set<WorkerId> {
+        let open = self.active.values().flat_map(|w| &w.open);
+        let workers = open.filter_map(|id| worker_up(&self.machines, id));
+        workers.cloned().collect()
+    }
+
     /// Applies a list of machines that was requested at `sent`.
     pub fn set_machines(&mut self, listed: Vec<MachineEntry>, sent: Millis) {
         self.machines.clear();
@@ -309,8 +316,13 @@
                 wave: wave.number,
                 epoch,
             };
-            plan.requests
-                .extend(active.open.iter().filter(|id| is_free(id)).map(request));
+            for id in &active.open {
+                let worker = worker_up(&self.machines, id);
+                plan.cordon.extend(worker.cloned());
+                if is_free(id) && !worker.is_some_and(|w| work(w).is_held) {
+                    plan.requests.push(request(id));
+                }
+            }
             let waiting = wave.machines.iter().filter_map(|id| {
                 let settled = active.begun.contains(id) || active.gone.contains(id);
                 let entry = self
@@ -397,6 +409,15 @@
     }
 }
 
+/// The worker on a machine that is in service.
+fn worker_up<'a>(
+    machines: &'a Map<MachineId, MachineEntry>,
+    id: &MachineId,
+) -> Option<&'a WorkerId> {
+    let machine = machines.get(id).filter(|m| m.state == MachineState::Up);
+    machine?.worker.as_ref()
+}
+
 fn record(active: &ActiveWave) -> WaveRecord {
     WaveRecord {
         begun: active.begun.clone(),
--- a/crates/batch/tests/wave.rs
+++ b/crates/batch/tests/wave.rs
@@ -228,6 +228,46 @@
     assert_eq!(second[0].machine, machine(1));
 }
 
+/// Failure: between the repetitions of a request without a response the worker of its machine got tasks,
+/// which the next one ended.
+#[test]
+fn a_worker_gets_no_tasks_while_a_request_for_its_machine_is_unanswered() {
+    let mut waves = waves();
+    waves.set_machines(machine_list(|_| true), Millis(1_000));
+    let first = planned_requests(&mut waves, 1_100);
+    let lost = UpkeepResponse::Unknown("timed out".into());
+    waves.apply_response(&first[0], &lost, Millis(1_600));
+    let idle = |_: &WorkerId| MachineWork::default();
+    for now in [1_700, 2_200] {
+        let plan = waves.plan(Epoch(7), Millis(now), UPKEEP_TIME, idle);
+        assert!(plan.cordon.contains(&worker(0)), "at {now}");
+        assert_eq!(waves.open_workers(), plan.cordon, "at {now}");
+    }
+    waves.apply_response(&first[0], &UpkeepResponse::Begun, Millis(2_300));
+    let plan = waves.plan(Epoch(7), Millis(2_300), UPKEEP_TIME, idle);
+    assert!(!plan.cordon.contains(&worker(0)));
+}
+
+/// Failure: a new coordinator repeated a request although the worker had got a task meanwhile that must
+/// not be stopped now.
+#[test]
+fn a_request_is_not_repeated_while_a_run_is_held() {
+    let mut waves = waves();
+    waves.set_machines(machine_list(|_| true), Millis(1_000));
+    let first = planned_requests(&mut waves, 1_100);
+    let lost = UpkeepResponse::Unknown("timed out".into());
+    waves.apply_response(&first[0], &lost, Millis(1_600));
+    let held = |id: &WorkerId| MachineWork {
+        left: Millis::MAX,
+        loss: 0,
+        is_held: *id == worker(0),
+    };
+    let plan = waves.plan(Epoch(8), Millis(2_200), UPKEEP_TIME, held);
+    assert_eq!(plan.requests, []);
+    assert!(plan.cordon.contains(&worker(0)));
+    assert_eq!(planned_requests(&mut waves, 2_300), first);
+}
+
 /// A new coordinator continues from the record, and first repeats the request that may be open.
 #[test]
 fn a_new_coordinator_keeps_to_the_cap() {
--- a/crates/bronzetack/src/batch/upkeep.rs
+++ b/crates/bronzetack/src/batch/upkeep.rs
@@ -91,6 +91,7 @@
     }
     // An earlier coordinator may have sent a request just before it lost the lock.
     if shared.now().since(started) < shared.settings.bounds.handover {
+        lead.scheduler.borrow_mut().cordon_open();
         return Ok(pages);
     }
     let upkeep_time = shared.settings.bounds.upkeep;
