Keep an upkeep request open when its repetition is turned away

Cause: a request without a response is repeated. Where the repetition was turned away (429, 503, busy, no connection), the machine no longer counted as down and another one of the wave was taken, although the first request could still be carried out late: more machines than the cap were then down.

Change: such an answer settles only a request of which no attempt is without a response. What a new coordinator finds open in the record counts as without a response.

--- a/crates/batch/src/wave.rs
+++ b/crates/batch/src/wave.rs
@@ -142,6 +142,8 @@
     begun: BTreeSet<MachineId>,
     /// Machines for which a request may have been sent and no response is known; it is repeated.
     open: BTreeSet<MachineId>,
+    /// Those of them for which a request was sent that has no response.
+    unanswered: BTreeSet<MachineId>,
     gone: BTreeSet<MachineId>,
     stored_record: Option<WaveRecord>,
 }
@@ -220,6 +222,7 @@
             wave: wave.clone(),
             first_seen: seen,
             begun: record.begun,
+            unanswered: record.open.clone(),
             open: record.open,
             gone: BTreeSet::new(),
             stored_record,
@@ -374,14 +377,20 @@
         match response {
             UpkeepResponse::Begun => {
                 active.open.remove(machine);
+                active.unanswered.remove(machine);
                 active.begun.insert(machine.clone());
                 self.down.insert(machine.clone(), now);
             }
             UpkeepResponse::Gone => {
                 active.open.remove(machine);
+                active.unanswered.remove(machine);
                 active.gone.insert(machine.clone());
                 self.down.remove(machine);
             }
+            // It says nothing about an earlier request, which may still be carried out.
+            UpkeepResponse::Later(_) if active.unanswered.contains(machine) => {
+                self.not_before.insert(machine.clone(), now + RETRY_PAUSE);
+            }
             UpkeepResponse::Later(_) => {
                 active.open.remove(machine);
                 self.down.remove(machine);
@@ -389,6 +398,7 @@
             }
             // The machine counts as down until a request for it is answered.
             UpkeepResponse::Unknown(_) => {
+                active.unanswered.insert(machine.clone());
                 self.not_before.insert(machine.clone(), now + RETRY_PAUSE);
             }
             UpkeepResponse::Fenced => {}
--- a/crates/batch/tests/wave.rs
+++ b/crates/batch/tests/wave.rs
@@ -228,6 +228,33 @@
     assert_eq!(second[0].machine, machine(1));
 }
 
+/// Failure: a request had no response and its repetition was turned away. The machine did not count as
+/// down any more, another one was taken, and the first request was carried out late.
+#[test]
+fn a_refused_repetition_leaves_the_first_request_open() {
+    let mut waves = waves();
+    waves.set_machines(machine_list(|_| true), Millis(1_000));
+    let first = planned_requests(&mut waves, 1_100);
+    let busy = UpkeepResponse::Later("status 429".into());
+    waves.apply_response(&first[0], &busy, Millis(1_200));
+    let other = planned_requests(&mut waves, 1_300);
+    assert_eq!(other[0].machine, machine(1), "certainly not carried out");
+    let lost = UpkeepResponse::Unknown("timed out".into());
+    waves.apply_response(&other[0], &lost, Millis(1_800));
+    let (number, record) = waves.unrecorded().remove(0);
+    let mut next = Waves::default();
+    next.restore(number, record);
+    request_wave(&mut next);
+    for (waves, at) in [(&mut waves, 2_400), (&mut next, 9_000)] {
+        waves.set_machines(machine_list(|_| true), Millis(at));
+        assert_eq!(planned_requests(waves, at), other);
+        waves.apply_response(&other[0], &busy, Millis(at + 100));
+        waves.set_machines(machine_list(|_| true), Millis(at + 200));
+        assert_eq!(planned_requests(waves, at + 200), []);
+        assert_eq!(planned_requests(waves, at + 700), other);
+    }
+}
+
 /// Failure: between the repetitions of a request without a response the worker of its machine got tasks,
 /// which the next one ended.
 #[test]
