Count a submission that was passed on as late

Cause: a daemon gives up on a call that it passed on after 500 ms. The other one may read it later, as it is short of processor time, was about to start, or its store is slow, and by then the caller has come again or cancelled, and has been told that the job never runs. The other daemon took that refusal for an earlier one and stored the job in its place.

Change: a call that was passed on counts as late from its first try on, so a refusal that it finds stays and the answer is 504. A caller that comes again at a daemon that reaches the store is accepted as before.

--- a/crates/bronzetack/src/batch/calls.rs
+++ b/crates/bronzetack/src/batch/calls.rs
@@ -59,6 +59,8 @@
     let started = shared.now();
     let age = started.since(shared.documents.borrow().confirmed);
     call.late |= shared.stalls.borrow_mut().beat(started);
+    // The daemon that passed it on may have given up on it, and its caller has come again since.
+    call.late |= call.relayed.is_some();
     let (answer, version) = answer(&shared, &mut call).await;
     let (name, detail) = describe(&answer);
     let kind = match call.kind {
