Count two losses of a whole domain towards giving a job up, not all

What callers saw: a job shown as failed though no task had failed, after the workers of its zone had restarted several times (LOST). Cause: the bound of five crashes, or four with one that only the job can have caused, also counted losses of a whole failure domain or rack without a limit. No task causes such a loss. It may be a mistake for tasks that start together, but a task is a suspect after two, and the workers of suspects count for no group. Change: two of them count at most. Of more than eight losses of a task, those of a group are forgotten first.

--- a/crates/batch/src/crash.rs
+++ b/crates/batch/src/crash.rs
@@ -36,6 +36,10 @@
 /// The same if other jobs may have caused each of them.
 const MAX_CRASHES: usize = 5;
 
+/// Number of them that may be losses of a failure domain or rack. Such a loss may be a mistake until its task
+/// is a suspect, which it is after two.
+const MAX_IN_GROUP: usize = 2;
+
 /// Most losses kept for a task.
 const MAX_KEPT: usize = 8;
 
@@ -65,6 +69,11 @@
 }
 
 impl Crash {
+    /// Whether it is the loss of this run. One whose start was not answered may reach the next incarnation.
+    pub fn is_of(&self, run: RunNumber, born: u64) -> bool {
+        (self.run, self.born) == (run, born)
+    }
+
     fn is_at_start(&self) -> bool {
         is_start(self.age)
     }
@@ -75,21 +84,17 @@
     age.is_some_and(|age| age < START_AGE)
 }
 
-/// Whether two losses are one. A run whose start was not answered may reach the next incarnation.
-fn is_same(a: &Crash, b: &Crash) -> bool {
-    (a.run, a.born) == (b.run, b.born)
-}
-
-/// Adds a loss, or what is new of one that is known. Beyond the most that are kept, the earliest that is not
-/// proven is dropped.
+/// Adds a loss, or what is new of one that is known. Beyond the most that are kept, the earliest is dropped that
+/// is not proven, else that of a failure domain or rack.
 pub fn add(crashes: &mut Vec<Crash>, crash: Crash) {
-    if let Some(known) = crashes.iter_mut().find(|c| is_same(c, &crash)) {
+    if let Some(known) = crashes.iter_mut().find(|c| c.is_of(crash.run, crash.born)) {
         known.proven |= crash.proven;
         return;
     }
     if crashes.len() >= MAX_KEPT {
-        let dropped = crashes.iter().position(|c| !c.proven).unwrap_or(0);
-        crashes.remove(dropped);
+        let unproven = crashes.iter().position(|c| !c.proven);
+        let dropped = unproven.or_else(|| crashes.iter().position(|c| c.in_group));
+        crashes.remove(dropped.unwrap_or(0));
     }
     crashes.push(crash);
 }
@@ -107,6 +112,7 @@
     let sound = sole.clone().filter(|c| !c.unsound);
     let at_start = sole.clone().filter(|c| c.is_at_start());
     let machines: Set<SocketAddr> = at_start.map(|c| c.address).collect();
+    let in_group = proven.clone().filter(|c| c.in_group).count();
     let most = match sole.count() {
         0 => MAX_CRASHES,
         _ => MAX_CRASHES_WITH_SOLE,
@@ -114,7 +120,7 @@
     sound.clone().filter(|c| c.is_at_start()).count() >= MAX_START_CRASHES
         || sound.count() >= MAX_SOLE_CRASHES
         || machines.len() >= MAX_UNSOUND
-        || proven.count() >= most
+        || proven.count() - in_group + in_group.min(MAX_IN_GROUP) >= most
 }
 
 /// Age at which a later run clears the task: it has survived its start for clearly longer than the runs
--- a/crates/batch/tests/crash_evidence.rs
+++ b/crates/batch/tests/crash_evidence.rs
@@ -138,6 +138,12 @@
     three_times_beside_others_then_on_an_unsound_machine = { &[shared, shared, shared, on_unsound], true },
     twice_beside_others_then_alone = { &[shared, shared, alone], false },
     four_times_with_its_domain = { &[in_group, in_group, in_group, in_group], false },
+    six_times_with_its_domain = { &[in_group, in_group, in_group, in_group, in_group, in_group], false },
+    three_times_with_its_domain_then_alone = { &[in_group, in_group, in_group, alone], false },
+    with_its_domain_then_alone_and_beside_others = { &[in_group, in_group, shared, on_unsound], true },
+    four_times_with_its_domain_and_once_beside_others = {
+        &[in_group, in_group, in_group, in_group, shared], false
+    },
     five_times_with_its_domain_or_beside_others = {
         &[in_group, shared, shared, in_group, shared], true
     },
