Let only workers known to have outlived a loss speak against a loss of the domain

Cause: a loss was that of a group if more than half of all its workers were lost together. All others counted as survivors: those of which nothing had been heard since before the loss, and those that were lost with it but set aside, as a suspect was running there. After two losses hardly a task is no suspect, so a third loss of the same zone was never one of the zone. Change: a survivor is a worker whose incarnation answered before the loss and that reported after it. Result: workers_out_of_reach_before_say_nothing_of_a_later_loss and workers_with_suspects_do_not_survive_the_loss_of_their_domain (2 cases each) failed before and pass, as do the other tests of crashes.

--- a/crates/batch/src/scheduler/losses.rs
+++ b/crates/batch/src/scheduler/losses.rs
@@ -109,44 +109,51 @@
         })
     }
 
-    /// Whether most workers of a worker's failure domain or rack were lost together with it, those aside
-    /// that a suspect may have crashed: suspects of one crash start again together.
+    /// Whether most workers of a worker's failure domain or rack were lost together with it. Those that a
+    /// suspect may have crashed show nothing, as suspects of one crash start again together; neither do
+    /// those of which it is not known whether they outlived it.
     pub(super) fn is_group_loss(&self, id: &WorkerId) -> bool {
         let Some(lost) = self.workers.get(id) else {
             return false;
         };
-        let heard = lost.last_report();
+        let lost_at = lost.last_report();
         // A worker that is up reports at least once in this time.
         let window = self.times.poll_wait + POLL_SLACK;
-        let together = |other: Option<Millis>| match (heard, other) {
+        let together = |other: Option<Millis>| match (lost_at, other) {
             (Some(a), Some(b)) => a.since(b).max(b.since(a)) <= window,
             (a, b) => a == b,
         };
+        let outlived = |worker: &Worker| match (worker.last_report(), lost_at) {
+            (Some(heard), Some(at)) => heard > at + window && worker.first_answer <= at,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        let noted = self.losses.all.iter().map(|l| (&l.worker, l.heard));
+        let noted: Set<(&WorkerId, Option<Millis>)> = noted.collect();
         // By address, as a worker and the one in its place count once.
-        let most = |in_group: &dyn Fn(&DomainId, Option<&str>) -> bool| {
-            let mut all: Set<SocketAddr> = Set::default();
+        let most = |is_member: &dyn Fn(&DomainId, Option<&str>) -> bool| {
             let mut gone: Set<SocketAddr> = Set::default();
+            let mut alive: Set<SocketAddr> = Set::default();
+            for loss in &self.losses.all {
+                let is_clean = is_member(&loss.domain, loss.rack.as_deref()) && !loss.had_suspect;
+                if is_clean && together(loss.heard) {
+                    gone.insert(loss.address);
+                }
+            }
             for worker in self.workers.values() {
                 let entry = &worker.entry;
-                if in_group(&entry.domain, entry.rack()) {
-                    all.insert(entry.address);
-                    let heard = worker.last_report();
-                    let is_noted = self.losses.contains(&entry.id, heard);
-                    if worker.is_lost() && together(heard) && !is_noted && !self.has_suspect(worker)
-                    {
-                        gone.insert(entry.address);
-                    }
+                if !is_member(&entry.domain, entry.rack()) {
+                    continue;
                 }
-            }
-            for loss in &self.losses.all {
-                if in_group(&loss.domain, loss.rack.as_deref()) {
-                    all.insert(loss.address);
-                    if together(loss.heard) && !loss.had_suspect {
-                        gone.insert(loss.address);
-                    }
+                let heard = worker.last_report();
+                let is_new = worker.is_lost() && !noted.contains(&(&entry.id, heard));
+                if is_new && together(heard) && !self.has_suspect(worker) {
+                    gone.insert(entry.address);
+                } else if outlived(worker) {
+                    alive.insert(entry.address);
                 }
             }
-            gone.len() >= MIN_GROUP && gone.len() * 2 > all.len()
+            gone.len() >= MIN_GROUP && gone.len() > alive.difference(&gone).count()
         };
         let rack = lost.entry.rack();
         most(&|domain, _| *domain == lost.entry.domain)
--- a/crates/batch/tests/crash_groups.rs
+++ b/crates/batch/tests/crash_groups.rs
@@ -82,6 +82,28 @@
     }
 }
 
+/// Guards against workers that were out of reach before, and of which nothing is known, as evidence that a domain
+/// was not lost.
+#[parameterized(
+    back_under_its_id = { Back::SameId },
+    back_under_another_id = { Back::OtherId },
+)]
+fn workers_out_of_reach_before_say_nothing_of_a_later_loss(back: Back) {
+    let mut crashing = one_domain(back);
+    let cut: Vec<usize> = (WORKERS / 2..WORKERS).collect();
+    let rest: Vec<usize> = (0..WORKERS / 2).collect();
+    for &num in &cut {
+        crashing.site.workers[num].reachable = false;
+    }
+    crashing.run(Millis(10_000), |_| false);
+    let ids = crashing.submit_whole(1);
+    for _ in 0..3 {
+        crashing.run_until_started(&ids[0]);
+        crashing.lose(&rest);
+    }
+    crashing.check_completed(&ids);
+}
+
 /// Guards against a job that is given up for losses of its domain alone, which no task can cause.
 #[parameterized(
     back_under_its_id = { Back::SameId },
@@ -98,6 +120,23 @@
     crashing.check_completed(&ids);
 }
 
+/// Guards against workers with suspects that are taken to have survived the loss of their domain, which they did
+/// not: after two losses all tasks there are suspects.
+#[parameterized(
+    back_under_its_id = { Back::SameId },
+    back_under_another_id = { Back::OtherId },
+)]
+fn workers_with_suspects_do_not_survive_the_loss_of_their_domain(back: Back) {
+    let mut crashing = one_domain(back);
+    let all: Vec<usize> = (0..WORKERS).collect();
+    let ids = crashing.submit_whole(4);
+    for _ in 0..6 {
+        crashing.run_until_started(&ids[0]);
+        crashing.lose(&all);
+    }
+    crashing.check_completed(&ids);
+}
+
 /// Guards against a task that goes on crashing workers because its domain was lost with them before: each such loss
 /// costs no more workers than it would without the task.
 #[parameterized(
