Judge a crash once it is known who else was lost, and by when the workers are back

Others had answered no poll for two seconds before the zone was lost, so their last reports lay too far apart to be one loss. Both crashes counted as their jobs' own, and two are enough. Cause: whether a crash was that of a group was asked once, when the crash was noted, and of the last reports alone. Change: it is asked again two polls later, also of the moments at which the incarnations began that took the places of the lost ones, and the crashes in the jobs' records follow. A job that seems to be the cause is not given up before, and nothing of it starts meanwhile, so that the wait costs no worker. Losses of a worker that answers again in the same incarnation are dropped; they were none. Result: the_first_worker_that_is_back_is_not_taken_for_the_only_one_lost and a_worker_whose_polls_were_lost_before_is_lost_with_its_domain failed before and pass, as do the other tests of crashes.

--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -128,6 +128,10 @@
         keep_racks: bool,
         most: usize,
     ) -> bool {
+        if self.accused.contains(&at.job) {
+            self.note_wait(at, Stage::Proof);
+            return false;
+        }
         if self.finds_no_room(pass, at) {
             self.note_covered(pass, at);
             self.note_crowded(pass, at);
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -151,6 +151,8 @@
     pub(crate) unstored: Vec<SeenEnd>,
     /// Tasks under whose runs workers were lost, since they last ran well.
     pub(crate) suspects: BTreeSet<TaskId>,
+    /// Jobs that seem to be the cause of crashes, one of which is still to be judged.
+    pub(crate) accused: BTreeSet<JobId>,
     /// Workers that were lost lately.
     pub(crate) losses: Losses,
     /// Tasks whose open run is being stopped.
@@ -224,6 +226,7 @@
             hosts: Map::default(),
             unstored: Vec::new(),
             suspects: BTreeSet::new(),
+            accused: BTreeSet::new(),
             losses: Losses::default(),
             stopping: BTreeSet::new(),
             checked_at: Millis::ZERO,
--- a/crates/batch/src/scheduler/crashes.rs
+++ b/crates/batch/src/scheduler/crashes.rs
@@ -8,6 +8,7 @@
 use base::Millis;
 use base::WorkerId;
 
+use super::losses;
 use super::LogKind;
 use super::Scheduler;
 use crate::account::Loss;
@@ -46,7 +47,7 @@
         if let Some(worker) = self.workers.remove(id) {
             self.remove_host(worker.entry.address, id);
             if !worker.is_leaving() {
-                self.losses.add(&worker, false, now);
+                self.losses.add(losses::Loss::new(&worker, now), now);
             }
         }
     }
@@ -117,6 +118,8 @@
         };
         worker.has_crashed = true;
         let heard = worker.last_report();
+        let loss = losses::Loss::new(worker, now);
+        let is_group = self.is_group_loss(&loss);
         let list: Vec<String> = runs
             .iter()
             .filter_map(|task| {
@@ -132,7 +135,7 @@
             format!("last heard {} ago", now.since(at))
         });
         let (num, list) = (list.len(), list.join(", "));
-        let group = match self.is_group_loss(id) {
+        let group = match is_group {
             true => " (most of its failure domain or rack was lost with it)",
             false => "",
         };
--- a/crates/batch/src/scheduler/suspects.rs
+++ b/crates/batch/src/scheduler/suspects.rs
@@ -7,6 +7,7 @@
 use base::WorkerId;
 
 use super::crashes::run_age;
+use super::losses::Loss;
 use super::LogKind;
 use super::Scheduler;
 use crate::crash;
@@ -31,11 +32,13 @@
 impl Scheduler {
     /// Notes the loss of a worker for the tasks that ran on it.
     pub(super) fn note_loss(&mut self, id: &WorkerId, runs: &[TaskId], proven: bool, now: Millis) {
-        let is_group = self.is_group_loss(id);
         let Some(worker) = self.workers.get(id) else {
             return;
         };
-        self.losses.add(worker, self.has_suspect(worker), now);
+        let mut loss = Loss::new(worker, now);
+        let is_group = self.is_group_loss(&loss);
+        loss.had_suspect = self.has_suspect(worker);
+        loss.judged_from = proven.then_some(now);
         let address = worker.entry.address;
         let heard = worker.last_report();
         let mut jobs: BTreeSet<JobId> = BTreeSet::new();
@@ -50,6 +53,12 @@
                 starting.insert(task.job.clone());
             }
         }
+        let open = runs
+            .iter()
+            .filter_map(|task| Some((task, self.open_run(task)?)));
+        loss.runs = open.map(|(t, o)| (t.clone(), o.run, o.born)).collect();
+        loss.jobs = jobs.clone();
+        self.losses.add(loss, now);
         for task in runs {
             let is_only_start = starting.len() == 1 && starting.contains(&task.job);
             let evidence = Evidence {
@@ -115,6 +124,7 @@
             return;
         };
         let (born, address) = (worker.born, worker.entry.address);
+        self.losses.drop_found(id, born);
         let is_open = |c: &Crash| !c.proven && (c.worker == *id || c.address == address);
         let concerned = self.suspects.iter().filter(|task| {
             let state = self.jobs.get(&task.job).and_then(|j| j.task(task));
@@ -138,6 +148,8 @@
     /// Clears the tasks that have run well since, and ends the jobs of those that are the cause.
     pub(super) fn review_suspects(&mut self, now: Millis) {
         let poll_wait = self.times.poll_wait;
+        self.judge_losses(now);
+        self.accused.clear();
         for task in self.suspects.clone() {
             let job = self.jobs.get(&task.job);
             let ended = job.is_none_or(|j| j.phase.is_final());
@@ -180,6 +192,10 @@
         if is_final || !is_cause(&state.crashes) {
             return;
         }
+        if self.losses.is_open(task) {
+            self.accused.insert(task.job.clone());
+            return;
+        }
         let crashes = state.crashes.iter().filter(|c| c.proven);
         let list: Vec<String> = crashes
             .map(|c| format!("run {} on {} at {}", c.run, c.worker, c.address))
--- a/crates/batch/tests/crash_groups.rs
+++ b/crates/batch/tests/crash_groups.rs
@@ -63,6 +63,16 @@
         self.worker_of(id)
     }
 
+    /// Polls one worker.
+    fn hear(&mut self, num: usize) {
+        let now = self.site.now;
+        let worker = &mut self.site.workers[num];
+        let poll = self.site.scheduler.poll(&worker.id, true, now);
+        let report = poll.and_then(|poll| worker.poll(&poll, now));
+        let report = report.expect("a report");
+        self.site.scheduler.report(&worker.id, report, now, now);
+    }
+
     /// These workers are lost together, and are back together.
     fn lose(&mut self, workers: &[usize]) {
         workers.iter().for_each(|num| self.crash(*num));
@@ -82,6 +92,30 @@
     }
 }
 
+/// Guards against a job that is given up because its worker is the first of the domain to be heard again, before
+/// it is known that the others were lost as well.
+#[test]
+fn the_first_worker_that_is_back_is_not_taken_for_the_only_one_lost() {
+    let mut crashing = one_domain(Back::SameId);
+    for worker in &mut crashing.site.workers {
+        worker.entry_lag = SECOND;
+    }
+    let ids = crashing.submit_whole(1);
+    for _ in 0..4 {
+        crashing.run_until_started(&ids[0]);
+        crashing.run(Millis(2_000), |_| false);
+        let Some(first) = crashing.worker_of(&ids[0]) else {
+            break;
+        };
+        let now = crashing.site.now;
+        for worker in &mut crashing.site.workers {
+            worker.restart(now);
+        }
+        crashing.hear(first);
+    }
+    crashing.check_completed(&ids);
+}
+
 /// Guards against workers that were out of reach before, and of which nothing is known, as evidence that a domain
 /// was not lost.
 #[parameterized(
@@ -104,6 +138,24 @@
     crashing.check_completed(&ids);
 }
 
+/// Guards against a worker whose last polls were lost before the domain was: it was heard earlier than the others,
+/// and is back with them.
+#[test]
+fn a_worker_whose_polls_were_lost_before_is_lost_with_its_domain() {
+    let mut crashing = one_domain(Back::SameId);
+    let all: Vec<usize> = (0..WORKERS).collect();
+    let ids = crashing.submit_whole(1);
+    for _ in 0..3 {
+        let Some(num) = crashing.run_until_started(&ids[0]) else {
+            break;
+        };
+        crashing.site.workers[num].reachable = false;
+        crashing.run(Millis(2_000), |_| false);
+        crashing.lose(&all);
+    }
+    crashing.check_completed(&ids);
+}
+
 /// Guards against a job that is given up for losses of its domain alone, which no task can cause.
 #[parameterized(
     back_under_its_id = { Back::SameId },
