Clear no suspect by a start that was not sent

Cause: a suspect is cleared by a run that is older than those that crashed. A run without a sign of life was taken to run since it was planned. Change: only a run that its worker has accepted or reported can clear its task.

--- a/crates/batch/src/scheduler/suspects.rs
+++ b/crates/batch/src/scheduler/suspects.rs
@@ -155,7 +155,8 @@
             let ended = job.is_none_or(|j| j.phase.is_final());
             let open = self.open_run(&task);
             let worker = open.and_then(|o| self.workers.get(&o.worker));
-            let age = open.and_then(|o| run_age(o, worker?.last_report()));
+            let seen = open.filter(|o| o.seen_at.is_some());
+            let age = seen.and_then(|o| run_age(o, worker?.last_report()));
             let run = open.map(|o| (o.run, o.born));
             let job = self.jobs.get_mut(&task.job).filter(|_| !ended);
             let Some(state) = job.and_then(|j| j.task_mut(&task)) else {
--- a/crates/batch/tests/crashes.rs
+++ b/crates/batch/tests/crashes.rs
@@ -293,6 +293,32 @@
     assert_eq!(crashing.phase(&guilty), Some(JobPhase::Failed));
 }
 
+/// Guards against a task that is cleared by a start that waits for the store: it has not run.
+#[parameterized(
+    back_under_its_id = { Back::SameId },
+    back_under_another_id = { Back::OtherId },
+)]
+fn a_start_that_is_not_sent_clears_no_suspect(back: Back) {
+    let mut crashing = Crashing::new(8, back);
+    let (_, guilty) = crashing.submit_pair(step(1, 1, SECOND));
+    let is_guilty = |task: &TaskId| task.job == guilty;
+    for _ in 0..2 * MOST_CRASHES {
+        let before = crashing.crashes.len();
+        for _ in 0..1_000 {
+            if crashing.crashes.len() > before {
+                break;
+            }
+            crashing.run(Millis(10), is_guilty);
+        }
+        crashing.site.faults.store = 1_000;
+        crashing.run(DOWN_TIME + Millis(4_000), is_guilty);
+        crashing.site.faults.store = 0;
+    }
+    let crashes = crashing.crashes.len();
+    assert!(crashes <= MAX_CRASHES, "{crashes} workers crashed");
+    assert_eq!(crashing.phase(&guilty), Some(JobPhase::Failed));
+}
+
 fn crash_of(run: u32, age: Option<u64>, sole: bool, proven: bool) -> Crash {
     Crash {
         run: RunNumber(run),
