Wait for both ports before a daemon is stopped in the test of bursts

The test stopped the daemon with SIGSTOP once its port for callers was open. The test waits for both ports now; what it checks is the same.

--- a/crates/bronzetack/tests/backlog.rs
+++ b/crates/bronzetack/tests/backlog.rs
@@ -34,7 +34,7 @@
 }
 
 impl Daemon {
-    /// Starts a daemon whose store cannot be reached, and waits until its port is open.
+    /// Starts a daemon whose store cannot be reached, and waits until its ports are open.
     fn start() -> Daemon {
         let ports: Vec<SocketAddr> = (0..5).map(|_| free_address()).collect();
         let text = format!(
@@ -62,9 +62,11 @@
             settings,
         };
         let started = Instant::now();
-        while TcpStream::connect(daemon.callers).is_err() {
-            assert!(started.elapsed() < READY_TIMEOUT, "the port stays closed");
-            std::thread::sleep(Duration::from_millis(10));
+        for port in [daemon.callers, daemon.links] {
+            while TcpStream::connect(port).is_err() {
+                assert!(started.elapsed() < READY_TIMEOUT, "{port} stays closed");
+                std::thread::sleep(Duration::from_millis(10));
+            }
         }
         daemon
     }
