Take fencing tokens only from writes that are conditional on the lock

A review of the tokens found that revisions from watches rest on the daemon's clock: on a VM that was paused unseen, an answer of the store from after the end of the lock could give a former coordinator a token above the epoch of the new one, which workers would then refuse. Shown by reading, not by a run.

Tokens now are revisions of writes that were conditional on the lock: records of jobs, and the published load, which is written for this purpose if contact with a worker was lost and no other write has come. No clock is involved.

--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -138,8 +138,8 @@
 /// State of the scheduler during one coordinator's epoch.
 pub struct Scheduler {
     pub(crate) epoch: Epoch,
-    /// Highest fencing token that calls may carry: a revision of the store at which the coordinator
-    /// held its lock, so that the epoch of the next one is higher.
+    /// Highest fencing token that calls may carry: the revision of a write conditional on the lock, so
+    /// that the epoch of the next coordinator is higher.
     pub(crate) fence: Fence,
     /// Highest fencing token of a call to a worker that was dropped.
     pub(crate) dropped_fence: Fence,
--- a/crates/batch/src/scheduler/contact.rs
+++ b/crates/batch/src/scheduler/contact.rs
@@ -29,11 +29,17 @@
 pub(super) const MISSING_GRACE: Millis = Millis(2_000);
 
 impl Scheduler {
-    /// Records a revision of the store at which the coordinator held its lock.
+    /// Records a higher token: the revision of a write that was conditional on the coordinator's lock.
     pub fn raise_fence(&mut self, to: Fence) {
         self.fence = self.fence.max(to);
     }
 
+    /// Whether contact with a worker was lost and there is no higher token for it.
+    pub fn lacks_fence(&self) -> bool {
+        let mut workers = self.workers.values();
+        workers.any(|w| w.contact == Contact::Lost && w.fence >= self.fence)
+    }
+
     /// Gives the calls to a worker a higher token if contact with it was lost and there is one.
     pub(super) fn renew_contact(&mut self, id: &WorkerId, now: Millis) {
         let fence = self.fence;
--- a/crates/bronzetack/src/batch/commit.rs
+++ b/crates/bronzetack/src/batch/commit.rs
@@ -172,6 +172,7 @@
     }
     match shared.store.commit(&txn).await? {
         TxnOutcome::Done(revision) => {
+            lead.note_write(revision);
             let mut revisions = lead.run_revisions.borrow_mut();
             for (id, _) in part {
                 revisions.insert((*id).clone(), revision);
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -252,9 +252,12 @@
     while !lead.ended.get() {
         let load = load::publishable(&shared, &lead.scheduler.borrow());
         shared.orgs.publish(&lead.scheduler.borrow());
-        if published.as_ref() != Some(&load) {
+        // On an idle site this is the only write, and so the only source of higher fencing tokens.
+        let lacks_fence = lead.scheduler.borrow().lacks_fence();
+        if lacks_fence || published.as_ref() != Some(&load) {
             match publish_load(&shared, &lead, &load, revision).await {
                 Some(at) => {
+                    lead.note_write(at);
                     revision = Some(at);
                     published = Some(load);
                 }
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -104,12 +104,10 @@
         });
     }
 
-    /// Records that an answer of the store that has just arrived was at this revision. It may serve as a
-    /// fencing token while the lock is held, since the epoch of the next coordinator is higher.
-    pub fn note_revision(&self, revision: Revision, now: Millis) {
-        if now <= self.lease_status.valid_until() {
-            self.scheduler.borrow_mut().raise_fence(Fence(revision.0));
-        }
+    /// Records the revision of a write that was conditional on the lock. It may serve as a fencing token,
+    /// since the epoch of the next coordinator is higher.
+    pub fn note_write(&self, revision: Revision) {
+        self.scheduler.borrow_mut().raise_fence(Fence(revision.0));
     }
 
     /// Ends the leadership and wakes its tasks, which then return.
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -149,7 +149,6 @@
             Ok(watched) => {
                 shared.record_store_result(Ok(()));
                 lead.confirm(prefix, sent);
-                lead.note_revision(watched.revision, shared.now());
                 after = watched.revision.max(after);
                 refuse_rows(&shared, prefix, &watched.refused);
                 let is_whole = watched.is_whole();
