Close no run by a report from before its start was answered

A new incarnation reports, then accepts a start that was sent before its restart was noticed, and the answer to the start comes first. The report, which does not list the run, closed it as one of the former incarnation, and it started elsewhere (TWICE; found by review).

Only runs whose start was answered before the poll was sent are closed by a first report. `a_report_from_before_an_answered_start_closes_nothing` failed before and passes.

--- a/crates/batch/src/scheduler/contact.rs
+++ b/crates/batch/src/scheduler/contact.rs
@@ -104,6 +104,7 @@
         id: &WorkerId,
         born: u64,
         report: &Report,
+        sent: Millis,
         now: Millis,
     ) {
         let Some(worker) = self.workers.get_mut(id) else {
@@ -148,7 +149,10 @@
             open.absent_after = None;
             let run = open.run;
             let has_begun = matches!(open.phase, RunPhase::Running | RunPhase::Stopping);
-            let is_over = has_begun && open.adrift_until.is_none_or(|until| until < now);
+            // A later answer may be of this incarnation, which began the run after its report.
+            let is_earlier = open.seen_at.is_some_and(|at| at < sent);
+            let is_adrift = open.adrift_until.is_some_and(|until| now <= until);
+            let is_over = has_begun && is_earlier && !is_adrift;
             if is_over && !report.mentions(&task, run) {
                 self.close_lost(&task, LossCause::Worker, now);
                 self.break_gang(&task, run, &Loss::new(LossCause::Worker));
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -38,7 +38,7 @@
             return;
         }
         if worker.born != born || worker.clock.is_none() {
-            self.start_incarnation(id, born, &report, now);
+            self.start_incarnation(id, born, &report, sent, now);
         }
         self.settle_contact(id, sent, now);
         let Some(worker) = self.workers.get_mut(id) else {
