Let the first poll with a higher token do no harm late

A report of the former incarnation that came after the entry of the next one let the poll that raised the token carry a deadline by the former clock. If that poll failed, the token was not raised again, and the poll extended the lease unseen when it was carried out late. A worker that was dropped and listed again was taken for settled by a poll of before (both found by review).

Such a poll has neither a deadline nor an acknowledgement, and a worker listed again after any was dropped begins with its contact lost. `a_late_renewal_with_the_present_token_extends_no_lease_unnoticed` failed before and passes; the second has no test.

--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -294,7 +294,9 @@
         let worker = self.workers.get(id)?;
         // The lease of a worker that does not answer is left to expire, so that its tasks can start
         // elsewhere.
-        let answering = worker.has_answered && !worker.unresponsive;
+        // The first poll with a higher token must do no harm late: it is not followed by a higher one if it fails.
+        let is_raised = matches!(worker.contact, Contact::Raised(_));
+        let answering = worker.has_answered && !worker.unresponsive && !is_raised;
         let deadline = match renew && answering {
             true => self.renew(id, now).map(|(deadline, _)| deadline),
             false => None,
--- a/crates/batch/src/scheduler/workers.rs
+++ b/crates/batch/src/scheduler/workers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::DomainId;
+use base::Fence;
 use base::Millis;
 use base::Set;
 use base::WorkerId;
@@ -59,11 +60,11 @@
             None => {
                 let id = entry.id.clone();
                 // A worker of this id that was dropped has been sent calls with its token.
-                let contact = match self.fence > self.dropped_fence {
-                    true => Contact::Raised(Millis::ZERO),
-                    false => Contact::Lost,
+                let (fence, contact) = match self.dropped_fence {
+                    Fence(0) => (self.fence, Contact::Raised(Millis::ZERO)),
+                    dropped => (dropped, Contact::Lost),
                 };
-                let mut worker = Worker::new(entry, self.fence, contact);
+                let mut worker = Worker::new(entry, fence, contact);
                 worker.lease_end = self.inherited_end;
                 self.adopt_open(&id, &mut worker);
                 self.workers.insert(id, worker);
