Take no accepted stop of the next incarnation for one of the former

The next incarnation accepted a stop with a small reading of its clock, and a late report of the former one, with a larger one, closed the run while it was still being stopped (TWICE within the grace period; found by review). An accepted stop whose reading shows a restart is taken as a sign of one; the stop is repeated.

--- a/crates/batch/examples/load/world.rs
+++ b/crates/batch/examples/load/world.rs
@@ -250,7 +250,7 @@
         if let Some(run) = worker.runs.get_mut(&request.task) {
             run.ends_at.get_or_insert(at);
         }
-        self.scheduler.stop_accepted(request, self.now.0);
+        self.scheduler.stop_accepted(request, self.now.0, self.now);
     }
 
     fn advance_runs(&mut self) {
--- a/crates/batch/src/scheduler/stops.rs
+++ b/crates/batch/src/scheduler/stops.rs
@@ -189,10 +189,15 @@
     /// Processes an accepted stop request. `clock` is the reading of the worker's clock at which it
     /// was accepted: the run cannot start after it, so a later report without the run proves that
     /// it has ended.
-    pub fn stop_accepted(&mut self, request: &StopRequest, clock: u64) {
+    pub fn stop_accepted(&mut self, request: &StopRequest, clock: u64, now: Millis) {
         if !self.is_open(&request.task, request.run, &request.worker) {
             return;
         }
+        let worker = self.workers.get(&request.worker);
+        if worker.is_some_and(|w| w.has_restarted(clock, now)) {
+            // A report of the former incarnation, which may still come, proves nothing about this one.
+            return self.note_restart(&request.worker, now);
+        }
         let Some(job) = self.jobs.get_mut(&request.task.job) else {
             return;
         };
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -185,7 +185,7 @@
                 .and_then(|w| w.stop(&stop, now));
             if let Some(clock) = clock {
                 if !self.chance(self.faults.unanswered) {
-                    self.scheduler.stop_accepted(&stop, clock);
+                    self.scheduler.stop_accepted(&stop, clock, now);
                 }
             }
         }
--- a/crates/batch/tests/odd_rows.rs
+++ b/crates/batch/tests/odd_rows.rs
@@ -166,7 +166,7 @@
             self.starts.push(start);
         }
         for stop in self.scheduler.stop_requests(now) {
-            self.scheduler.stop_accepted(&stop, now.0);
+            self.scheduler.stop_accepted(&stop, now.0, now);
             self.stops.push(stop);
         }
     }
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -207,7 +207,9 @@
 async fn stop(shared: Rc<Shared>, lead: Rc<Leadership>, request: StopRequest) {
     match delegates::stop(&shared, &lead, &request).await {
         Ok(Some(clock)) if !lead.ended.get() => {
-            lead.scheduler.borrow_mut().stop_accepted(&request, clock);
+            let now = shared.now();
+            let mut scheduler = lead.scheduler.borrow_mut();
+            scheduler.stop_accepted(&request, clock, now);
         }
         Ok(_) => {}
         Err(error) => {
