--- a/crates/batch/src/wave.rs
+++ b/crates/batch/src/wave.rs
@@ -142,6 +142,8 @@
     begun: BTreeSet<MachineId>,
     /// Machines for which a request may have been sent and no response is known; it is repeated.
     open: BTreeSet<MachineId>,
+    /// Those of them for which a request was sent that has no response.
+    unanswered: BTreeSet<MachineId>,
     gone: BTreeSet<MachineId>,
     stored_record: Option<WaveRecord>,
 }
@@ -220,6 +222,7 @@
             wave: wave.clone(),
             first_seen: seen,
             begun: record.begun,
+            unanswered: record.open.clone(),
             open: record.open,
             gone: BTreeSet::new(),
             stored_record,
@@ -252,6 +255,13 @@
         self.machines.get(machine)?.worker.as_ref()
     }
 
+    /// Workers on machines whose upkeep may begin at any time, as a request has no response.
+    pub fn open_workers(&self) -> Set<WorkerId> {
+        let open = self.active.values().flat_map(|w| &w.open);
+        let workers = open.filter_map(|id| worker_up(&self.machines, id));
+        workers.cloned().collect()
+    }
+
     /// Applies a list of machines that was requested at `sent`.
     pub fn set_machines(&mut self, listed: Vec<MachineEntry>, sent: Millis) {
         self.machines.clear();
@@ -309,8 +319,13 @@
                 wave: wave.number,
                 epoch,
             };
-            plan.requests
-                .extend(active.open.iter().filter(|id| is_free(id)).map(request));
+            for id in &active.open {
+                let worker = worker_up(&self.machines, id);
+                plan.cordon.extend(worker.cloned());
+                if is_free(id) && !worker.is_some_and(|w| work(w).is_held) {
+                    plan.requests.push(request(id));
+                }
+            }
             let waiting = wave.machines.iter().filter_map(|id| {
                 let settled = active.begun.contains(id) || active.gone.contains(id);
                 let entry = self
@@ -362,14 +377,20 @@
         match response {
             UpkeepResponse::Begun => {
                 active.open.remove(machine);
+                active.unanswered.remove(machine);
                 active.begun.insert(machine.clone());
                 self.down.insert(machine.clone(), now);
             }
             UpkeepResponse::Gone => {
                 active.open.remove(machine);
+                active.unanswered.remove(machine);
                 active.gone.insert(machine.clone());
                 self.down.remove(machine);
             }
+            // It says nothing about an earlier request, which may still be carried out.
+            UpkeepResponse::Later(_) if active.unanswered.contains(machine) => {
+                self.not_before.insert(machine.clone(), now + RETRY_PAUSE);
+            }
             UpkeepResponse::Later(_) => {
                 active.open.remove(machine);
                 self.down.remove(machine);
@@ -377,6 +398,7 @@
             }
             // The machine counts as down until a request for it is answered.
             UpkeepResponse::Unknown(_) => {
+                active.unanswered.insert(machine.clone());
                 self.not_before.insert(machine.clone(), now + RETRY_PAUSE);
             }
             UpkeepResponse::Fenced => {}
@@ -397,6 +419,15 @@
     }
 }
 
+/// The worker on a machine that is in service.
+fn worker_up<'a>(
+    machines: &'a Map<MachineId, MachineEntry>,
+    id: &MachineId,
+) -> Option<&'a WorkerId> {
+    let machine = machines.get(id).filter(|m| m.state == MachineState::Up);
+    machine?.worker.as_ref()
+}
+
 fn record(active: &ActiveWave) -> WaveRecord {
     WaveRecord {
         begun: active.begun.clone(),
--- a/crates/bronzetack/src/batch/dispatch.rs
+++ b/crates/bronzetack/src/batch/dispatch.rs
@@ -152,7 +152,7 @@
         false => StartResponse::Refused("the lock may have expired".to_string()),
     };
     let outcome = match &response {
-        StartResponse::Accepted(_) => "accepted",
+        StartResponse::Accepted(_) | StartResponse::Repeated(_) => "accepted",
         StartResponse::Fenced => "fenced",
         StartResponse::NoTicket => "the ticket is not valid",
         StartResponse::Refused(why) | StartResponse::Unknown(why) => why,
@@ -164,12 +164,13 @@
             ("task", &request.task),
             ("run", &request.run),
             ("worker", &request.worker),
-            ("epoch", &request.epoch),
+            ("epoch", &lead.lock_revision),
+            ("fence", &request.fence),
             ("outcome", &outcome),
         ],
     );
     let result = match &response {
-        StartResponse::Accepted(_) => "accepted",
+        StartResponse::Accepted(_) | StartResponse::Repeated(_) => "accepted",
         StartResponse::Fenced => "fenced",
         StartResponse::NoTicket | StartResponse::Refused(_) => "refused",
         StartResponse::Unknown(_) => "no-answer",
@@ -206,7 +207,9 @@
 async fn stop(shared: Rc<Shared>, lead: Rc<Leadership>, request: StopRequest) {
     match delegates::stop(&shared, &lead, &request).await {
         Ok(Some(clock)) if !lead.ended.get() => {
-            lead.scheduler.borrow_mut().stop_accepted(&request, clock);
+            let now = shared.now();
+            let mut scheduler = lead.scheduler.borrow_mut();
+            scheduler.stop_accepted(&request, clock, now);
         }
         Ok(_) => {}
         Err(error) => {
@@ -237,7 +240,8 @@
         ("task", &request.task),
         ("worker", &request.worker),
         ("percent", &request.percent),
-        ("epoch", &request.epoch),
+        ("epoch", &lead.lock_revision),
+        ("fence", &request.fence),
         ("outcome", &outcome),
     ];
     obs::record(&shared.log, Event::ThrottleRequested, fields);
@@ -250,9 +254,12 @@
     while !lead.ended.get() {
         let load = load::publishable(&shared, &lead.scheduler.borrow());
         shared.orgs.publish(&lead.scheduler.borrow());
-        if published.as_ref() != Some(&load) {
+        // On an idle site this is the only write, and so the only source of higher fencing tokens.
+        let lacks_fence = lead.scheduler.borrow().lacks_fence();
+        if lacks_fence || published.as_ref() != Some(&load) {
             match publish_load(&shared, &lead, &load, revision).await {
                 Some(at) => {
+                    lead.note_write(at);
                     revision = Some(at);
                     published = Some(load);
                 }
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use base::Epoch;
+use base::Fence;
 use base::JobId;
 use base::Map;
 use base::Millis;
@@ -103,6 +104,12 @@
         });
     }
 
+    /// Records the revision of a write that was conditional on the lock. It may serve as a fencing token,
+    /// since the epoch of the next coordinator is higher.
+    pub fn note_write(&self, revision: Revision) {
+        self.scheduler.borrow_mut().raise_fence(Fence(revision.0));
+    }
+
     /// Ends the leadership and wakes its tasks, which then return.
     pub fn end(&self) {
         self.ended.set(true);
