--- a/crates/fakes/src/fault_relay.rs
+++ b/crates/fakes/src/fault_relay.rs
@@ -273,7 +273,8 @@
 async fn connect(client: TcpStream, target: SocketAddr, number: u64, shared: &RelayState) {
     let server = tokio::select! {
         biased;
-        () = shared.wait_for(|c| c.stop(number).is_some_and(|s| s != Stop::Blackhole)) => {
+        // Only a persistent relay may wait for long.
+        () = shared.wait_for(|c| c.closed || c.persistent && c.stop(number).is_some_and(|s| s != Stop::Blackhole)) => {
             let stop = shared.controls.borrow().stop(number);
             return end(client, stop.unwrap_or(Stop::Close));
         }
