--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,9 +12,12 @@
 
 # Length of the outage, the time from its begin until the room shrinks, and the part that is left.
 DOWN = 4.5
-SHRINK_AFTER = 0.5
+SHRINK_AFTER = 0.1
 LEFT = 0.55
 
+# Time after which room that has shrunk counts: `contact-ms` and one beat.
+COUNTED_AFTER = 3.0 + 1.5
+
 
 class Watched(Site):
     """Notes the starts that bring a worker over its capacity."""
@@ -22,11 +25,13 @@
     def __init__(self, *args):
         super().__init__(*args)
         self.over = []
+        self.shrunk_at = None
 
     def note_start(self, worker, order):
         super().note_start(worker, order)
         used = len(worker.running) * STEP["gpus"]
-        if used > worker.gpus:
+        counts = self.shrunk_at is not None and now() >= self.shrunk_at + COUNTED_AFTER
+        if used > worker.gpus and counts:
             self.over.append(order["task"])
             self.record(f"worker {worker.id} has {worker.gpus} gpus, and its runs need {used}")
 
@@ -49,6 +54,7 @@
             for worker in workers:
                 worker.beating = False
             await asyncio.sleep(SHRINK_AFTER)
+            site.shrunk_at = now()
             for worker in workers[:2]:
                 worker.gpus, worker.cpu = int(worker.gpus * LEFT), int(worker.cpu * LEFT)
                 worker.mem = int(worker.mem * LEFT)
