--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -43,8 +43,6 @@
     pub lock_lease: Millis,
     /// Time for which a coordinator that cannot reach the store keeps renewing workers' leases.
     pub offline_renewal: Millis,
-    /// Longest time from when a call is sent until a worker carries it out, if it ever does.
-    pub call_life: Millis,
     /// Longest wait of one poll of a worker.
     pub poll_wait: Millis,
     /// Longest wait of one poll of a worker on which best-effort tasks may disturb serving ones.
@@ -80,6 +78,10 @@
 /// worker's clock in a response is at most this old.
 pub const REQUEST_TIMEOUT: Millis = Millis(500);
 
+/// Longest time from when a call without an answer is sent until it is carried out, if it ever is. The
+/// platform's workers carry such calls out 2 to 12 s late.
+pub const CALL_LIFE: Millis = Millis(12_000);
+
 /// Time to notice the end of a stopped run and start its successor, beside the grace period.
 pub(crate) const STOP_TURNAROUND: Millis = Millis(700);
 
@@ -139,7 +141,6 @@
             lock_lease: MAX_LOCK_LEASE.max(self.min_ttl),
             // Tasks survive an outage of the store of this length.
             offline_renewal: self.max_hold,
-            call_life: self.max_hold,
             poll_wait: MAX_POLL_WAIT.min(Millis(self.max_hold.0 / 4)),
             shared_wait: Millis(self.harm.0 / SHARED_POLLS).min(MAX_POLL_WAIT),
             gather_time,
--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -12,6 +12,7 @@
 use crate::account::Loss;
 use crate::account::Stage;
 use crate::account::Trace;
+use crate::adrift::AdriftStarts;
 use crate::crash::Crash;
 use crate::plan::Withheld;
 use crate::record::Submitted;
@@ -46,6 +47,9 @@
 /// What the coordinator knows about an open run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunPhase {
+    /// It has ended or is refused, and requests to start it may be carried out by a later incarnation of its
+    /// worker. It occupies nothing.
+    Adrift,
     /// Recorded by an earlier coordinator; the worker's next report shows whether it still runs.
     Inherited,
     /// Waits to be recorded; the start request is not sent yet.
@@ -54,8 +58,11 @@
     Running,
     /// The start request has been sent and not answered.
     Sent,
-    /// To be stopped, because its start was not answered or it is no longer wanted.
+    /// To be stopped, because it is no longer wanted.
     Stopping,
+    /// Requests to start it have no answer. It may be active or become so, and its start is requested again
+    /// of the same worker, which carries it out once.
+    Unanswered,
 }
 
 /// A run that may occupy a worker.
@@ -69,8 +76,12 @@
     pub born: u64,
     /// Fencing token of its start.
     pub fence: Fence,
-    /// Until when a request to start it that has no answer may be carried out.
-    pub adrift_until: Option<Millis>,
+    /// Requests to start it that may still be carried out.
+    pub adrift: AdriftStarts,
+    /// Number of times that its start was requested without an answer.
+    pub unanswered: usize,
+    /// When its start is to be requested again; `None` if that is not due, or waits to be recorded.
+    pub repeat_at: Option<Millis>,
     /// What is known about it.
     pub phase: RunPhase,
     /// When it was planned.
@@ -111,7 +122,9 @@
             worker,
             born,
             fence: Fence(0),
-            adrift_until: None,
+            adrift: AdriftStarts::default(),
+            unanswered: 0,
+            repeat_at: None,
             phase: RunPhase::Planned,
             planned_at: now,
             absent_after: None,
--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 mod admit;
+mod adrift;
 mod advice;
 mod bounds;
 pub mod candidacy;
@@ -50,6 +51,7 @@
 pub use bounds::Bounds;
 pub use bounds::DerivedBounds;
 pub use bounds::StartAges;
+pub use bounds::CALL_LIFE;
 pub use bounds::REQUEST_TIMEOUT;
 pub use catalog::Catalog;
 pub use catalog::CatalogLimits;
--- a/crates/batch/src/plan.rs
+++ b/crates/batch/src/plan.rs
@@ -35,6 +35,7 @@
 use share::Shares;
 
 pub(crate) use headroom::ROOM_FACTOR;
+pub(crate) use isolate::ISOLATION_WAIT;
 pub use obstacle::Obstacle;
 pub use obstacle::Withheld;
 
@@ -71,6 +72,7 @@
         self.waits.clear();
         let guaranteed = self.guaranteed();
         self.settle_rates();
+        self.repeat_starts(now);
         let (mut waiting, wanted) = self.waiting_steps(&guaranteed, now, wall);
         let upcoming = self.upcoming_steps(now);
         if waiting.is_empty() && upcoming.is_empty() {
--- a/crates/batch/src/plan/isolate.rs
+++ b/crates/batch/src/plan/isolate.rs
@@ -11,10 +11,11 @@
 use super::Attempt;
 use super::Pass;
 use crate::crash::is_suspect;
+use crate::job::RunPhase;
 use crate::scheduler::Scheduler;
 
 /// Time that a suspect waits for a worker without other jobs.
-const ISOLATION_WAIT: Millis = Millis(2_000);
+pub(crate) const ISOLATION_WAIT: Millis = Millis(2_000);
 
 /// One in so many workers of a pool may be kept for suspects, but at least one.
 const ISOLATION_SHARE: usize = 8;
@@ -32,7 +33,9 @@
     pub(super) fn isolated_workers(&self, pass: &Pass) -> Map<usize, JobId> {
         let found = self.suspects.iter().filter_map(|task| {
             let job = self.jobs.get(&task.job)?;
-            let open = self.open_run(task)?;
+            let open = self
+                .open_run(task)
+                .filter(|o| o.phase != RunPhase::Adrift)?;
             if !is_suspect(&job.task(task)?.crashes) {
                 return None;
             }
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::adrift::AdriftStarts;
+use crate::bounds::CALL_LIFE;
 use crate::catalog::Queue;
 use crate::crash::Crash;
 use crate::job::Job;
@@ -135,6 +137,33 @@
     open: BTreeMap<u32, Vec<StepRecord>>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     crashes: Vec<CrashRecord>,
+    /// Tasks with an open run whose start was answered at each attempt.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    answered: Vec<TaskKey>,
+    /// Tasks with an open run that is over, and that an earlier request may still start.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    adrift: Vec<TaskKey>,
+}
+
+/// Occurrence, step and index of a task.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+struct TaskKey(u32, u16, u16);
+
+impl TaskKey {
+    fn of_job(self, job: &Job) -> TaskId {
+        TaskId {
+            job: job.id.clone(),
+            occurrence: self.0,
+            step: self.1,
+            index: self.2,
+        }
+    }
+}
+
+impl From<&TaskId> for TaskKey {
+    fn from(task: &TaskId) -> TaskKey {
+        TaskKey(task.occurrence, task.step, task.index)
+    }
 }
 
 /// An encoded record, and how many checkpoints were left out of it for its length.
@@ -266,6 +295,18 @@
             (num, Occurrence { steps })
         });
         job.open = states.collect();
+        for key in self.answered {
+            let task = key.of_job(job);
+            if let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_mut()) {
+                open.adrift = AdriftStarts::default();
+            }
+        }
+        for key in self.adrift {
+            let task = key.of_job(job);
+            if let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_mut()) {
+                open.phase = RunPhase::Adrift;
+            }
+        }
         for record in self.crashes {
             record.restore(job);
         }
@@ -289,10 +330,23 @@
                 true => Vec::new(),
                 false => crash_records(job),
             },
+            answered: tasks_with(job, |open| {
+                open.phase != RunPhase::Planned && open.adrift.until().is_none()
+            }),
+            adrift: tasks_with(job, |open| open.phase == RunPhase::Adrift),
         }
     }
 }
 
+/// The tasks whose open run fulfils a condition.
+fn tasks_with(job: &Job, holds: impl Fn(&OpenRun) -> bool) -> Vec<TaskKey> {
+    let open = job.open_tasks().into_iter().filter(|task| {
+        let open = job.task(task).and_then(|t| t.open.as_deref());
+        open.is_some_and(&holds)
+    });
+    open.map(|task| TaskKey::from(&task)).collect()
+}
+
 fn crash_records(job: &Job) -> Vec<CrashRecord> {
     let mut records = Vec::new();
     for (&occurrence, state) in &job.open {
@@ -375,8 +429,11 @@
 
 impl TaskRecord {
     fn restore(self, now: Millis) -> TaskState {
+        let mut adrift = AdriftStarts::default();
+        adrift.lose(now + CALL_LIFE);
         let inherit = |OpenRunRecord(run, worker, born)| OpenRun {
             phase: RunPhase::Inherited,
+            adrift,
             share: None,
             restored: true,
             ..OpenRun::planned(run, worker, born, now)
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -28,6 +28,7 @@
 use crate::health::EarlyFailures;
 use crate::job::Job;
 use crate::job::JobPhase;
+use crate::job::RunPhase;
 use crate::org::History;
 use crate::org::Ledger;
 use crate::org::Rates;
@@ -44,6 +45,7 @@
 mod aside;
 mod contact;
 mod crashes;
+mod gate;
 mod idle;
 mod load;
 mod losses;
@@ -52,6 +54,7 @@
 mod orgs;
 mod overview;
 mod recall;
+mod repeat;
 mod report;
 mod requests;
 mod stall;
@@ -164,6 +167,8 @@
     pub(crate) losses: Losses,
     /// Tasks whose open run is being stopped.
     pub(crate) stopping: BTreeSet<TaskId>,
+    /// Tasks whose start is to be requested again, as it has no answer.
+    pub(crate) unanswered: BTreeSet<TaskId>,
     /// When open runs were last checked for expired leases and stalls.
     pub(crate) checked_at: Millis,
     /// When it was last checked what waits beside free room.
@@ -172,6 +177,8 @@
     pub(crate) dirty: BTreeSet<JobId>,
     /// Jobs whose changes are being stored.
     pub(crate) storing: BTreeSet<JobId>,
+    /// Jobs of which starts were answered since they were last stored, and since when there is one.
+    pub(crate) answers: (BTreeSet<JobId>, Millis),
     /// Starts whose jobs have to be stored before they are sent.
     pub(crate) planned: Vec<StartRequest>,
     pub(crate) log_entries: Vec<LogEntry>,
@@ -238,10 +245,12 @@
             accused: BTreeSet::new(),
             losses: Losses::default(),
             stopping: BTreeSet::new(),
+            unanswered: BTreeSet::new(),
             checked_at: Millis::ZERO,
             idle_checked_at: Millis::ZERO,
             dirty: BTreeSet::new(),
             storing: BTreeSet::new(),
+            answers: (BTreeSet::new(), now),
             planned: Vec::new(),
             log_entries: Vec::new(),
             pass_at: (now, Millis::ZERO),
@@ -348,13 +357,14 @@
             if let Some(org) = &job.submitted.org {
                 self.ledger.add(org, &spec.need);
             }
-            let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_mut()) else {
+            let Some(open) = job.task_mut(&task).and_then(|t| t.open.as_ref()) else {
                 continue;
             };
-            // Whether its start was answered is not recorded.
-            open.adrift_until = Some(now + self.times.call_life);
             if let Some(worker) = self.workers.get_mut(&open.worker) {
-                worker.add_run(task.clone(), open.run, &spec);
+                match open.phase {
+                    RunPhase::Adrift => drop(worker.adrift.insert(task.clone())),
+                    _ => worker.add_run(task.clone(), open.run, &spec),
+                }
             }
         }
         if job.phase.is_final() {
@@ -405,6 +415,12 @@
         }
         for task in open {
             self.stop_run(&task, Loss::new(LossCause::Ended));
+            if self
+                .open_run(&task)
+                .is_some_and(|o| o.phase == RunPhase::Adrift)
+            {
+                self.finish_run(&task, now);
+            }
         }
         self.log(Some(id), format!("job ended: {phase:?}"));
         self.log_ended(id, now);
--- a/crates/batch/src/scheduler/contact.rs
+++ b/crates/batch/src/scheduler/contact.rs
@@ -17,17 +17,16 @@
 use crate::account::Loss;
 use crate::account::LossCause;
 use crate::bounds::with_clock_drift;
+use crate::bounds::CALL_LIFE;
 use crate::job::OpenRun;
 use crate::job::RunPhase;
 use crate::spec::TaskId;
 use crate::speed::Evidence;
+use crate::speed::Meter;
 use crate::throttle::Throttle;
 use crate::worker::Contact;
 use crate::worker::Report;
 
-/// Time after which a worker that is missing from the list is gone.
-pub(super) const MISSING_GRACE: Millis = Millis(2_000);
-
 impl Scheduler {
     /// Records a higher token: the revision of a write that was conditional on the coordinator's lock.
     pub fn raise_fence(&mut self, to: Fence) {
@@ -94,7 +93,7 @@
     /// Longest time for which runs of an incarnation go on that has not answered to a higher token: it may
     /// still carry out calls that were meant for the former one.
     fn longest_lease(&self) -> Millis {
-        self.times.call_life + with_clock_drift(self.bounds.max_hold)
+        CALL_LIFE + with_clock_drift(self.bounds.max_hold)
     }
 
     /// Processes the first report of a worker's incarnation. Runs that the former one has carried out have
@@ -132,6 +131,7 @@
         worker.reported_end = 0;
         worker.read_ends.clear();
         worker.stored_end = 0;
+        worker.held_ends.clear();
         worker.lease_unknown = true;
         worker.lose_contact();
         worker.failures.clear();
@@ -147,12 +147,12 @@
             let Some(open) = open else { continue };
             // Readings of the former clock prove nothing about this one.
             open.absent_after = None;
+            open.meter = Meter::default();
             let run = open.run;
             let has_begun = matches!(open.phase, RunPhase::Running | RunPhase::Stopping);
             // A later answer may be of this incarnation, which began the run after its report.
             let is_earlier = open.seen_at.is_some_and(|at| at < sent);
-            let is_adrift = open.adrift_until.is_some_and(|until| now <= until);
-            let is_over = has_begun && is_earlier && !is_adrift;
+            let is_over = has_begun && is_earlier && !open.adrift.is_any(now);
             if is_over && !report.mentions(&task, run) {
                 self.close_lost(&task, LossCause::Worker, now);
                 self.break_gang(&task, run, &Loss::new(LossCause::Worker));
@@ -160,28 +160,21 @@
         }
     }
 
-    /// Whether a worker refuses the start of an open run for good, if it has not carried it out yet.
+    /// Whether a worker's incarnation refuses the requests to start an open run that were sent before it
+    /// last reported. A later incarnation may not.
     pub(super) fn is_refused(&self, open: &OpenRun, id: &WorkerId) -> bool {
         let worker = self.workers.get(id);
         worker.is_some_and(|w| w.contact == Contact::Settled && open.fence < w.fence)
     }
 
-    /// Latest time at which a run can end whose worker is not heard of. A start without an answer may still
-    /// be carried out, and a later incarnation takes its deadline for the longest lease.
-    pub(super) fn lapse_end(&self, open: &OpenRun, now: Millis) -> Millis {
-        let Some(worker) = self.workers.get(&open.worker) else {
-            return self.inherited_end;
-        };
-        let Some(adrift_until) = open.adrift_until else {
-            return worker.lease_end;
-        };
-        let is_later = worker.entry.born.is_some_and(|born| born > open.born);
-        let missing = worker.missing_since.map(|at| now.since(at));
-        let end = match missing {
-            _ if is_later => adrift_until + with_clock_drift(self.bounds.max_hold),
-            Some(span) if span > MISSING_GRACE => worker.lease_end,
-            _ => adrift_until,
-        };
-        worker.lease_end.max(end)
+    /// Latest time at which a run can end whose worker does not answer. A start without an answer may still
+    /// be carried out by an incarnation that has neither reported nor registered, which takes its deadline for
+    /// the longest lease.
+    pub(super) fn lapse_end(&self, open: &OpenRun) -> Millis {
+        let worker = self.workers.get(&open.worker);
+        let lease_end = worker.map_or(self.inherited_end, |w| w.lease_end);
+        let adrift = open.adrift.until();
+        let adrift_end = adrift.map(|until| until + with_clock_drift(self.bounds.max_hold));
+        lease_end.max(adrift_end.unwrap_or_default())
     }
 }
--- a/crates/batch/src/scheduler/crashes.rs
+++ b/crates/batch/src/scheduler/crashes.rs
@@ -13,6 +13,7 @@
 use super::Scheduler;
 use crate::account::Loss;
 use crate::account::LossCause;
+use crate::adrift::AdriftStarts;
 use crate::job::OpenRun;
 use crate::job::RunPhase;
 use crate::spec::TaskId;
@@ -78,10 +79,11 @@
                 continue;
             };
             let runs: Vec<TaskId> = worker.open.keys().cloned().collect();
+            let adrift: Vec<TaskId> = worker.adrift.iter().cloned().collect();
             let address = worker.entry.address;
             let how = format!("has ended: {present} answers at {address}");
             self.note_crash(&id, runs.clone(), &how, now);
-            for task in runs {
+            for task in runs.into_iter().chain(adrift) {
                 self.close_ended(&task, now);
             }
         }
@@ -90,10 +92,13 @@
     /// Closes a run whose worker has ended. Requests name their worker, so none that is still under way
     /// starts it on the next one.
     fn close_ended(&mut self, task: &TaskId, now: Millis) {
-        let open = self.open_run(task);
-        let Some(run) = open.filter(|o| o.phase != RunPhase::Planned).map(|o| o.run) else {
+        let state = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task));
+        let open = state.and_then(|t| t.open.as_mut());
+        let Some(open) = open.filter(|o| o.phase != RunPhase::Planned) else {
             return;
         };
+        open.adrift = AdriftStarts::default();
+        let run = open.run;
         self.close_lost(task, LossCause::Worker, now);
         self.break_gang(task, run, &Loss::new(LossCause::Worker));
     }
--- a/crates/batch/src/scheduler/odd.rs
+++ b/crates/batch/src/scheduler/odd.rs
@@ -75,7 +75,7 @@
             return true;
         }
         match open.phase {
-            RunPhase::Planned | RunPhase::Sent => true,
+            RunPhase::Adrift | RunPhase::Planned | RunPhase::Sent | RunPhase::Unanswered => true,
             RunPhase::Inherited | RunPhase::Running => {
                 let run = open.run;
                 if is_late {
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -68,7 +68,8 @@
             self.measure(id, run, report.clock, now);
         }
         if !truncated {
-            self.close_missing(id, &report, now);
+            self.close_missing(id, &report, sent, now);
+            self.close_adrift(id, sent, now);
         }
         self.count_strays(id, &report);
         self.stop_odd_strays(id, &report);
@@ -105,9 +106,25 @@
         if end.kind == EndKind::Done {
             self.measure_end(id, &end.task, end.run, now);
         }
+        if matches!(end.kind, EndKind::Done | EndKind::Failed) {
+            self.hold_end(id, end, now);
+        }
         self.apply_effect(id, end, now);
     }
 
+    /// Keeps a worker listing an end whose run a later incarnation may start again, by a request that is
+    /// still on its way. An end that was acknowledged stays counted, also when its worker has crashed.
+    fn hold_end(&mut self, id: &WorkerId, end: &EndedRun, now: Millis) {
+        let open = self.open_run(&end.task);
+        let open = open.filter(|o| o.run == end.run && o.worker == *id);
+        let until = open.and_then(|o| o.adrift.until());
+        let worker = self.workers.get_mut(id);
+        if let (Some(until), Some(worker)) = (until.filter(|until| now <= *until), worker) {
+            worker.held_ends.retain(|_, until| now <= *until);
+            worker.held_ends.insert(end.number, until);
+        }
+    }
+
     /// Applies ends that an earlier coordinator has seen and could not record.
     pub fn apply_seen(&mut self, seen: &[SeenEnd], now: Millis) {
         for SeenEnd { worker, end } in seen {
@@ -305,7 +322,11 @@
             open.percent = active.percent;
             open.progress_at = now;
         }
-        if matches!(open.phase, RunPhase::Inherited | RunPhase::Sent) {
+        let is_adrift = open.phase == RunPhase::Adrift;
+        if matches!(
+            open.phase,
+            RunPhase::Inherited | RunPhase::Sent | RunPhase::Unanswered
+        ) {
             open.phase = RunPhase::Running;
         }
         if open.phase == RunPhase::Running {
@@ -320,6 +341,9 @@
             job.phase = JobPhase::Running;
             self.dirty.insert(active.task.job.clone());
         }
+        if is_adrift {
+            self.stop_adrift(&active.task);
+        }
         if final_phase || done {
             self.stop_run(&active.task, Loss::new(LossCause::Superseded));
         }
@@ -337,7 +361,7 @@
     }
 
     /// Closes the runs that, by this report, are not active and can no longer start.
-    fn close_missing(&mut self, id: &WorkerId, report: &Report, now: Millis) {
+    fn close_missing(&mut self, id: &WorkerId, report: &Report, sent: Millis, now: Millis) {
         let Some(worker) = self.workers.get(id) else {
             return;
         };
@@ -357,29 +381,23 @@
             }
             let (phase, is_refused) = (open.phase, self.is_refused(open, id));
             let absent_after = open.absent_after;
-            let is_former = open.born != born;
+            let is_adrift = open.adrift.is_any(sent);
             if self.is_hidden(id, &task, report, now) {
                 continue;
             }
             let ended = match phase {
-                RunPhase::Planned => false,
+                RunPhase::Adrift | RunPhase::Planned => false,
+                // Its answer is still to come.
+                RunPhase::Sent if is_adrift => false,
                 _ if is_refused => true,
+                RunPhase::Unanswered => !is_adrift,
                 RunPhase::Inherited | RunPhase::Sent => false,
                 RunPhase::Running | RunPhase::Stopping => {
                     absent_after.is_some_and(|clock| report.clock > clock)
                 }
             };
             if ended {
-                self.log(
-                    Some(&task.job),
-                    format!("run {run} of {task} closed: {id} does not report it"),
-                );
-                let cause = match is_former {
-                    true => LossCause::Worker,
-                    false => LossCause::Unreported,
-                };
-                self.close_lost(&task, cause, now);
-                self.break_gang(&task, run, &Loss::new(cause));
+                self.close_absent(id, &task, born, now);
             }
         }
     }
--- a/crates/batch/src/scheduler/requests.rs
+++ b/crates/batch/src/scheduler/requests.rs
@@ -15,19 +15,15 @@
 use crate::account::Loss;
 use crate::account::LossCause;
 use crate::bounds::with_clock_drift;
+use crate::bounds::CALL_LIFE;
 use crate::job::JobPhase;
 use crate::job::RunPhase;
 use crate::record::Progress;
 use crate::spec::RunNumber;
 use crate::spec::StepId;
-use crate::spec::StepSpec;
 use crate::spec::TaskId;
 use crate::worker::Contact;
 use crate::worker::EndedRun;
-use crate::worker::WorkerState;
-
-/// Age from which a planned start is cancelled, because the state that it was based on is outdated.
-const MAX_PLAN_AGE: Millis = Millis(1_500);
 
 /// Pause before a step is retried after a start was refused or not answered.
 const STEP_PAUSE: Millis = Millis(100);
@@ -140,6 +136,9 @@
             Some((id, progress))
         });
         let records: Vec<(JobId, Progress)> = records.collect();
+        records.iter().for_each(|(id, _)| {
+            self.answers.0.remove(id);
+        });
         self.storing = records.iter().map(|(id, _)| id.clone()).collect();
         let ends = self
             .workers
@@ -227,46 +226,7 @@
         job.and_then(|j| j.spec(task)).is_some_and(|s| s.gang)
     }
 
-    /// Which of the conditions on which a start was planned no longer holds, if any.
-    fn obstacle(&self, start: &StartRequest, now: Millis) -> Option<String> {
-        let id = &start.worker;
-        let job = self.jobs.get(&start.task.job);
-        if job.is_none_or(|j| j.phase.is_final()) {
-            return Some("the job has ended".to_string());
-        }
-        let Some(worker) = self.workers.get(id) else {
-            return Some(format!("{id} is gone"));
-        };
-        let has_failed = worker.is_paused(now) && worker.failures.latest() > start.planned_at;
-        let is_same = worker.born == start.born && worker.clock.is_some();
-        if !is_same || has_failed || !self.is_usable(worker, now) {
-            return Some(format!("{id} is not usable any more"));
-        }
-        let age = now.since(start.planned_at);
-        if age > MAX_PLAN_AGE {
-            return Some(format!("planned {age} ago, more than {MAX_PLAN_AGE}"));
-        }
-        let need = job
-            .and_then(|j| j.spec(&start.task))
-            .map(StepSpec::occupies);
-        if need.is_some_and(|need| worker.excess().overlaps(&need)) {
-            let (used, capacity) = (worker.occupied(), worker.entry.capacity);
-            return Some(format!("{id} has {capacity}, and its runs occupy {used}"));
-        }
-        if self.is_over_limit(start) {
-            return Some("the limit of the organisation is exceeded".to_string());
-        }
-        None
-    }
-
-    fn cancel_start(&mut self, start: &StartRequest, now: Millis) {
-        if self.is_open(&start.task, start.run, &start.worker) {
-            self.close_run(&start.task, now);
-        }
-    }
-
     fn mark_sent(&mut self, start: &StartRequest, now: Millis) {
-        let adrift_until = now + self.times.call_life;
         let job = self.jobs.get_mut(&start.task.job);
         if let Some(open) = job
             .and_then(|j| j.task_mut(&start.task))
@@ -274,7 +234,7 @@
         {
             open.phase = RunPhase::Sent;
             open.fence = start.fence;
-            open.adrift_until = Some(adrift_until);
+            open.adrift.send(now);
         }
     }
 
@@ -305,7 +265,10 @@
         // A worker that did not answer the last poll may have restarted. It then numbers its ended
         // runs from the start again, and acknowledging a number of the earlier incarnation would
         // make it drop ended runs that have not been reported yet.
-        let acked_end = if answering { worker.stored_end } else { 0 };
+        let acked_end = match answering {
+            true => worker.acknowledgeable(now),
+            false => 0,
+        };
         let wait = match worker.contact {
             _ if !answering => Millis::ZERO,
             // There is no higher token yet.
@@ -347,9 +310,7 @@
             StartResponse::NoTicket => {
                 let step = request.task.step_id();
                 self.advice.drop_ticket(&step, &request.worker);
-                self.close_lost(&request.task, LossCause::Refused, now);
-                let loss = Loss::new(LossCause::Refused);
-                self.break_gang(&request.task, request.run, &loss);
+                self.close_refused(request, now);
             }
             StartResponse::Refused(why) => self.refused(request, &why, now),
             StartResponse::Unknown(why) => self.unanswered(request, &why, now),
@@ -368,7 +329,6 @@
         if worker.is_some_and(|w| w.has_restarted(clock, now)) {
             self.note_restart(&request.worker, now);
         }
-        let call_life = self.times.call_life;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -377,18 +337,30 @@
             return;
         };
         open.seen_at = Some(now);
-        open.adrift_until = is_repeated.then_some(now + call_life);
+        match is_repeated {
+            true => open.adrift.lose(now + CALL_LIFE),
+            false => open.adrift.answer(),
+        }
+        open.unanswered = 0;
         if request.saved.is_empty() && !gang {
             open.meter.begin(clock, now);
         }
-        if open.phase != RunPhase::Stopping {
-            open.phase = RunPhase::Running;
-            open.absent_after = Some(clock);
+        match open.phase {
+            RunPhase::Adrift => return self.stop_adrift(task),
+            RunPhase::Stopping => {}
+            _ => {
+                open.phase = RunPhase::Running;
+                open.absent_after = Some(clock);
+            }
         }
         if job.phase == JobPhase::Queued {
             job.phase = JobPhase::Running;
             self.dirty.insert(task.job.clone());
         }
+        if self.answers.0.is_empty() {
+            self.answers.1 = now;
+        }
+        self.answers.0.insert(task.job.clone());
         if let Some(step) = job.step_mut(task) {
             step.unstarted_since = None;
             // Also a run that ends before it is next looked for was running.
@@ -407,8 +379,29 @@
         );
         self.pause_worker(&request.worker, now);
         self.pause_step(task, now);
-        self.close_lost(task, LossCause::Refused, now);
-        self.break_gang(task, request.run, &Loss::new(LossCause::Refused));
+        self.close_refused(request, now);
+    }
+
+    /// Closes a run whose start is refused, unless an earlier request for it may still be carried out.
+    fn close_refused(&mut self, request: &StartRequest, now: Millis) {
+        let task = &request.task;
+        let state = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task));
+        let Some(open) = state.and_then(|t| t.open.as_mut()) else {
+            return;
+        };
+        open.adrift.answer();
+        let loss = Loss::new(LossCause::Refused);
+        match (open.adrift.is_any(now), self.is_gang(task)) {
+            (true, false) => self.await_repeat(task, now),
+            (true, true) => {
+                self.stop_run(task, loss.clone());
+                self.break_gang(task, request.run, &loss);
+            }
+            (false, _) => {
+                self.close_lost(task, LossCause::Refused, now);
+                self.break_gang(task, request.run, &loss);
+            }
+        }
     }
 
     fn unanswered(&mut self, request: &StartRequest, why: &str, now: Millis) {
@@ -422,14 +415,8 @@
         );
         self.pause_worker(&request.worker, now);
         self.pause_step(task, now);
-        let adrift_until = now + self.times.call_life;
-        let state = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task));
-        if let Some(open) = state.and_then(|t| t.open.as_mut()) {
-            open.adrift_until = Some(adrift_until);
-        }
-        let loss = Loss::new(LossCause::Unanswered);
-        self.stop_run(task, loss.clone());
-        self.break_gang(task, request.run, &loss);
+        self.note_unanswered(task, now);
+        self.await_repeat(task, now);
     }
 
     fn pause_worker(&mut self, id: &WorkerId, now: Millis) {
@@ -443,19 +430,4 @@
             step.not_before = now + STEP_PAUSE;
         }
     }
-
-    /// Whether tasks may be placed on a worker, pauses after failures aside.
-    pub(crate) fn is_usable(&self, worker: &crate::worker::Worker, now: Millis) -> bool {
-        let entry = &worker.entry;
-        let fresh = now.since(worker.last_answer) <= Millis(self.times.poll_wait.0 * 2);
-        worker.has_answered
-            && !worker.unresponsive
-            && worker.contact == Contact::Settled
-            && fresh
-            && worker.missing_since.is_none()
-            && entry.state == WorkerState::Ready
-            && !self.excluded.contains(&entry.domain)
-            && now >= worker.not_before
-            && !self.cordoned.contains(&entry.id)
-    }
 }
--- a/crates/batch/src/scheduler/stall.rs
+++ b/crates/batch/src/scheduler/stall.rs
@@ -20,8 +20,9 @@
 /// A run ten times slower than expected still gains a percent in this time.
 const STALL_FRACTION: u64 = 4;
 
-/// Time for which a worker with a stalled run gets no new tasks.
-const STALL_PAUSE: Millis = Millis(3_000);
+/// Time for which a worker gets no new tasks that has a stalled run, or has left all requests for a start
+/// unanswered.
+pub(super) const STALL_PAUSE: Millis = Millis(3_000);
 
 impl Scheduler {
     /// Stops a run that has made no progress for too long, unless its worker did not answer polls.
--- a/crates/batch/src/scheduler/stops.rs
+++ b/crates/batch/src/scheduler/stops.rs
@@ -51,7 +51,8 @@
         let Some(open) = job.task_mut(task).and_then(|t| t.open.as_mut()) else {
             return;
         };
-        if open.phase != RunPhase::Planned && open.phase != RunPhase::Stopping {
+        let is_over = matches!(open.phase, RunPhase::Adrift | RunPhase::Stopping);
+        if open.phase != RunPhase::Planned && !is_over {
             open.phase = RunPhase::Stopping;
             open.loss.get_or_insert(loss);
             open.absent_after = None;
@@ -89,8 +90,26 @@
         }
     }
 
-    /// Closes a run and releases its resources. Its task may start again.
+    /// Closes a run and releases its resources. Its task may start again once no request to start the run
+    /// can be carried out any more.
     pub(crate) fn close_run(&mut self, task: &TaskId, now: Millis) {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let is_done = job.phase.is_final() || job.task(task).is_some_and(|t| t.done);
+        let Some(open) = self.open_run(task) else {
+            return;
+        };
+        match open.phase {
+            _ if is_done || !open.adrift.is_any(now) => self.finish_run(task, now),
+            RunPhase::Planned => self.finish_run(task, now),
+            RunPhase::Adrift => {}
+            _ => self.set_adrift(task, now),
+        }
+    }
+
+    /// Closes a run that cannot be started any more, or whose task does not start again.
+    pub(super) fn finish_run(&mut self, task: &TaskId, now: Millis) {
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -106,6 +125,7 @@
         let lost = (!state.done).then(|| lost_run(task, &spec, &open, now));
         if let Some(worker) = self.workers.get_mut(&open.worker) {
             worker.remove_run(task, &spec, open.phase == RunPhase::Stopping);
+            worker.adrift.remove(task);
         }
         self.uncount_run(task);
         self.stopping.remove(task);
@@ -125,7 +145,7 @@
         self.close_run(task, now);
     }
 
-    fn log_lost(&mut self, lost: LostRun, now: Millis) {
+    pub(super) fn log_lost(&mut self, lost: LostRun, now: Millis) {
         if let Some(job) = self.jobs.get_mut(&lost.task.job) {
             job.trace.lose_runs(now);
         }
@@ -209,7 +229,12 @@
 }
 
 /// What a run that was active has lost; `None` if it is not known to have begun.
-fn lost_run(task: &TaskId, spec: &StepSpec, open: &OpenRun, now: Millis) -> Option<LostRun> {
+pub(super) fn lost_run(
+    task: &TaskId,
+    spec: &StepSpec,
+    open: &OpenRun,
+    now: Millis,
+) -> Option<LostRun> {
     let begun = open.seen_at?;
     let loss = open.loss.clone();
     let ran = now.since(open.saved_at.map_or(begun, |at| at.max(begun)));
--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -6,7 +6,6 @@
 use base::Millis;
 use base::WorkerId;
 
-use super::contact::MISSING_GRACE;
 use super::Scheduler;
 use crate::account::LossCause;
 use crate::health::SURVIVED;
@@ -15,6 +14,12 @@
 use crate::spec::TaskId;
 use crate::worker::Worker;
 
+/// Time after which a worker that is missing from the list is gone.
+pub(super) const MISSING_GRACE: Millis = Millis(2_000);
+
+/// Time after which it is stored that starts were answered, if the jobs were not stored since.
+const ANSWERS_DELAY: Millis = Millis(500);
+
 /// Time between two checks of all open runs for expired leases and stalls.
 const CHECK_INTERVAL: Millis = Millis(50);
 
@@ -32,6 +37,7 @@
         if check_runs {
             self.note_replaced(now);
         }
+        self.store_answers(now);
         let mut lapsed: BTreeMap<WorkerId, Vec<String>> = BTreeMap::new();
         let live: Vec<JobId> = self.live.iter().cloned().collect();
         for id in &live {
@@ -72,7 +78,10 @@
             let missing = w
                 .missing_since
                 .is_some_and(|at| now.since(at) > MISSING_GRACE);
-            missing && w.open.is_empty() && now.since(w.last_answer) > MISSING_GRACE
+            missing
+                && w.open.is_empty()
+                && w.adrift.is_empty()
+                && now.since(w.last_answer) > MISSING_GRACE
         };
         let gone: Vec<WorkerId> = self
             .workers
@@ -85,6 +94,16 @@
         }
     }
 
+    /// Has it stored which starts were answered, so that the next coordinator waits for no request of them.
+    fn store_answers(&mut self, now: Millis) {
+        let (jobs, since) = &mut self.answers;
+        if now.since(*since) >= ANSWERS_DELAY {
+            let is_live = |id: &JobId| self.live.contains(id);
+            let jobs = std::mem::take(jobs).into_iter().filter(is_live);
+            self.dirty.extend(jobs);
+        }
+    }
+
     /// Notes that a run that is active has survived its start on its worker.
     fn note_survival(&mut self, task: &TaskId, now: Millis) {
         let Some(open) = self.open_run(task) else {
@@ -108,7 +127,11 @@
             return None;
         }
         let (run, worker) = (open.run, open.worker.clone());
-        if now <= self.lapse_end(open, now) {
+        if now <= self.lapse_end(open) {
+            return None;
+        }
+        if open.phase == RunPhase::Adrift {
+            self.finish_run(task, now);
             return None;
         }
         self.note_lapse(&worker, now);
--- a/crates/batch/src/scheduler/trace.rs
+++ b/crates/batch/src/scheduler/trace.rs
@@ -110,13 +110,12 @@
     let any = |phase: RunPhase| open().any(|o| o.phase == phase);
     let is_missing = state.tasks.iter().any(|t| !t.done && t.open.is_none());
     match () {
-        () if any(RunPhase::Stopping) || is_missing && spec.gang && state.is_open() => {
-            Some(Stage::Lost)
-        }
+        () if any(RunPhase::Adrift) || any(RunPhase::Stopping) => Some(Stage::Lost),
+        () if is_missing && spec.gang && state.is_open() => Some(Stage::Lost),
         () if is_missing && now < state.not_before => Some(Stage::Pause),
         () if is_missing => Some(state.waits_for.unwrap_or(Stage::Room)),
         () if any(RunPhase::Planned) => Some(Stage::Store),
-        () if any(RunPhase::Sent) => Some(Stage::Start),
+        () if any(RunPhase::Sent) || any(RunPhase::Unanswered) => Some(Stage::Start),
         () if any(RunPhase::Inherited) => Some(Stage::Takeover),
         () => None,
     }
--- a/crates/batch/src/scheduler/workers.rs
+++ b/crates/batch/src/scheduler/workers.rs
@@ -85,6 +85,10 @@
                 let open = job.task_mut(&task).and_then(|t| t.open.as_ref());
                 if let Some(open) = open.filter(|o| o.worker == *id) {
                     let stopping = open.phase == RunPhase::Stopping;
+                    if open.phase == RunPhase::Adrift {
+                        worker.adrift.insert(task);
+                        continue;
+                    }
                     worker.add_run(task.clone(), open.run, &spec);
                     if stopping {
                         worker.release_run(&task, &spec);
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -1,5 +1,6 @@
 //! State of a worker, and what it reports.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,6 +10,7 @@
 use base::Map;
 use base::Millis;
 use base::ServiceId;
+use base::Set;
 use base::WorkerId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -190,6 +192,8 @@
     pub read_ends: BTreeSet<u64>,
     /// Highest sequence number of an ended run whose effect is stored.
     pub stored_end: u64,
+    /// Ends that are not acknowledged before these times, as their runs may be started again until then.
+    pub held_ends: BTreeMap<u64, Millis>,
     /// Since when it has listed more unreadable active runs than there can be open ones among them.
     pub unknown_since: Option<Millis>,
     /// Latest time at which the worker's lease can expire.
@@ -210,6 +214,8 @@
     pub serving: usize,
     /// Open runs.
     pub open: Map<TaskId, RunNumber>,
+    /// Tasks whose run here is over, and may be started by a request that is still on its way.
+    pub adrift: Set<TaskId>,
     /// Runs that the worker reports but that are not wanted there; they are to be stopped.
     pub stray_runs: Vec<(TaskId, RunNumber)>,
     /// Failures since work last went well here.
@@ -256,6 +262,7 @@
             read_ends: BTreeSet::new(),
             unknown_since: None,
             stored_end: 0,
+            held_ends: BTreeMap::new(),
             lease_end: Millis::ZERO,
             lease_unknown: true,
             used: Resources::default(),
@@ -263,6 +270,7 @@
             releasing: Resources::default(),
             serving: 0,
             open: Map::default(),
+            adrift: Set::default(),
             stray_runs: Vec::new(),
             failures: WorkerFailures::default(),
             proved_at: Millis::ZERO,
@@ -313,6 +321,13 @@
         self.clock.map(|(_, at)| at)
     }
 
+    /// Highest sequence number up to which its ended runs may be acknowledged.
+    pub fn acknowledgeable(&self, now: Millis) -> u64 {
+        let mut held = self.held_ends.iter().filter(|(_, until)| now <= **until);
+        let first = held.next().map(|(number, _)| *number);
+        first.map_or(self.stored_end, |first| self.stored_end.min(first - 1))
+    }
+
     /// Records an open run of a task with this specification.
     pub fn add_run(&mut self, task: TaskId, run: RunNumber, spec: &StepSpec) {
         if self.open.insert(task, run).is_none() {
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -24,6 +24,7 @@
 use super::catalog;
 use super::transit::Call;
 use super::transit::InTransit;
+use super::transit::LATE_DELAY;
 use super::worker::FakeRun;
 use super::worker::FakeWorker;
 use super::BOUNDS;
@@ -73,6 +74,10 @@
     latest_start: BTreeMap<AttemptUnit, Millis>,
     /// Whether calls in transit reach the next incarnation of a worker, also one that is cut off.
     pub outlives: bool,
+    /// Whether starts are withdrawn once they are recorded, as the store's state is not confirmed.
+    pub withdraws: bool,
+    /// Time after which a late start request is carried out.
+    pub late_delay: Millis,
     pub(super) in_transit: Vec<InTransit>,
     pub(super) pending_responses: Vec<(Millis, StartRequest, StartResponse)>,
     last_polls: BTreeMap<WorkerId, Millis>,
@@ -106,6 +111,8 @@
             failures: BTreeMap::new(),
             latest_start: BTreeMap::new(),
             outlives: false,
+            withdraws: false,
+            late_delay: LATE_DELAY,
             in_transit: Vec::new(),
             pending_responses: Vec::new(),
             last_polls: BTreeMap::new(),
@@ -199,7 +206,11 @@
                 stored.1 = Some(progress.clone());
             }
         }
-        for request in self.scheduler.records_stored(pending, self.now) {
+        let starts = self.scheduler.records_stored(pending, self.now);
+        if self.withdraws {
+            return self.scheduler.withdraw(starts, self.now);
+        }
+        for request in starts {
             self.start(request);
         }
     }
@@ -246,7 +257,9 @@
             .workers
             .iter()
             .any(|w| w.id == request.worker && w.up && w.reachable);
-        if !reachable || self.chance(self.faults.lost) {
+        let mut workers = self.workers.iter();
+        let is_mute = workers.any(|w| w.id == request.worker && w.mute);
+        if !reachable || is_mute || self.chance(self.faults.lost) {
             self.hold(Call::Start(request.clone()));
             self.scheduler
                 .start_response(&request, StartResponse::Unknown("lost".into()), now);
--- a/crates/batch/tests/kit/transit.rs
+++ b/crates/batch/tests/kit/transit.rs
@@ -8,8 +8,8 @@
 use super::site::Site;
 use super::worker::FakeWorker;
 
-/// Time after which a late start request is carried out.
-const LATE_DELAY: Millis = Millis(4_000);
+/// Time after which a late start request is carried out, unless a test sets another.
+pub const LATE_DELAY: Millis = Millis(4_000);
 
 /// A call to a worker.
 pub enum Call {
@@ -53,7 +53,7 @@
 
     /// Lets a start request arrive late.
     pub fn delay(&mut self, request: &StartRequest) {
-        let due = self.now + LATE_DELAY;
+        let due = self.now + self.late_delay;
         let call = Call::Start(request.clone());
         self.in_transit.push(InTransit { due, call });
     }
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -67,6 +67,8 @@
     pub fails: bool,
     /// Whether it refuses all starts.
     pub refuses: bool,
+    /// Whether it neither answers nor carries out any start.
+    pub mute: bool,
     /// Speed of its tasks, in percent.
     pub speed: u64,
     pub runs: BTreeMap<TaskId, FakeRun>,
@@ -103,6 +105,7 @@
             hangs: false,
             fails: false,
             refuses: false,
+            mute: false,
             speed: 100,
             runs: BTreeMap::new(),
             closed: BTreeMap::new(),
--- a/crates/batch/tests/unheard_lives.rs
+++ b/crates/batch/tests/unheard_lives.rs
@@ -236,6 +236,12 @@
     rig.workers[num].restart(now);
     rig.pass(Millis(50));
     let _ = rig.carry_out(&starts[0]);
+    // Its failure domain is taken out, so the run is stopped instead of being requested again.
+    let domain = rig.workers[num].domain.clone();
+    rig.scheduler
+        .exclude_domains([domain].into_iter().collect());
+    rig.pass(Millis(50));
+    rig.starts();
     let stops = rig.scheduler.stop_requests(rig.now);
     let now = rig.now;
     let clock = rig.workers[num].stop(&stops[0], now).expect("accepted");
@@ -250,6 +256,12 @@
         again.is_empty() || rig.workers[num].runs.is_empty(),
         "started again while the run is being stopped"
     );
+    rig.pass(SECOND);
+    assert_eq!(
+        rig.scheduler.stop_requests(rig.now).len(),
+        1,
+        "the run is taken for ended while it is being stopped"
+    );
 }
 
 /// A start without an answer is carried out by an incarnation that reaches neither the coordinator nor the
