Allow for the lifetime of a start without an answer in the soak's LOST

Cause: since a task waits until a start without an answer cannot be carried out any more, the soak's check of jobs with nothing running beside free room (LOST) found waits that the rule against running twice asks for. Traced in the daemons' logs: "a request to start it may be carried out for ..." names job and worker. Change: for jobs of which a daemon has logged that wait, and only those, the allowed time is longer by the lifetime of a call (12 s). The check is as strict as before for all other jobs. Tests: `unanswered_start` fails without the change (found, though allowed); `longer_than_an_unanswered_start` shows that a longer wait of such a job is still found.

--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -1,5 +1,6 @@
 //! Runs a daemon as a child process: starts and signals it, and checks its log output and exit.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::io;
 use std::io::BufRead;
@@ -16,6 +17,7 @@
 use std::thread;
 use std::thread::JoinHandle;
 
+use base::JobId;
 use base::Millis;
 use nix::sys::signal::kill;
 use nix::sys::signal::Signal;
@@ -42,10 +44,15 @@
     pub at: Millis,
     /// Number of lines that the process logged.
     pub lines: usize,
+    /// Jobs with a task that had to wait until a start without an answer could not be carried out any more.
+    pub delayed: BTreeSet<JobId>,
     /// What was wrong with the end or with the log; `None` if nothing was.
     pub problem: Option<String>,
 }
 
+/// Part of the decision that a task waits for such a start.
+const DELAYED: &str = "a request to start it may be carried out for";
+
 /// Addresses that a daemon listens on and connects to.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -92,6 +99,8 @@
 #[derive(Default)]
 struct LogSummary {
     count: usize,
+    /// Jobs with a task that waits for a start without an answer.
+    delayed: BTreeSet<JobId>,
     /// First line that is not a JSON object.
     malformed: Option<String>,
 }
@@ -270,8 +279,8 @@
         }
         let lines = process.reader.take()?.join();
         let lines = lines.unwrap_or_else(|_| LogSummary {
-            count: 0,
             malformed: Some("the thread that reads its output panicked".to_string()),
+            ..LogSummary::default()
         });
         let problem = match status {
             None => Some(format!("still running {STOP_TIMEOUT} after SIGTERM")),
@@ -284,6 +293,7 @@
             daemon: self.number,
             at: now,
             lines: lines.count,
+            delayed: lines.delayed,
             problem: problem.or(malformed.filter(|_| !process.killed)),
         })
     }
@@ -307,9 +317,9 @@
     for line in BufReader::new(out).lines() {
         let Ok(line) = line else { break };
         lines.count += 1;
-        let value: Result<serde_json::Map<_, _>, _> = serde_json::from_str(&line);
-        if value.is_err() {
-            lines.malformed.get_or_insert_with(|| line.clone());
+        match serde_json::from_str(&line) {
+            Ok(fields) => lines.delayed.extend(delayed_job(&fields)),
+            Err(_) => drop(lines.malformed.get_or_insert_with(|| line.clone())),
         }
         if writeln!(file, "{line}").is_err() {
             break;
@@ -317,3 +327,10 @@
     }
     lines
 }
+
+/// The job of a line that says that a task waits for a start without an answer.
+fn delayed_job(fields: &serde_json::Map<String, serde_json::Value>) -> Option<JobId> {
+    let why = fields.get("why")?.as_str()?;
+    let job = fields.get("job").filter(|_| why.contains(DELAYED))?;
+    job.as_str()?.parse().ok()
+}
--- a/crates/soak/src/idle.rs
+++ b/crates/soak/src/idle.rs
@@ -14,6 +14,7 @@
 use batch::StepSpec;
 use batch::Submission;
 use batch::TaskId;
+use batch::CALL_LIFE;
 use platform_fakes::Event;
 use platform_fakes::EventKind;
 use platform_fakes::Outcome;
@@ -65,13 +66,14 @@
             continue;
         }
         let events = events.get(&job).map_or(&[][..], |e| e);
+        let longest = longest_wait(history, &job);
         for wait in waits(history, submission, events, &crashes, accepted, *until) {
             let windows = calm.iter().map(|(from, to)| Wait {
                 start: wait.start.max(*from),
                 end: wait.end.min(*to),
                 ..wait
             });
-            for window in windows.filter(|w| w.end.since(w.start) >= IDLE_TIME) {
+            for window in windows.filter(|w| w.end.since(w.start) >= longest) {
                 if has_room(history, &window) {
                     let (start, end) = (window.start, window.end);
                     let text =
@@ -83,6 +85,15 @@
     }
 }
 
+/// Time for which a job may have nothing running. A start without an answer may be carried out for some time by a
+/// later incarnation of its worker; a task that ran elsewhere meanwhile would run twice.
+fn longest_wait(history: &History, job: &JobId) -> Millis {
+    match history.exits.iter().any(|e| e.delayed.contains(job)) {
+        true => IDLE_TIME + CALL_LIFE,
+        false => IDLE_TIME,
+    }
+}
+
 /// Until when each job is known not to have ended: its first final state, or the last answer about it.
 fn known_until(history: &History) -> BTreeMap<&JobId, Millis> {
     let mut ended: BTreeSet<&JobId> = BTreeSet::new();
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -1,5 +1,7 @@
 //! Tests of the checks: a valid history has no findings, and each kind of violation is found.
 
+use std::collections::BTreeSet;
+
 use base::JobId;
 use base::Millis;
 use base::WorkerId;
@@ -266,6 +268,7 @@
         daemon: 0,
         at: Millis(at),
         lines: 1,
+        delayed: BTreeSet::new(),
         problem: None,
     }
 }
@@ -305,6 +308,7 @@
         daemon: 0,
         at: Millis(20_000),
         lines: 1,
+        delayed: BTreeSet::new(),
         problem: Some("ended without a request".to_string()),
     });
 }
--- a/crates/soak/tests/idle.rs
+++ b/crates/soak/tests/idle.rs
@@ -16,6 +16,7 @@
 use platform_fakes::CAPACITY;
 use soak::check;
 use soak::Call;
+use soak::Exit;
 use soak::FaultWindow;
 use soak::History;
 use soak::Operation;
@@ -217,6 +218,25 @@
     history.caps = vec![(Millis(1_000), cap)];
 }
 
+fn waits_for_an_unanswered_start(history: &mut History) {
+    history.exits.push(Exit {
+        daemon: 0,
+        at: Millis(90_000),
+        lines: 1,
+        delayed: [job(1)].into(),
+        problem: None,
+    });
+}
+
+fn waits_for_longer(history: &mut History) {
+    waits_for_an_unanswered_start(history);
+    for event in &mut history.events[6..] {
+        event.at += Millis(12_000);
+    }
+    history.calls[1].at += Millis(12_000);
+    history.calls[1].sent += Millis(12_000);
+}
+
 #[parameterized(
     after_a_lapse = { no_change, true },
     after_a_crash = { lost_with_its_worker, true },
@@ -234,6 +254,8 @@
     too_little_room = { room_for_one, false },
     too_little_room_for_a_gang = { gang_without_room_twice, false },
     cap = { cap_in_force, false },
+    unanswered_start = { waits_for_an_unanswered_start, false },
+    longer_than_an_unanswered_start = { waits_for_longer, true },
     second_step = { waits_for_an_earlier_step, true },
 )]
 fn a_job_with_nothing_running_beside_free_room_is_found(change: fn(&mut History), is_found: bool) {
