--- a/crates/batch/src/job.rs
+++ b/crates/batch/src/job.rs
@@ -143,6 +143,18 @@
     }
 }
 
+/// A run that has ended, and whose task does not start again, though a request to start the run may still be
+/// carried out by a later incarnation of its worker.
+#[derive(Clone, Debug)]
+pub struct EndedAdrift {
+    /// Its task.
+    pub task: TaskId,
+    /// Its number.
+    pub run: RunNumber,
+    /// Until when a request to start it may be carried out.
+    pub until: Millis,
+}
+
 /// State of one task.
 #[derive(Clone, Debug, Default)]
 pub struct TaskState {
@@ -270,6 +282,8 @@
     pub next: u32,
     /// When it ended, on the coordinator's clock.
     pub ended: Option<Millis>,
+    /// Its ended runs that may still be started again. Their ends are not acknowledged before they cannot be.
+    pub adrift: Vec<EndedAdrift>,
     /// Whether it was sent beyond the rate of its organisation.
     pub excess: bool,
     /// Workers on which a task of the job has failed, without duplicates.
@@ -306,6 +320,7 @@
             open,
             next,
             ended: None,
+            adrift: Vec::new(),
             excess: false,
             failed_on: Vec::new(),
             inherited: false,
@@ -383,6 +398,13 @@
         self.failed_on.len() >= SUSPECT_WORKERS && !tasks.any(|t| t.done)
     }
 
+    /// Until when a request to start an ended run may be carried out; `None` if none may.
+    pub fn adrift_until(&self, task: &TaskId, run: RunNumber) -> Option<Millis> {
+        let mut adrift = self.adrift.iter();
+        let found = adrift.find(|a| a.run == run && a.task == *task);
+        found.map(|a| a.until)
+    }
+
     /// Removes ended occurrences. Returns whether all tasks of the job are done.
     pub fn remove_ended(&mut self) -> bool {
         let ended = |o: &Occurrence| o.is_done() && !o.steps.iter().any(StepState::is_open);
--- a/crates/batch/src/record.rs
+++ b/crates/batch/src/record.rs
@@ -16,6 +16,7 @@
 use crate::bounds::CALL_LIFE;
 use crate::catalog::Queue;
 use crate::crash::Crash;
+use crate::job::EndedAdrift;
 use crate::job::Job;
 use crate::job::JobPhase;
 use crate::job::Occurrence;
@@ -143,6 +144,9 @@
     /// Tasks with an open run that is over, and that an earlier request may still start.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     adrift: Vec<TaskKey>,
+    /// Tasks that do not start again, with an ended run that an earlier request may still start.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    ended: Vec<(TaskKey, RunNumber)>,
 }
 
 /// Occurrence, step and index of a task.
@@ -307,6 +311,12 @@
                 open.phase = RunPhase::Adrift;
             }
         }
+        let ended = self.ended.into_iter().map(|(key, run)| EndedAdrift {
+            task: key.of_job(job),
+            run,
+            until: now + CALL_LIFE,
+        });
+        job.adrift = ended.collect();
         for record in self.crashes {
             record.restore(job);
         }
@@ -334,6 +344,11 @@
                 open.phase != RunPhase::Planned && open.adrift.until().is_none()
             }),
             adrift: tasks_with(job, |open| open.phase == RunPhase::Adrift),
+            ended: job
+                .adrift
+                .iter()
+                .map(|a| (TaskKey::from(&a.task), a.run))
+                .collect(),
         }
     }
 }
--- a/crates/batch/src/scheduler.rs
+++ b/crates/batch/src/scheduler.rs
@@ -448,8 +448,12 @@
 
     fn is_expired(&self, id: &JobId, now: Millis) -> bool {
         let retention = Millis(self.bounds.status.0 * 2);
-        let ended = self.jobs.get(id).and_then(|job| job.ended);
-        ended.is_some_and(|at| now.since(at) > retention) && !self.live.contains(id)
+        let job = self.jobs.get(id).filter(|_| !self.live.contains(id));
+        job.is_some_and(|job| {
+            let is_adrift = job.adrift.iter().any(|a| now <= a.until);
+            let is_old = job.ended.is_some_and(|at| now.since(at) > retention);
+            is_old && !is_adrift
+        })
     }
 
     /// Whether all changes of a job are stored. The records of other jobs must not be removed, as a write
--- a/crates/batch/src/scheduler/report.rs
+++ b/crates/batch/src/scheduler/report.rs
@@ -115,9 +115,13 @@
     /// Keeps a worker listing an end whose run a later incarnation may start again, by a request that is
     /// still on its way. An end that was acknowledged stays counted, also when its worker has crashed.
     fn hold_end(&mut self, id: &WorkerId, end: &EndedRun, now: Millis) {
+        let job = self.jobs.get(&end.task.job);
         let open = self.open_run(&end.task);
         let open = open.filter(|o| o.run == end.run && o.worker == *id);
-        let until = open.and_then(|o| o.adrift.until());
+        let until = match open {
+            Some(open) => open.adrift.until(),
+            None => job.and_then(|j| j.adrift_until(&end.task, end.run)),
+        };
         let worker = self.workers.get_mut(id);
         if let (Some(until), Some(worker)) = (until.filter(|until| now <= *until), worker) {
             worker.held_ends.retain(|_, until| now <= *until);
--- a/crates/batch/src/scheduler/stops.rs
+++ b/crates/batch/src/scheduler/stops.rs
@@ -13,6 +13,7 @@
 use crate::account::Loss;
 use crate::account::LossCause;
 use crate::account::LostRun;
+use crate::job::EndedAdrift;
 use crate::job::OpenRun;
 use crate::job::RunPhase;
 use crate::preempt;
@@ -123,6 +124,14 @@
             return;
         };
         let lost = (!state.done).then(|| lost_run(task, &spec, &open, now));
+        job.adrift.retain(|a| now <= a.until);
+        if let Some(until) = open.adrift.until().filter(|until| now <= *until) {
+            job.adrift.push(EndedAdrift {
+                task: task.clone(),
+                run: open.run,
+                until,
+            });
+        }
         if let Some(worker) = self.workers.get_mut(&open.worker) {
             worker.remove_run(task, &spec, open.phase == RunPhase::Stopping);
             worker.adrift.remove(task);
--- a/crates/batch/tests/adrift.rs
+++ b/crates/batch/tests/adrift.rs
@@ -178,6 +178,38 @@
     restart_at_arrival(&mut site, Millis(4_000));
 }
 
+/// Failure: a new coordinator did not know that an ended run might start again, and acknowledged its end. The next
+/// incarnation took a start of it, and ran a task that was done, or had used up its attempts.
+#[parameterized(
+    done = { false },
+    failed = { true },
+)]
+fn a_new_coordinator_acknowledges_no_end_of_a_run_that_may_start_again(fails: bool) {
+    let once = |job: &mut Submitted| job.attempts = 1;
+    let (mut site, _) = unanswered_by(step(1, 1, Millis(2_000)), 1, once);
+    site.workers[0].fails = fails;
+    site.run(Millis(4_000));
+    assert!(used(&site).is_empty(), "still running");
+    site.take_over();
+    restart_at_arrival(&mut site, Millis(4_000));
+}
+
+/// Failure: a worker's entry was missing for a while, so the coordinator forgot which of its ends wait, and
+/// acknowledged the end of a run that might start again.
+#[test]
+fn a_worker_that_was_forgotten_keeps_the_end_of_a_run_that_may_start_again() {
+    let (mut site, id) = unanswered(step(1, 1, Millis(2_000)), 1);
+    site.run(Millis(3_000));
+    assert!(site.is_done(&id));
+    site.workers[0].listed = false;
+    site.workers[0].reachable = false;
+    site.run(Millis(3_000));
+    site.workers[0].listed = true;
+    site.workers[0].reachable = true;
+    site.run(SECOND);
+    restart_at_arrival(&mut site, Millis(7_000));
+}
+
 /// Failure: a new coordinator did not know which starts were answered, and waited for all of them.
 #[test]
 fn a_new_coordinator_waits_for_no_start_that_was_answered() {
