Ask for a ticket before a start is requested again

Cause: a start without an answer was requested again without a valid ticket, after a take-over without any, and after a restart with that of the former incarnation. The worker refused it each time. Change: the adviser is asked first if there is no valid ticket for that incarnation. A worker that the adviser has rejected gets the run stopped instead. Test: a_start_that_is_requested_again_has_a_ticket, both cases fail without it.

--- a/crates/batch/src/advice.rs
+++ b/crates/batch/src/advice.rs
@@ -98,6 +98,12 @@
     valid_until: Millis,
 }
 
+impl Ticket {
+    fn is_usable(&self, born: u64, now: Millis) -> bool {
+        self.born == born && now + TICKET_MARGIN < self.valid_until
+    }
+}
+
 /// Responses on one step: approved workers with their ticket (`None` once the worker has refused
 /// it), and rejected ones.
 #[derive(Clone, Debug, Default)]
@@ -154,12 +160,25 @@
         let advice = self.steps.get(step).into_iter();
         let approved = advice.flat_map(|a| &a.approved);
         let ticketed = approved.filter(|(id, ticket)| {
-            let usable = |t: &Ticket| t.born == born(id) && now + TICKET_MARGIN < t.valid_until;
-            ticket.as_ref().is_some_and(usable)
+            let ticket = ticket.as_ref();
+            ticket.is_some_and(|t| t.is_usable(born(id), now))
         });
         ticketed.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Whether there is a valid ticket for a step on a worker's incarnation.
+    pub fn has_ticket(&self, step: &StepId, id: &WorkerId, now: Millis, born: u64) -> bool {
+        let approved = self.steps.get(step).and_then(|a| a.approved.get(id));
+        let ticket = approved.and_then(Option::as_ref);
+        ticket.is_some_and(|t| t.is_usable(born, now))
+    }
+
+    /// Whether the adviser has rejected a worker for a step.
+    pub fn is_rejected(&self, step: &StepId, id: &WorkerId) -> bool {
+        let advice = self.steps.get(step);
+        advice.is_some_and(|a| a.rejected.contains(id))
+    }
+
     /// The ticket for a step on a worker; empty if there is none.
     pub fn ticket(&self, step: &StepId, id: &WorkerId) -> String {
         let approved = self.steps.get(step).and_then(|a| a.approved.get(id));
@@ -256,9 +275,17 @@
                 };
             workers.push(candidate.id.clone());
         }
-        if workers.is_empty() {
-            return;
+        if !workers.is_empty() {
+            self.insert(step, rule, workers, has_room);
         }
+    }
+
+    /// Queues a request for a ticket on the worker of an open run, as the run's start is to be requested again.
+    pub fn enqueue_repeat(&mut self, step: &StepId, rule: AdviceRule, id: &WorkerId) {
+        self.insert(step, rule, vec![id.clone()], true);
+    }
+
+    fn insert(&mut self, step: &StepId, rule: AdviceRule, workers: Vec<WorkerId>, has_room: bool) {
         let expected_time = rule.call_time(workers.len());
         let request = AdviceRequest {
             step: step.clone(),
--- a/crates/batch/src/plan/prefetch.rs
+++ b/crates/batch/src/plan/prefetch.rs
@@ -26,7 +26,7 @@
     }
 
     /// The adviser's response times for a job, if its queue has an adviser.
-    pub(super) fn advice_rule(&self, job: &Job) -> Option<AdviceRule> {
+    pub(crate) fn advice_rule(&self, job: &Job) -> Option<AdviceRule> {
         self.catalog.queue(&job.submitted.queue)?.advice
     }
 
--- a/crates/batch/src/scheduler/repeat.rs
+++ b/crates/batch/src/scheduler/repeat.rs
@@ -175,7 +175,8 @@
             if overdue < ISOLATION_WAIT && self.is_kept_apart(&task, worker) {
                 continue;
             }
-            if !self.is_closed(worker, now) {
+            let is_rejected = self.advice.is_rejected(&task.step_id(), &id);
+            if !self.is_closed(worker, now) && !is_rejected {
                 self.repeat_start(&task, &id, now);
             } else {
                 let text = format!("{id} takes no starts any more; stopping run {run} of {task}");
@@ -198,8 +199,14 @@
         state.is_some_and(|s| is_suspect(&s.crashes)) && others.any(is_active)
     }
 
-    /// Requests a start again.
+    /// Requests a start again. If that needs a ticket and there is no valid one, the adviser is asked first.
     fn repeat_start(&mut self, task: &TaskId, id: &WorkerId, now: Millis) {
+        let step = task.step_id();
+        let rule = self.jobs.get(&task.job).and_then(|j| self.advice_rule(j));
+        let born = self.workers.get(id).map_or(0, |w| w.born);
+        if let Some(rule) = rule.filter(|_| !self.advice.has_ticket(&step, id, now, born)) {
+            return self.advice.enqueue_repeat(&step, rule, id);
+        }
         let Some(start) = self.start_again(task, id, now) else {
             return;
         };
--- a/crates/batch/tests/advised.rs
+++ b/crates/batch/tests/advised.rs
@@ -3,11 +3,13 @@
 mod kit;
 
 use base::Millis;
+use base::WorkerId;
 use batch::AdviceRequest;
 use batch::AdviceResponse;
 use batch::AdviceRule;
 use batch::Catalog;
 use batch::StepSpec;
+use yare::parameterized;
 
 use kit::catalog;
 use kit::idle::IdleWatch;
@@ -18,6 +20,9 @@
 
 const SECOND: Millis = Millis(1_000);
 
+/// Time after which a start without an answer must be active at its worker, which takes it again.
+const MAX_REPEAT: Millis = Millis(1_000);
+
 /// Longest time for which due work may have nothing running beside free room.
 const MAX_IDLE: Millis = Millis(3_000);
 
@@ -49,7 +54,8 @@
         let now = site.now;
         if let Some((request, sent, _)) = self.current.take_if(|(_, _, due)| *due <= now) {
             let named = request.workers.iter();
-            let approved = named.map(|id| (id.clone(), "ticket".to_string()));
+            let worker = |id: &WorkerId| site.workers.iter().find(|w| w.id == *id);
+            let approved = named.filter_map(|id| Some((id.clone(), worker(id)?.ticket())));
             let response = AdviceResponse::Approved(approved.collect(), None);
             site.scheduler
                 .advice_response(&request, response, sent, now);
@@ -96,3 +102,25 @@
     }
     assert!(watch.worst.0 <= MAX_IDLE, "waited for {}", watch.worst.0);
 }
+
+/// Failure: a start without an answer was requested again without a ticket, or with that of the former
+/// incarnation. Its worker refused it each time, and the task waited until no start could be carried out any more.
+#[parameterized(
+    new_coordinator = { Site::take_over },
+    next_incarnation = { |site: &mut Site| site.workers[0].restart(site.now) },
+)]
+fn a_start_that_is_requested_again_has_a_ticket(change: fn(&mut Site)) {
+    let mut site = Site::new(1, 2, Faults::default());
+    let mut adviser = Adviser::default();
+    site.workers[0].checks_tickets = true;
+    site.workers[0].mute = true;
+    site.scheduler.configure(&advised());
+    site.run(SECOND);
+    site.submit("a", job(1, vec![step(1, 1, Millis(30_000))], site.now));
+    adviser.run(&mut site, Millis(200));
+    change(&mut site);
+    site.scheduler.configure(&advised());
+    site.workers[0].mute = false;
+    adviser.run(&mut site, MAX_REPEAT);
+    assert_eq!(site.workers[0].runs.len(), 1);
+}
--- a/crates/batch/tests/kit/worker.rs
+++ b/crates/batch/tests/kit/worker.rs
@@ -69,6 +69,8 @@
     pub refuses: bool,
     /// Whether it neither answers nor carries out any start.
     pub mute: bool,
+    /// Whether it refuses starts without a ticket of its incarnation.
+    pub checks_tickets: bool,
     /// Speed of its tasks, in percent.
     pub speed: u64,
     pub runs: BTreeMap<TaskId, FakeRun>,
@@ -106,6 +108,7 @@
             fails: false,
             refuses: false,
             mute: false,
+            checks_tickets: false,
             speed: 100,
             runs: BTreeMap::new(),
             closed: BTreeMap::new(),
@@ -150,6 +153,12 @@
         self.entry_lag = old.entry_lag;
         self.shown_born = old.shown_born;
         self.draining = old.draining;
+        self.checks_tickets = old.checks_tickets;
+    }
+
+    /// The ticket that starts need if it checks them.
+    pub fn ticket(&self) -> String {
+        format!("{}-{}", self.id, self.born)
     }
 
     fn clock_at(&self, now: Millis) -> Millis {
@@ -172,6 +181,9 @@
         if request.deadline < self.clock_at(now).0 {
             return StartResponse::Refused("late".to_string());
         }
+        if self.checks_tickets && request.ticket != self.ticket() {
+            return StartResponse::NoTicket;
+        }
         let clock_at = self.clock_at(now).0;
         if self
             .runs
