Do not count a restart against a start that was sent after it

What callers saw: a job was given up after crashes of its worker that were over when its start was sent. Cause: a worker had restarted before the coordinator heard of it; a start was then sent and had no answer. The first report of the new incarnation was taken for a crash under that run, and two of these give a job up. Change: a run counts as lost with an incarnation only if a request for it was sent before the next one began. Test: a_start_that_was_sent_after_a_restart_is_not_its_cause fails without it. The same rule for a worker whose address another one has taken has no test.

--- a/crates/batch/src/adrift.rs
+++ b/crates/batch/src/adrift.rs
@@ -16,17 +16,25 @@
     awaited: Option<Millis>,
     /// Those that have no answer.
     unanswered: Option<Millis>,
+    /// When the first of them was sent; `None` if that is not known.
+    first_sent: Option<Millis>,
 }
 
 impl AdriftStarts {
     /// Notes that a request is sent.
     pub fn send(&mut self, now: Millis) {
+        if self.until().is_none() {
+            self.first_sent = Some(now);
+        }
         self.awaited = Some(now + CALL_LIFE);
     }
 
     /// Notes that the awaited request was answered.
     pub fn answer(&mut self) {
         self.awaited = None;
+        if self.unanswered.is_none() {
+            self.first_sent = None;
+        }
     }
 
     /// Notes that a request has no answer, and may be carried out until then.
@@ -44,4 +52,9 @@
     pub fn is_any(&self, now: Millis) -> bool {
         self.until().is_some_and(|until| now <= until)
     }
+
+    /// Whether all of them were sent after `at`.
+    pub fn is_after(&self, at: Millis) -> bool {
+        self.first_sent.is_some_and(|sent| sent > at)
+    }
 }
--- a/crates/batch/src/scheduler/contact.rs
+++ b/crates/batch/src/scheduler/contact.rs
@@ -112,9 +112,11 @@
         let restarted = worker.clock.is_some();
         let mut ended: Vec<TaskId> = self.runs_before(id, born);
         // A start request names no incarnation: this one has carried out what it reports.
+        let began = Some(now.since(Millis(report.clock)));
         ended.retain(|task| {
             let run = self.open_run(task).map(|o| o.run);
-            !run.is_some_and(|run| report.mentions(task, run))
+            let is_here = run.is_some_and(|run| report.mentions(task, run));
+            !is_here && !self.was_sent_after(task, began)
         });
         if restarted || !ended.is_empty() {
             self.note_crash(id, ended, "has restarted", now);
--- a/crates/batch/src/scheduler/crashes.rs
+++ b/crates/batch/src/scheduler/crashes.rs
@@ -82,7 +82,10 @@
             let adrift: Vec<TaskId> = worker.adrift.iter().cloned().collect();
             let address = worker.entry.address;
             let how = format!("has ended: {present} answers at {address}");
-            self.note_crash(&id, runs.clone(), &how, now);
+            let clock = self.workers.get(&present).and_then(|w| w.clock);
+            let began = clock.map(|(clock, at)| at.since(Millis(clock)));
+            let before = runs.iter().filter(|t| !self.was_sent_after(t, began));
+            self.note_crash(&id, before.cloned().collect(), &how, now);
             for task in runs.into_iter().chain(adrift) {
                 self.close_ended(&task, now);
             }
@@ -150,6 +153,13 @@
         self.note_loss(id, &runs, true, now);
     }
 
+    /// Whether an open run was requested only after this incarnation of its worker had begun, so that it is no
+    /// cause of the end of the one before.
+    pub(super) fn was_sent_after(&self, task: &TaskId, began: Option<Millis>) -> bool {
+        let sent = self.open_run(task).map(|o| o.adrift);
+        sent.is_some_and(|sent| began.is_some_and(|at| sent.is_after(at)))
+    }
+
     /// Whether a run was planned after `at` and is known to have begun.
     fn began_after(&self, task: &TaskId, at: Millis) -> bool {
         let open = self.open_run(task);
--- a/crates/batch/tests/adrift.rs
+++ b/crates/batch/tests/adrift.rs
@@ -4,6 +4,7 @@
 
 use base::JobId;
 use base::Millis;
+use batch::JobPhase;
 use batch::StepSpec;
 use batch::Submitted;
 use yare::parameterized;
@@ -264,3 +265,27 @@
     site.run(Millis(2_000));
     assert!(site.is_done(&id));
 }
+
+/// Failure: a worker had restarted unnoticed when it was sent a start, which had no answer. Its next report was taken
+/// for a crash under that run, and the job was given up after the second such report.
+#[test]
+fn a_start_that_was_sent_after_a_restart_is_not_its_cause() {
+    let mut site = Site::new(1, 2, Faults::default());
+    site.run(SECOND);
+    let id = site.submit("a", job(1, vec![step(1, 1, SECOND)], site.now));
+    site.faults.late_requests = 1_000;
+    for _ in 0..2 {
+        // The start is planned, and is sent once it is recorded.
+        site.faults.store = 1_000;
+        site.run(Millis(520));
+        site.publishes = false;
+        restart(&mut site);
+        site.faults.store = 0;
+        site.run(STEP + STEP);
+        site.publishes = true;
+    }
+    site.run(SECOND);
+    site.faults = Faults::default();
+    site.run(ALL);
+    assert_eq!(site.phase_shown(&id), Some(JobPhase::Completed));
+}
--- a/crates/batch/tests/kit/site.rs
+++ b/crates/batch/tests/kit/site.rs
@@ -76,6 +76,8 @@
     pub outlives: bool,
     /// Whether starts are withdrawn once they are recorded, as the store's state is not confirmed.
     pub withdraws: bool,
+    /// Whether the workers write their entries, and the coordinator reads them.
+    pub publishes: bool,
     /// Time after which a late start request is carried out.
     pub late_delay: Millis,
     pub(super) in_transit: Vec<InTransit>,
@@ -112,6 +114,7 @@
             latest_start: BTreeMap::new(),
             outlives: false,
             withdraws: false,
+            publishes: true,
             late_delay: LATE_DELAY,
             in_transit: Vec::new(),
             pending_responses: Vec::new(),
@@ -174,7 +177,9 @@
         self.advance_runs();
         self.deliver_calls();
         self.deliver_responses();
-        self.publish_workers();
+        if self.publishes {
+            self.publish_workers();
+        }
         // Every change raises the revision of the store.
         self.epoch += 1;
         self.scheduler.raise_fence(Fence(self.epoch));
