--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -59,6 +59,8 @@
     pub lease_status: LeaseStatus,
     /// Whether the leadership has ended.
     pub ended: Cell<bool>,
+    /// Whether its state has been restored from the store. Nothing can be asked of it before.
+    pub restored: Cell<bool>,
     /// State of all jobs and workers.
     pub scheduler: RefCell<Scheduler>,
     /// The latest decisions on jobs, for operators.
@@ -122,7 +124,7 @@
 
 /// Ends the leadership, if any, and releases the lock.
 pub async fn resign(shared: &Rc<Shared>) {
-    let Some(lead) = shared.current_leadership() else {
+    let Some(lead) = shared.held_leadership() else {
         return;
     };
     lead.end();
@@ -158,6 +160,7 @@
         lease,
         lease_status: keeper.status(),
         ended: Cell::new(false),
+        restored: Cell::new(false),
         scheduler: RefCell::new(Scheduler::new(epoch, shared.bounds, catalog.clone(), now)),
         history: RefCell::default(),
         elected: now,
@@ -244,6 +247,7 @@
     let Some(requests) = until_done(&shared, &lead, || read_records(&shared, &lead)).await else {
         return;
     };
+    lead.restored.set(true);
     documents::update_scheduler(&shared);
     delegates::wait_for_links(&shared, &lead).await;
     actix_rt::spawn(delegates::run(shared.clone(), lead.clone()));
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -157,13 +157,18 @@
     }
 }
 
+/// Counts the jobs of a queue that wait, by what the coordinator knows or has published.
 async fn queue_length(shared: &Rc<Shared>, queue: &Queue) -> CallAnswer {
     if let Some(lead) = shared.current_leadership() {
         let counts = lead.scheduler.borrow().waiting();
         return CallAnswer::Waiting(counts.get(&queue.name).copied().unwrap_or(0));
     }
     match load::read(shared).await {
-        Ok((load, _)) => CallAnswer::Waiting(load.waiting.get(&queue.name).copied().unwrap_or(0)),
+        Ok((load, _)) if load.room.is_some() => {
+            CallAnswer::Waiting(load.waiting.get(&queue.name).copied().unwrap_or(0))
+        }
+        // No coordinator has counted them yet.
+        Ok(_) => CallAnswer::Unknown(retry_after(shared)),
         Err(error) => {
             shared.record_store_result(Err(&error));
             CallAnswer::Unknown(retry_after(shared))
--- a/crates/bronzetack/src/batch/operators.rs
+++ b/crates/bronzetack/src/batch/operators.rs
@@ -135,6 +135,11 @@
 /// Refuses a question that only the coordinator can answer, and names the coordinator.
 async fn refer(shared: &Shared) -> HttpReply {
     let why = match election::holder(shared).await {
+        Ok(Some(vm)) if vm == shared.settings.vm.as_str() => {
+            "this daemon has just become the coordinator and reads the state of the site: ask again \
+             in some seconds"
+                .to_string()
+        }
         Ok(Some(vm)) => format!("{} is not the coordinator: ask {vm}", shared.settings.vm),
         Ok(None) => "the site has no coordinator now: ask again in some seconds".to_string(),
         Err(error) => {
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -181,7 +181,8 @@
     pub machines: Option<Machines>,
     /// The operators' documents as last read.
     pub documents: RefCell<Documents>,
-    /// State of the leadership while this daemon is the coordinator.
+    /// State of the leadership while this daemon holds the lock. Questions about the site go to
+    /// [`Shared::current_leadership`].
     pub leadership: RefCell<Option<Rc<Leadership>>>,
     /// Latest version of the configuration on which an answer of this daemon was based, whether its
     /// own or one that it relayed. Later calls are not decided by an older version.
@@ -368,12 +369,16 @@
         Millis(self.rng.borrow_mut().random_range(0..=max.0))
     }
 
-    /// The leadership, if this daemon is the coordinator and it has not ended.
+    /// The leadership, if this daemon is the coordinator and knows the state of the site. While it restores
+    /// that, it answers as a daemon that is not the coordinator.
     pub fn current_leadership(&self) -> Option<Rc<Leadership>> {
-        self.leadership
-            .borrow()
-            .clone()
-            .filter(|lead| !lead.ended.get())
+        self.held_leadership().filter(|lead| lead.restored.get())
+    }
+
+    /// The leadership, if this daemon holds the lock, whether or not the state of the site is restored.
+    pub fn held_leadership(&self) -> Option<Rc<Leadership>> {
+        let held = self.leadership.borrow().clone();
+        held.filter(|lead| !lead.ended.get())
     }
 
     /// Logs that something under a key cannot be read, unless that was logged a short time ago.
