--- a/crates/batch/src/admit.rs
+++ b/crates/batch/src/admit.rs
@@ -5,6 +5,7 @@
 //! refused at once, with a retry time. Callers that are given the same retry time return as one
 //! burst, so each refusal moves the next caller's retry time further out.
 
+use base::Epoch;
 use base::Map;
 use base::Millis;
 use base::ServiceId;
@@ -76,6 +77,9 @@
     pub pools: Map<ServiceId, PoolLoad>,
     /// Measured duration of each queue's tasks relative to their estimates, in percent.
     pub ratios: Map<String, u32>,
+    /// Epoch of the coordinator.
+    #[serde(default)]
+    pub epoch: Epoch,
     /// Memory of the coordinator that is left for further jobs; `None` if it does not say.
     #[serde(default)]
     pub room: Option<Footprint>,
--- a/crates/batch/src/scheduler/load.rs
+++ b/crates/batch/src/scheduler/load.rs
@@ -37,6 +37,7 @@
         let mut load = Load {
             waiting: self.waiting(),
             ratios: self.ratios.clone(),
+            epoch: self.epoch(),
             ..Load::default()
         };
         for worker in self
--- a/crates/bronzetack/src/batch.rs
+++ b/crates/bronzetack/src/batch.rs
@@ -36,6 +36,7 @@
 mod leadership;
 mod load;
 mod local;
+mod lock_view;
 mod operators;
 mod orgs;
 mod peers;
--- a/crates/bronzetack/src/batch/election.rs
+++ b/crates/bronzetack/src/batch/election.rs
@@ -134,6 +134,17 @@
 
 /// Watches the lock until it is removed. Returns false if it must be read again or a stop began.
 async fn wait_until_free(
+    shared: &Rc<Shared>,
+    held: Revision,
+    after: Revision,
+) -> Result<bool, StoreError> {
+    shared.lock.borrow_mut().hold(held, shared.now());
+    let is_free = watch_until_free(shared, held, after).await;
+    shared.lock.borrow_mut().release(shared.now());
+    is_free
+}
+
+async fn watch_until_free(
     shared: &Rc<Shared>,
     held: Revision,
     mut after: Revision,
@@ -150,7 +161,8 @@
         });
         match last {
             Some(Change::Removed { .. }) => return Ok(true),
-            Some(Change::Put(_)) | None => {}
+            Some(Change::Put(item)) => shared.lock.borrow_mut().hold(item.revision, shared.now()),
+            None => {}
         }
     }
     Ok(false)
--- a/crates/bronzetack/src/batch/leadership.rs
+++ b/crates/bronzetack/src/batch/leadership.rs
@@ -33,6 +33,7 @@
 use crate::batch::keeper::LeaseKeeper;
 use crate::batch::keeper::LeaseStatus;
 use crate::batch::keys;
+use crate::batch::load;
 use crate::batch::poll;
 use crate::batch::removal;
 use crate::batch::restore::read_records;
@@ -185,6 +186,14 @@
     lead.end();
     keeper.close();
     *shared.leadership.borrow_mut() = None;
+    // What this daemon knows of the load holds for a moment, like what another one has published.
+    let now = shared.now();
+    if lead.restored.get() {
+        let load = load::publishable(shared, &lead.scheduler.borrow());
+        *shared.load.borrow_mut() = (load, now);
+    }
+    shared.lock.borrow_mut().hold(lock_revision, now);
+    shared.lock.borrow_mut().release(now);
     obs::record(&shared.log, Event::CoordinatorLost, &[("epoch", &epoch)]);
     Ok(())
 }
--- a/crates/bronzetack/src/batch/local.rs
+++ b/crates/bronzetack/src/batch/local.rs
@@ -12,6 +12,7 @@
 use batch::Catalog;
 use batch::JobPhase;
 use batch::JobRecord;
+use batch::Load;
 use batch::Progress;
 use batch::Queue;
 use batch::ReadLimit;
@@ -163,11 +164,17 @@
         let counts = lead.scheduler.borrow().waiting();
         return CallAnswer::Waiting(counts.get(&queue.name).copied().unwrap_or(0));
     }
+    // A daemon that stops watches the lock no longer.
+    let is_counted = |load: &Load| {
+        let lock = shared.lock.borrow();
+        let is_counting = shared.stopping.get() || lock.is_counting(load.epoch, shared.now());
+        load.room.is_some() && is_counting
+    };
     match load::read(shared).await {
-        Ok((load, _)) if load.room.is_some() => {
+        Ok((load, _)) if is_counted(&load) => {
             CallAnswer::Waiting(load.waiting.get(&queue.name).copied().unwrap_or(0))
         }
-        // No coordinator has counted them yet.
+        // Nobody counts them now.
         Ok(_) => CallAnswer::Unknown(retry_after(shared)),
         Err(error) => {
             shared.record_store_result(Err(&error));
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -51,6 +51,7 @@
 
 use crate::batch::decisions::EndMetrics;
 use crate::batch::leadership::Leadership;
+use crate::batch::lock_view::LockView;
 use crate::batch::orgs::OrgMetrics;
 use crate::batch::peers::Peer;
 
@@ -189,6 +190,8 @@
     pub seen_version: Cell<u64>,
     /// Readiness as reported to the load balancer.
     pub ready: Ready,
+    /// The lock as long as another daemon holds it.
+    pub lock: RefCell<LockView>,
     /// The published load as last read, and the time of the read.
     pub load: RefCell<(Load, Millis)>,
     /// Whether the published load is being read in the background.
@@ -336,6 +339,7 @@
             leadership: RefCell::default(),
             seen_version: Cell::new(0),
             ready: Ready::default(),
+            lock: RefCell::default(),
             load: RefCell::default(),
             reading_load: Cell::new(false),
             promised: RefCell::default(),
