--- a/crates/batch/examples/load/world.rs
+++ b/crates/batch/examples/load/world.rs
@@ -67,6 +67,7 @@
     evacuate: Millis(5_000),
     cancel: Millis(3_000),
     heartbeat: Millis(1_500),
+    contact: Millis(3_000),
     status: Millis(120_000),
     remote_factor: 3,
     pace: Millis(100),
@@ -152,7 +153,10 @@
         for num in 0..workers {
             let entry = entry(num);
             world.index.insert(entry.id.clone(), num);
-            world.scheduler.update_worker(entry.clone());
+            // Workers write their entries throughout.
+            world
+                .scheduler
+                .update_worker(entry.clone(), Millis(u64::MAX));
             world.workers.push(EmulatedWorker {
                 entry,
                 fails: num % 5 == 0 && num / 5 < failing,
--- a/crates/batch/src/bounds.rs
+++ b/crates/batch/src/bounds.rs
@@ -22,6 +22,9 @@
     pub cancel: Millis,
     /// Interval at which a worker rewrites its own entry in the store.
     pub heartbeat: Millis,
+    /// Time after which a disruption counts as over. The room of a worker that has shrunk counts from this
+    /// time and one heartbeat on.
+    pub contact: Millis,
     /// Time for which callers can ask for the state of an ended job.
     pub status: Millis,
     /// Factor by which a task is slower on a rack other than that of its data.
@@ -68,8 +71,10 @@
     pub documents: Millis,
     /// Age of the operators' documents where organisations have limits, which may have been lowered.
     pub limits: Millis,
-    /// Age of the workers' entries.
+    /// Age of the list of workers: the time since it was known that no entry has changed.
     pub workers: Millis,
+    /// Age of the worker's own entry: the time since it may have been written.
+    pub entry: Millis,
     /// Age of the callers' requests.
     pub requests: Millis,
 }
@@ -132,6 +137,7 @@
             documents: self.evacuate.since(START_TIME),
             limits: self.evacuate.min(self.config_apply).since(START_TIME),
             workers: self.drain.since(START_TIME),
+            entry: (self.contact + self.heartbeat).since(START_TIME),
             requests: self.cancel.since(START_TIME),
         };
         // The entries are up to twice as old as the wait, and older by the time to gather changes.
--- a/crates/batch/src/scheduler/gate.rs
+++ b/crates/batch/src/scheduler/gate.rs
@@ -32,6 +32,13 @@
             Some(RunPhase::Unanswered) => self.accepts(worker, now),
             _ => return Some("it is not wanted any more".to_string()),
         };
+        if self.has_old_entry(worker, now) {
+            let age = now.since(worker.written);
+            let most = self.times.start_ages.entry;
+            return Some(format!(
+                "the entry of {id} may be {age} old, more than {most}"
+            ));
+        }
         if !is_same || !is_usable {
             return Some(format!("{id} is not usable any more"));
         }
@@ -69,6 +76,12 @@
             && worker.missing_since.is_none()
             && entry.state == WorkerState::Ready
             && !self.excluded.contains(&entry.domain)
+            && !self.has_old_entry(worker, now)
+    }
+
+    /// Whether a worker's entry may be so old that its room has changed since, and that counts.
+    pub(super) fn has_old_entry(&self, worker: &Worker, now: Millis) -> bool {
+        now.since(worker.written) > self.times.start_ages.entry
     }
 
     /// Whether a worker takes no starts until its entry or the operators change. One that has no entry for a
--- a/crates/batch/src/scheduler/overview.rs
+++ b/crates/batch/src/scheduler/overview.rs
@@ -30,6 +30,8 @@
     DomainOut,
     /// Its entry has disappeared.
     Missing,
+    /// Its entry may have been written too long ago.
+    Outdated,
     /// It gets no tasks for a while, because runs have failed or were not answered.
     Paused,
     /// It does not answer polls.
@@ -46,6 +48,7 @@
             Usability::Draining => "draining",
             Usability::DomainOut => "domain-out",
             Usability::Missing => "missing",
+            Usability::Outdated => "outdated",
             Usability::Paused => "paused",
             Usability::Silent => "silent",
             Usability::Usable => "usable",
@@ -55,7 +58,11 @@
     /// Whether room on workers in this state counts as room of their pool.
     pub(crate) fn is_counted(self) -> bool {
         match self {
-            Usability::Cordoned | Usability::Paused | Usability::Silent | Usability::Usable => true,
+            Usability::Cordoned
+            | Usability::Outdated
+            | Usability::Paused
+            | Usability::Silent
+            | Usability::Usable => true,
             Usability::DomainOut | Usability::Draining | Usability::Missing => false,
         }
     }
@@ -314,6 +321,7 @@
             w if self.excluded.contains(&w.entry.domain) => Usability::DomainOut,
             w if self.cordoned.contains(&w.entry.id) => Usability::Cordoned,
             w if w.is_lost() => Usability::Silent,
+            w if self.has_old_entry(w, now) => Usability::Outdated,
             w if w.is_paused(now) || now < w.not_before => Usability::Paused,
             _ => Usability::Silent,
         }
--- a/crates/batch/src/scheduler/workers.rs
+++ b/crates/batch/src/scheduler/workers.rs
@@ -16,13 +16,13 @@
 use crate::worker::WorkerEntry;
 
 impl Scheduler {
-    /// Applies a complete list of workers. One that is missing from it is kept until its runs have
-    /// ended.
+    /// Applies a complete list of workers, written at `now`. One that is missing from it is kept until its
+    /// runs have ended.
     pub fn set_workers(&mut self, listed: Vec<WorkerEntry>, now: Millis) {
         let mut seen: Set<WorkerId> = Set::default();
         for entry in listed {
             seen.insert(entry.id.clone());
-            self.update_worker(entry);
+            self.update_worker(entry, now);
         }
         self.mark_unlisted(&seen, now);
     }
@@ -36,14 +36,15 @@
         }
     }
 
-    /// Adds or updates one worker from its entry.
-    pub fn update_worker(&mut self, entry: WorkerEntry) {
+    /// Adds or updates one worker from its entry, which was not written before `written`.
+    pub fn update_worker(&mut self, entry: WorkerEntry, written: Millis) {
         self.add_host(&entry);
         match self.workers.get_mut(&entry.id) {
             Some(worker) => {
                 let before = worker.entry.capacity;
                 let id = entry.id.clone();
                 worker.missing_since = None;
+                worker.written = worker.written.max(written);
                 let restarted = entry.born.is_some_and(|born| born > worker.born);
                 if worker.entry.address != entry.address || restarted {
                     worker.has_answered = false;
@@ -66,6 +67,7 @@
                 };
                 let mut worker = Worker::new(entry, fence, contact);
                 worker.lease_end = self.inherited_end;
+                worker.written = written;
                 self.adopt_open(&id, &mut worker);
                 self.workers.insert(id, worker);
             }
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -162,6 +162,8 @@
 pub struct Worker {
     /// The worker's entry.
     pub entry: WorkerEntry,
+    /// Earliest time at which the entry may have been written.
+    pub written: Millis,
     /// Since when the entry has been missing.
     pub missing_since: Option<Millis>,
     /// Incarnation that last answered (its start as Unix time); zero if none has.
@@ -248,6 +250,7 @@
             is_draining: entry.state == WorkerState::Draining,
             upkeep_at: None,
             entry: entry.bounded(),
+            written: Millis::ZERO,
             missing_since: None,
             born: 0,
             has_answered: false,
--- a/crates/batch/tests/absurd.rs
+++ b/crates/batch/tests/absurd.rs
@@ -41,6 +41,7 @@
 use kit::queue;
 use kit::step;
 use kit::BOUNDS;
+use kit::FRESH;
 
 const NOW: Millis = Millis(1_000_000);
 
@@ -115,7 +116,7 @@
 /// A coordinator with a worker, on which a job of one long task runs.
 fn running() -> Scheduler {
     let mut scheduler = Scheduler::new(Epoch(1), BOUNDS, catalog(), NOW);
-    scheduler.update_worker(entry(1));
+    scheduler.update_worker(entry(1), FRESH);
     scheduler.report(
         &worker_id(1),
         report(NOW.0, Vec::new(), Vec::new()),
@@ -157,7 +158,7 @@
     let mut now = NOW;
     for _ in 0..20 {
         now += Millis(500);
-        scheduler.update_worker(entry(2));
+        scheduler.update_worker(entry(2), FRESH);
         scheduler.report(
             &worker_id(2),
             report(now.0, Vec::new(), Vec::new()),
@@ -218,7 +219,7 @@
             labels: Vec::new(),
             ..entry(num)
         };
-        scheduler.update_worker(absurd);
+        scheduler.update_worker(absurd, FRESH);
         let answer = Report {
             born: None,
             ..report(NOW.0, Vec::new(), Vec::new())
@@ -307,14 +308,17 @@
         runs: 12,
     };
     let mut scheduler = Scheduler::new(Epoch(1), BOUNDS, catalog(), NOW);
-    scheduler.update_worker(WorkerEntry {
-        capacity: Resources {
-            cpu: 1 << 24,
-            memory: 1 << 24,
-            accels: 0,
+    scheduler.update_worker(
+        WorkerEntry {
+            capacity: Resources {
+                cpu: 1 << 24,
+                memory: 1 << 24,
+                accels: 0,
+            },
+            ..entry(1)
         },
-        ..entry(1)
-    });
+        FRESH,
+    );
     let mut submitted = scheduled(schedule, 2_000);
     submitted.work.steps[0].need = Resources {
         cpu: 100,
--- a/crates/batch/tests/capacity.rs
+++ b/crates/batch/tests/capacity.rs
@@ -14,6 +14,7 @@
 use kit::site::Site;
 use kit::step;
 use kit::worker::FakeRun;
+use kit::FRESH;
 
 const SECOND: Millis = Millis(1_000);
 
@@ -38,7 +39,7 @@
     assert_eq!(pending.records.len(), 1, "the start is planned");
     site.workers[0].capacity = shrunk(4);
     let entry = site.workers[0].entry(site.now);
-    site.scheduler.update_worker(entry);
+    site.scheduler.update_worker(entry, FRESH);
     let starts = site.scheduler.records_stored(pending, site.now);
     assert!(starts.is_empty(), "8 accelerators on a worker of 4");
 }
@@ -52,7 +53,7 @@
     let pending = site.scheduler.take_pending();
     site.workers[0].capacity = shrunk(4);
     let entry = site.workers[0].entry(site.now);
-    site.scheduler.update_worker(entry);
+    site.scheduler.update_worker(entry, FRESH);
     site.scheduler.records_stored(pending, site.now).len()
 }
 
--- a/crates/batch/tests/handed_ends.rs
+++ b/crates/batch/tests/handed_ends.rs
@@ -24,6 +24,7 @@
 use kit::pool;
 use kit::step;
 use kit::BOUNDS;
+use kit::FRESH;
 
 const NOW: Millis = Millis(1_000_000);
 
@@ -81,7 +82,7 @@
 /// A coordinator whose job runs on the worker, and the record that it has stored.
 fn running() -> (Scheduler, Progress) {
     let mut scheduler = Scheduler::new(Epoch(1), BOUNDS, catalog(), NOW);
-    scheduler.update_worker(entry());
+    scheduler.update_worker(entry(), FRESH);
     scheduler.report(&worker_id(), report(NOW, Vec::new()), NOW, NOW);
     let submitted = job(1, vec![step(1, 1, Millis(500))], NOW);
     scheduler.add(id(), submitted, None, NOW);
@@ -116,7 +117,7 @@
     assert_eq!(record.phase, batch::JobPhase::Completed);
     assert!(second.records_stored(pending, later).is_empty());
     // The worker may still list the end to the second coordinator.
-    second.update_worker(entry());
+    second.update_worker(entry(), FRESH);
     second.report(&worker_id(), report(later, vec![done()]), later, later);
     second.plan(later, later);
     let pending = second.take_pending();
--- a/crates/batch/tests/kit/mod.rs
+++ b/crates/batch/tests/kit/mod.rs
@@ -38,6 +38,7 @@
     evacuate: Millis(5_000),
     cancel: Millis(3_000),
     heartbeat: Millis(1_500),
+    contact: Millis(3_000),
     status: Millis(120_000),
     remote_factor: 3,
     pace: Millis(100),
@@ -45,6 +46,9 @@
     min_ttl: Millis(1_000),
 };
 
+/// When entries were written that never age.
+pub const FRESH: Millis = Millis(u64::MAX);
+
 /// The queue of this priority, named `q` and the priority.
 pub fn queue(priority: u32) -> Queue {
     Queue {
--- a/crates/batch/tests/odd_rows.rs
+++ b/crates/batch/tests/odd_rows.rs
@@ -29,6 +29,7 @@
 use kit::pool;
 use kit::step;
 use kit::BOUNDS;
+use kit::FRESH;
 
 const NOW: Millis = Millis(1_000_000);
 
@@ -122,7 +123,7 @@
 impl Site {
     fn start() -> Site {
         let mut scheduler = Scheduler::new(Epoch(1), BOUNDS, catalog(), NOW);
-        scheduler.update_worker(entry());
+        scheduler.update_worker(entry(), FRESH);
         let mut site = Site {
             scheduler,
             now: NOW,
--- a/crates/batch/tests/silence.rs
+++ b/crates/batch/tests/silence.rs
@@ -29,6 +29,7 @@
 use kit::pool;
 use kit::step;
 use kit::BOUNDS;
+use kit::FRESH;
 
 const NOW: Millis = Millis(1_000_000);
 
@@ -109,14 +110,14 @@
 /// A coordinator whose job runs on the first worker, and the record that it has stored.
 fn running() -> (Scheduler, Option<Progress>) {
     let mut scheduler = Scheduler::new(Epoch(1), BOUNDS, catalog(), NOW);
-    scheduler.update_worker(entry(1));
+    scheduler.update_worker(entry(1), FRESH);
     report(&mut scheduler, 1, None, NOW);
     scheduler.add(id(), submitted(), None, NOW);
     let (starts, record) = pass(&mut scheduler, NOW);
     assert_eq!(starts.len(), 1);
     report(&mut scheduler, 1, Some(20), NOW + Millis(10));
     // Another worker is there, so that the task could start again.
-    scheduler.update_worker(entry(2));
+    scheduler.update_worker(entry(2), FRESH);
     (scheduler, record)
 }
 
@@ -182,7 +183,7 @@
         rounds(&mut scheduler, now, now + Millis(2_000), Some(percent));
         now += Millis(2_000);
     }
-    scheduler.update_worker(entry(1));
+    scheduler.update_worker(entry(1), FRESH);
     rounds(&mut scheduler, now, now + Millis(1_000), Some(30));
 }
 
@@ -192,10 +193,10 @@
 fn a_task_goes_on_if_its_workers_entry_is_missing_at_a_take_over() {
     let (_, record) = running();
     let mut second = Scheduler::new(Epoch(2), BOUNDS, catalog(), NOW);
-    second.update_worker(entry(2));
+    second.update_worker(entry(2), FRESH);
     second.add(id(), submitted(), record, NOW);
     rounds(&mut second, NOW, NOW + Millis(2_000), None);
-    second.update_worker(entry(1));
+    second.update_worker(entry(1), FRESH);
     rounds(
         &mut second,
         NOW + Millis(2_000),
--- a/crates/bronzetack/src/batch/documents.rs
+++ b/crates/bronzetack/src/batch/documents.rs
@@ -41,6 +41,7 @@
             Ok(listing) => {
                 shared.record_store_result(Ok(()));
                 let revision = listing.revision;
+                shared.note_revision(sent, revision);
                 refuse_rows(&shared, OPERATOR_PREFIX, &listing.refused);
                 apply_listing(&shared, listing, sent);
                 update_ready(&shared);
@@ -84,6 +85,7 @@
             Ok(watched) => {
                 shared.record_store_result(Ok(()));
                 after = watched.revision.max(after);
+                shared.note_revision(sent, watched.revision);
                 refuse_rows(shared, OPERATOR_PREFIX, &watched.refused);
                 for change in &watched.changes {
                     apply_change(shared, change, sent);
--- a/crates/bronzetack/src/batch/restore.rs
+++ b/crates/bronzetack/src/batch/restore.rs
@@ -35,7 +35,9 @@
 
 /// Reads the workers' entries. Returns the revision from which to watch them.
 pub async fn read_workers(shared: &Shared, lead: &Leadership) -> Result<Revision, StoreError> {
+    let sent = shared.now();
     let workers = shared.store.list(WORKER_PREFIX).await?;
+    shared.note_revision(sent, workers.revision);
     refuse_rows(shared, WORKER_PREFIX, &workers.refused);
     let now = shared.now();
     let mut scheduler = lead.scheduler.borrow_mut();
@@ -149,6 +151,7 @@
             Ok(watched) => {
                 shared.record_store_result(Ok(()));
                 lead.confirm(prefix, sent);
+                shared.note_revision(sent, watched.revision);
                 after = watched.revision.max(after);
                 refuse_rows(&shared, prefix, &watched.refused);
                 let is_whole = watched.is_whole();
@@ -217,6 +220,7 @@
     let listing = shared.store.list(prefix).await?;
     refuse_rows(shared, prefix, &listing.refused);
     lead.confirm(prefix, sent);
+    shared.note_revision(sent, listing.revision);
     let now = shared.now();
     let mut scheduler = lead.scheduler.borrow_mut();
     if !listing.refused.is_empty() {
@@ -295,7 +299,10 @@
 
 fn apply_worker(shared: &Shared, scheduler: &mut Scheduler, item: &Item, now: Millis) {
     match decode_entry(&item.key, item.value.as_deref()) {
-        StoreEntry::Worker(_, Ok(view)) => scheduler.update_worker(*view),
+        StoreEntry::Worker(_, Ok(view)) => {
+            let written = shared.revisions.borrow().written_after(item.revision);
+            scheduler.update_worker(*view, written);
+        }
         StoreEntry::Worker(id, Err(why)) => {
             shared.refuse(&item.key, &why);
             scheduler.mark_missing(&id, now);
--- a/crates/bronzetack/src/batch/shared.rs
+++ b/crates/bronzetack/src/batch/shared.rs
@@ -10,6 +10,7 @@
 use base::Map;
 use base::MemoryBudget;
 use base::Millis;
+use base::Revision;
 use base::Set;
 use base::VmId;
 use batch::candidacy::Capacity;
@@ -24,6 +25,7 @@
 use batch::PromisedCapacity;
 use batch::RateLimit;
 use batch::ReadLimit;
+use batch::RevisionTimes;
 use batch::REQUEST_TIMEOUT;
 use conf::batch::BatchConfig;
 use delegate::AgeFilter;
@@ -180,6 +182,8 @@
     pub adviser: Option<Adviser>,
     /// Client of the machine service, which lists machines and starts their upkeep.
     pub machines: Option<Machines>,
+    /// Revisions of the store, and when it had them.
+    pub revisions: RefCell<RevisionTimes>,
     /// The operators' documents as last read.
     pub documents: RefCell<Documents>,
     /// State of the leadership while this daemon holds the lock. Questions about the site go to
@@ -234,6 +238,7 @@
             evacuate: site.evacuate,
             cancel: site.cancel,
             heartbeat: site.heartbeat,
+            contact: site.contact,
             status: site.status,
             remote_factor: site.remote_factor,
             pace: site.pace,
@@ -335,6 +340,7 @@
                 .machines
                 .address
                 .map(|address| Machines::new(address, settings.vm.to_string(), REQUEST_TIMEOUT)),
+            revisions: RefCell::default(),
             documents: RefCell::default(),
             leadership: RefCell::default(),
             seen_version: Cell::new(0),
@@ -385,6 +391,11 @@
         held.filter(|lead| !lead.ended.get())
     }
 
+    /// Records that a read of the store sent at `sent` was answered at this revision.
+    pub fn note_revision(&self, sent: Millis, revision: Revision) {
+        self.revisions.borrow_mut().record(sent, revision);
+    }
+
     /// Logs that something under a key cannot be read, unless that was logged a short time ago.
     pub fn refuse(&self, key: &str, why: &dyn std::fmt::Display) {
         if self.refused_log.admit(key, self.now()) {
--- a/crates/conf/src/batch/mod.rs
+++ b/crates/conf/src/batch/mod.rs
@@ -119,6 +119,8 @@
     pub stop: Millis,
     /// Interval at which a worker refreshes its entry in the store.
     pub heartbeat: Millis,
+    /// Time after which a disruption counts as over.
+    pub contact: Millis,
     /// Retention time of the state of an ended job.
     pub status: Millis,
     /// Time within which a changed execution rate of a task takes effect.
--- a/crates/conf/src/batch/raw.rs
+++ b/crates/conf/src/batch/raw.rs
@@ -42,6 +42,7 @@
     cancel: Millis(3_000),
     stop: Millis(6_000),
     heartbeat: Millis(1_500),
+    contact: Millis(3_000),
     status: Millis(120_000),
     pace: Millis(100),
     harm: Millis(4_000),
@@ -91,7 +92,7 @@
     machines: [OptionalText; 3],
     resources: [OptionalText; 3],
     delegates: [OptionalText; 2],
-    durations: [OptionalText; 14],
+    durations: [OptionalText; 15],
     factor: OptionalText,
 }
 
@@ -141,6 +142,7 @@
             "drain",
             "evacuate",
             "cancel",
+            "contact",
         ];
         let durations = names.map(|name| section.text(name));
         let factor = section.text("remote-factor");
@@ -229,7 +231,7 @@
 
 fn bounds(raw: &RawBatch, findings: &mut Findings) -> SiteBounds {
     let [hold, grace, reclaim, config, stop, heartbeat, status, ..] = &raw.durations;
-    let [.., pace, harm, upkeep, handover, drain, evacuate, cancel] = &raw.durations;
+    let [.., pace, harm, upkeep, handover, drain, evacuate, cancel, contact] = &raw.durations;
     let factor = number_up_to(MAX_FACTOR, &raw.factor, FACTOR_REMEDY, findings);
     SiteBounds {
         max_hold: duration(hold, DEFAULT_BOUNDS.max_hold, findings),
@@ -241,6 +243,7 @@
         cancel: duration(cancel, DEFAULT_BOUNDS.cancel, findings),
         stop: duration(stop, DEFAULT_BOUNDS.stop, findings),
         heartbeat: duration(heartbeat, DEFAULT_BOUNDS.heartbeat, findings),
+        contact: duration(contact, DEFAULT_BOUNDS.contact, findings),
         status: duration(status, DEFAULT_BOUNDS.status, findings),
         pace: duration(pace, DEFAULT_BOUNDS.pace, findings),
         harm: duration(harm, DEFAULT_BOUNDS.harm, findings),
