--- a/crates/batch/src/scheduler/gate.rs
+++ b/crates/batch/src/scheduler/gate.rs
@@ -32,6 +32,9 @@
             Some(RunPhase::Unanswered) => self.accepts(worker, now),
             _ => return Some("it is not wanted any more".to_string()),
         };
+        if is_same && !worker.owns_entry() {
+            return Some(format!("the entry of {id} is of another incarnation"));
+        }
         if self.has_old_entry(worker, now) {
             let age = now.since(worker.written);
             let most = self.times.start_ages.entry;
@@ -47,6 +50,13 @@
             return Some(format!("planned {age} ago, more than {MAX_PLAN_AGE}"));
         }
         let spec = job.and_then(|j| j.spec(&start.task));
+        let label = spec.and_then(|s| s.label.as_ref());
+        if label.is_some_and(|label| !worker.labels.contains(label)) {
+            return Some(format!("{id} is of another kind now"));
+        }
+        if job.is_some_and(|j| self.pool_of(j) != worker.entry.pool) {
+            return Some(format!("{id} is not of the pool of the queue"));
+        }
         let need = spec.map(StepSpec::occupies);
         if need.is_some_and(|need| worker.excess().overlaps(&need)) {
             let (used, capacity) = (worker.occupied(), worker.entry.capacity);
@@ -76,6 +86,7 @@
             && worker.missing_since.is_none()
             && entry.state == WorkerState::Ready
             && !self.excluded.contains(&entry.domain)
+            && worker.owns_entry()
             && !self.has_old_entry(worker, now)
     }
 
--- a/crates/batch/src/scheduler/measure.rs
+++ b/crates/batch/src/scheduler/measure.rs
@@ -28,6 +28,7 @@
 use crate::speed::Sample;
 use crate::speed::Speed;
 use crate::worker::ActiveRun;
+use crate::worker::Worker;
 
 /// Time between two estimates, for a small site and for each worker.
 const FIT_INTERVAL: Millis = Millis(400);
@@ -36,10 +37,7 @@
 impl Scheduler {
     /// Adds a reading of a run's progress, taken at `clock` on the clock of its worker.
     pub(super) fn measure(&mut self, id: &WorkerId, active: &ActiveRun, clock: u64, now: Millis) {
-        let cold = self
-            .workers
-            .get(id)
-            .is_none_or(|w| w.entry.cold > Millis::ZERO);
+        let is_warm = self.workers.get(id).is_some_and(Worker::is_warm);
         let Some(job) = self.jobs.get_mut(&active.task.job) else {
             return;
         };
@@ -47,7 +45,7 @@
         let Some(open) = job
             .task_mut(&active.task)
             .and_then(|t| t.open.as_mut())
-            .filter(|o| is_measured && !cold && o.phase == RunPhase::Running)
+            .filter(|o| is_measured && is_warm && o.phase == RunPhase::Running)
             .filter(|o| o.run == active.run && o.worker == *id)
         else {
             return;
@@ -84,7 +82,7 @@
         let Some(clock) = worker.clock.map(|(clock, _)| clock) else {
             return;
         };
-        if worker.entry.cold > Millis::ZERO {
+        if !worker.is_warm() {
             return;
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
--- a/crates/batch/src/scheduler/overview.rs
+++ b/crates/batch/src/scheduler/overview.rs
@@ -30,7 +30,7 @@
     DomainOut,
     /// Its entry has disappeared.
     Missing,
-    /// Its entry may have been written too long ago.
+    /// Its entry may have been written too long ago, or is of another incarnation.
     Outdated,
     /// It gets no tasks for a while, because runs have failed or were not answered.
     Paused,
@@ -321,7 +321,7 @@
             w if self.excluded.contains(&w.entry.domain) => Usability::DomainOut,
             w if self.cordoned.contains(&w.entry.id) => Usability::Cordoned,
             w if w.is_lost() => Usability::Silent,
-            w if self.has_old_entry(w, now) => Usability::Outdated,
+            w if !w.owns_entry() || self.has_old_entry(w, now) => Usability::Outdated,
             w if w.is_paused(now) || now < w.not_before => Usability::Paused,
             _ => Usability::Silent,
         }
--- a/crates/batch/src/worker.rs
+++ b/crates/batch/src/worker.rs
@@ -297,8 +297,18 @@
     /// before, or already that of the next.
     pub fn shows_draining(&self) -> bool {
         let is_unknown = self.born == 0;
-        let is_own = self.entry.born.is_none_or(|born| born == self.born);
-        (is_own || is_unknown) && self.entry.state == WorkerState::Draining
+        (self.owns_entry() || is_unknown) && self.entry.state == WorkerState::Draining
+    }
+
+    /// Whether the entry is that of the incarnation that answers. Nothing that another one has written holds
+    /// for it.
+    pub fn owns_entry(&self) -> bool {
+        self.entry.born.is_none_or(|born| born == self.born)
+    }
+
+    /// Whether the incarnation that answers has said that it has warmed up.
+    pub fn is_warm(&self) -> bool {
+        self.owns_entry() && self.entry.cold == Millis::ZERO
     }
 
     /// Whether the end of this incarnation was announced or requested, so that it is no crash.
--- a/crates/batch/tests/entries.rs
+++ b/crates/batch/tests/entries.rs
@@ -3,10 +3,12 @@
 mod kit;
 
 use base::Epoch;
+use base::Fence;
 use base::Millis;
 use base::Revision;
 use batch::RevisionTimes;
 use batch::Scheduler;
+use batch::StepSpec;
 use yare::parameterized;
 
 use kit::catalog;
@@ -117,3 +119,59 @@
     }
     assert_eq!(times.written_after(Revision(revision)), Millis(written));
 }
+
+/// Failure: a worker was back under its id as another kind, or with less room, and was sent tasks by the entry of
+/// its former incarnation until its own was read.
+#[parameterized(
+    another_kind = { Some("r0"), 1, 8, false },
+    less_room = { None, 8, 4, false },
+    the_same = { Some("r0"), 1, 8, true },
+)]
+fn a_worker_that_is_back_is_used_by_its_own_entry(
+    label: Option<&str>,
+    need: u64,
+    accels: u64,
+    is_same: bool,
+) {
+    let mut site = Site::new(1, 1, Faults::default());
+    site.run(SECOND);
+    site.publishes = false;
+    let now = site.now;
+    let worker = &mut site.workers[0];
+    worker.restart(now);
+    worker.capacity.accels = accels;
+    if !is_same {
+        worker.rack = "r9".to_string();
+    }
+    let step = StepSpec {
+        label: label.map(str::to_string),
+        ..step(1, need, LONG)
+    };
+    site.submit("a", job(1, vec![step], site.now));
+    site.run(Millis(500));
+    assert!(
+        !has_started(&site),
+        "started by the entry of another incarnation"
+    );
+    site.publishes = true;
+    site.run(SECOND);
+    assert_eq!(has_started(&site), is_same);
+}
+
+/// Failure: the same where the entry of the next incarnation was read first, and the former one answered last.
+#[test]
+fn a_former_incarnation_is_sent_nothing_by_the_entry_of_the_next() {
+    let (mut scheduler, mut worker) = coordinator_and_worker();
+    let mut starts = |next: u64, at: u64| {
+        let now = START + Millis(at);
+        let mut entry = worker.entry(now);
+        entry.born = Some(worker.born.0 + next);
+        scheduler.update_worker(entry, now);
+        scheduler.raise_fence(Fence(at));
+        starts_after_report(&mut scheduler, &mut worker, now)
+    };
+    let before: Vec<usize> = (1..5).map(|num| starts(1, num * 100)).collect();
+    assert_eq!(before, [0, 0, 0, 0]);
+    let after: Vec<usize> = (5..9).map(|num| starts(0, num * 100)).collect();
+    assert_eq!(after.iter().sum::<usize>(), 1);
+}
