Show a daemon's log where a test finds it not ready

Cause: two tests of `serve` have each failed once with "timed out: the daemon is ready", before they did anything, and could not be traced, as the daemon's log went nowhere. Change: the log goes to a file beside the settings, and the failed check shows its end. Hypothesis ruled out meanwhile: a child that is being started inherits the probe of a free port and keeps it from the daemon.

--- a/crates/bronzetack/tests/support/mod.rs
+++ b/crates/bronzetack/tests/support/mod.rs
@@ -9,6 +9,7 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -35,6 +36,9 @@
 /// Interval at which a condition is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Lines of a daemon's log that a failed test shows.
+const LOG_LINES: usize = 40;
+
 /// Most requests that a worker serves at once.
 const SLOTS: usize = 8;
 
@@ -138,6 +142,13 @@
         self.child = Some(spawn(&self.settings));
     }
 
+    /// The end of its log, unless that went to standard error.
+    fn latest_log(&self) -> String {
+        let log = fs::read_to_string(log_path(&self.settings)).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        lines[lines.len().saturating_sub(LOG_LINES)..].join("\n")
+    }
+
     /// Whether the daemon reports that it is ready.
     pub fn is_ready(&self) -> bool {
         callers::get(self.ports.callers, "/ready").is_some_and(|(status, _)| status == 200)
@@ -262,7 +273,13 @@
     /// Waits until every daemon is ready and creates the tests' organisation.
     pub fn wait_ready(&self) {
         for daemon in &self.daemons {
-            eventually("the daemon is ready", || daemon.is_ready());
+            let is_ready = within(WAIT_TIMEOUT, || daemon.is_ready());
+            assert!(
+                is_ready,
+                "{} is not ready: {}",
+                daemon.vm,
+                daemon.latest_log()
+            );
         }
         callers::add_org(self.daemons[0].ports.operators);
     }
@@ -344,13 +361,13 @@
     }
 }
 
-fn spawn(settings: &PathBuf) -> Child {
+fn spawn(settings: &Path) -> Child {
     let mut child = Command::new(env!("CARGO_BIN_EXE_bronzetack"))
         .arg("serve")
         .arg("--settings")
         .arg(settings)
         .stdout(Stdio::piped())
-        .stderr(log_target())
+        .stderr(log_target(settings))
         .spawn()
         .expect("daemon program starts");
     let mut ports = String::new();
@@ -359,12 +376,21 @@
     child
 }
 
-/// Destination of daemons' logs: standard error if `BRONZETACK_LOG` is set, else none.
-fn log_target() -> Stdio {
-    match std::env::var_os("BRONZETACK_LOG") {
-        Some(_) => Stdio::inherit(),
-        None => Stdio::null(),
+/// Destination of a daemon's log: standard error if `BRONZETACK_LOG` is set, else a file beside its
+/// settings, to which it is appended.
+fn log_target(settings: &Path) -> Stdio {
+    if std::env::var_os("BRONZETACK_LOG").is_some() {
+        return Stdio::inherit();
     }
+    let log = fs::File::options()
+        .append(true)
+        .create(true)
+        .open(log_path(settings));
+    log.expect("log file can be opened").into()
+}
+
+fn log_path(settings: &Path) -> PathBuf {
+    settings.with_extension("log")
 }
 
 fn start_worker(id: &str) -> Worker {
