Forward nothing that was read after a relay's connection was to stop

Hypotheses: the number of accepted connections is not raised yet when the relay is told (no, that comes before the target is connected); or the relay's task reads after it has looked for a stop. The second: within one poll it looks first and reads then, and the thread can lose the processor in between. Change: bytes are forwarded only if the connection is not to stop after they were read.

--- a/crates/fakes/src/fault_relay.rs
+++ b/crates/fakes/src/fault_relay.rs
@@ -317,8 +317,8 @@
         biased;
         stop = shared.stopped(number, false) => stop,
         _ = join(
-            forward(from_client, to_server, 0, shared),
-            forward(from_server, to_client, 1, shared),
+            forward(from_client, to_server, 0, number, shared),
+            forward(from_server, to_client, 1, number, shared),
         ) => return,
     };
     if stop == Stop::Blackhole {
@@ -332,14 +332,23 @@
 
 /// Forwards bytes from one stream to the other until either ends. `direction` is the index into
 /// `Controls::paused`.
-async fn forward(from: ReadHalf<'_>, mut to: WriteHalf<'_>, direction: usize, shared: &RelayState) {
+async fn forward(
+    from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    direction: usize,
+    number: u64,
+    shared: &RelayState,
+) {
     loop {
         let buffer = read(&from).await;
         let delay = shared.controls.borrow().delay;
         if !delay.is_zero() {
             sleep(delay).await;
         }
-        shared.wait_for(|c| !c.paused[direction]).await;
+        // What was read may have been sent after the connection was to stop.
+        shared
+            .wait_for(|c| !c.paused[direction] && c.stop(number).is_none())
+            .await;
         if buffer.is_empty() {
             // Fails if the other end has closed the connection as well.
             let _ = to.shutdown().await;
