--- a/crates/bronzetack/src/batch/election.rs
+++ b/crates/bronzetack/src/batch/election.rs
@@ -144,6 +144,7 @@
     is_free
 }
 
+/// As [`wait_until_free`], without noting for the answers of this daemon who holds the lock.
 async fn watch_until_free(
     shared: &Rc<Shared>,
     held: Revision,
