--- a/crates/batch/src/scheduler/time.rs
+++ b/crates/batch/src/scheduler/time.rs
@@ -94,7 +94,8 @@
         }
     }
 
-    /// Has it stored which starts were answered, so that the next coordinator waits for no request of them.
+    /// Marks jobs to be stored of which starts were answered, so that the next coordinator does not wait for
+    /// these requests.
     fn store_answers(&mut self, now: Millis) {
         let (jobs, since) = &mut self.answers;
         if now.since(*since) >= ANSWERS_DELAY {
